feat: lay out the workspace, the shared types and the checks

Cause: nothing exists yet; every later part needs one place for names, verdicts, record types and the check that continuous integration runs.

--- /dev/null
+++ b/eel-admit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions of a target node: slots, priority, fairness, preemption and batch credits.
--- /dev/null
+++ b/eel-batch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Batch jobs: chunks, claims, item attempts, deadline order and job admission.
--- /dev/null
+++ b/eel-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and the targets, with faults, for tests and the quickstart.
--- /dev/null
+++ b/eel-telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and trace spans.
--- /dev/null
+++ b/eel-types/src/lib.rs
@@ -0,0 +1,11 @@
+//! Identifiers and small enums that every crate of the workspace shares.
+
+mod class;
+mod id;
+mod load;
+mod name;
+
+pub use class::Class;
+pub use id::{Attempt, Incarnation, RequestId, Revision};
+pub use load::LoadReport;
+pub use name::Name;
--- /dev/null
+++ b/eel-verdict/tests/verdict/main.rs
@@ -0,0 +1,3 @@
+//! Tests of `eel-verdict`.
+
+mod combine;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The entry node and the command line of operators and callers.
+
+fn main() {}
--- /dev/null
+++ b/src/target.rs
@@ -0,0 +1,3 @@
+//! The target node.
+
+fn main() {}
