feat(settings): check the INI settings of both processes

Both processes need their settings before anything else starts. rust-ini keeps no line numbers for keys, so the document scans the same text for them; a position-keeping INI parser of our own was ruled out (parsers come from libraries). Every problem of a file is reported in one pass, each with file, line, section, key and the allowed values. Unknown sections and keys, doubled keys, missing units and values out of range are refused.

etc/entry.ini and etc/target.ini are annotated examples that a test loads. eel-types gains Name::is_identifier, which records will use as well.

--- /dev/null
+++ b/eel-settings/src/section.rs
@@ -0,0 +1,165 @@
+//! Typed reads of one section's keys.
+
+use std::{net::SocketAddr, ops::RangeInclusive, path::PathBuf, str::FromStr};
+
+use eel_types::Name;
+use http::Uri;
+use log::LevelFilter;
+
+use crate::{Fault, document::Document};
+
+const IDENTIFIER: &str =
+    "a name of 1 to 63 letters, digits, '-', '_' or '.' that starts with a letter or digit";
+const URL: &str = "an http:// or https:// URL with a host";
+const ADDRESS: &str = "an IP address and port such as 10.0.0.1:8080";
+const LEVEL: &str = "one of off, error, warn, info, debug, trace";
+
+/// Reads keys of one section; a problem is recorded and a placeholder returned, so that all are found in one pass.
+pub struct Section<'a> {
+    document: &'a mut Document,
+    name: &'static str,
+    known: Vec<&'static str>,
+}
+
+impl<'a> Section<'a> {
+    /// Starts reading the section `name`.
+    pub fn new(document: &'a mut Document, name: &'static str) -> Self {
+        Self {
+            document,
+            name,
+            known: Vec::new(),
+        }
+    }
+
+    /// Reads a name.
+    pub fn name(&mut self, key: &'static str) -> Name {
+        let parse = |text: &str| Some(Name::from(text)).filter(Name::is_identifier);
+        self.required(key, IDENTIFIER, parse)
+            .unwrap_or_else(|| "".into())
+    }
+
+    /// Reads the address and port to bind.
+    pub fn address(&mut self, key: &'static str) -> SocketAddr {
+        let parse = |text: &str| SocketAddr::from_str(text).ok();
+        self.required(key, ADDRESS, parse)
+            .unwrap_or_else(any_address)
+    }
+
+    /// Reads an address and port to bind, any free port on all interfaces if it is missing.
+    pub fn address_or_any(&mut self, key: &'static str) -> SocketAddr {
+        let parse = |text: &str| SocketAddr::from_str(text).ok();
+        self.optional(key, ADDRESS, parse)
+            .unwrap_or_else(any_address)
+    }
+
+    /// Reads a whole number in a range.
+    pub fn number<T>(&mut self, key: &'static str, range: RangeInclusive<T>, default: T) -> T
+    where
+        T: FromStr + PartialOrd + std::fmt::Display,
+    {
+        let expected = format!("a whole number from {} to {}", range.start(), range.end());
+        let parse = |text: &str| text.parse().ok().filter(|n| range.contains(n));
+        self.optional(key, &expected, parse).unwrap_or(default)
+    }
+
+    /// Reads `true` or `false`.
+    pub fn boolean(&mut self, key: &'static str, default: bool) -> bool {
+        let parse = |text: &str| text.parse().ok();
+        self.optional(key, "true or false", parse)
+            .unwrap_or(default)
+    }
+
+    /// Reads a URL.
+    pub fn url(&mut self, key: &'static str) -> Name {
+        self.required(key, URL, parse_url)
+            .unwrap_or_else(|| "".into())
+    }
+
+    /// Reads one URL or more, separated by commas.
+    pub fn urls(&mut self, key: &'static str) -> Vec<Name> {
+        let parse = |text: &str| text.split(',').map(|url| parse_url(url.trim())).collect();
+        let expected = format!("{URL}, or several separated by commas");
+        self.required(key, &expected, parse).unwrap_or_default()
+    }
+
+    /// Reads a key prefix of the key-value service.
+    pub fn key_prefix(&mut self, key: &'static str, default: &str) -> Name {
+        let is_prefix = |text: &str| text.starts_with('/') && !text.ends_with('/');
+        let parse = |text: &str| is_prefix(text).then(|| Name::from(text));
+        self.optional(key, "a prefix that starts, but does not end, with /", parse)
+            .unwrap_or_else(|| default.into())
+    }
+
+    /// Reads a file's path; a relative one starts from the directory of the settings file.
+    pub fn path(&mut self, key: &'static str) -> PathBuf {
+        let path = self.required(key, "a path", parse_path).unwrap_or_default();
+        self.document.resolve(&path)
+    }
+
+    /// Reads a file's path that may be missing.
+    pub fn optional_path(&mut self, key: &'static str) -> Option<PathBuf> {
+        let path = self.optional(key, "a path", parse_path)?;
+        Some(self.document.resolve(&path))
+    }
+
+    /// Reads a log level.
+    pub fn level(&mut self, key: &'static str, default: LevelFilter) -> LevelFilter {
+        let parse = |text: &str| LevelFilter::from_str(text).ok();
+        self.optional(key, LEVEL, parse).unwrap_or(default)
+    }
+
+    /// Ends the section: every key that was not read is unknown.
+    pub fn finish(self) {
+        for (key, _) in self.document.keys(self.name) {
+            if !self.known.contains(&key.as_str()) {
+                let allowed = self.known.join(", ");
+                let fault = Fault::UnknownKey { allowed };
+                self.document.report(self.name, &key, fault);
+            }
+        }
+    }
+
+    fn required<T>(
+        &mut self,
+        key: &'static str,
+        expected: &str,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        if self.document.get(self.name, key).is_none() {
+            self.document.report(self.name, key, Fault::Missing);
+        }
+        self.optional(key, expected, parse)
+    }
+
+    fn optional<T>(
+        &mut self,
+        key: &'static str,
+        expected: &str,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        self.known.push(key);
+        let value = self.document.get(self.name, key)?;
+        let parsed = parse(&value);
+        if parsed.is_none() {
+            let expected = expected.to_owned();
+            let fault = Fault::Value { value, expected };
+            self.document.report(self.name, key, fault);
+        }
+        parsed
+    }
+}
+
+fn any_address() -> SocketAddr {
+    SocketAddr::from(([0, 0, 0, 0], 0))
+}
+
+fn parse_path(text: &str) -> Option<String> {
+    (!text.is_empty()).then(|| text.to_owned())
+}
+
+fn parse_url(text: &str) -> Option<Name> {
+    let url = Uri::from_str(text).ok()?;
+    let has_scheme = matches!(url.scheme_str(), Some("http" | "https"));
+    let has_host = url.host().is_some_and(|host| !host.is_empty());
+    (has_scheme && has_host).then(|| Name::from(text.trim_end_matches('/')))
+}
--- /dev/null
+++ b/eel-settings/tests/settings/main.rs
@@ -0,0 +1,4 @@
+//! Tests of `eel-settings`.
+
+mod bad_values;
+mod example_files;
--- a/eel-types/src/name.rs
+++ b/eel-types/src/name.rs
@@ -4,6 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// The longest name that records and settings may declare.
+const MAX_IDENTIFIER_BYTES: usize = 63;
+
 /// The name of a record, VM, data centre or caller: an immutable string that clones cheaply.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -15,6 +18,14 @@
     pub fn as_str(&self) -> &str {
         &self.0
     }
+
+    /// Returns `true` for 1 to 63 ASCII letters, digits, `-`, `_` or `.`, starting with a letter or digit.
+    #[must_use]
+    pub fn is_identifier(&self) -> bool {
+        let starts_well = self.0.starts_with(|c: char| c.is_ascii_alphanumeric());
+        let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        starts_well && self.0.len() <= MAX_IDENTIFIER_BYTES && self.0.chars().all(is_allowed)
+    }
 }
 
 impl From<&str> for Name {
