feat(route): choose targets, follow attempts, limit callers

Cause: the entry node needs its decisions as plain state machines before it gets I/O, so that every race can be put in a table of events.

Change: `Pool` holds the targets of one service and takes events (added, removed, leaving, load report, attempt started and ended, prefix cached); `Pool::choose` picks by one of four policies.

Reported load alone (it lags) and own attempts alone (blind to other entry nodes): the estimate is the reported load of others plus the own attempts.

--- /dev/null
+++ b/eel-route/src/choose.rs
@@ -0,0 +1,176 @@
+//! The choice of a target for one attempt.
+
+use eel_types::Class;
+use eel_verdict::{Reason, Refusal};
+use rand::Rng;
+
+use crate::{
+    BreakerState, Pool, TargetKey,
+    load::MIN_RETRY_AFTER_MS,
+    policy::{Candidate, Margins},
+    target::Target,
+};
+
+/// How much slower than its pool a target counts at most.
+const MAX_SLOWNESS: f32 = 8.0;
+
+/// What an attempt needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Query<'a> {
+    /// The priority class of the request.
+    pub class: Class,
+    /// The hash of the prompt prefix that the engine may have cached.
+    pub prefix_hash: Option<u64>,
+    /// Whether the request may run more than once; one that may not probes a failed target only if no other is left.
+    pub repeatable: bool,
+    /// Targets that were tried before.
+    pub excluded: &'a [TargetKey],
+}
+
+impl Target {
+    /// Returns `true` if the target may be sent an attempt, whatever its load.
+    pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
+        let open = matches!(
+            self.breaker.state(now_ms),
+            BreakerState::Open { .. } | BreakerState::HalfOpen { probing: true }
+        );
+        !self.leaving && !open
+    }
+
+    fn needs_probe(&self, now_ms: u64) -> bool {
+        self.breaker.state(now_ms) == BreakerState::HalfOpen { probing: false }
+    }
+}
+
+impl Pool {
+    /// Chooses the target of the next attempt; the caller then calls [`Pool::start`].
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request as not run, with the time to come back: `Overloaded` if every usable target is full or, for
+    /// the batch class, grants no credits; `NoTarget` if no target is usable.
+    pub fn choose(
+        &mut self,
+        now_ms: u64,
+        query: &Query<'_>,
+        rng: &mut impl Rng,
+    ) -> Result<TargetKey, Refusal> {
+        if let Some(probe) = self.probe(now_ms, query) {
+            return Ok(probe);
+        }
+        self.collect(now_ms, query);
+        let margins = Margins {
+            remote_cost: self.options.remote_margin,
+            cached_occupancy: self.options.cached_occupancy,
+        };
+        match self.options.policy.pick(&self.candidates, margins, rng) {
+            Some(target) => Ok(target),
+            None => Err(self.refuse(now_ms, query)),
+        }
+    }
+
+    /// Returns a target whose breaker waits for a probe, if this request may serve as one.
+    fn probe(&self, now_ms: u64, query: &Query<'_>) -> Option<TargetKey> {
+        if !query.class.is_online() {
+            return None;
+        }
+        let mut others = self
+            .usable(now_ms, query)
+            .filter(|(_, target)| !target.needs_probe(now_ms));
+        if !query.repeatable && others.next().is_some() {
+            return None;
+        }
+        self.usable(now_ms, query)
+            .find(|(_, target)| target.needs_probe(now_ms))
+            .map(|(key, _)| key)
+    }
+
+    fn usable(&self, now_ms: u64, query: &Query<'_>) -> impl Iterator<Item = (TargetKey, &Target)> {
+        self.targets
+            .iter()
+            .filter(move |(key, target)| target.is_usable(now_ms) && !query.excluded.contains(key))
+    }
+
+    /// Fills `self.candidates` with the targets that have room for the request.
+    fn collect(&mut self, now_ms: u64, query: &Query<'_>) {
+        let mut candidates = std::mem::take(&mut self.candidates);
+        candidates.clear();
+        candidates.extend(
+            self.usable(now_ms, query)
+                .filter(|(_, target)| !target.needs_probe(now_ms))
+                .filter(|(_, target)| self.has_room(now_ms, query.class, target))
+                .map(|(key, target)| self.candidate(now_ms, query, key, target)),
+        );
+        self.candidates = candidates;
+    }
+
+    fn has_room(&self, now_ms: u64, class: Class, target: &Target) -> bool {
+        match class {
+            Class::Batch => target.batch_credits(now_ms) > 0,
+            Class::Urgent | Class::Interactive => {
+                !target.is_refusing(now_ms)
+                    && self.occupancy(now_ms, target) <= self.options.full_occupancy
+            }
+        }
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn occupancy(&self, now_ms: u64, target: &Target) -> f32 {
+        let load = target.load(now_ms, self.options.stale_report_ms) + 1;
+        load as f32 / target.slots(self.options.assumed_slots) as f32
+    }
+
+    fn candidate(
+        &self,
+        now_ms: u64,
+        query: &Query<'_>,
+        key: TargetKey,
+        target: &Target,
+    ) -> Candidate {
+        let occupancy = self.occupancy(now_ms, target);
+        let slowness = if self.median_us > 0.0 && target.samples > 0 {
+            (target.first_byte_us / self.median_us).clamp(1.0, MAX_SLOWNESS)
+        } else {
+            1.0
+        };
+        let prefix_hash = query.prefix_hash;
+        Candidate {
+            key,
+            in_flight: target.in_flight.online + target.in_flight.batch,
+            occupancy,
+            cost: occupancy * slowness,
+            local: target.info.same_data_centre,
+            cached: prefix_hash.is_some_and(|hash| self.hints.contains(hash, key)),
+            rank: prefix_hash.map_or(0, |hash| rank(hash, target.seed)),
+        }
+    }
+
+    fn refuse(&self, now_ms: u64, query: &Query<'_>) -> Refusal {
+        if self.usable(now_ms, query).next().is_some() {
+            let wait_ms = self.load(now_ms).expected_wait_ms();
+            return Refusal::not_run(Reason::Overloaded)
+                .retry_after(wait_ms.max(MIN_RETRY_AFTER_MS));
+        }
+        let reopen_ms = self
+            .targets
+            .values()
+            .filter(|target| !target.leaving)
+            .filter_map(|target| match target.breaker.state(now_ms) {
+                BreakerState::Open { until_ms } => Some(until_ms - now_ms),
+                BreakerState::Closed | BreakerState::HalfOpen { .. } => None,
+            })
+            .min();
+        let retry_after_ms = reopen_ms
+            .unwrap_or(MIN_RETRY_AFTER_MS)
+            .max(MIN_RETRY_AFTER_MS);
+        Refusal::not_run(Reason::NoTarget).retry_after(retry_after_ms)
+    }
+}
+
+/// Ranks a target for a prefix (rendezvous hashing).
+fn rank(prefix_hash: u64, seed: u64) -> u64 {
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&prefix_hash.to_le_bytes());
+    bytes[8..].copy_from_slice(&seed.to_le_bytes());
+    xxhash_rust::xxh3::xxh3_64(&bytes)
+}
--- /dev/null
+++ b/eel-route/src/policy.rs
@@ -0,0 +1,114 @@
+//! Ways to pick one of several usable targets.
+
+use rand::{Rng, RngExt as _, seq::IndexedRandom as _};
+
+use crate::TargetKey;
+
+/// How a target is picked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// Any target.
+    Random,
+    /// The target with the fewest attempts of this entry node in flight.
+    LeastInFlight,
+    /// The one with fewer attempts in flight of two that are drawn at random.
+    PowerOfTwo,
+    /// The one with the lowest expected cost: reported load, attempts since the report and time to first byte, the own
+    /// data centre and cached prefixes preferred.
+    Weighted,
+}
+
+/// A usable target, as the policies see it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Candidate {
+    pub(crate) key: TargetKey,
+    pub(crate) in_flight: u32,
+    /// Expected share of the slots in use, this request included; above 1 it would queue.
+    pub(crate) occupancy: f32,
+    /// Expected cost: occupancy, scaled by how slow the target is against its pool.
+    pub(crate) cost: f32,
+    pub(crate) local: bool,
+    pub(crate) cached: bool,
+    /// Rank of the target for the request's prefix, the same at every entry node.
+    pub(crate) rank: u64,
+}
+
+/// What the weighted policy trades.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Margins {
+    pub(crate) remote_cost: f32,
+    pub(crate) cached_occupancy: f32,
+}
+
+impl Policy {
+    pub(crate) fn pick(
+        self,
+        candidates: &[Candidate],
+        margins: Margins,
+        rng: &mut impl Rng,
+    ) -> Option<TargetKey> {
+        let picked = match self {
+            Self::Random => draw(candidates, rng),
+            Self::LeastInFlight => least_in_flight(candidates, rng),
+            Self::PowerOfTwo => power_of_two(candidates, rng),
+            Self::Weighted => weighted(candidates, margins, rng),
+        };
+        picked.map(|candidate| candidate.key)
+    }
+}
+
+fn draw<'a>(candidates: &'a [Candidate], rng: &mut impl Rng) -> Option<&'a Candidate> {
+    match candidates.len() {
+        0 => None,
+        len => candidates.get(rng.random_range(0..len)),
+    }
+}
+
+fn least_in_flight<'a>(candidates: &'a [Candidate], rng: &mut impl Rng) -> Option<&'a Candidate> {
+    rotated(candidates, rng).min_by_key(|candidate| candidate.in_flight)
+}
+
+fn power_of_two<'a>(candidates: &'a [Candidate], rng: &mut impl Rng) -> Option<&'a Candidate> {
+    let mut pair = candidates.sample(rng, 2);
+    let first = pair.next()?;
+    let second = pair.next().unwrap_or(first);
+    Some(if second.in_flight < first.in_flight {
+        second
+    } else {
+        first
+    })
+}
+
+fn weighted<'a>(
+    candidates: &'a [Candidate],
+    margins: Margins,
+    rng: &mut impl Rng,
+) -> Option<&'a Candidate> {
+    let cached = candidates
+        .iter()
+        .filter(|candidate| candidate.cached && candidate.occupancy <= margins.cached_occupancy)
+        .max_by_key(|candidate| (candidate.local, candidate.rank));
+    if cached.is_some() {
+        return cached;
+    }
+    let cost = |candidate: &Candidate| {
+        if candidate.local {
+            candidate.cost
+        } else {
+            candidate.cost + margins.remote_cost
+        }
+    };
+    rotated(candidates, rng).min_by(|a, b| cost(a).total_cmp(&cost(b)))
+}
+
+/// Iterates from a random start, so that ties are broken evenly.
+fn rotated<'a>(
+    candidates: &'a [Candidate],
+    rng: &mut impl Rng,
+) -> impl Iterator<Item = &'a Candidate> {
+    let start = match candidates.len() {
+        0 => 0,
+        len => rng.random_range(0..len),
+    };
+    candidates[start..].iter().chain(&candidates[..start])
+}
--- /dev/null
+++ b/eel-route/src/target.rs
@@ -0,0 +1,182 @@
+//! What an entry node knows of one target.
+
+use eel_types::{Class, LoadReport, Name};
+use eel_verdict::Reason;
+
+use crate::{Breaker, BreakerOptions, BreakerState};
+
+/// Weight of the latest sample in moving averages.
+const EWMA_WEIGHT: f32 = 0.1;
+
+/// A target as the membership view declares it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetInfo {
+    /// The VM that the target runs on.
+    pub vm: Name,
+    /// The data centre of the VM.
+    pub data_centre: Name,
+    /// Whether the entry node runs in the same data centre.
+    pub same_data_centre: bool,
+}
+
+/// How an attempt at a target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The target gave its whole answer.
+    Answered {
+        /// The time from the start of the attempt to the first byte of the answer.
+        first_byte_us: u64,
+    },
+    /// The target node refused the request.
+    Refused(Reason),
+    /// The link or the target failed, or made no progress in time.
+    Failed,
+    /// The attempt was given up for a reason that has nothing to do with the target.
+    Cancelled,
+}
+
+/// What an entry node shows about a target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TargetStatus {
+    /// Attempts of this entry node in flight.
+    pub in_flight: u32,
+    /// Whether the target takes no new work.
+    pub leaving: bool,
+    /// The state of the target's breaker.
+    pub breaker: BreakerState,
+    /// The moving average of the time to first byte.
+    pub first_byte_us: f32,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct InFlight {
+    pub(crate) online: u32,
+    pub(crate) batch: u32,
+}
+
+#[derive(Debug)]
+struct Heard {
+    report: LoadReport,
+    at_ms: u64,
+    in_flight_online: u32,
+    batch_started: u32,
+}
+
+#[derive(Debug)]
+pub(crate) struct Target {
+    pub(crate) info: TargetInfo,
+    pub(crate) seed: u64,
+    pub(crate) leaving: bool,
+    pub(crate) breaker: Breaker,
+    pub(crate) in_flight: InFlight,
+    pub(crate) first_byte_us: f32,
+    pub(crate) samples: u32,
+    heard: Option<Heard>,
+    full_until_ms: u64,
+}
+
+impl Target {
+    pub(crate) fn new(now_ms: u64, info: TargetInfo, seed: u64, breaker: BreakerOptions) -> Self {
+        Self {
+            info,
+            seed,
+            leaving: false,
+            breaker: Breaker::new(now_ms, breaker),
+            in_flight: InFlight::default(),
+            first_byte_us: 0.0,
+            samples: 0,
+            heard: None,
+            full_until_ms: 0,
+        }
+    }
+
+    pub(crate) fn on_report(&mut self, now_ms: u64, report: LoadReport) {
+        self.heard = Some(Heard {
+            report,
+            at_ms: now_ms,
+            in_flight_online: self.in_flight.online,
+            batch_started: 0,
+        });
+    }
+
+    pub(crate) fn on_start(&mut self, class: Class) {
+        if class.is_online() {
+            self.in_flight.online += 1;
+            return;
+        }
+        self.in_flight.batch += 1;
+        if let Some(heard) = &mut self.heard {
+            heard.batch_started += 1;
+        }
+    }
+
+    pub(crate) fn on_end(&mut self, class: Class) {
+        let count = match class {
+            Class::Batch => &mut self.in_flight.batch,
+            Class::Urgent | Class::Interactive => &mut self.in_flight.online,
+        };
+        *count = count.saturating_sub(1);
+    }
+
+    pub(crate) fn on_first_byte(&mut self, first_byte_us: f32) {
+        self.samples = self.samples.saturating_add(1);
+        if self.samples == 1 {
+            self.first_byte_us = first_byte_us;
+        } else {
+            self.first_byte_us += EWMA_WEIGHT * (first_byte_us - self.first_byte_us);
+        }
+    }
+
+    /// Forgets the times measured so far, so that the target is judged anew.
+    pub(crate) fn forget_times(&mut self) {
+        self.samples = 0;
+        self.first_byte_us = 0.0;
+    }
+
+    pub(crate) fn refuse_until(&mut self, full_until_ms: u64) {
+        self.full_until_ms = full_until_ms;
+    }
+
+    pub(crate) fn is_refusing(&self, now_ms: u64) -> bool {
+        now_ms < self.full_until_ms
+    }
+
+    pub(crate) fn slots(&self, assumed: u32) -> u32 {
+        let slots = self
+            .heard
+            .as_ref()
+            .map_or(assumed, |heard| heard.report.slots);
+        slots.max(1)
+    }
+
+    /// Estimates the online requests at the target: those reported, corrected by what this entry node has started and
+    /// ended since. A report that is too old counts as none.
+    pub(crate) fn load(&self, now_ms: u64, stale_ms: u64) -> u32 {
+        let own = self.in_flight.online;
+        match &self.heard {
+            Some(heard) if now_ms.saturating_sub(heard.at_ms) < stale_ms => {
+                let reported = heard.report.running_online + heard.report.queued_online;
+                let others = reported.saturating_sub(heard.in_flight_online);
+                others + own
+            }
+            _ => own,
+        }
+    }
+
+    /// Returns the batch items that this entry node may still send on the latest credits.
+    pub(crate) fn batch_credits(&self, now_ms: u64) -> u32 {
+        match &self.heard {
+            Some(heard) => {
+                let age_ms = now_ms.saturating_sub(heard.at_ms);
+                if age_ms >= u64::from(heard.report.credit_valid_ms) {
+                    return 0;
+                }
+                heard
+                    .report
+                    .batch_credits
+                    .saturating_sub(heard.batch_started)
+            }
+            None => 0,
+        }
+    }
+}
