feat(admit): decide what starts, waits and is refused before a target

A target admits whatever comes and knows no priorities, so one state machine before it holds the queue. It is free of I/O: events and the time go in, actions come out.

- Urgent starts before interactive, interactive before batch; callers of one class take turns.
A full queue is shared: an urgent arrival displaces a waiting interactive request, and a caller with little in the queue displaces the latest request of the caller with the most.
- A request whose expected wait reaches its deadline is refused at once with the time to come back; an expired one is refused at its deadline.
Both have not run.
- Slots follow the latency targets by additive increase and multiplicative decrease, judged by window.
Batch is blamed first, then a concurrency at its limit; a target that is slow while it isn't full keeps its slots.
- Batch runs on credits for idle slots less a reserve that follows recent bursts.
An online arrival takes credits back and preempts the youngest repeatable items in the same call.
An item that must not run twice is never preempted; the online request starts beside it.
- A settlement bars what has not started.
Copies of a known attempt are refused.
A link of a newer generation fences the older ones, also those that open later.

Ruled out: forgetting ended requests by time alone (memory grows with the rate); forgetting the oldest and calling them never started (false "not run"). Ended requests are kept in bounded memory; once one may have been forgotten early, a settlement answers that it is unknown. Barred ones are never forgotten early.

LinkClock finds the age of a message from the sender's time on it, so that a request which lay in the socket buffer of a stopped process keeps its sender's deadline.

Checked by tables of fault cases and by 400 generated sequences with a fixed seed. The sequences found two faults before they passed: a batch item that was being cancelled was preempted without an action, and a request barred by a cancel that overtook it was not followed by the model. Removing the fence, the history or the preemption, or swapping the classes, each makes them fail.

--- /dev/null
+++ b/eel-admit/src/admission/mod.rs
@@ -0,0 +1,219 @@
+//! The state machine before a target.
+
+mod arrive;
+mod credits;
+mod end;
+mod start;
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+use eel_types::{Class, LoadReport, Name};
+use slotmap::SlotMap;
+
+use crate::{
+    Action, Event, LinkHello, LinkKey, Options, RequestKey,
+    burst::Bursts,
+    history::History,
+    limits::Limits,
+    link::Links,
+    queue::{FairQueue, Ticket},
+};
+
+/// Decides which requests start, wait and are refused before one target.
+///
+/// Each event returns the actions to take, in order. Time is monotonic, in milliseconds since the process started.
+#[derive(Debug)]
+pub struct Admission {
+    options: Options,
+    limits: Limits,
+    links: Links,
+    history: History,
+    bursts: Bursts,
+    requests: SlotMap<Ticket, Request>,
+    tickets: HashMap<RequestKey, Ticket>,
+    deadlines: BTreeSet<Deadline>,
+    urgent: FairQueue,
+    interactive: FairQueue,
+    batch: FairQueue,
+    running_batch: Vec<Ticket>,
+    running_online: u32,
+    preempting: u32,
+    online_hold: HoldTime,
+    batch_hold: HoldTime,
+    credit_holders: Vec<LinkKey>,
+    credit_seekers: VecDeque<LinkKey>,
+    draining: bool,
+    drained: bool,
+}
+
+/// A request that waits or runs.
+#[derive(Debug)]
+struct Request {
+    key: RequestKey,
+    link: LinkKey,
+    caller: Name,
+    class: Class,
+    deadline_ms: u64,
+    /// When the request is dropped or cancelled: the deadline, or the end of a batch item's wait.
+    drop_at_ms: u64,
+    repeatable: bool,
+    phase: Phase,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Queued,
+    Running { since_ms: u64 },
+    Cancelling { since_ms: u64 },
+    Preempting { since_ms: u64 },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Deadline {
+    at_ms: u64,
+    ticket: Ticket,
+}
+
+/// A moving average of how long requests hold their slot, in sixteenths of a millisecond.
+#[derive(Clone, Copy, Debug, Default)]
+struct HoldTime {
+    sixteenths_ms: u64,
+}
+
+impl HoldTime {
+    fn sample(&mut self, held_ms: u64) {
+        self.sixteenths_ms = match self.sixteenths_ms {
+            0 => held_ms * 16,
+            mean => mean - mean / 16 + held_ms,
+        };
+    }
+
+    /// Returns how long it takes to serve `requests` with `slots`.
+    fn serve_ms(self, requests: usize, slots: u32) -> u64 {
+        let requests = u64::try_from(requests).unwrap_or(u64::MAX);
+        self.sixteenths_ms.saturating_mul(requests) / 16 / u64::from(slots.max(1))
+    }
+}
+
+impl Admission {
+    /// Creates the state machine of one target.
+    #[must_use]
+    pub fn new(options: Options) -> Self {
+        Self {
+            limits: Limits::new(options.targets),
+            links: Links::default(),
+            history: History::new(options.history, options.retention_ms),
+            bursts: Bursts::default(),
+            requests: SlotMap::with_key(),
+            tickets: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            urgent: FairQueue::default(),
+            interactive: FairQueue::default(),
+            batch: FairQueue::default(),
+            running_batch: Vec::new(),
+            running_online: 0,
+            preempting: 0,
+            online_hold: HoldTime::default(),
+            batch_hold: HoldTime::default(),
+            credit_holders: Vec::new(),
+            credit_seekers: VecDeque::new(),
+            draining: false,
+            drained: false,
+            options,
+        }
+    }
+
+    /// Opens a link. If it supersedes older links of the same process, whatever waits of theirs is refused and nothing of
+    /// theirs starts any more; the refusals are pushed into `actions`.
+    pub fn open_link(
+        &mut self,
+        now_ms: u64,
+        hello: LinkHello,
+        actions: &mut Vec<Action>,
+    ) -> LinkKey {
+        let (key, fenced) = self.links.open(hello);
+        for link in fenced {
+            self.abandon_link(now_ms, link, actions);
+        }
+        self.advance(now_ms, actions);
+        key
+    }
+
+    /// Takes an event, and pushes the actions to take into `actions`.
+    pub fn on_event(&mut self, now_ms: u64, event: Event, actions: &mut Vec<Action>) {
+        self.expire(now_ms, actions);
+        match event {
+            Event::LinkClosed(link) => self.close_link(now_ms, link, actions),
+            Event::Arrived(arrival) => self.arrive(now_ms, arrival, actions),
+            Event::Finished(finish) => self.finish(now_ms, &finish),
+            Event::CancelRequested(key) => self.cancel(now_ms, key, actions),
+            Event::Settle(key) => self.settle(now_ms, key, actions),
+            Event::Configured(targets) => self.limits.configure(targets),
+            Event::DrainStarted => self.start_drain(now_ms, actions),
+            Event::Tick => {}
+            Event::CreditsAsked(link) => self.ask_credits(now_ms, link),
+        }
+        self.advance(now_ms, actions);
+    }
+
+    /// Returns when [`Event::Tick`] is due, if no other event comes first.
+    #[must_use]
+    pub fn next_deadline_ms(&self) -> Option<u64> {
+        self.deadlines.first().map(|deadline| deadline.at_ms)
+    }
+
+    /// Returns the load, with the batch credits of `link`.
+    #[must_use]
+    pub fn report(&self, now_ms: u64, link: LinkKey) -> LoadReport {
+        let batch_credits = self.links.credits(now_ms, link);
+        let left_ms = self
+            .links
+            .credits_until_ms(link)
+            .saturating_sub(now_ms)
+            .min(self.options.credit_valid_ms);
+        LoadReport {
+            slots: self.limits.slots(),
+            running_online: self.running_online,
+            queued_online: count(self.queued_online()),
+            running_batch: count(self.running_batch.len()),
+            batch_credits,
+            credit_valid_ms: u32::try_from(left_ms).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns how long an online request would wait for a slot if it came now, as far as can be told.
+    #[must_use]
+    pub fn expected_wait_ms(&self) -> u64 {
+        if self.running_online < self.limits.slots() {
+            return 0;
+        }
+        let slots = self.limits.slots();
+        self.online_hold.serve_ms(self.queued_online() + 1, slots)
+    }
+
+    fn advance(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        self.limits.advance(now_ms);
+        self.start_waiting(now_ms, actions);
+        self.share_credits(now_ms, actions);
+        if self.draining && !self.drained && self.requests.is_empty() {
+            self.drained = true;
+            actions.push(Action::DrainDone);
+        }
+    }
+
+    fn queued_online(&self) -> usize {
+        self.urgent.len() + self.interactive.len()
+    }
+
+    fn queue_of(&mut self, class: Class) -> &mut FairQueue {
+        match class {
+            Class::Urgent => &mut self.urgent,
+            Class::Interactive => &mut self.interactive,
+            Class::Batch => &mut self.batch,
+        }
+    }
+}
+
+fn count(len: usize) -> u32 {
+    u32::try_from(len).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/eel-admit/src/admission/start.rs
@@ -0,0 +1,99 @@
+//! Starting what waits: urgent before interactive before batch, and batch out of the way of both.
+
+use super::{Admission, Deadline, Phase};
+use crate::{Action, queue::Ticket};
+
+impl Admission {
+    /// Starts as many waiting requests as there is room for.
+    pub(super) fn start_waiting(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        self.preempt_beside(self.running_online, actions);
+        while self.running_online < self.limits.slots() {
+            let Some(ticket) = self.urgent.pop().or_else(|| self.interactive.pop()) else {
+                break;
+            };
+            self.preempt_beside(self.running_online + 1, actions);
+            self.running_online += 1;
+            self.start(now_ms, ticket, actions);
+        }
+        while self.free_batch_slots(now_ms) > 0 {
+            let Some(ticket) = self.batch.pop() else {
+                break;
+            };
+            self.running_batch.push(ticket);
+            self.start(now_ms, ticket, actions);
+        }
+        let running_batch = super::count(self.running_batch.len());
+        self.limits.note_running(self.running_online, running_batch);
+    }
+
+    /// Returns how many batch items may start now.
+    pub(super) fn free_batch_slots(&self, now_ms: u64) -> u32 {
+        if self.draining || self.queued_online() > 0 {
+            return 0;
+        }
+        let slots = self.limits.slots();
+        let running_batch = super::count(self.running_batch.len());
+        let busy = self.running_online + running_batch + self.preempting + self.reserve(now_ms);
+        let batch_room = self.limits.batch().saturating_sub(running_batch);
+        slots.saturating_sub(busy).min(batch_room)
+    }
+
+    /// Returns how many slots are kept free of batch for the next online burst.
+    fn reserve(&self, now_ms: u64) -> u32 {
+        let options = &self.options;
+        let largest = (self.limits.slots() * options.reserve_percent).div_ceil(100);
+        self.bursts
+            .size(now_ms, options.burst_half_life_ms)
+            .min(largest)
+    }
+
+    fn start(&mut self, now_ms: u64, ticket: Ticket, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(ticket) else {
+            return;
+        };
+        request.phase = Phase::Running { since_ms: now_ms };
+        self.deadlines.remove(&Deadline {
+            at_ms: request.drop_at_ms,
+            ticket,
+        });
+        request.drop_at_ms = request.deadline_ms;
+        self.deadlines.insert(Deadline {
+            at_ms: request.drop_at_ms,
+            ticket,
+        });
+        actions.push(Action::Start(request.key));
+    }
+
+    /// Cancels the youngest repeatable batch items that have no slot beside `online` requests.
+    ///
+    /// An item that must not run twice is left alone: the online request then starts beside it, over the limit.
+    fn preempt_beside(&mut self, online: u32, actions: &mut Vec<Action>) {
+        let slots = self.limits.slots();
+        while online + super::count(self.running_batch.len()) > slots {
+            let Some(index) = self.youngest_preemptible() else {
+                return;
+            };
+            let ticket = self.running_batch.remove(index);
+            self.preempt(ticket, actions);
+        }
+    }
+
+    fn youngest_preemptible(&self) -> Option<usize> {
+        self.running_batch.iter().rposition(|ticket| {
+            let request = self.requests.get(*ticket);
+            request.is_some_and(|request| request.repeatable)
+        })
+    }
+
+    fn preempt(&mut self, ticket: Ticket, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(ticket) else {
+            return;
+        };
+        let (Phase::Running { since_ms } | Phase::Cancelling { since_ms }) = request.phase else {
+            return;
+        };
+        request.phase = Phase::Preempting { since_ms };
+        self.preempting += 1;
+        actions.push(Action::Preempt(request.key));
+    }
+}
--- /dev/null
+++ b/eel-admit/src/history.rs
@@ -0,0 +1,102 @@
+//! What is remembered of requests that neither wait nor run.
+
+use std::collections::{HashMap, VecDeque};
+
+use crate::{RequestKey, Settlement};
+
+/// How a remembered request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ending {
+    /// It started and has ended.
+    Finished,
+    /// It came, was refused, and did not start.
+    Refused,
+    /// It was settled or cancelled before it came, and did not start.
+    Barred,
+    /// It was settled or cancelled when it may have been forgotten already.
+    BarredUnknown,
+}
+
+/// Remembers ended requests for the retention time, in bounded memory.
+///
+/// Of requests that came, the oldest are forgotten when the memory is full: a link delivers a request once, so no copy
+/// of them can follow, and a settlement within the retention time then answers [`Settlement::Unknown`]. Barred requests
+/// are never forgotten early, because a copy of them may still be on its way.
+#[derive(Debug)]
+pub(crate) struct History {
+    endings: HashMap<RequestKey, Ending>,
+    came: VecDeque<Expiry>,
+    barred: VecDeque<Expiry>,
+    capacity: usize,
+    retention_ms: u64,
+    incomplete_until_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Expiry {
+    at_ms: u64,
+    key: RequestKey,
+}
+
+impl History {
+    pub(crate) fn new(capacity: usize, retention_ms: u64) -> Self {
+        Self {
+            endings: HashMap::new(),
+            came: VecDeque::new(),
+            barred: VecDeque::new(),
+            capacity: capacity.max(1),
+            retention_ms,
+            incomplete_until_ms: 0,
+        }
+    }
+
+    pub(crate) fn get(&self, key: RequestKey) -> Option<Ending> {
+        self.endings.get(&key).copied()
+    }
+
+    /// Remembers a request that came and has ended.
+    pub(crate) fn record(&mut self, now_ms: u64, key: RequestKey, ending: Ending) {
+        self.expire(now_ms);
+        if self.came.len() >= self.capacity {
+            self.forget_oldest(now_ms);
+        }
+        if self.endings.insert(key, ending).is_none() {
+            let at_ms = now_ms.saturating_add(self.retention_ms);
+            self.came.push_back(Expiry { at_ms, key });
+        }
+    }
+
+    /// Bars a request that is neither remembered, waiting nor running, and says what is known of it.
+    pub(crate) fn bar(&mut self, now_ms: u64, key: RequestKey) -> Settlement {
+        self.expire(now_ms);
+        if self.barred.len() >= self.capacity {
+            return Settlement::Unknown;
+        }
+        let (ending, settlement) = if now_ms < self.incomplete_until_ms {
+            (Ending::BarredUnknown, Settlement::Unknown)
+        } else {
+            (Ending::Barred, Settlement::NeverStarted)
+        };
+        let at_ms = now_ms.saturating_add(self.retention_ms);
+        self.endings.insert(key, ending);
+        self.barred.push_back(Expiry { at_ms, key });
+        settlement
+    }
+
+    fn forget_oldest(&mut self, now_ms: u64) {
+        if let Some(oldest) = self.came.pop_front() {
+            self.endings.remove(&oldest.key);
+            self.incomplete_until_ms = now_ms.saturating_add(self.retention_ms);
+        }
+    }
+
+    fn expire(&mut self, now_ms: u64) {
+        for queue in [&mut self.came, &mut self.barred] {
+            while queue.front().is_some_and(|oldest| oldest.at_ms <= now_ms) {
+                if let Some(oldest) = queue.pop_front() {
+                    self.endings.remove(&oldest.key);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/eel-admit/tests/admit/batch_credits.rs
@@ -0,0 +1,81 @@
+//! Batch runs on credits for idle slots, and gives way at once.
+
+use eel_admit::{Action, Event, LinkKey};
+use eel_types::Class;
+
+use crate::driver::{Driver, arrival, key, options};
+
+/// Returns a target of `slots` slots that runs batch in all of them, and its link.
+fn full_of_batch(slots: u32, repeatable: bool) -> (Driver, LinkKey) {
+    let mut driver = Driver::new(options(slots, 8));
+    let link = driver.open(1, true);
+    driver.event(Event::CreditsAsked(link));
+    for id in 0..u128::from(slots) {
+        let mut item = arrival(id, link, Class::Batch);
+        item.repeatable = repeatable;
+        let actions = driver.event(Event::Arrived(item));
+        assert!(actions.contains(&Action::Start(key(id))), "{actions:?}");
+    }
+    (driver, link)
+}
+
+fn credits_of(driver: &Driver, link: LinkKey) -> u32 {
+    driver.admission.report(driver.now_ms, link).batch_credits
+}
+
+#[test]
+fn without_a_credit_no_item_starts() {
+    let mut driver = Driver::new(options(4, 8));
+    let link = driver.open(1, true);
+    let actions = driver.arrive(0, link, Class::Batch);
+    assert!(matches!(actions, [Action::Refuse(..)]), "{actions:?}");
+}
+
+#[test]
+fn idle_slots_are_lent_in_equal_shares_and_lapse() {
+    let mut driver = Driver::new(options(4, 8));
+    let links = [driver.open(1, false), driver.open(2, false)];
+    driver.event(Event::CreditsAsked(links[0]));
+    assert_eq!(credits_of(&driver, links[0]), 4);
+    driver.event(Event::CreditsAsked(links[1]));
+    assert_eq!(credits_of(&driver, links[1]), 0, "all are lent");
+    driver.now_ms = 1_500;
+    driver.event(Event::CreditsAsked(links[0]));
+    let shares = links.map(|link| credits_of(&driver, link));
+    assert_eq!(shares.iter().sum::<u32>(), 4, "{shares:?}");
+    assert!(shares.contains(&2) || shares.contains(&4), "{shares:?}");
+}
+
+#[test]
+fn an_online_arrival_takes_credits_back() {
+    let mut driver = Driver::new(options(4, 8));
+    let link = driver.open(1, true);
+    driver.event(Event::CreditsAsked(link));
+    let actions = driver.arrive(0, link, Class::Urgent).to_vec();
+    assert_eq!(actions[0], Action::Start(key(0)));
+    assert!(
+        matches!(actions[1], Action::Grant { credits: 2, .. }),
+        "one runs, one is in reserve"
+    );
+    assert_eq!(credits_of(&driver, link), 2);
+}
+
+#[test]
+fn an_online_arrival_preempts_the_youngest_item_first() {
+    let (mut driver, link) = full_of_batch(4, true);
+    let expected = [Action::Preempt(key(3)), Action::Start(key(10))];
+    assert_eq!(driver.arrive(10, link, Class::Interactive), expected);
+    let expected = [Action::Preempt(key(2)), Action::Start(key(11))];
+    assert_eq!(driver.arrive(11, link, Class::Urgent), expected);
+}
+
+#[test]
+fn an_item_that_must_not_run_twice_is_not_preempted() {
+    let (mut driver, link) = full_of_batch(4, false);
+    let actions = driver.arrive(10, link, Class::Urgent);
+    assert_eq!(
+        actions,
+        [Action::Start(key(10))],
+        "it starts beside the items"
+    );
+}
--- /dev/null
+++ b/eel-admit/tests/admit/slot_limits.rs
@@ -0,0 +1,70 @@
+//! Slots follow the latency targets, and refusals say when to come back.
+
+use eel_admit::{Action, Event};
+use eel_types::Class;
+use eel_verdict::{Reason, Verdict};
+
+use crate::driver::{Driver, arrival, key, options};
+
+/// Runs rounds of `running` online requests with the given time to the first byte, and returns the slots in the end.
+fn slots_after(running: u128, first_byte_ms: u64) -> u32 {
+    let mut driver = Driver::new(options(16, 64));
+    let link = driver.open(1, true);
+    for round in 0..20 {
+        let ids = round * running..(round + 1) * running;
+        driver.now_ms += 100;
+        for id in ids.clone() {
+            let mut arrival = arrival(id, link, Class::Interactive);
+            arrival.deadline_ms = driver.now_ms + 10_000;
+            driver.event(Event::Arrived(arrival));
+        }
+        driver.now_ms += first_byte_ms;
+        for id in ids {
+            driver.finish(id, first_byte_ms);
+        }
+    }
+    driver.admission.report(driver.now_ms, link).slots
+}
+
+#[test]
+fn only_a_full_target_loses_slots() {
+    assert_eq!(slots_after(16, 100), 16, "full and prompt");
+    assert!(slots_after(16, 900) < 16, "full and late");
+    assert_eq!(slots_after(4, 900), 16, "late, but not for its load");
+}
+
+#[test]
+fn a_queue_longer_than_the_deadline_is_refused_at_once() {
+    let mut driver = Driver::new(options(1, 64));
+    let link = driver.open(1, true);
+    driver.arrive(0, link, Class::Interactive);
+    driver.now_ms = 1_000;
+    driver.finish(0, 1_000);
+    driver.arrive(1, link, Class::Interactive);
+    let mut refused = None;
+    for id in 2..20 {
+        if let [Action::Refuse(_, refusal)] = driver.arrive(id, link, Class::Interactive) {
+            refused = Some((id, *refusal));
+            break;
+        }
+    }
+    let (id, refusal) = refused.expect("the queue outgrows the deadline");
+    assert_eq!(id, 10, "nine seconds are left, and each request takes one");
+    assert_eq!(refusal.verdict, Verdict::NotRun);
+    assert_eq!(refusal.reason, Reason::Overloaded);
+    assert_eq!(refusal.retry_after_ms, Some(4_500));
+}
+
+#[test]
+fn an_urgent_request_takes_the_place_of_a_waiting_one() {
+    let mut driver = Driver::new(options(1, 1));
+    let link = driver.open(1, true);
+    driver.arrive(0, link, Class::Interactive);
+    driver.arrive(1, link, Class::Interactive);
+    let actions = driver.arrive(2, link, Class::Urgent);
+    assert!(
+        matches!(actions, [Action::Refuse(refused, _)] if *refused == key(1)),
+        "{actions:?}"
+    );
+    assert_eq!(driver.finish(0, 1), [Action::Start(key(2))]);
+}
