--- /dev/null
+++ b/eel-wire/src/endpoint.rs
@@ -0,0 +1,142 @@
+//! QUIC endpoints with mutual TLS.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use error_stack::{Report, ResultExt as _};
+use quinn::{
+    ClientConfig, Connection, Endpoint, IdleTimeout, ServerConfig, TransportConfig, VarInt,
+    crypto::rustls::{QuicClientConfig, QuicServerConfig},
+};
+use rustls::{
+    crypto::{CryptoProvider, ring},
+    server::WebPkiClientVerifier,
+    version::TLS13,
+};
+
+use crate::{
+    Error,
+    credentials::{Credentials, NODE_SERVER_NAME},
+};
+
+const PROTOCOL_NAME: &[u8] = b"eelgrassgap/1";
+const STREAM_WINDOW_BYTES: u32 = 1024 * 1024;
+const LINK_WINDOW_BYTES: u32 = 16 * 1024 * 1024;
+
+/// Limits of the links of an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct EndpointOptions {
+    /// How long a link may stay without any packet before it counts as closed.
+    pub idle_timeout_ms: u32,
+    /// Requests that may be open on one link at the same time.
+    pub max_streams: u32,
+}
+
+impl Default for EndpointOptions {
+    fn default() -> Self {
+        Self {
+            idle_timeout_ms: 10_000,
+            max_streams: 4096,
+        }
+    }
+}
+
+/// Binds the endpoint on which a target node accepts links.
+///
+/// # Errors
+///
+/// [`Error::Credentials`] if the credentials cannot be used, [`Error::Bind`] if the address cannot be bound.
+pub fn bind_server(
+    address: SocketAddr,
+    credentials: &Credentials,
+    options: EndpointOptions,
+) -> Result<Endpoint, Report<Error>> {
+    let config = server_config(credentials, options)?;
+    Endpoint::server(config, address).change_context(Error::Bind)
+}
+
+/// Binds the endpoint from which an entry node opens links.
+///
+/// # Errors
+///
+/// As [`bind_server`].
+pub fn bind_client(
+    address: SocketAddr,
+    credentials: &Credentials,
+    options: EndpointOptions,
+) -> Result<Endpoint, Report<Error>> {
+    let config = client_config(credentials, options)?;
+    let mut endpoint = Endpoint::client(address).change_context(Error::Bind)?;
+    endpoint.set_default_client_config(config);
+    Ok(endpoint)
+}
+
+/// Opens a link to the target node at `address`.
+///
+/// # Errors
+///
+/// [`Error::Connect`] if the target node cannot be reached or is not of this fleet.
+pub async fn connect(
+    endpoint: &Endpoint,
+    address: SocketAddr,
+) -> Result<Connection, Report<Error>> {
+    endpoint
+        .connect(address, NODE_SERVER_NAME)
+        .change_context(Error::Connect)?
+        .await
+        .change_context(Error::Connect)
+}
+
+fn server_config(
+    credentials: &Credentials,
+    options: EndpointOptions,
+) -> Result<ServerConfig, Report<Error>> {
+    let verifier =
+        WebPkiClientVerifier::builder_with_provider(credentials.roots.clone(), provider())
+            .build()
+            .change_context(Error::Credentials)?;
+    let mut tls = rustls::ServerConfig::builder_with_provider(provider())
+        .with_protocol_versions(&[&TLS13])
+        .change_context(Error::Credentials)?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(credentials.chain.clone(), credentials.key.clone_key())
+        .change_context(Error::Credentials)?;
+    tls.alpn_protocols = vec![PROTOCOL_NAME.to_vec()];
+    let crypto = QuicServerConfig::try_from(tls).change_context(Error::Credentials)?;
+    let mut config = ServerConfig::with_crypto(Arc::new(crypto));
+    config.transport_config(transport(options));
+    Ok(config)
+}
+
+fn client_config(
+    credentials: &Credentials,
+    options: EndpointOptions,
+) -> Result<ClientConfig, Report<Error>> {
+    let mut tls = rustls::ClientConfig::builder_with_provider(provider())
+        .with_protocol_versions(&[&TLS13])
+        .change_context(Error::Credentials)?
+        .with_root_certificates(credentials.roots.clone())
+        .with_client_auth_cert(credentials.chain.clone(), credentials.key.clone_key())
+        .change_context(Error::Credentials)?;
+    tls.alpn_protocols = vec![PROTOCOL_NAME.to_vec()];
+    let crypto = QuicClientConfig::try_from(tls).change_context(Error::Credentials)?;
+    let mut config = ClientConfig::new(Arc::new(crypto));
+    config.transport_config(transport(options));
+    Ok(config)
+}
+
+fn provider() -> Arc<CryptoProvider> {
+    Arc::new(ring::default_provider())
+}
+
+fn transport(options: EndpointOptions) -> Arc<TransportConfig> {
+    let idle_timeout = IdleTimeout::from(VarInt::from_u32(options.idle_timeout_ms));
+    let mut config = TransportConfig::default();
+    config
+        .max_concurrent_bidi_streams(VarInt::from_u32(options.max_streams))
+        .max_concurrent_uni_streams(VarInt::from_u32(0))
+        .stream_receive_window(VarInt::from_u32(STREAM_WINDOW_BYTES))
+        .receive_window(VarInt::from_u32(LINK_WINDOW_BYTES))
+        .initial_rtt(Duration::from_millis(10))
+        .max_idle_timeout(Some(idle_timeout));
+    Arc::new(config)
+}
