feat: add supervisor trees, telemetry and the stand-in engine

Cause: both processes need the same bounded restarts, logs, metrics and spans, and every claim about executions needs a target that counts them.

Ruled out: opentelemetry's SDK for spans, which records through a heavier path on each request; fastrace records to a file now and can report over OTLP by its own companion crate.

Change: `eel-supervise` with bounded, counted restarts; `eel-telemetry` with fern, prometheus-client and fastrace; an engine stand-in with continuous batching and connection faults, counting by tag.

--- /dev/null
+++ b/eel-standin/src/engine/answer.rs
@@ -0,0 +1,70 @@
+//! The bodies of the stand-in's answers.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+const DEFAULT_TOKENS: usize = 8;
+
+/// The fields of a completion request that the stand-in looks at.
+#[derive(Debug, Default, Deserialize, Serialize)]
+pub(super) struct CompletionRequest {
+    #[serde(default)]
+    pub(super) stream: bool,
+    pub(super) max_tokens: Option<usize>,
+}
+
+impl CompletionRequest {
+    pub(super) fn parse(body: &[u8]) -> Self {
+        serde_json::from_slice(body).unwrap_or_default()
+    }
+
+    pub(super) fn tokens(&self) -> usize {
+        self.max_tokens.unwrap_or(DEFAULT_TOKENS)
+    }
+}
+
+/// Returns the text of token `index` of the answer to the request with `tag`.
+fn token(tag: &str, index: usize) -> String {
+    format!("{tag}-{index} ")
+}
+
+/// Returns the parts of a streamed answer, one event for each token and the end mark.
+pub(super) fn events(tag: &str, tokens: usize) -> Vec<Bytes> {
+    let mut parts: Vec<Bytes> = (0..tokens)
+        .map(|index| {
+            let event = json!({ "choices": [{ "index": 0, "text": token(tag, index) }] });
+            Bytes::from(format!("data: {event}\n\n"))
+        })
+        .collect();
+    parts.push(Bytes::from_static(b"data: [DONE]\n\n"));
+    parts
+}
+
+/// Returns the whole answer as one JSON document, in two parts.
+pub(super) fn document(tag: &str, tokens: usize) -> Vec<Bytes> {
+    let text: String = (0..tokens).map(|index| token(tag, index)).collect();
+    let answer = json!({
+        "object": "text_completion",
+        "choices": [{ "index": 0, "text": text, "finish_reason": "stop" }],
+        "usage": { "completion_tokens": tokens },
+    });
+    halves(answer.to_string())
+}
+
+/// Returns the answer of a plain service: what it was asked.
+pub(super) fn echo(tag: &str, method: &str, path: &str, body: &[u8]) -> Vec<Bytes> {
+    let answer = json!({
+        "tag": tag,
+        "method": method,
+        "path": path,
+        "body": String::from_utf8_lossy(body),
+    });
+    halves(answer.to_string())
+}
+
+fn halves(text: String) -> Vec<Bytes> {
+    let mut whole = Bytes::from(text);
+    let rest = whole.split_off(whole.len() / 2);
+    vec![whole, rest]
+}
--- /dev/null
+++ b/eel-standin/src/engine/counts.rs
@@ -0,0 +1,81 @@
+//! Counts of what the stand-in executed.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use tokio::sync::watch;
+
+/// How often requests with one tag were executed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Executions {
+    /// Executions that began.
+    pub started: u32,
+    /// Executions whose answer was produced as a whole.
+    pub finished: u32,
+    /// Executions that ended early because the client went away.
+    pub cancelled: u32,
+}
+
+/// The executions by tag, shared with the server.
+#[derive(Clone)]
+pub struct Counts {
+    by_tag: Arc<Mutex<HashMap<String, Executions>>>,
+    changes: watch::Sender<u64>,
+}
+
+impl Default for Counts {
+    fn default() -> Self {
+        Self {
+            by_tag: Arc::default(),
+            changes: watch::Sender::new(0),
+        }
+    }
+}
+
+impl Counts {
+    /// Returns the executions of the requests with `tag`.
+    #[must_use]
+    pub fn of(&self, tag: &str) -> Executions {
+        let by_tag = self.by_tag.lock().unwrap_or_else(PoisonError::into_inner);
+        by_tag.get(tag).copied().unwrap_or_default()
+    }
+
+    /// Returns the sum over all tags.
+    #[must_use]
+    pub fn total(&self) -> Executions {
+        let by_tag = self.by_tag.lock().unwrap_or_else(PoisonError::into_inner);
+        by_tag
+            .values()
+            .fold(Executions::default(), |sum, one| Executions {
+                started: sum.started + one.started,
+                finished: sum.finished + one.finished,
+                cancelled: sum.cancelled + one.cancelled,
+            })
+    }
+
+    /// Waits until `condition` holds for the executions of `tag`.
+    pub async fn wait_for(&self, tag: &str, condition: impl Fn(Executions) -> bool) {
+        let mut changes = self.changes.subscribe();
+        while !condition(self.of(tag)) {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Returns the number of tags that were executed more than once.
+    #[must_use]
+    pub fn repeated_tags(&self) -> usize {
+        let by_tag = self.by_tag.lock().unwrap_or_else(PoisonError::into_inner);
+        by_tag.values().filter(|one| one.started > 1).count()
+    }
+
+    pub(crate) fn update(&self, tag: &str, change: impl FnOnce(&mut Executions)) {
+        let mut by_tag = self.by_tag.lock().unwrap_or_else(PoisonError::into_inner);
+        change(by_tag.entry(tag.to_owned()).or_default());
+        drop(by_tag);
+        self.changes.send_modify(|version| *version += 1);
+    }
+}
--- /dev/null
+++ b/eel-supervise/tests/supervise/main.rs
@@ -0,0 +1,3 @@
+//! Tests of `eel-supervise`.
+
+mod bounded_restarts;
