--- a/eel-supervise/src/supervisor.rs
+++ b/eel-supervise/src/supervisor.rs
@@ -126,7 +126,7 @@
             match ended {
                 Ok(Ok(())) => return Ok(()),
                 Ok(Err(error)) => {
-                    log::error!(target: "supervisor", "{} failed: {error:?}", self.name)
+                    log::error!(target: "supervisor", "{} failed: {error:?}", self.name);
                 }
                 Err(_) => log::error!(target: "supervisor", "{} panicked.", self.name),
             }
