feat(batch): decide on chunks, item attempts, claim order and job admission

Batch jobs need state that outlives every process, at a cost in store calls that doesn't grow with items. This adds the parts that decide, free of I/O:

- chunks of at most 1,000 items and 700 kB compressed, and the keys they live under.
The state that every entry node watches (heads, claims, done marks, cancels) stands under a prefix of its own, so that a watch never carries inputs or results.
A head beside its chunks under one job prefix was ruled out for that reason.
- `Runner`, the holder of one claimed chunk: bounded attempts, started marks in windows for items that are not repeatable, checkpoints, cancel, deadline and shutdown.
It stops by its own clock before its lease can lapse.
- `Board`, the choice of the next chunk: urgency, then deadline; rendezvous order with a delay by rank, so that idle nodes don't all claim the same chunk.
- `admission::decide`: refuses a job that can't make its deadline, or that would make an accepted one late, and names the earliest deadline that can be met.

The rate of a service is what its nodes finished while work was waiting; with nothing observed yet only a deadline in the past is refused.

--- /dev/null
+++ b/eel-batch/src/admission.rs
@@ -0,0 +1,130 @@
+//! Decides whether a job can make its deadline.
+//!
+//! Jobs of a service run in deadline order, so a job waits for the work that is due before it and
+//! delays the work that is due after it.
+
+/// Work that was accepted and is not finished.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Queued {
+    /// When the job is due, in Unix time.
+    pub deadline_unix_ms: u64,
+    /// Its items without a result.
+    pub items: u64,
+}
+
+/// The job that asks to be accepted.
+pub type Candidate = Queued;
+
+/// The answer to a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// The job and all that were accepted before can make their deadlines.
+    Accept,
+    /// The job can't make its deadline, or another one no longer could.
+    Refuse {
+        /// The earliest deadline that can be met.
+        earliest_deadline_unix_ms: u64,
+        /// When the work ahead is finished, at most [`MAX_RETRY_AFTER_MS`].
+        retry_after_ms: u64,
+    },
+}
+
+/// The longest time after which a refused caller is asked to come back.
+pub const MAX_RETRY_AFTER_MS: u64 = 600_000;
+const MIN_RETRY_AFTER_MS: u64 = 1_000;
+/// The share of the observed rate that deadlines are planned with.
+const PLANNED_SHARE: f64 = 0.9;
+
+/// Decides on `job`, given the work that is queued and the rate at which items finish.
+///
+/// With no rate observed yet only a deadline that has passed is refused.
+#[must_use]
+pub fn decide(
+    now_unix_ms: u64,
+    queued: &[Queued],
+    items_per_s: Option<f64>,
+    job: Candidate,
+) -> Decision {
+    let Some(rate) = items_per_s.filter(|rate| *rate > 0.0) else {
+        return without_rate(now_unix_ms, job);
+    };
+    let mut queued = queued.to_vec();
+    queued.sort_by_key(|work| work.deadline_unix_ms);
+    let rate = rate * PLANNED_SHARE;
+    let earliest_deadline_unix_ms = earliest(now_unix_ms, &queued, rate, job.items);
+    let meets_own = earliest_deadline_unix_ms <= job.deadline_unix_ms;
+    if meets_own && spares_later(now_unix_ms, &queued, rate, job) {
+        return Decision::Accept;
+    }
+    let ahead: u64 = queued.iter().map(|work| work.items).sum();
+    Decision::Refuse {
+        earliest_deadline_unix_ms,
+        retry_after_ms: work_ms(ahead, rate).clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS),
+    }
+}
+
+fn without_rate(now_unix_ms: u64, job: Candidate) -> Decision {
+    if job.deadline_unix_ms > now_unix_ms {
+        return Decision::Accept;
+    }
+    Decision::Refuse {
+        earliest_deadline_unix_ms: now_unix_ms + MIN_RETRY_AFTER_MS,
+        retry_after_ms: MIN_RETRY_AFTER_MS,
+    }
+}
+
+/// Returns the earliest deadline at which a job of `items` fits without delaying a later one.
+fn earliest(now_unix_ms: u64, queued: &[Queued], rate: f64, items: u64) -> u64 {
+    let own_ms = work_ms(items, rate);
+    let slack_ms = least_slack_ms(now_unix_ms, queued, rate);
+    let mut ahead = 0;
+    let mut previous_unix_ms = now_unix_ms;
+    for (place, work) in queued.iter().enumerate() {
+        let finish_unix_ms = now_unix_ms + work_ms(ahead + items, rate);
+        let due_unix_ms = finish_unix_ms.max(previous_unix_ms);
+        if slack_ms[place] >= own_ms && due_unix_ms < work.deadline_unix_ms {
+            return due_unix_ms;
+        }
+        ahead += work.items;
+        previous_unix_ms = work.deadline_unix_ms;
+    }
+    (now_unix_ms + work_ms(ahead + items, rate)).max(previous_unix_ms)
+}
+
+/// Returns for each place the least slack of the jobs from there on; zero for one that is late.
+fn least_slack_ms(now_unix_ms: u64, queued: &[Queued], rate: f64) -> Vec<u64> {
+    let mut ahead = 0;
+    let mut slack_ms: Vec<u64> = queued
+        .iter()
+        .map(|work| {
+            ahead += work.items;
+            let finish_unix_ms = now_unix_ms + work_ms(ahead, rate);
+            work.deadline_unix_ms.saturating_sub(finish_unix_ms)
+        })
+        .collect();
+    for place in (1..slack_ms.len()).rev() {
+        slack_ms[place - 1] = slack_ms[place - 1].min(slack_ms[place]);
+    }
+    slack_ms
+}
+
+fn spares_later(now_unix_ms: u64, queued: &[Queued], rate: f64, job: Candidate) -> bool {
+    let place = queued.partition_point(|work| work.deadline_unix_ms <= job.deadline_unix_ms);
+    let ahead: u64 = queued[..place].iter().map(|work| work.items).sum();
+    let finish_unix_ms = now_unix_ms + work_ms(ahead + job.items, rate);
+    let slack_ms = least_slack_ms(now_unix_ms, queued, rate);
+    let own_ms = work_ms(job.items, rate);
+    finish_unix_ms <= job.deadline_unix_ms && slack_ms.get(place).is_none_or(|ms| *ms >= own_ms)
+}
+
+fn work_ms(items: u64, rate: f64) -> u64 {
+    #[expect(clippy::cast_precision_loss, reason = "a count of items")]
+    let ms = items as f64 * 1_000.0 / rate;
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "saturates, and is never negative"
+    )]
+    let ms = ms.ceil() as u64;
+    ms
+}
--- /dev/null
+++ b/eel-batch/src/board.rs
@@ -0,0 +1,295 @@
+//! Every live job as one entry node sees it, and the choice of the next chunk to claim.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, HashMap},
+};
+
+use eel_types::Name;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{ChunkIndex, Head, JobId, RateMeter, Urgency, admission::Queued};
+
+/// How much later each further entry node in rendezvous order may claim a chunk.
+const RANK_STEP_MS: u64 = 100;
+/// The longest time that a node leaves a chunk to the nodes before it.
+const MAX_RANK_DELAY_MS: u64 = 5_000;
+/// How long a chunk is left alone after a claim of it was refused.
+const REFUSED_PAUSE_MS: u64 = 1_000;
+
+/// A change of the stored state of jobs, in the order of the store's revisions.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// A job was accepted.
+    Accepted(JobId, Head),
+    /// A job was archived or removed.
+    Removed(JobId),
+    /// A job was cancelled.
+    Cancelled(JobId),
+    /// A chunk was claimed.
+    Claimed(JobId, ChunkIndex),
+    /// A claim was given back or its lease lapsed.
+    Unclaimed(JobId, ChunkIndex),
+    /// Every item of a chunk has its result.
+    Done(JobId, ChunkIndex),
+}
+
+/// A chunk that may be claimed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct OpenChunk {
+    /// The job.
+    pub job: JobId,
+    /// The chunk.
+    pub chunk: ChunkIndex,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ChunkState {
+    Open { since_ms: u64, not_before_ms: u64 },
+    Claimed,
+    Done,
+}
+
+#[derive(Clone, Debug)]
+struct Job {
+    head: Head,
+    cancelled: bool,
+    chunks: Vec<ChunkState>,
+    left: u64,
+}
+
+/// Follows the state of all live jobs.
+#[derive(Clone, Debug)]
+pub struct Board {
+    me: Name,
+    peers: Vec<Name>,
+    jobs: BTreeMap<JobId, Job>,
+    early_cancels: BTreeSet<JobId>,
+    meters: HashMap<Name, RateMeter>,
+}
+
+impl Board {
+    /// Starts empty, for the entry node `me`.
+    #[must_use]
+    pub fn new(me: Name) -> Self {
+        Self {
+            me,
+            peers: Vec::new(),
+            jobs: BTreeMap::new(),
+            early_cancels: BTreeSet::new(),
+            meters: HashMap::new(),
+        }
+    }
+
+    /// Sets the entry nodes that claim chunks beside this one.
+    pub fn set_peers(&mut self, peers: Vec<Name>) {
+        self.peers = peers;
+    }
+
+    /// Applies a change of the stored state.
+    pub fn apply(&mut self, now_ms: u64, change: Change) {
+        match change {
+            Change::Accepted(job, head) => self.accept(now_ms, job, head),
+            Change::Removed(job) => {
+                self.jobs.remove(&job);
+                self.early_cancels.remove(&job);
+            }
+            Change::Cancelled(job) => match self.jobs.get_mut(&job) {
+                Some(known) => known.cancelled = true,
+                None => {
+                    self.early_cancels.insert(job);
+                }
+            },
+            Change::Claimed(job, chunk) => self.set(job, chunk, ChunkState::Claimed),
+            Change::Unclaimed(job, chunk) => self.set(job, chunk, open(now_ms)),
+            Change::Done(job, chunk) => self.finish(now_ms, job, chunk),
+        }
+    }
+
+    /// Leaves a chunk alone for a moment after a claim of it was refused or failed.
+    pub fn pause(&mut self, now_ms: u64, open: OpenChunk) {
+        let Some(job) = self.jobs.get_mut(&open.job) else {
+            return;
+        };
+        if let Some(ChunkState::Open { not_before_ms, .. }) =
+            job.chunks.get_mut(open.chunk.0 as usize)
+        {
+            *not_before_ms = now_ms + REFUSED_PAUSE_MS;
+        }
+    }
+
+    /// Returns the chunk of `service` that this node should claim next.
+    ///
+    /// Jobs come by urgency, then by deadline. Within a job each node begins with another chunk,
+    /// and leaves a chunk for a while to the nodes that come before it in rendezvous order.
+    #[must_use]
+    pub fn next_claim(&self, now_ms: u64, now_unix_ms: u64, service: &str) -> Option<OpenChunk> {
+        let mut jobs: Vec<_> = self.jobs_of(service).collect();
+        jobs.sort_by_key(|(id, job)| {
+            let urgency = self.grade(now_unix_ms, job);
+            (Reverse(urgency), job.head.deadline_unix_ms, **id)
+        });
+        jobs.into_iter()
+            .find_map(|(id, job)| self.pick_chunk(now_ms, *id, job))
+    }
+
+    /// Returns the services that have an unfinished job.
+    #[must_use]
+    pub fn services(&self) -> Vec<Name> {
+        let unfinished = self.jobs.values().filter(|job| job.left > 0);
+        let mut services: Vec<_> = unfinished.map(|job| job.head.service.clone()).collect();
+        services.sort_unstable();
+        services.dedup();
+        services
+    }
+
+    /// Returns the urgency of `job`; `None` for an unknown one.
+    #[must_use]
+    pub fn urgency(&self, now_unix_ms: u64, job: JobId) -> Option<Urgency> {
+        self.jobs.get(&job).map(|job| self.grade(now_unix_ms, job))
+    }
+
+    /// Returns the head of a live job.
+    #[must_use]
+    pub fn head(&self, job: JobId) -> Option<&Head> {
+        self.jobs.get(&job).map(|job| &job.head)
+    }
+
+    /// Returns `true` if `job` was cancelled.
+    #[must_use]
+    pub fn is_cancelled(&self, job: JobId) -> bool {
+        self.jobs.get(&job).is_some_and(|job| job.cancelled)
+    }
+
+    /// Returns the live jobs whose items all have results.
+    pub fn finished(&self) -> impl Iterator<Item = JobId> {
+        let finished = self.jobs.iter().filter(|(_, job)| job.left == 0);
+        finished.map(|(id, _)| *id)
+    }
+
+    /// Returns the unfinished work of `service`, for [`crate::admission::decide`].
+    #[must_use]
+    pub fn queued(&self, service: &str) -> Vec<Queued> {
+        let unfinished = self.jobs_of(service).filter(|(_, job)| !job.cancelled);
+        unfinished
+            .map(|(_, job)| Queued {
+                deadline_unix_ms: job.head.deadline_unix_ms,
+                items: job.left,
+            })
+            .collect()
+    }
+
+    /// Returns the rate at which all nodes together finish items of `service`.
+    #[must_use]
+    pub fn items_per_s(&self, service: &str) -> Option<f64> {
+        self.meters.get(service).and_then(RateMeter::items_per_s)
+    }
+
+    fn jobs_of(&self, service: &str) -> impl Iterator<Item = (&JobId, &Job)> {
+        let unfinished = self.jobs.iter().filter(|(_, job)| job.left > 0);
+        unfinished.filter(move |(_, job)| &*job.head.service == service)
+    }
+
+    fn accept(&mut self, now_ms: u64, id: JobId, head: Head) {
+        let cancelled = self.early_cancels.remove(&id);
+        self.meter(now_ms, &head.service, 0, true);
+        let chunks = vec![open(now_ms); head.chunk_items.len()];
+        let left = u64::from(head.items());
+        self.jobs.entry(id).or_insert(Job {
+            head,
+            cancelled,
+            chunks,
+            left,
+        });
+    }
+
+    fn set(&mut self, job: JobId, chunk: ChunkIndex, state: ChunkState) {
+        let job = self.jobs.get_mut(&job);
+        let Some(slot) = job.and_then(|job| job.chunks.get_mut(chunk.0 as usize)) else {
+            return;
+        };
+        if *slot != ChunkState::Done {
+            *slot = state;
+        }
+    }
+
+    fn finish(&mut self, now_ms: u64, id: JobId, chunk: ChunkIndex) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let place = chunk.0 as usize;
+        let Some(slot) = job.chunks.get_mut(place) else {
+            return;
+        };
+        if *slot == ChunkState::Done {
+            return;
+        }
+        *slot = ChunkState::Done;
+        let items = job.head.chunk_items[place];
+        job.left -= u64::from(items);
+        let counted = if job.cancelled { 0 } else { items };
+        let service = job.head.service.clone();
+        let busy = self.jobs_of(&service).next().is_some();
+        self.meter(now_ms, &service, counted, busy);
+    }
+
+    fn meter(&mut self, now_ms: u64, service: &Name, items: u32, busy: bool) {
+        let meter = self.meters.entry(service.clone()).or_default();
+        meter.record(now_ms, items, busy);
+    }
+
+    fn grade(&self, now_unix_ms: u64, job: &Job) -> Urgency {
+        let left_ms = job.head.deadline_unix_ms.saturating_sub(now_unix_ms);
+        let Some(rate) = self.items_per_s(&job.head.service) else {
+            return Urgency::of(0, left_ms.max(1));
+        };
+        #[expect(
+            clippy::cast_precision_loss,
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "an estimate of a positive time"
+        )]
+        let work_ms = (job.left as f64 * 1_000.0 / rate) as u64;
+        Urgency::of(work_ms, left_ms)
+    }
+
+    fn pick_chunk(&self, now_ms: u64, id: JobId, job: &Job) -> Option<OpenChunk> {
+        let chunks = job.head.chunks().zip(&job.chunks);
+        let ready = chunks.filter_map(|(chunk, state)| match state {
+            ChunkState::Open {
+                since_ms,
+                not_before_ms,
+            } if *not_before_ms <= now_ms => Some((chunk, *since_ms)),
+            _ => None,
+        });
+        let mine = ready.filter(|(chunk, since_ms)| {
+            let delay_ms = self.rank(id, *chunk) * RANK_STEP_MS;
+            since_ms + delay_ms.min(MAX_RANK_DELAY_MS) <= now_ms
+        });
+        mine.map(|(chunk, _)| chunk)
+            .max_by_key(|chunk| weight(&self.me, id, *chunk))
+            .map(|chunk| OpenChunk { job: id, chunk })
+    }
+
+    /// Returns how many peers come before this node for a chunk.
+    fn rank(&self, job: JobId, chunk: ChunkIndex) -> u64 {
+        let own = weight(&self.me, job, chunk);
+        let peers = self.peers.iter().filter(|peer| **peer != self.me);
+        peers.filter(|peer| weight(peer, job, chunk) > own).count() as u64
+    }
+}
+
+fn open(now_ms: u64) -> ChunkState {
+    ChunkState::Open {
+        since_ms: now_ms,
+        not_before_ms: now_ms,
+    }
+}
+
+fn weight(node: &Name, job: JobId, chunk: ChunkIndex) -> u64 {
+    let mut key = Vec::with_capacity(node.len() + 20);
+    key.extend_from_slice(node.as_bytes());
+    key.extend_from_slice(&job.0.to_be_bytes());
+    key.extend_from_slice(&chunk.0.to_be_bytes());
+    xxh3_64(&key)
+}
--- /dev/null
+++ b/eel-batch/src/key.rs
@@ -0,0 +1,229 @@
+//! Identifiers of jobs and their parts, and the keys under which they are stored.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+/// Identifies a job: the first 128 bits of SHA-256 over its caller and idempotency key.
+///
+/// A resend to any entry node therefore finds the same head, without a further key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct JobId(pub u128);
+
+impl JobId {
+    /// Derives the identifier of the job that `caller` submits under `idempotency_key`.
+    #[must_use]
+    pub fn derive(caller: &str, idempotency_key: &str) -> Self {
+        let mut hasher = Sha256::new();
+        hasher.update((caller.len() as u64).to_be_bytes());
+        hasher.update(caller);
+        hasher.update(idempotency_key);
+        let hash = hasher.finalize();
+        let mut id = [0; 16];
+        id.copy_from_slice(&hash[..16]);
+        Self(u128::from_be_bytes(id))
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for JobId {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
+
+macro_rules! index {
+    ($(#[doc = $doc:literal] $name:ident),*) => {$(
+        #[doc = $doc]
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u32);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:06}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = std::num::ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.parse().map(Self)
+            }
+        }
+    )*};
+}
+
+index!(
+    #[doc = "The place of a chunk within its job."]
+    ChunkIndex,
+    #[doc = "The place of an item within its chunk."]
+    ItemIndex,
+    #[doc = "The place of a results part within its chunk."]
+    PartIndex,
+    #[doc = "The place of a window of started marks within its chunk."]
+    WindowIndex
+);
+
+/// A key of a live job's state; every entry node watches these.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum StateKey {
+    /// The job was accepted.
+    Head(JobId),
+    /// The job was cancelled.
+    Cancel(JobId),
+    /// An entry node holds the chunk.
+    Claim(JobId, ChunkIndex),
+    /// Every item of the chunk has its result.
+    Done(JobId, ChunkIndex),
+}
+
+/// Builds and reads the keys below one prefix.
+///
+/// `state/` holds what every entry node watches and stays small; `data/` holds inputs, marks and
+/// results and is only read by key or by job.
+#[derive(Clone, Debug)]
+pub struct Keys {
+    prefix: String,
+}
+
+impl Keys {
+    /// Uses `prefix`, without a final slash.
+    #[must_use]
+    pub fn new(prefix: &str) -> Self {
+        Self {
+            prefix: prefix.to_owned(),
+        }
+    }
+
+    /// Returns the prefix of the state of all live jobs.
+    #[must_use]
+    pub fn states(&self) -> String {
+        format!("{}/state/", self.prefix)
+    }
+
+    /// Returns the prefix of all cancels.
+    #[must_use]
+    pub fn cancels(&self) -> String {
+        format!("{}/state/cancel/", self.prefix)
+    }
+
+    /// Returns the prefix of all heads.
+    #[must_use]
+    pub fn heads(&self) -> String {
+        format!("{}/state/head/", self.prefix)
+    }
+
+    /// Returns the prefix of the done marks of `job`.
+    #[must_use]
+    pub fn dones(&self, job: JobId) -> String {
+        format!("{}/state/done/{job}/", self.prefix)
+    }
+
+    /// Returns the key of `state`.
+    #[must_use]
+    pub fn state(&self, state: StateKey) -> String {
+        let prefix = &self.prefix;
+        match state {
+            StateKey::Head(job) => format!("{prefix}/state/head/{job}"),
+            StateKey::Cancel(job) => format!("{prefix}/state/cancel/{job}"),
+            StateKey::Claim(job, chunk) => format!("{prefix}/state/claim/{job}/{chunk}"),
+            StateKey::Done(job, chunk) => format!("{prefix}/state/done/{job}/{chunk}"),
+        }
+    }
+
+    /// Reads a key of [`Keys::states`]; `None` for any other key.
+    #[must_use]
+    pub fn parse_state(&self, key: &str) -> Option<StateKey> {
+        let rest = key.strip_prefix(&self.prefix)?.strip_prefix("/state/")?;
+        let mut parts = rest.split('/');
+        let kind = parts.next()?;
+        let job = parts.next()?.parse().ok()?;
+        let chunk = parts.next().map(str::parse).transpose().ok()?;
+        match (kind, chunk, parts.next()) {
+            ("head", None, None) => Some(StateKey::Head(job)),
+            ("cancel", None, None) => Some(StateKey::Cancel(job)),
+            ("claim", Some(chunk), None) => Some(StateKey::Claim(job, chunk)),
+            ("done", Some(chunk), None) => Some(StateKey::Done(job, chunk)),
+            _ => None,
+        }
+    }
+
+    /// Returns the key of the archived head of a job that has ended.
+    #[must_use]
+    pub fn archive(&self, job: JobId) -> String {
+        format!("{}/archive/{job}", self.prefix)
+    }
+
+    /// Returns the prefix of all archived heads.
+    #[must_use]
+    pub fn archives(&self) -> String {
+        format!("{}/archive/", self.prefix)
+    }
+
+    /// Returns the prefix of the data of all jobs.
+    #[must_use]
+    pub fn all_data(&self) -> String {
+        format!("{}/data/", self.prefix)
+    }
+
+    /// Returns the prefix of everything that is kept for `job` beside its state.
+    #[must_use]
+    pub fn data(&self, job: JobId) -> String {
+        format!("{}/data/{job}/", self.prefix)
+    }
+
+    /// Reads the job from a key of [`Keys::all_data`].
+    #[must_use]
+    pub fn parse_data(&self, key: &str) -> Option<JobId> {
+        let rest = key.strip_prefix(&self.prefix)?.strip_prefix("/data/")?;
+        rest.split('/').next()?.parse().ok()
+    }
+
+    /// Returns the key of a chunk's input.
+    #[must_use]
+    pub fn input(&self, job: JobId, chunk: ChunkIndex) -> String {
+        format!("{}in/{chunk}", self.data(job))
+    }
+
+    /// Returns the prefix of what holders of a chunk have written: holds, marks and results.
+    #[must_use]
+    pub fn work(&self, job: JobId, chunk: ChunkIndex) -> String {
+        format!("{}work/{chunk}/", self.data(job))
+    }
+
+    /// Returns the key that counts the holders of a chunk.
+    #[must_use]
+    pub fn held(&self, job: JobId, chunk: ChunkIndex) -> String {
+        format!("{}held", self.work(job, chunk))
+    }
+
+    /// Returns the key of a window of started marks.
+    #[must_use]
+    pub fn started(&self, job: JobId, chunk: ChunkIndex, window: WindowIndex) -> String {
+        format!("{}started/{window}", self.work(job, chunk))
+    }
+
+    /// Returns the prefix of a chunk's results.
+    #[must_use]
+    pub fn outputs(&self, job: JobId, chunk: ChunkIndex) -> String {
+        format!("{}out/", self.work(job, chunk))
+    }
+
+    /// Returns the key of a results part.
+    #[must_use]
+    pub fn output(&self, job: JobId, chunk: ChunkIndex, part: PartIndex) -> String {
+        format!("{}{part}", self.outputs(job, chunk))
+    }
+}
--- a/eel-batch/src/lib.rs
+++ b/eel-batch/src/lib.rs
@@ -1,1 +1,28 @@
 //! Batch jobs: chunks, claims, item attempts, deadline order and job admission.
+//!
+//! A job is a list of items. Its inputs and results live in the key-value service as compressed
+//! chunks; any entry node claims a chunk under its lease, runs the items and commits their results
+//! under the claim's epoch. What decides is free of I/O: [`Runner`] drives one claimed chunk,
+//! [`Board`] picks the next chunk to claim, [`admission`] accepts or refuses a job.
+
+pub mod admission;
+mod board;
+pub mod chunk;
+mod head;
+mod item;
+mod key;
+mod meter;
+mod plan;
+mod progress;
+mod runner;
+mod urgency;
+
+pub use board::{Board, Change, OpenChunk};
+pub use head::{Claim, Head, Held};
+pub use item::{Item, ItemError, ItemResult, Method, Outcome, Response};
+pub use key::{ChunkIndex, ItemIndex, JobId, Keys, PartIndex, StateKey, WindowIndex};
+pub use meter::RateMeter;
+pub use plan::{JobPlan, Limits, PlanError, Terms};
+pub use progress::{Assembler, Progress, State};
+pub use runner::{Action, Claimed, Drain, Event, Part, Policy, Runner};
+pub use urgency::Urgency;
--- /dev/null
+++ b/eel-batch/src/plan.rs
@@ -0,0 +1,203 @@
+//! Reads and checks a submitted job.
+
+use std::{collections::HashSet, fmt::Write as _};
+
+use eel_types::Name;
+use error_stack::Report;
+use sha2::{Digest as _, Sha256};
+
+use crate::{Head, Item, JobId, chunk};
+
+/// The longest custom identifier.
+const MAX_CUSTOM_ID_BYTES: usize = 512;
+
+/// What the operator allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The largest number of items in a job.
+    pub items: usize,
+    /// The largest size of the lines of a job.
+    pub bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            items: 100_000,
+            bytes: 200 << 20,
+        }
+    }
+}
+
+/// What a caller states about a job beside its items.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Who submits the job.
+    pub caller: Name,
+    /// The caller's key for this job; a resend carries the same.
+    pub idempotency_key: Name,
+    /// The service that the items are for.
+    pub service: Name,
+    /// Whether an item may run more than once.
+    pub repeatable: bool,
+    /// When the last item is due, in Unix time.
+    pub deadline_unix_ms: u64,
+    /// How long the results stay readable after the deadline.
+    pub retention_ms: u64,
+}
+
+/// Why a job is malformed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PlanError {
+    /// The job holds no items.
+    #[error("the job holds no items")]
+    Empty,
+    /// The idempotency key is missing.
+    #[error("the idempotency key is missing")]
+    NoKey,
+    /// The job holds too many items.
+    #[error("line {line}: a job may hold at most {limit} items")]
+    TooManyItems {
+        /// The first line over the limit.
+        line: usize,
+        /// The limit.
+        limit: usize,
+    },
+    /// The job is too large.
+    #[error("the job has {bytes} bytes, at most {limit} are allowed")]
+    TooManyBytes {
+        /// The size of the job.
+        bytes: usize,
+        /// The limit.
+        limit: usize,
+    },
+    /// A line is not an item.
+    #[error("line {line}: {cause}")]
+    BadLine {
+        /// The line, from 1.
+        line: usize,
+        /// What is wrong with it.
+        cause: String,
+    },
+    /// Two lines share one custom identifier.
+    #[error("line {line}: custom_id `{custom_id}` stands on an earlier line too")]
+    DuplicateId {
+        /// The later line, from 1.
+        line: usize,
+        /// The identifier.
+        custom_id: Name,
+    },
+}
+
+/// A checked job, cut into chunks.
+#[derive(Clone, Debug)]
+pub struct JobPlan {
+    /// The job's identifier.
+    pub job: JobId,
+    /// The head to write last; `accepted_unix_ms` is set at submission.
+    pub head: Head,
+    /// The chunks to write first, in order.
+    pub chunks: Vec<chunk::Packed>,
+}
+
+impl JobPlan {
+    /// Reads `lines`, one JSON item a line; empty lines are skipped.
+    ///
+    /// # Errors
+    ///
+    /// A [`PlanError`] that names the first bad line.
+    pub fn parse(terms: &Terms, lines: &[u8], limits: Limits) -> Result<Self, Report<PlanError>> {
+        if terms.idempotency_key.is_empty() {
+            return Err(Report::new(PlanError::NoKey));
+        }
+        if lines.len() > limits.bytes {
+            return Err(Report::new(PlanError::TooManyBytes {
+                bytes: lines.len(),
+                limit: limits.bytes,
+            }));
+        }
+        let (items, line_numbers) = parse_items(lines, limits)?;
+        let chunks = chunk::pack_all(&items).map_err(|report| {
+            let place = match report.current_context() {
+                chunk::Error::TooLarge(place) => *place,
+                chunk::Error::Encode | chunk::Error::Decode => 0,
+            };
+            let cause = report.current_context().to_string();
+            report.change_context(PlanError::BadLine {
+                line: line_numbers[place],
+                cause,
+            })
+        })?;
+        let head = Head {
+            schema: Head::SCHEMA,
+            caller: terms.caller.clone(),
+            service: terms.service.clone(),
+            digest: digest(terms, lines),
+            repeatable: terms.repeatable,
+            accepted_unix_ms: 0,
+            deadline_unix_ms: terms.deadline_unix_ms,
+            retention_ms: terms.retention_ms,
+            chunk_items: chunks.iter().map(|chunk| chunk.lines).collect(),
+        };
+        let job = JobId::derive(&terms.caller, &terms.idempotency_key);
+        Ok(Self { job, head, chunks })
+    }
+}
+
+fn parse_items(lines: &[u8], limits: Limits) -> Result<(Vec<Item>, Vec<usize>), Report<PlanError>> {
+    let mut items: Vec<Item> = Vec::new();
+    let mut line_numbers = Vec::new();
+    let mut seen = HashSet::new();
+    for (place, text) in lines.split(|byte| *byte == b'\n').enumerate() {
+        let line = place + 1;
+        if text.trim_ascii().is_empty() {
+            continue;
+        }
+        if items.len() == limits.items {
+            return Err(Report::new(PlanError::TooManyItems {
+                line,
+                limit: limits.items,
+            }));
+        }
+        let item = parse_item(text).map_err(|cause| PlanError::BadLine { line, cause })?;
+        if !seen.insert(item.custom_id.clone()) {
+            let custom_id = item.custom_id;
+            return Err(Report::new(PlanError::DuplicateId { line, custom_id }));
+        }
+        items.push(item);
+        line_numbers.push(line);
+    }
+    if items.is_empty() {
+        return Err(Report::new(PlanError::Empty));
+    }
+    Ok((items, line_numbers))
+}
+
+fn parse_item(text: &[u8]) -> Result<Item, String> {
+    let item: Item = serde_json::from_slice(text).map_err(|err| err.to_string())?;
+    if item.custom_id.is_empty() {
+        return Err("custom_id is empty".to_owned());
+    }
+    if item.custom_id.len() > MAX_CUSTOM_ID_BYTES {
+        return Err(format!("custom_id exceeds {MAX_CUSTOM_ID_BYTES} bytes"));
+    }
+    if !item.url.starts_with('/') {
+        return Err("url does not begin with a slash".to_owned());
+    }
+    Ok(item)
+}
+
+/// Digests what makes a job; a relative deadline differs between resends and is left out.
+fn digest(terms: &Terms, lines: &[u8]) -> Name {
+    let mut hasher = Sha256::new();
+    hasher.update((terms.service.len() as u64).to_be_bytes());
+    hasher.update(terms.service.as_bytes());
+    hasher.update([u8::from(terms.repeatable)]);
+    hasher.update(lines);
+    let mut hex = String::with_capacity(64);
+    for byte in hasher.finalize() {
+        // Writing to a string can't fail.
+        let _ = write!(hex, "{byte:02x}");
+    }
+    Name::from(hex)
+}
--- /dev/null
+++ b/eel-batch/src/progress.rs
@@ -0,0 +1,95 @@
+//! Progress of a job and the assembly of its results in item order.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ChunkIndex, Head, ItemIndex, ItemResult};
+
+/// The state of a job as its caller sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// Accepted, and some items have no result yet.
+    InProgress,
+    /// Cancelled, and some items have no result yet.
+    Cancelling,
+    /// Cancelled; every item has its result.
+    Cancelled,
+    /// Every item has its result.
+    Completed,
+}
+
+/// How far a job has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// The state.
+    pub state: State,
+    /// The number of items.
+    pub items: u32,
+    /// The items of chunks that are finished.
+    pub ended: u32,
+}
+
+impl Progress {
+    /// Works out the progress from the finished chunks.
+    #[must_use]
+    pub fn new(head: &Head, done: &BTreeSet<ChunkIndex>, cancelled: bool) -> Self {
+        let chunks = head.chunks().zip(&head.chunk_items);
+        let ended = chunks
+            .filter(|(chunk, _)| done.contains(chunk))
+            .map(|(_, items)| items)
+            .sum();
+        let items = head.items();
+        let state = match (ended == items, cancelled) {
+            (true, true) => State::Cancelled,
+            (true, false) => State::Completed,
+            (false, true) => State::Cancelling,
+            (false, false) => State::InProgress,
+        };
+        Self {
+            state,
+            items,
+            ended,
+        }
+    }
+}
+
+/// Puts the results of one chunk into item order; results come in any order, some later.
+#[derive(Clone, Debug, Default)]
+pub struct Assembler {
+    next: u32,
+    waiting: BTreeMap<ItemIndex, ItemResult>,
+    doubled: u32,
+}
+
+impl Assembler {
+    /// Takes `result` and returns the results that are now next in order.
+    pub fn push(&mut self, result: ItemResult) -> Vec<ItemResult> {
+        let known = result.item.0 < self.next || self.waiting.contains_key(&result.item);
+        if known {
+            self.doubled += 1;
+            return Vec::new();
+        }
+        self.waiting.insert(result.item, result);
+        let mut ready = Vec::new();
+        while let Some(result) = self.waiting.remove(&ItemIndex(self.next)) {
+            ready.push(result);
+            self.next += 1;
+        }
+        ready
+    }
+
+    /// Returns how many items came out.
+    #[must_use]
+    pub fn emitted(&self) -> u32 {
+        self.next
+    }
+
+    /// Returns how many results came for an item that had one; always zero unless a commit was
+    /// not fenced.
+    #[must_use]
+    pub fn doubled(&self) -> u32 {
+        self.doubled
+    }
+}
--- /dev/null
+++ b/eel-batch/src/runner/drain.rs
@@ -0,0 +1,75 @@
+//! Stopping: cancel, deadline and graceful shutdown.
+
+use eel_verdict::{Reason, Verdict};
+
+use super::{Action, Drain, Held, ItemIndex, Phase, Place, Runner};
+
+impl Runner {
+    pub(super) fn start_drain(&mut self, drain: Drain, actions: &mut Vec<Action>) {
+        let goes = match self.phase {
+            Phase::Running => true,
+            // A cancel overrides a shutdown; a shutdown doesn't override a cancel.
+            Phase::Draining(Drain::Leaving) => drain != Drain::Leaving,
+            Phase::Draining(_) | Phase::Finished | Phase::Lost => false,
+        };
+        if !goes {
+            return;
+        }
+        self.phase = Phase::Draining(drain);
+        if drain != Drain::Leaving && self.in_flight > 0 {
+            actions.push(Action::AbortAll);
+        }
+    }
+
+    pub(super) fn check_deadline(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        if now_ms >= self.claimed.deadline_ms {
+            self.start_drain(Drain::Expired, actions);
+        }
+    }
+
+    /// Ends the items that will not be sent any more.
+    pub(super) fn drain(&mut self, drain: Drain) {
+        let reason = match drain {
+            Drain::Cancelled => Reason::Cancelled,
+            Drain::Expired => Reason::DeadlineExceeded,
+            Drain::Leaving => return,
+        };
+        if self.is_ended() {
+            return;
+        }
+        self.ready.clear();
+        self.delayed.clear();
+        self.unmarked.clear();
+        for place in 0..self.slots.len() {
+            if self.slots[place].place == Place::Waiting {
+                let verdict = self.slots[place].verdict;
+                let item = u32::try_from(place).unwrap_or(u32::MAX);
+                self.give_up(ItemIndex(item), reason, verdict);
+            }
+        }
+    }
+
+    /// Returns `true` if a leaving process has nothing in flight.
+    pub(super) fn is_drained(&self) -> bool {
+        let leaving = self.phase == Phase::Draining(Drain::Leaving);
+        leaving && self.in_flight == 0 && self.marking.is_none()
+    }
+
+    /// Hands the chunk back once everything that ended is committed.
+    pub(super) fn release_drained(&mut self, actions: &mut Vec<Action>) {
+        let idle = self.committing.is_none() && self.pending.is_empty();
+        if !self.is_drained() || !idle || self.is_ended() {
+            return;
+        }
+        self.phase = Phase::Finished;
+        let unsure = self
+            .slots
+            .iter()
+            .any(|slot| slot.place == Place::Waiting && slot.verdict != Verdict::NotRun);
+        let held = Held {
+            lost_holders: self.claimed.held.lost_holders,
+            sent: self.claimed.held.sent || unsure,
+        };
+        actions.push(Action::Release { held });
+    }
+}
--- /dev/null
+++ b/eel-batch/src/runner/slot.rs
@@ -0,0 +1,104 @@
+//! One item of a claimed chunk and the bounds of its attempts.
+
+use eel_verdict::{Reason, Refusal, Verdict};
+
+use super::Policy;
+
+/// Where an item stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Place {
+    Waiting,
+    InFlight,
+    Ended,
+}
+
+/// What becomes of an item after a refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Next {
+    Wait,
+    GiveUp,
+}
+
+/// How a refusal counts against an item.
+enum Weight {
+    /// No attempt was made or it was cut off for an online request.
+    Preempted,
+    /// The attempt failed.
+    Failed,
+    /// No further attempt can succeed.
+    Permanent,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Slot {
+    pub place: Place,
+    pub sends: u32,
+    pub verdict: Verdict,
+    failures: u32,
+    preemptions: u32,
+}
+
+impl Slot {
+    pub fn new(verdict: Verdict) -> Self {
+        Self {
+            place: Place::Waiting,
+            sends: 0,
+            verdict,
+            failures: 0,
+            preemptions: 0,
+        }
+    }
+
+    pub fn refused(&mut self, refusal: Refusal, repeatable: bool, policy: &Policy) -> Next {
+        self.verdict = self.verdict.and(refusal.verdict);
+        if !refusal.verdict.allows_retry(repeatable) {
+            return Next::GiveUp;
+        }
+        let goes_on = match weigh(refusal.reason) {
+            Weight::Permanent => false,
+            Weight::Failed => self.count_attempt(policy),
+            Weight::Preempted => self.count_preemption(refusal.verdict, policy),
+        };
+        if goes_on { Next::Wait } else { Next::GiveUp }
+    }
+
+    /// Counts a failed attempt; `false` if it was the last one.
+    pub fn count_attempt(&mut self, policy: &Policy) -> bool {
+        self.failures += 1;
+        self.failures < policy.max_attempts
+    }
+
+    /// Counts an attempt that was cut off; one that never began costs nothing.
+    fn count_preemption(&mut self, verdict: Verdict, policy: &Policy) -> bool {
+        if verdict == Verdict::NotRun {
+            return true;
+        }
+        self.preemptions += 1;
+        self.preemptions <= policy.max_preemptions || self.count_attempt(policy)
+    }
+
+    pub fn backoff_ms(&self, policy: &Policy) -> u64 {
+        const MAX_DOUBLINGS: u32 = 16;
+        let doublings = self.failures.saturating_sub(1).min(MAX_DOUBLINGS);
+        (policy.backoff_ms << doublings).min(policy.max_backoff_ms)
+    }
+}
+
+fn weigh(reason: Reason) -> Weight {
+    match reason {
+        Reason::Cancelled
+        | Reason::Overloaded
+        | Reason::NoTarget
+        | Reason::Leaving
+        | Reason::CallerLimit
+        | Reason::StoreUnavailable => Weight::Preempted,
+        Reason::TargetFailed
+        | Reason::Truncated
+        | Reason::DeadlineExceeded
+        | Reason::UnknownService
+        | Reason::Conflict => Weight::Failed,
+        Reason::BadRequest | Reason::Unauthorized | Reason::Forbidden | Reason::TooLarge => {
+            Weight::Permanent
+        }
+    }
+}
--- /dev/null
+++ b/eel-batch/src/urgency.rs
@@ -0,0 +1,31 @@
+//! How urgent a job has become.
+
+/// Steps of urgency, calmest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Urgency {
+    /// More than half of the time left is slack.
+    Normal,
+    /// More than a quarter of the time left is slack.
+    Raised,
+    /// Some of the time left is slack.
+    High,
+    /// The job finishes late at the present rate.
+    Critical,
+}
+
+impl Urgency {
+    /// Grades a job that needs `work_ms` of the `left_ms` until its deadline.
+    #[must_use]
+    pub fn of(work_ms: u64, left_ms: u64) -> Self {
+        let slack_ms = left_ms.saturating_sub(work_ms);
+        if work_ms >= left_ms {
+            Self::Critical
+        } else if slack_ms <= left_ms / 4 {
+            Self::High
+        } else if slack_ms <= left_ms / 2 {
+            Self::Raised
+        } else {
+            Self::Normal
+        }
+    }
+}
--- /dev/null
+++ b/eel-batch/tests/batch/claim_order.rs
@@ -0,0 +1,97 @@
+//! Which chunk a node claims next.
+
+use std::collections::BTreeMap;
+
+use eel_batch::{Board, Change, ChunkIndex, Head, JobId, OpenChunk, Urgency};
+use eel_types::Name;
+
+fn head(deadline_unix_ms: u64, chunks: usize) -> Head {
+    Head {
+        schema: Head::SCHEMA,
+        caller: "ridgelog".into(),
+        service: "scribe".into(),
+        digest: "d".into(),
+        repeatable: true,
+        accepted_unix_ms: 0,
+        deadline_unix_ms,
+        retention_ms: 0,
+        chunk_items: vec![1_000; chunks],
+    }
+}
+
+fn board(me: &str, peers: &[&str]) -> Board {
+    let mut board = Board::new(me.into());
+    board.set_peers(peers.iter().map(|peer| Name::from(*peer)).collect());
+    board
+}
+
+#[test]
+fn earliest_deadline_first() {
+    let mut board = board("a", &[]);
+    for (job, deadline_unix_ms) in [(1, 3_000_000), (2, 1_000_000), (3, 2_000_000)] {
+        board.apply(0, Change::Accepted(JobId(job), head(deadline_unix_ms, 1)));
+    }
+    let mut order = Vec::new();
+    while let Some(open) = board.next_claim(0, 0, "scribe") {
+        order.push(open.job.0);
+        board.apply(0, Change::Claimed(open.job, open.chunk));
+    }
+    assert_eq!(order, [2, 3, 1]);
+    assert_eq!(board.next_claim(0, 0, "other"), None);
+}
+
+#[test]
+fn danger_goes_before_deadline() {
+    let mut board = board("a", &[]);
+    let (small, large) = (JobId(1), JobId(2));
+    board.apply(0, Change::Accepted(small, head(100_000, 2)));
+    board.apply(0, Change::Accepted(large, head(120_000, 100)));
+    // 1,000 items a second: the large job needs 100 s of its 120 s.
+    board.apply(1_000, Change::Done(large, ChunkIndex(0)));
+    assert_eq!(board.urgency(1_000, small), Some(Urgency::Normal));
+    assert_eq!(board.urgency(1_000, large), Some(Urgency::High));
+    assert_eq!(board.next_claim(1_000, 1_000, "scribe").unwrap().job, large);
+    assert_eq!(board.urgency(30_000, large), Some(Urgency::Critical));
+}
+
+#[test]
+fn nodes_keep_apart() {
+    const NODES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+    let mut firsts = BTreeMap::<ChunkIndex, u32>::new();
+    for me in NODES {
+        let mut board = board(me, &NODES);
+        board.apply(0, Change::Accepted(JobId(9), head(1_000_000, 30)));
+        while let Some(open) = board.next_claim(0, 0, "scribe") {
+            *firsts.entry(open.chunk).or_default() += 1;
+            board.apply(0, Change::Claimed(open.job, open.chunk));
+        }
+    }
+    // At once each chunk is offered to exactly one node; after a while to every node.
+    assert_eq!(firsts.len(), 30);
+    assert!(firsts.values().all(|nodes| *nodes == 1));
+    let mut late = board("a", &NODES);
+    late.apply(0, Change::Accepted(JobId(9), head(1_000_000, 1)));
+    assert!(late.next_claim(500, 0, "scribe").is_some());
+}
+
+#[test]
+fn closed_chunks_stay_closed() {
+    let open = OpenChunk {
+        job: JobId(1),
+        chunk: ChunkIndex(0),
+    };
+    let mut board = board("a", &[]);
+    board.apply(0, Change::Cancelled(open.job));
+    board.apply(0, Change::Accepted(open.job, head(1_000, 1)));
+    assert!(board.is_cancelled(open.job));
+    board.pause(0, open);
+    assert_eq!(board.next_claim(999, 0, "scribe"), None);
+    assert_eq!(board.next_claim(1_000, 0, "scribe"), Some(open));
+    board.apply(0, Change::Claimed(open.job, open.chunk));
+    board.apply(0, Change::Done(open.job, open.chunk));
+    board.apply(0, Change::Unclaimed(open.job, open.chunk));
+    assert_eq!(board.next_claim(9_000, 0, "scribe"), None);
+    assert_eq!(board.finished().collect::<Vec<_>>(), [open.job]);
+    board.apply(0, Change::Removed(open.job));
+    assert_eq!(board.finished().count(), 0);
+}
