feat(record): read, upgrade and check records of two schema versions

Operators declare models, services, callers and jobs in JSON files. Each kind has two schema versions from the start; both are upgraded to the current form by total functions. A record keeps its JSON as read, so unknown fields survive a write by an older version; unknown fields of a known schema are warned about. Problems name file, line, field and allowed values; the line comes from the borrowed raw value of the JSON library, not from a parser of our own.

--- a/eel-record/src/lib.rs
+++ b/eel-record/src/lib.rs
@@ -1,7 +1,32 @@
 //! Operator records: kinds, schema versions, validation and the snapshot that nodes act on.
+//!
+//! A record is a JSON object, the envelope: `schema`, `kind`, `name` and `spec`. Each kind has two schema versions,
+//! which are upgraded to one current form when they are read. What is written back is the JSON as it was read, so that
+//! fields this version does not know survive.
 
+mod decode;
+mod directory;
+mod file;
+mod job;
+mod key;
+mod place;
+mod problem;
+mod record;
+mod references;
+mod schema;
 mod snapshot;
+mod snapshot_build;
 mod spec;
+mod validate;
 
+pub use decode::{Decoded, Spec, decode};
+pub use directory::{Declaration, Declarations, load_directory};
+pub use file::parse_file;
+pub use job::{JobItems, JobSpec, JobState};
+pub use key::{Kind, RecordKey};
+pub use problem::{Error, Fault, Problem, Severity};
+pub use record::{EnvelopeError, NEWEST_SCHEMA, Record};
+pub use references::missing_references;
 pub use snapshot::Snapshot;
+pub use snapshot_build::{SnapshotOutcome, StoredRecord};
 pub use spec::{CallerSpec, ModelSpec, ModelVersion, Protocol, Route, ServiceSpec};
--- /dev/null
+++ b/eel-record/src/references.rs
@@ -0,0 +1,45 @@
+//! References from one record to another.
+
+use std::collections::BTreeMap;
+
+use crate::{Fault, Kind, Problem, RecordKey, Spec};
+
+/// Finds references to records that are not in `records`.
+#[must_use]
+pub fn missing_references(records: &BTreeMap<RecordKey, Spec>) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    for (key, spec) in records {
+        for (field, target) in references(spec) {
+            if !records.contains_key(&target) {
+                let fault = Fault::MissingReference(target);
+                problems.push(Problem::new(Some(key.clone()), field, fault));
+            }
+        }
+    }
+    problems
+}
+
+/// Lists the fields of a record that name others; these have the same path in every schema.
+fn references(spec: &Spec) -> Vec<(String, RecordKey)> {
+    match spec {
+        Spec::Service(service) => {
+            let model = service.model.iter();
+            model
+                .map(|name| reference("spec.model", Kind::Model, name))
+                .collect()
+        }
+        Spec::Caller(caller) => {
+            let services = caller.services.iter().enumerate();
+            services
+                .filter(|(_, name)| name.as_str() != "*")
+                .map(|(i, name)| reference(&format!("spec.services[{i}]"), Kind::Service, name))
+                .collect()
+        }
+        Spec::Job(job) => vec![reference("spec.service", Kind::Service, &job.service)],
+        Spec::Model(_) => Vec::new(),
+    }
+}
+
+fn reference(field: &str, kind: Kind, name: &eel_types::Name) -> (String, RecordKey) {
+    (field.to_owned(), RecordKey::new(kind, name.clone()))
+}
--- /dev/null
+++ b/eel-record/src/schema/job.rs
@@ -0,0 +1,80 @@
+//! Schemas of job records.
+
+use eel_types::Name;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::Schema;
+use crate::{JobItems, JobSpec, JobState};
+
+const MS_PER_S: u64 = 1_000;
+
+/// Schema 1: a deadline in seconds, items always in a file.
+#[derive(Serialize, Deserialize)]
+pub struct JobV1 {
+    service: Name,
+    deadline_unix_s: u64,
+    #[serde(default)]
+    repeatable: bool,
+    items_file: Name,
+    #[serde(default)]
+    state: JobState,
+}
+
+/// Schema 2: a deadline in milliseconds, items in a file or in the record.
+#[derive(Serialize, Deserialize)]
+pub struct JobV2 {
+    service: Name,
+    deadline_unix_ms: u64,
+    #[serde(default)]
+    repeatable: bool,
+    #[serde(default)]
+    items_file: Option<Name>,
+    #[serde(default)]
+    items: Vec<Value>,
+    #[serde(default)]
+    state: JobState,
+}
+
+impl Schema for JobV1 {
+    type Current = JobSpec;
+
+    fn upgrade(self) -> JobSpec {
+        JobSpec {
+            service: self.service,
+            deadline_unix_ms: self.deadline_unix_s.saturating_mul(MS_PER_S),
+            repeatable: self.repeatable,
+            items: JobItems::File(self.items_file),
+            state: self.state,
+        }
+    }
+
+    fn path_of(field: &str) -> String {
+        match field {
+            "deadline_unix_ms" => "deadline_unix_s".to_owned(),
+            _ => field.to_owned(),
+        }
+    }
+}
+
+impl Schema for JobV2 {
+    type Current = JobSpec;
+
+    fn upgrade(self) -> JobSpec {
+        let inline = self.items.iter().map(|item| item.to_string().into());
+        JobSpec {
+            service: self.service,
+            deadline_unix_ms: self.deadline_unix_ms,
+            repeatable: self.repeatable,
+            items: match self.items_file {
+                Some(file) => JobItems::File(file),
+                None => JobItems::Inline(inline.collect()),
+            },
+            state: self.state,
+        }
+    }
+
+    fn path_of(field: &str) -> String {
+        field.to_owned()
+    }
+}
