feat(standin): a key-value service and a VM list with faults on demand

Cause: every promise about the platform has to be tested with the platform down, slow, forgetful or wrong, and no third-party server runs in the tests.

Ruled out: a fake behind the client's trait, because it would leave the client's own reading of lost answers, cut connections and silent watches untested.

Change: `KvServer` speaks etcd v3's JSON mapping over HTTP on a free loopback port: revisions with history, transactions, leases that expire, watches with replay, compaction, and etcd's default limits (1.5 MiB and 128 operations a transaction) beside the value limit of 1 MiB. Faults: down, erroring, hanging, slow before or after the effect, answers lost after the effect, watches cut or silent, leases lost. It counts reads, writes, lease extensions, watches and bytes. `VmListServer` serves a VM list that can be stale, empty, malformed, unavailable or hanging.

--- /dev/null
+++ b/eel-standin/src/kv/api.rs
@@ -0,0 +1,233 @@
+//! The HTTP interface of the service.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::StatusCode;
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
+use serde::{Serialize, de::DeserializeOwned};
+
+use super::{
+    message::{
+        Compaction, DeleteRange, ErrorAnswer, LeaseRequest, Put, Range, RequestOp, Streamed, Txn,
+        Watch,
+    },
+    shared::Shared,
+    txn::Refusal,
+};
+
+const BODY_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+const CODE_UNAVAILABLE: u32 = 14;
+
+/// Answers every path of the interface.
+pub struct Api {
+    pub shared: Arc<Shared>,
+}
+
+/// What a call does, for the counters and for faults that concern writes only.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Read,
+    Write,
+    KeepAlive,
+}
+
+struct Answer {
+    kind: Kind,
+    body: Result<Vec<u8>, Refusal>,
+}
+
+#[async_trait]
+impl Handler for Api {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let path = req.uri().path().to_owned();
+        let Ok(body) = req.payload_with_max_size(BODY_LIMIT_BYTES).await.cloned() else {
+            refuse(res, Refusal::TooLarge);
+            return;
+        };
+        let bytes_in = u64::try_from(body.len()).unwrap_or(0);
+        self.shared.count(|c| c.bytes_in += bytes_in);
+        let faults = self.shared.faults();
+        if faults.hang {
+            std::future::pending::<()>().await;
+        }
+        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        if faults.unavailable {
+            unavailable(res);
+            return;
+        }
+        if path == "/v3/watch" {
+            self.watch(&body, res);
+            return;
+        }
+        let answer = self.answer(&path, &body);
+        self.count(answer.kind);
+        tokio::time::sleep(Duration::from_millis(faults.answer_delay_ms)).await;
+        if answer.kind != Kind::Read && self.shared.take_lost_answer() {
+            cut(res);
+            return;
+        }
+        self.send(answer.body, res);
+    }
+}
+
+impl Api {
+    fn answer(&self, path: &str, body: &Bytes) -> Answer {
+        let shared = &self.shared;
+        let (kind, body) = match path {
+            "/v3/kv/range" => (Kind::Read, run(body, |range: Range| shared.range(&range))),
+            "/v3/kv/txn" => return self.txn(body),
+            "/v3/kv/put" => (
+                Kind::Write,
+                run(body, |put: Put| shared.commit(&single(RequestOp::Put(put)))),
+            ),
+            "/v3/kv/deleterange" => (
+                Kind::Write,
+                run(body, |delete: DeleteRange| {
+                    shared.commit(&single(RequestOp::Delete(delete)))
+                }),
+            ),
+            "/v3/kv/compaction" => (
+                Kind::Write,
+                run(body, |c: Compaction| shared.compact(c.revision.unsigned())),
+            ),
+            "/v3/lease/grant" => (
+                Kind::Write,
+                run(body, |lease: LeaseRequest| {
+                    Ok(shared.grant(lease.id.0, lease.ttl_s.unsigned()))
+                }),
+            ),
+            "/v3/lease/revoke" | "/v3/kv/lease/revoke" => (
+                Kind::Write,
+                run(body, |lease: LeaseRequest| shared.revoke(lease.id.0)),
+            ),
+            "/v3/lease/keepalive" => (
+                Kind::KeepAlive,
+                run(body, |lease: LeaseRequest| {
+                    let result = shared.extend(lease.id.0);
+                    Ok(Streamed { result })
+                }),
+            ),
+            "/v3/lease/timetolive" | "/v3/kv/lease/timetolive" => (
+                Kind::Read,
+                run(body, |lease: LeaseRequest| {
+                    Ok(shared.time_to_live(lease.id.0))
+                }),
+            ),
+            _ => (Kind::Read, Err(Refusal::Invalid)),
+        };
+        Answer { kind, body }
+    }
+
+    fn txn(&self, body: &Bytes) -> Answer {
+        let Ok(txn) = serde_json::from_slice::<Txn>(body) else {
+            return Answer {
+                kind: Kind::Read,
+                body: Err(Refusal::Invalid),
+            };
+        };
+        let mut ops = txn.success.iter().chain(&txn.failure);
+        let kind = if ops.all(|op| matches!(op, RequestOp::Range(_))) {
+            Kind::Read
+        } else {
+            Kind::Write
+        };
+        let body = self.shared.commit(&txn).map(|answer| encode(&answer));
+        Answer { kind, body }
+    }
+
+    fn watch(&self, body: &Bytes, res: &mut Response) {
+        match serde_json::from_slice::<Watch>(body) {
+            Ok(watch) => res.stream(self.shared.open_watch(&watch.create_request)),
+            Err(_) => refuse(res, Refusal::Invalid),
+        }
+    }
+
+    fn count(&self, kind: Kind) {
+        self.shared.count(|counts| match kind {
+            Kind::Read => counts.reads += 1,
+            Kind::Write => counts.writes += 1,
+            Kind::KeepAlive => counts.keep_alives += 1,
+        });
+    }
+
+    fn send(&self, body: Result<Vec<u8>, Refusal>, res: &mut Response) {
+        match body {
+            Ok(body) => {
+                let bytes_out = u64::try_from(body.len()).unwrap_or(0);
+                self.shared.count(|c| c.bytes_out += bytes_out);
+                let _ = res.write_body(body);
+            }
+            Err(refusal) => refuse(res, refusal),
+        }
+    }
+}
+
+fn run<Q: DeserializeOwned, A: Serialize>(
+    body: &Bytes,
+    call: impl FnOnce(Q) -> Result<A, Refusal>,
+) -> Result<Vec<u8>, Refusal> {
+    let request = serde_json::from_slice(body).map_err(|_| Refusal::Invalid)?;
+    call(request).map(|answer| encode(&answer))
+}
+
+fn encode(answer: &impl Serialize) -> Vec<u8> {
+    serde_json::to_vec(answer).unwrap_or_default()
+}
+
+fn single(op: RequestOp) -> Txn {
+    Txn {
+        success: vec![op],
+        ..Txn::default()
+    }
+}
+
+/// Breaks the connection off in the middle of an answer.
+fn cut(res: &mut Response) {
+    let broken = std::io::Error::from(std::io::ErrorKind::ConnectionReset);
+    res.stream(stream::iter([Err::<Bytes, _>(broken)]));
+}
+
+fn refuse(res: &mut Response, refusal: Refusal) {
+    let (status, code, message) = match refusal {
+        Refusal::Invalid => (StatusCode::BAD_REQUEST, 3, "etcdserver: invalid request"),
+        Refusal::TooLarge => (
+            StatusCode::BAD_REQUEST,
+            3,
+            "etcdserver: request is too large",
+        ),
+        Refusal::LeaseNotFound => (
+            StatusCode::NOT_FOUND,
+            5,
+            "etcdserver: requested lease not found",
+        ),
+        Refusal::Compacted => (
+            StatusCode::BAD_REQUEST,
+            11,
+            "etcdserver: mvcc: required revision has been compacted",
+        ),
+    };
+    send_error(res, status, code, message);
+}
+
+fn unavailable(res: &mut Response) {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    send_error(res, status, CODE_UNAVAILABLE, "etcdserver: no leader");
+}
+
+fn send_error(res: &mut Response, status: StatusCode, code: u32, message: &'static str) {
+    res.status_code(status);
+    let answer = ErrorAnswer {
+        error: message,
+        code,
+        message,
+    };
+    let _ = res.write_body(encode(&answer));
+}
--- /dev/null
+++ b/eel-standin/src/kv/server.rs
@@ -0,0 +1,147 @@
+//! The running service.
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use salvo::{Router, Server, conn::tcp::TcpAcceptor};
+use tokio::net::TcpListener;
+use tokio_util::task::AbortOnDropHandle;
+
+use super::{
+    api::Api,
+    fault::{Counts, Faults},
+    shared::Shared,
+};
+
+const EXPIRY_INTERVAL_MS: u64 = 50;
+
+/// A key-value service on a loopback port, inside this process. It stops when dropped.
+#[derive(Debug)]
+pub struct KvServer {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    serving: Option<AbortOnDropHandle<()>>,
+    _expiry: AbortOnDropHandle<()>,
+}
+
+impl KvServer {
+    /// Starts an empty service on a free port.
+    ///
+    /// # Errors
+    /// If no port can be bound.
+    pub async fn start() -> io::Result<Self> {
+        Self::start_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await
+    }
+
+    /// Starts an empty service at `address`.
+    ///
+    /// # Errors
+    /// If the address cannot be bound.
+    pub async fn start_at(address: SocketAddr) -> io::Result<Self> {
+        let shared = Arc::new(Shared::new());
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let serving = serve(listener, &shared)?;
+        let expiring = Arc::clone(&shared);
+        let expiry = tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(Duration::from_millis(EXPIRY_INTERVAL_MS)).await;
+                expiring.expire_leases();
+            }
+        });
+        Ok(Self {
+            shared,
+            address,
+            serving: Some(serving),
+            _expiry: AbortOnDropHandle::new(expiry),
+        })
+    }
+
+    /// The service's base URL.
+    #[must_use]
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// The service's address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Goes down: closes every connection and refuses new ones. The data stays.
+    pub async fn stop(&mut self) {
+        if let Some(serving) = self.serving.take() {
+            serving.abort();
+            let _ = serving.await;
+        }
+    }
+
+    /// Comes back after [`stop`](Self::stop), at the same address.
+    ///
+    /// # Errors
+    /// If the address cannot be bound again.
+    pub async fn resume(&mut self) -> io::Result<()> {
+        let listener = TcpListener::bind(self.address).await?;
+        self.serving = Some(serve(listener, &self.shared)?);
+        Ok(())
+    }
+
+    /// Replaces the faults that the service shows.
+    pub fn set_faults(&self, faults: Faults) {
+        self.shared.set_faults(faults);
+    }
+
+    /// What the service has been asked so far.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.shared.counts()
+    }
+
+    /// The present revision.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.shared.revision()
+    }
+
+    /// Makes every open watch silent for good; watches opened later work.
+    pub fn silence_watches(&self) {
+        self.shared.with_watchers(super::watcher::Watchers::silence);
+    }
+
+    /// Ends every open watch.
+    pub fn cut_watches(&self) {
+        self.shared.with_watchers(super::watcher::Watchers::cut);
+    }
+
+    /// Sends every open watch a progress notice.
+    pub fn send_progress(&self) {
+        self.shared.send_progress();
+    }
+
+    /// Loses every lease, with the keys attached to it.
+    pub fn lose_leases(&self) {
+        for id in self.shared.lease_ids() {
+            let _ = self.shared.revoke(id);
+        }
+    }
+
+    /// Forgets the history up to the present revision.
+    pub fn compact(&self) {
+        let _ = self.shared.compact(self.shared.revision());
+    }
+}
+
+fn serve(listener: TcpListener, shared: &Arc<Shared>) -> io::Result<AbortOnDropHandle<()>> {
+    let api = Api {
+        shared: Arc::clone(shared),
+    };
+    let router = Router::with_path("{**path}").goal(api);
+    let acceptor = TcpAcceptor::try_from(listener)?;
+    let task = tokio::spawn(Server::new(acceptor).serve(router));
+    Ok(AbortOnDropHandle::new(task))
+}
--- /dev/null
+++ b/eel-standin/src/kv/shared.rs
@@ -0,0 +1,207 @@
+//! The service's state, shared by its connections.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+use tokio::sync::mpsc;
+
+use super::{
+    fault::{Counts, Faults},
+    message::{Event, LeaseAnswer, Range, RangeAnswer, Txn, TxnAnswer, WatchCreate},
+    mvcc::Span,
+    txn::{Refusal, State},
+    watcher::{Report, WatchBody, Watchers, line},
+};
+
+#[derive(Debug)]
+struct Inner {
+    state: State,
+    watchers: Watchers,
+    faults: Faults,
+    counts: Counts,
+}
+
+/// The service's state behind one lock.
+#[derive(Debug)]
+pub struct Shared {
+    inner: Mutex<Inner>,
+    started: Instant,
+}
+
+impl Shared {
+    pub fn new() -> Self {
+        let inner = Inner {
+            state: State::new(),
+            watchers: Watchers::default(),
+            faults: Faults::default(),
+            counts: Counts::default(),
+        };
+        Self {
+            inner: Mutex::new(inner),
+            started: Instant::now(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    pub fn faults(&self) -> Faults {
+        self.lock().faults.clone()
+    }
+
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+    }
+
+    /// Takes one of the answers that are to be lost.
+    pub fn take_lost_answer(&self) -> bool {
+        let mut inner = self.lock();
+        let lost = inner.faults.lost_answers > 0;
+        inner.faults.lost_answers = inner.faults.lost_answers.saturating_sub(1);
+        lost
+    }
+
+    pub fn count(&self, change: impl FnOnce(&mut Counts)) {
+        change(&mut self.lock().counts);
+    }
+
+    pub fn counts(&self) -> Counts {
+        let inner = self.lock();
+        let waiting_watches = u64::try_from(inner.watchers.len()).unwrap_or(u64::MAX);
+        Counts {
+            waiting_watches,
+            ..inner.counts
+        }
+    }
+
+    pub fn revision(&self) -> u64 {
+        self.lock().state.mvcc.revision
+    }
+
+    pub fn range(&self, range: &Range) -> Result<RangeAnswer, Refusal> {
+        self.lock().state.range(range)
+    }
+
+    pub fn commit(&self, txn: &Txn) -> Result<TxnAnswer, Refusal> {
+        let mut inner = self.lock();
+        let (answer, events) = inner.state.commit(txn)?;
+        inner.publish(&events);
+        Ok(answer)
+    }
+
+    pub fn compact(&self, revision: u64) -> Result<(), Refusal> {
+        let mut inner = self.lock();
+        if revision > inner.state.mvcc.revision {
+            return Err(Refusal::Invalid);
+        }
+        if revision <= inner.state.mvcc.compacted {
+            return Err(Refusal::Compacted);
+        }
+        inner.state.mvcc.compact(revision);
+        Ok(())
+    }
+
+    pub fn grant(&self, id: i64, ttl_s: u64) -> LeaseAnswer {
+        let now_ms = self.now_ms();
+        let mut inner = self.lock();
+        let id = inner.state.leases.grant(id, ttl_s, now_ms);
+        lease_answer(&inner, id, ttl_s)
+    }
+
+    /// Extends a lease; an unknown one is answered with no time to live.
+    pub fn extend(&self, id: i64) -> LeaseAnswer {
+        let now_ms = self.now_ms();
+        let mut inner = self.lock();
+        let ttl_s = inner.state.leases.extend(id, now_ms).unwrap_or(0);
+        lease_answer(&inner, id, ttl_s)
+    }
+
+    pub fn time_to_live(&self, id: i64) -> LeaseAnswer {
+        let inner = self.lock();
+        let ttl_s = inner.state.leases.ttl_s(id).unwrap_or(0);
+        lease_answer(&inner, id, ttl_s)
+    }
+
+    pub fn revoke(&self, id: i64) -> Result<LeaseAnswer, Refusal> {
+        let mut inner = self.lock();
+        let events = inner.state.end_lease(id)?;
+        inner.publish(&events);
+        Ok(lease_answer(&inner, id, 0))
+    }
+
+    pub fn lease_ids(&self) -> Vec<i64> {
+        self.lock().state.leases.ids()
+    }
+
+    pub fn expire_leases(&self) {
+        let now_ms = self.now_ms();
+        let expired = self.lock().state.leases.expired(now_ms);
+        for id in expired {
+            let _ = self.revoke(id);
+        }
+    }
+
+    /// Opens a watch: replays the changes since its start, then follows.
+    pub fn open_watch(self: &Arc<Self>, create: &WatchCreate) -> WatchBody {
+        let (sender, lines) = mpsc::unbounded_channel();
+        let span = Span::new(&create.key, &create.end);
+        let start = create.start_revision.unsigned();
+        let mut inner = self.lock();
+        inner.counts.watch_opens += 1;
+        let revision = inner.state.mvcc.revision;
+        let compacted = inner.state.mvcc.compacted;
+        let silent = inner.faults.mute_new_watches;
+        if !silent {
+            let _ = sender.send(line(revision, Report::Created));
+        }
+        if start > 0 && start <= compacted {
+            let _ = sender.send(line(revision, Report::Compacted(compacted)));
+            return WatchBody::new(0, lines, self);
+        }
+        if start > 0 && !silent {
+            for (_, events) in inner.state.mvcc.changes(&span, start) {
+                let _ = sender.send(line(revision, Report::Events(events)));
+            }
+        }
+        let id = inner.watchers.open(span, sender, silent);
+        WatchBody::new(id, lines, self)
+    }
+
+    pub fn close_watch(&self, id: u64) {
+        self.lock().watchers.close(id);
+    }
+
+    pub fn with_watchers(&self, change: impl FnOnce(&mut Watchers)) {
+        change(&mut self.lock().watchers);
+    }
+
+    pub fn send_progress(&self) {
+        let inner = self.lock();
+        inner.watchers.progress(inner.state.mvcc.revision);
+    }
+}
+
+impl Inner {
+    fn publish(&mut self, events: &[Event]) {
+        if events.is_empty() {
+            return;
+        }
+        let revision = self.state.mvcc.revision;
+        self.counts.bytes_out += self.watchers.publish(events, revision);
+    }
+}
+
+fn lease_answer(inner: &Inner, id: i64, ttl_s: u64) -> LeaseAnswer {
+    LeaseAnswer {
+        header: inner.state.header(),
+        id: super::message::Int64(id),
+        ttl_s: ttl_s.into(),
+    }
+}
--- /dev/null
+++ b/eel-standin/src/vm_list/server.rs
@@ -0,0 +1,161 @@
+//! The running VM list.
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use http::StatusCode;
+use salvo::{
+    Depot, FlowCtrl, Handler, Request, Response, Router, Server, async_trait,
+    conn::tcp::TcpAcceptor,
+};
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio_util::task::AbortOnDropHandle;
+
+/// One VM of the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ListedVm {
+    /// The VM's name.
+    pub name: String,
+    /// The address of the target node's listener.
+    pub address: SocketAddr,
+    /// The data centre that the VM is in.
+    pub data_centre: String,
+    /// The pool that the VM's target belongs to.
+    pub pool: String,
+    /// `live` or `leaving`.
+    pub state: &'static str,
+}
+
+/// How the list answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ListFault {
+    /// With the VMs that were set last.
+    #[default]
+    None,
+    /// With the VMs as they were when this fault began, whatever is set later.
+    Stale,
+    /// With no VM at all.
+    Empty,
+    /// With something that is not a VM list.
+    Malformed,
+    /// With an error.
+    Unavailable,
+    /// Never.
+    Hang,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    vms: Vec<ListedVm>,
+    stale: Vec<ListedVm>,
+    fault: ListFault,
+    reads: u64,
+}
+
+/// A VM list on a loopback port, inside this process. It stops when dropped.
+#[derive(Debug)]
+pub struct VmListServer {
+    shared: Arc<Mutex<Shared>>,
+    address: SocketAddr,
+    _serving: AbortOnDropHandle<()>,
+}
+
+impl VmListServer {
+    /// Starts an empty list on a free port.
+    ///
+    /// # Errors
+    /// If no port can be bound.
+    pub async fn start() -> io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Mutex::new(Shared::default()));
+        let api = Api {
+            shared: Arc::clone(&shared),
+        };
+        let acceptor = TcpAcceptor::try_from(listener)?;
+        let router = Router::with_path("{**path}").goal(api);
+        let serving = tokio::spawn(Server::new(acceptor).serve(router));
+        Ok(Self {
+            shared,
+            address,
+            _serving: AbortOnDropHandle::new(serving),
+        })
+    }
+
+    /// The URL of the list.
+    #[must_use]
+    pub fn url(&self) -> String {
+        format!("http://{}/vms", self.address)
+    }
+
+    /// Replaces the VMs.
+    pub fn set_vms(&self, vms: Vec<ListedVm>) {
+        lock(&self.shared).vms = vms;
+    }
+
+    /// Begins a fault, or ends it with [`ListFault::None`].
+    pub fn set_fault(&self, fault: ListFault) {
+        let mut shared = lock(&self.shared);
+        let Shared { vms, stale, .. } = &mut *shared;
+        stale.clone_from(vms);
+        shared.fault = fault;
+    }
+
+    /// How often the list was read.
+    #[must_use]
+    pub fn reads(&self) -> u64 {
+        lock(&self.shared).reads
+    }
+}
+
+fn lock(shared: &Mutex<Shared>) -> std::sync::MutexGuard<'_, Shared> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+#[derive(Serialize)]
+struct Body {
+    vms: Vec<ListedVm>,
+}
+
+struct Api {
+    shared: Arc<Mutex<Shared>>,
+}
+
+#[async_trait]
+impl Handler for Api {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let (fault, vms) = {
+            let mut shared = lock(&self.shared);
+            shared.reads += 1;
+            let vms = match shared.fault {
+                ListFault::None => shared.vms.clone(),
+                ListFault::Stale => shared.stale.clone(),
+                _ => Vec::new(),
+            };
+            (shared.fault, vms)
+        };
+        match fault {
+            ListFault::None | ListFault::Stale | ListFault::Empty => {
+                let body = serde_json::to_vec(&Body { vms }).unwrap_or_default();
+                let _ = res.write_body(body);
+            }
+            ListFault::Malformed => {
+                let _ = res.write_body("{\"vms\":[{\"name\":1}]}");
+            }
+            ListFault::Unavailable => {
+                res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            ListFault::Hang => std::future::pending().await,
+        }
+    }
+}
