feat(store): clients of the key-value service and the VM list

Cause: configuration, claims and job heads live in the platform's store, whose answer can be lost after a write has taken effect, and whose watches can go silent for good.

Ruled out: the generated gRPC client, which needs a generator at build time; a probing range read beside a silent watch, because a range does not show deletions, whereas a second watch from the next revision replays them and costs the same one call.

Change: the edge trait `KeyValue` with typed requests; `EtcdJson`, which tries several endpoints in turn, and after a failed call uses a connection of its own; errors that say what may have happened (`NotApplied`, `MayHaveApplied`, `Rejected`, `Unavailable`); `commit_settled`, which sends a doubtful transaction again and finds its token in the key's history, so that a write that was applied and then overwritten still counts as applied; a watch that bridges cuts, outages and silence without gap or duplicate, and marks each complete revision; the VM list client.

Conclusion: a lost answer is told apart from a refusal in every case of the table but a store that never answers again, which stays `Unknown`.

--- /dev/null
+++ b/eel-store/src/etcd/call.rs
@@ -0,0 +1,178 @@
+//! One call over HTTP, tried at several endpoints, and what its failure means.
+
+use std::{
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use error_stack::{Report, ResultExt as _};
+use reqwest::{Client, StatusCode};
+use serde::{Serialize, de::DeserializeOwned};
+
+use super::{client::EtcdOptions, message::ErrorAnswer};
+use crate::{RejectReason, StoreError, StoreResult};
+
+const IDLE_CONNECTIONS: usize = 4;
+const CODE_OUT_OF_RANGE: u32 = 11;
+const CODE_NOT_FOUND: u32 = 5;
+
+/// What a call does to the store; decides what a lost answer means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Reads,
+    Writes,
+}
+
+/// Sends calls to the first endpoint that takes them.
+#[derive(Debug)]
+pub struct Caller {
+    pooled: Client,
+    fresh: Client, // never reuses a connection, for the retry after one has gone silent
+    streaming: Client,
+    endpoints: Vec<String>,
+    preferred: AtomicUsize,
+}
+
+impl Caller {
+    pub fn new(options: &EtcdOptions) -> StoreResult<Self> {
+        let timeout = Duration::from_millis(options.call_timeout_ms);
+        let builder = || Client::builder().no_proxy().connect_timeout(timeout);
+        let build = |builder: reqwest::ClientBuilder| {
+            builder.build().change_context(StoreError::NotApplied)
+        };
+        Ok(Self {
+            pooled: build(
+                builder()
+                    .timeout(timeout)
+                    .pool_max_idle_per_host(IDLE_CONNECTIONS),
+            )?,
+            fresh: build(builder().timeout(timeout).pool_max_idle_per_host(0))?,
+            streaming: build(builder().pool_max_idle_per_host(0))?,
+            endpoints: options.endpoints.clone(),
+            preferred: AtomicUsize::new(0),
+        })
+    }
+
+    /// Sends `request` and reads the whole answer.
+    pub async fn call<Q, A>(&self, path: &str, request: &Q, effect: Effect) -> StoreResult<A>
+    where
+        Q: Serialize + Sync,
+        A: DeserializeOwned,
+    {
+        let body = serde_json::to_vec(request)
+            .change_context(StoreError::Rejected(RejectReason::Invalid))?;
+        let body = Bytes::from(body);
+        let first = self.preferred.load(Ordering::Relaxed);
+        let mut failure = None;
+        for attempt in 0..=self.endpoints.len() {
+            let endpoint = (first + attempt) % self.endpoints.len();
+            let client = if attempt == 0 {
+                &self.pooled
+            } else {
+                &self.fresh
+            };
+            let url = format!("{}{path}", self.endpoints[endpoint]);
+            match exchange(client.post(url).body(body.clone()), effect).await {
+                Ok(answer) => {
+                    self.preferred.store(endpoint, Ordering::Relaxed);
+                    return parse(&answer, effect);
+                }
+                Err(error) => {
+                    let again = matches!(
+                        error.current_context(),
+                        StoreError::Unavailable | StoreError::NotApplied
+                    );
+                    if !again {
+                        return Err(error);
+                    }
+                    failure = Some(error);
+                }
+            }
+        }
+        Err(failure.unwrap_or_else(|| Report::new(unanswered(effect))))
+    }
+
+    /// Opens a streamed answer on a connection of its own, at the endpoint that is `attempt` after the preferred one.
+    pub async fn open<Q: Serialize + Sync>(
+        &self,
+        path: &str,
+        request: &Q,
+        attempt: usize,
+    ) -> StoreResult<reqwest::Response> {
+        let endpoint = (self.preferred.load(Ordering::Relaxed) + attempt) % self.endpoints.len();
+        let url = format!("{}{path}", self.endpoints[endpoint]);
+        let response = self
+            .streaming
+            .post(url)
+            .json(request)
+            .send()
+            .await
+            .change_context(StoreError::Unavailable)?;
+        if response.status().is_success() {
+            return Ok(response);
+        }
+        Err(Report::new(StoreError::Unavailable))
+    }
+}
+
+fn unanswered(effect: Effect) -> StoreError {
+    match effect {
+        Effect::Reads => StoreError::Unavailable,
+        Effect::Writes => StoreError::MayHaveApplied,
+    }
+}
+
+fn not_sent(effect: Effect) -> StoreError {
+    match effect {
+        Effect::Reads => StoreError::Unavailable,
+        Effect::Writes => StoreError::NotApplied,
+    }
+}
+
+async fn exchange(request: reqwest::RequestBuilder, effect: Effect) -> StoreResult<Bytes> {
+    let response = match request.send().await {
+        Ok(response) => response,
+        Err(error) => {
+            let context = if error.is_connect() {
+                not_sent(effect)
+            } else {
+                unanswered(effect)
+            };
+            return Err(Report::new(error).change_context(context));
+        }
+    };
+    let status = response.status();
+    let body = response.bytes().await.change_context(unanswered(effect))?;
+    if status.is_success() {
+        return Ok(body);
+    }
+    let answer: ErrorAnswer = serde_json::from_slice(&body).unwrap_or_default();
+    let context = refusal(status, &answer, effect);
+    Err(Report::new(context).attach(answer.message))
+}
+
+fn parse<A: DeserializeOwned>(answer: &[u8], effect: Effect) -> StoreResult<A> {
+    serde_json::from_slice(answer).change_context(unanswered(effect))
+}
+
+/// What an error answer means. A status that the service does not document says nothing about the effect.
+fn refusal(status: StatusCode, answer: &ErrorAnswer, effect: Effect) -> StoreError {
+    let rejected = StoreError::Rejected;
+    match status {
+        StatusCode::TOO_MANY_REQUESTS => not_sent(effect),
+        StatusCode::PAYLOAD_TOO_LARGE => rejected(RejectReason::TooLarge),
+        StatusCode::NOT_FOUND if answer.code == CODE_NOT_FOUND => rejected(RejectReason::LeaseGone),
+        StatusCode::BAD_REQUEST if answer.code == CODE_OUT_OF_RANGE => {
+            rejected(RejectReason::Compacted)
+        }
+        StatusCode::BAD_REQUEST if answer.message.contains("too large") => {
+            rejected(RejectReason::TooLarge)
+        }
+        StatusCode::BAD_REQUEST
+        | StatusCode::NOT_FOUND
+        | StatusCode::UNAUTHORIZED
+        | StatusCode::FORBIDDEN => rejected(RejectReason::Invalid),
+        _ => unanswered(effect),
+    }
+}
--- /dev/null
+++ b/eel-store/src/etcd/client.rs
@@ -0,0 +1,125 @@
+//! The client of the key-value service.
+
+use std::sync::Arc;
+
+use error_stack::Report;
+
+use super::{
+    call::{Caller, Effect},
+    message, request, response,
+    watch::WatchStream,
+};
+use crate::{
+    KeyValue, Lease, LeaseId, RangeOutcome, RangeRequest, RejectReason, StoreError, StoreResult,
+    Txn, TxnOutcome, WatchOptions,
+};
+
+const MS_PER_S: u64 = 1000;
+
+/// Where the service is and how long to wait for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EtcdOptions {
+    /// The base URLs of the service, such as `http://10.0.0.1:2379`; tried in turn.
+    pub endpoints: Vec<String>,
+    /// The time allowed for one call at one endpoint.
+    pub call_timeout_ms: u64,
+    /// A watch that brings nothing for this long is opened afresh on a new connection.
+    pub watch_silence_ms: u64,
+}
+
+impl EtcdOptions {
+    /// One endpoint with the default times.
+    #[must_use]
+    pub fn new(endpoint: impl Into<String>) -> Self {
+        Self {
+            endpoints: vec![endpoint.into()],
+            call_timeout_ms: 2000,
+            watch_silence_ms: 3000,
+        }
+    }
+}
+
+/// A key-value service that speaks etcd v3's JSON mapping over HTTP.
+#[derive(Clone, Debug)]
+pub struct EtcdJson {
+    caller: Arc<Caller>,
+    watch_silence_ms: u64,
+}
+
+impl EtcdJson {
+    /// Creates a client; it connects with its first call.
+    ///
+    /// # Errors
+    /// `Rejected(Invalid)` without an endpoint; `NotApplied` if the HTTP client cannot be built.
+    pub fn new(options: &EtcdOptions) -> StoreResult<Self> {
+        if options.endpoints.is_empty() {
+            let report = Report::new(StoreError::Rejected(RejectReason::Invalid));
+            return Err(report.attach("no endpoint is set"));
+        }
+        Ok(Self {
+            caller: Arc::new(Caller::new(options)?),
+            watch_silence_ms: options.watch_silence_ms,
+        })
+    }
+}
+
+impl KeyValue for EtcdJson {
+    type Watch = WatchStream;
+
+    async fn range(&self, request: &RangeRequest) -> StoreResult<RangeOutcome> {
+        let message = request::range(request);
+        let answer = self
+            .caller
+            .call("/v3/kv/range", &message, Effect::Reads)
+            .await?;
+        response::range(&answer).map_err(|e| Report::new(e).change_context(StoreError::Unavailable))
+    }
+
+    async fn commit(&self, txn: &Txn) -> StoreResult<TxnOutcome> {
+        let (effect, malformed) = if txn.is_read_only() {
+            (Effect::Reads, StoreError::Unavailable)
+        } else {
+            (Effect::Writes, StoreError::MayHaveApplied)
+        };
+        let message = request::txn(txn);
+        let answer = self.caller.call("/v3/kv/txn", &message, effect).await?;
+        response::txn(&answer).map_err(|e| Report::new(e).change_context(malformed))
+    }
+
+    async fn grant_lease(&self, ttl_ms: u64) -> StoreResult<Lease> {
+        let message = message::LeaseGrant {
+            ttl_s: ttl_ms.div_ceil(MS_PER_S).max(1),
+        };
+        let answer = self
+            .caller
+            .call("/v3/lease/grant", &message, Effect::Writes)
+            .await?;
+        response::lease(&answer).ok_or_else(|| Report::new(StoreError::MayHaveApplied))
+    }
+
+    async fn keep_alive(&self, lease: LeaseId) -> StoreResult<Lease> {
+        let message = message::LeaseRef { id: lease.0 };
+        let answer: message::Streamed<message::LeaseAnswer> = self
+            .caller
+            .call("/v3/lease/keepalive", &message, Effect::Writes)
+            .await?;
+        let answer = answer
+            .result
+            .ok_or_else(|| Report::new(StoreError::MayHaveApplied))?;
+        response::lease(&answer)
+            .ok_or_else(|| Report::new(StoreError::Rejected(RejectReason::LeaseGone)))
+    }
+
+    async fn revoke(&self, lease: LeaseId) -> StoreResult<()> {
+        let message = message::LeaseRef { id: lease.0 };
+        let _: message::Ignored = self
+            .caller
+            .call("/v3/lease/revoke", &message, Effect::Writes)
+            .await?;
+        Ok(())
+    }
+
+    fn watch(&self, options: WatchOptions) -> WatchStream {
+        WatchStream::start(Arc::clone(&self.caller), options, self.watch_silence_ms)
+    }
+}
--- /dev/null
+++ b/eel-store/src/etcd/response.rs
@@ -0,0 +1,73 @@
+//! Translates etcd's messages into outcomes.
+
+use base64::{Engine as _, prelude::BASE64_STANDARD};
+use bytes::Bytes;
+use eel_types::Revision;
+
+use super::message;
+use crate::{KeyValuePair, Lease, LeaseId, OpOutcome, RangeOutcome, TxnOutcome};
+
+const MS_PER_S: u64 = 1000;
+
+/// An answer that does not follow the published mapping.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the answer is malformed")]
+pub struct Malformed;
+
+fn decode(text: &str) -> Result<Vec<u8>, Malformed> {
+    BASE64_STANDARD.decode(text).map_err(|_| Malformed)
+}
+
+pub fn key(kv: &message::Kv) -> Result<String, Malformed> {
+    String::from_utf8(decode(&kv.key)?).map_err(|_| Malformed)
+}
+
+pub fn pair(kv: &message::Kv) -> Result<KeyValuePair, Malformed> {
+    Ok(KeyValuePair {
+        key: key(kv)?,
+        value: Bytes::from(decode(&kv.value)?),
+        create_revision: Revision(kv.create_revision),
+        mod_revision: Revision(kv.mod_revision),
+        version: kv.version,
+        lease: (kv.lease != 0).then_some(LeaseId(kv.lease)),
+    })
+}
+
+pub fn range(answer: &message::RangeAnswer) -> Result<RangeOutcome, Malformed> {
+    Ok(RangeOutcome {
+        kvs: answer.kvs.iter().map(pair).collect::<Result<_, _>>()?,
+        revision: Revision(answer.header.as_ref().map_or(0, |h| h.revision)),
+        count: answer.count,
+        more: answer.more,
+    })
+}
+
+fn op(answer: &message::ResponseOp) -> Result<OpOutcome, Malformed> {
+    Ok(match answer {
+        message::ResponseOp::Range(answer) => OpOutcome::Range(range(answer)?),
+        message::ResponseOp::Put(_) => OpOutcome::Put,
+        message::ResponseOp::DeleteRange(answer) => OpOutcome::Delete {
+            deleted: answer.deleted,
+        },
+    })
+}
+
+pub fn txn(answer: &message::TxnAnswer) -> Result<TxnOutcome, Malformed> {
+    let header = answer.header.as_ref().ok_or(Malformed)?;
+    Ok(TxnOutcome {
+        succeeded: answer.succeeded,
+        revision: Revision(header.revision),
+        responses: answer.responses.iter().map(op).collect::<Result<_, _>>()?,
+    })
+}
+
+/// Returns `None` for a lease that has expired.
+pub fn lease(answer: &message::LeaseAnswer) -> Option<Lease> {
+    let ttl_s = u64::try_from(answer.ttl_s)
+        .ok()
+        .filter(|ttl_s| *ttl_s > 0)?;
+    Some(Lease {
+        id: LeaseId(answer.id),
+        ttl_ms: ttl_s * MS_PER_S,
+    })
+}
--- /dev/null
+++ b/eel-store/src/etcd/watch.rs
@@ -0,0 +1,267 @@
+//! A watch that bridges cuts, outages and connections that went silent.
+
+use std::{
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::{Bytes, BytesMut};
+use eel_types::Revision;
+use error_stack::Report;
+use futures_util::Stream;
+use tokio::{sync::mpsc, time::timeout};
+use tokio_util::task::AbortOnDropHandle;
+
+use super::{
+    call::Caller,
+    message::{self, EventType, Streamed, WatchAnswer},
+    request, response,
+};
+use crate::{StoreError, StoreResult, WatchEvent, WatchOptions};
+
+const BUFFERED_EVENTS: usize = 1024;
+const FIRST_BACKOFF_MS: u64 = 50;
+const MAX_BACKOFF_MS: u64 = 1000;
+
+/// The events of one watch.
+#[derive(Debug)]
+pub struct WatchStream {
+    events: mpsc::Receiver<WatchEvent>,
+    _task: AbortOnDropHandle<()>,
+}
+
+impl WatchStream {
+    pub(super) fn start(caller: Arc<Caller>, options: WatchOptions, silence_ms: u64) -> Self {
+        let (sender, events) = mpsc::channel(BUFFERED_EVENTS);
+        let watcher = Watcher {
+            caller,
+            seen: options.from_revision.map(|r| r.0.saturating_sub(1)),
+            options,
+            silence: Duration::from_millis(silence_ms),
+            events: sender,
+        };
+        let task = tokio::spawn(watcher.run());
+        Self {
+            events,
+            _task: AbortOnDropHandle::new(task),
+        }
+    }
+}
+
+impl Stream for WatchStream {
+    type Item = WatchEvent;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<WatchEvent>> {
+        self.events.poll_recv(cx)
+    }
+}
+
+/// Why a watch cannot go on.
+enum End {
+    Compacted(u64),
+    ReaderGone,
+}
+
+struct Watcher {
+    caller: Arc<Caller>,
+    options: WatchOptions,
+    /// Changes up to this revision have been passed on; `None` until the first answer of a watch "from now on".
+    seen: Option<u64>,
+    silence: Duration,
+    events: mpsc::Sender<WatchEvent>,
+}
+
+impl Watcher {
+    async fn run(mut self) {
+        match self.follow().await {
+            Err(End::Compacted(compact_revision)) => {
+                let compact_revision = Revision(compact_revision);
+                let _ = self
+                    .events
+                    .send(WatchEvent::Compacted { compact_revision })
+                    .await;
+            }
+            Err(End::ReaderGone) => {}
+            Ok(never) => match never {},
+        }
+    }
+
+    /// Reads one connection after the other. A silent one is kept until its successor has answered.
+    async fn follow(&mut self) -> Result<std::convert::Infallible, End> {
+        let mut lines: Option<Lines> = None;
+        let mut failures = 0;
+        let mut backoff_ms = FIRST_BACKOFF_MS;
+        loop {
+            match self.open(failures).await {
+                Ok(opened) => {
+                    failures = 0;
+                    backoff_ms = FIRST_BACKOFF_MS;
+                    lines = Some(opened);
+                }
+                Err(error) => {
+                    log::warn!(
+                        "store: watch of {} not opened: {error}",
+                        self.options.prefix
+                    );
+                    failures += 1;
+                    tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
+                    backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
+                }
+            }
+            if let Some(current) = &mut lines
+                && self.read(current).await?.is_cut()
+            {
+                lines = None;
+            }
+        }
+    }
+
+    /// Opens a connection and waits for the service's first answer on it.
+    async fn open(&self, attempt: usize) -> StoreResult<Lines> {
+        let start_revision = self.seen.map_or(0, |seen| seen + 1);
+        let message = request::watch(&self.options, start_revision);
+        let opening = async {
+            let response = self.caller.open("/v3/watch", &message, attempt).await?;
+            let mut lines = Lines::new(response);
+            lines.fill().await?;
+            Ok(lines)
+        };
+        match timeout(self.silence, opening).await {
+            Ok(opened) => opened,
+            Err(_) => Err(Report::new(StoreError::Unavailable)),
+        }
+    }
+
+    /// Passes on what the connection brings until it is cut or silent.
+    async fn read(&mut self, lines: &mut Lines) -> Result<Reading, End> {
+        loop {
+            while let Some(line) = lines.next_line() {
+                let Ok(Streamed {
+                    result: Some(answer),
+                }) = serde_json::from_slice(&line)
+                else {
+                    return Ok(Reading::Cut);
+                };
+                if self.pass_on(answer).await? == Passed::Canceled {
+                    return Ok(Reading::Cut);
+                }
+            }
+            match timeout(self.silence, lines.fill()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return Ok(Reading::Cut),
+                Err(_) => return Ok(Reading::Silent),
+            }
+        }
+    }
+
+    async fn pass_on(&mut self, answer: WatchAnswer) -> Result<Passed, End> {
+        if answer.compact_revision > 0 {
+            return Err(End::Compacted(answer.compact_revision));
+        }
+        if answer.canceled {
+            return Ok(Passed::Canceled);
+        }
+        if answer.created && self.seen.is_none() {
+            self.seen = Some(answer.header.revision);
+        }
+        let seen = self.seen.unwrap_or(0);
+        let mut complete = seen;
+        for event in &answer.events {
+            if event.kv.mod_revision <= seen {
+                continue; // an earlier connection brought it
+            }
+            let Ok(event) = change(event) else {
+                log::warn!(
+                    "store: watch of {} skipped a malformed key",
+                    self.options.prefix
+                );
+                continue;
+            };
+            complete = complete.max(revision_of(&event));
+            self.send(event).await?;
+        }
+        if answer.events.is_empty() && !answer.created {
+            complete = complete.max(answer.header.revision);
+        }
+        if complete > seen {
+            self.seen = Some(complete);
+            let revision = Revision(complete);
+            self.send(WatchEvent::Progress { revision }).await?;
+        }
+        Ok(Passed::On)
+    }
+
+    async fn send(&self, event: WatchEvent) -> Result<(), End> {
+        self.events.send(event).await.map_err(|_| End::ReaderGone)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reading {
+    Cut,
+    Silent,
+}
+
+impl Reading {
+    fn is_cut(self) -> bool {
+        matches!(self, Self::Cut)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Passed {
+    On,
+    Canceled,
+}
+
+fn change(event: &message::Event) -> Result<WatchEvent, response::Malformed> {
+    Ok(match event.r#type {
+        EventType::Put => WatchEvent::Put(response::pair(&event.kv)?),
+        EventType::Delete => WatchEvent::Delete {
+            key: response::key(&event.kv)?,
+            mod_revision: Revision(event.kv.mod_revision),
+        },
+    })
+}
+
+fn revision_of(event: &WatchEvent) -> u64 {
+    match event {
+        WatchEvent::Put(pair) => pair.mod_revision.0,
+        WatchEvent::Delete { mod_revision, .. } => mod_revision.0,
+        WatchEvent::Progress { revision } => revision.0,
+        WatchEvent::Compacted { compact_revision } => compact_revision.0,
+    }
+}
+
+/// Splits a streamed body into lines.
+struct Lines {
+    response: reqwest::Response,
+    buffer: BytesMut,
+}
+
+impl Lines {
+    fn new(response: reqwest::Response) -> Self {
+        Self {
+            response,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Waits for more bytes.
+    async fn fill(&mut self) -> StoreResult<()> {
+        match self.response.chunk().await {
+            Ok(Some(chunk)) => {
+                self.buffer.extend_from_slice(&chunk);
+                Ok(())
+            }
+            Ok(None) | Err(_) => Err(Report::new(StoreError::Unavailable)),
+        }
+    }
+
+    fn next_line(&mut self) -> Option<Bytes> {
+        let end = self.buffer.iter().position(|byte| *byte == b'\n')?;
+        Some(self.buffer.split_to(end + 1).freeze())
+    }
+}
--- /dev/null
+++ b/eel-store/tests/store/fixture.rs
@@ -0,0 +1,50 @@
+//! A service with a client, and short forms for the tests.
+
+use eel_standin::kv::KvServer;
+use eel_store::{
+    Compare, EtcdJson, EtcdOptions, KeyValue as _, KeyValuePair, Op, RangeRequest, Txn,
+};
+
+pub const CALL_TIMEOUT_MS: u64 = 600;
+pub const WATCH_SILENCE_MS: u64 = 200;
+
+pub async fn service() -> (KvServer, EtcdJson) {
+    let server = KvServer::start().await.expect("a free port");
+    let client = client(vec![server.url()]);
+    (server, client)
+}
+
+pub fn client(endpoints: Vec<String>) -> EtcdJson {
+    let options = EtcdOptions {
+        endpoints,
+        call_timeout_ms: CALL_TIMEOUT_MS,
+        watch_silence_ms: WATCH_SILENCE_MS,
+    };
+    EtcdJson::new(&options).expect("an HTTP client")
+}
+
+/// A transaction that writes `key` if it is absent.
+pub fn create(key: &str, value: &str) -> Txn {
+    Txn {
+        compares: vec![Compare::Absent { key: key.into() }],
+        success: vec![Op::put(key, value.to_owned())],
+        failure: Vec::new(),
+    }
+}
+
+/// A transaction that writes `key` whatever it holds.
+pub fn put(key: &str, value: &str) -> Txn {
+    Txn {
+        success: vec![Op::put(key, value.to_owned())],
+        ..Txn::default()
+    }
+}
+
+pub async fn get(client: &EtcdJson, key: &str) -> Option<KeyValuePair> {
+    let outcome = client.range(&RangeRequest::key(key)).await.expect("a read");
+    outcome.kvs.into_iter().next()
+}
+
+pub fn text(pair: &KeyValuePair) -> &str {
+    std::str::from_utf8(&pair.value).expect("text")
+}
--- /dev/null
+++ b/eel-store/tests/store/lost_answers.rs
@@ -0,0 +1,121 @@
+//! Writes whose answer was lost are settled truthfully.
+
+use eel_standin::kv::Faults;
+use eel_store::{Compare, KeyValue as _, Op, Settled, StoreError, Token, Txn, commit_settled};
+use eel_types::Revision;
+
+use crate::fixture::{create, get, put, service, text};
+
+fn token(key: &str, value: &str) -> Token {
+    Token {
+        key: key.into(),
+        value: value.to_owned().into(),
+    }
+}
+
+fn lost(answers: u32) -> Faults {
+    Faults {
+        lost_answers: answers,
+        ..Faults::default()
+    }
+}
+
+fn update(key: &str, revision: u64, value: &str) -> Txn {
+    Txn {
+        compares: vec![Compare::ModRevision {
+            key: key.into(),
+            revision: Revision(revision),
+        }],
+        success: vec![Op::put(key, value.to_owned())],
+        failure: Vec::new(),
+    }
+}
+
+#[tokio::test]
+async fn lost_answers_settle() {
+    // answers lost, key held before by another, expected
+    let cases = [
+        (0, false, Some(true)),
+        (1, false, Some(true)),
+        (2, false, Some(true)),
+        (0, true, Some(false)),
+        (1, true, Some(false)),
+        (9, false, None),
+    ];
+    for (answers, taken, expected) in cases {
+        let (server, client) = service().await;
+        if taken {
+            client.commit(&put("k", "other")).await.expect("a write");
+        }
+        server.set_faults(lost(answers));
+        let settled = commit_settled(&client, &create("k", "mine"), &token("k", "mine")).await;
+        let settled = settled.expect("it was sent");
+        let case = format!("{answers} lost, taken {taken}: {settled:?}");
+        match expected {
+            Some(true) => assert_eq!(
+                settled,
+                Settled::Applied {
+                    revision: Revision(2)
+                },
+                "{case}"
+            ),
+            Some(false) => {
+                let Settled::NotApplied {
+                    current: Some(pair),
+                } = &settled
+                else {
+                    panic!("{case}");
+                };
+                assert_eq!(text(pair), "other", "{case}");
+            }
+            None => assert_eq!(settled, Settled::Unknown, "{case}"),
+        }
+        let pair = get(&client, "k").await.expect("one of the two");
+        assert_eq!(pair.version, 1, "{case}");
+    }
+}
+
+#[tokio::test]
+async fn overwritten_write_found() {
+    let (server, client) = service().await;
+    client.commit(&put("k", "base")).await.expect("a write");
+    server.set_faults(lost(1));
+    let mine = update("k", 2, "mine");
+    let error = client.commit(&mine).await.expect_err("the answer is lost");
+    assert_eq!(*error.current_context(), StoreError::MayHaveApplied);
+    client.commit(&put("k", "later")).await.expect("a write");
+    server.set_faults(lost(1)); // the copy's answer is lost too, so the client is in doubt
+    let settled = commit_settled(&client, &mine, &token("k", "mine")).await;
+    let revision = Revision(3);
+    assert_eq!(settled.expect("it was sent"), Settled::Applied { revision });
+}
+
+#[tokio::test]
+async fn history_ends_at_base() {
+    let (server, client) = service().await;
+    for n in 0..40 {
+        let value = n.to_string();
+        client.commit(&put("k", &value)).await.expect("a write");
+    }
+    client.commit(&put("k", "winner")).await.expect("a write");
+    server.set_faults(lost(1));
+    let settled = commit_settled(&client, &update("k", 41, "mine"), &token("k", "mine")).await;
+    let Ok(Settled::NotApplied {
+        current: Some(pair),
+    }) = settled
+    else {
+        panic!("{settled:?}");
+    };
+    assert_eq!(text(&pair), "winner");
+}
+
+#[tokio::test]
+async fn down_is_not_applied() {
+    let (mut server, client) = service().await;
+    server.stop().await;
+    let settled = commit_settled(&client, &create("k", "mine"), &token("k", "mine")).await;
+    let error = settled.expect_err("it never left");
+    assert_eq!(*error.current_context(), StoreError::NotApplied);
+    server.resume().await.expect("the same port");
+    assert_eq!(get(&client, "k").await, None);
+}
--- /dev/null
+++ b/eel-store/tests/store/vm_list.rs
@@ -0,0 +1,42 @@
+//! The VM list: what it says, and how its faults are seen.
+
+use eel_standin::vm_list::{ListFault, ListedVm, VmListServer};
+use eel_store::{HttpVmList, ListedState, VmList as _, VmListError};
+
+use crate::fixture::CALL_TIMEOUT_MS;
+
+fn vm(name: &str, state: &'static str) -> ListedVm {
+    ListedVm {
+        name: name.into(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        data_centre: "north-1".into(),
+        pool: "scribe".into(),
+        state,
+    }
+}
+
+#[tokio::test]
+async fn list_faults() {
+    let server = VmListServer::start().await.expect("a free port");
+    let list = HttpVmList::new(server.url(), CALL_TIMEOUT_MS).expect("an HTTP client");
+    let cases = [
+        (ListFault::None, Ok(2)),
+        (ListFault::Stale, Ok(1)),
+        (ListFault::Empty, Ok(0)),
+        (ListFault::Malformed, Err(VmListError::Malformed)),
+        (ListFault::Unavailable, Err(VmListError::Unavailable)),
+        (ListFault::Hang, Err(VmListError::Unavailable)),
+    ];
+    for (fault, expected) in cases {
+        server.set_vms(vec![vm("vm-1", "live")]);
+        server.set_fault(fault);
+        server.set_vms(vec![vm("vm-1", "live"), vm("vm-2", "leaving")]);
+        let read = list.read().await;
+        let read = read.map(|vms| vms.len()).map_err(|e| *e.current_context());
+        assert_eq!(read, expected, "{fault:?}");
+    }
+    server.set_fault(ListFault::None);
+    let vms = list.read().await.expect("the list");
+    assert_eq!(vms[1].name.as_str(), "vm-2");
+    assert_eq!(vms[1].state, ListedState::Leaving);
+}
