perf(route): draw two targets for the weighted policy

Cause: the minimum of lagging reports makes entry nodes flock together.

Change: the weighted policy compares two targets drawn at random.

--- a/eel-route/src/policy.rs
+++ b/eel-route/src/policy.rs
@@ -98,7 +98,14 @@
             candidate.cost + margins.remote_cost
         }
     };
-    rotated(candidates, rng).min_by(|a, b| cost(a).total_cmp(&cost(b)))
+    let mut pair = candidates.sample(rng, 2);
+    let first = pair.next()?;
+    let second = pair.next().unwrap_or(first);
+    Some(if cost(second) < cost(first) {
+        second
+    } else {
+        first
+    })
 }
 
 /// Iterates from a random start, so that ties are broken evenly.
