--- a/eel-route/src/policy.rs
+++ b/eel-route/src/policy.rs
@@ -96,14 +96,6 @@
     if cached.is_some() {
         return cached;
     }
-    let home = candidates
-        .iter()
-        .filter(|candidate| candidate.rank != 0)
-        .max_by_key(|candidate| candidate.rank)
-        .filter(|candidate| candidate.occupancy <= margins.cached_occupancy);
-    if home.is_some() {
-        return home;
-    }
     let cost = |candidate: &Candidate| {
         if candidate.local {
             candidate.cost
