refactor(route): drop the rank of prefixes

Change: ties between cached targets go by cost, one look-up a choice. The example also times a decision.

--- a/eel-route/examples/policies/main.rs
+++ b/eel-route/examples/policies/main.rs
@@ -9,7 +9,11 @@
 
 mod model;
 
-use eel_route::{Policy, PoolOptions};
+use std::time::Instant;
+
+use eel_route::{Outcome, Policy, Pool, PoolOptions, Query, TargetInfo};
+use eel_types::{Class, Name};
+use rand::{SeedableRng as _, rngs::StdRng};
 
 use model::{Case, Model};
 
@@ -42,6 +46,46 @@
     }
 }
 
+/// Returns the mean time of one choice with its start and end, in nanoseconds.
+fn decision_time_ns(targets: usize) -> f64 {
+    const DECISIONS: u32 = 200_000;
+    let mut pool = Pool::new(PoolOptions::default());
+    for target in 0..targets {
+        let vm = Name::from(format!("vm-{target}"));
+        let data_centre = Name::from("dc-0");
+        let same_data_centre = target % 3 == 0;
+        pool.add_target(
+            0,
+            TargetInfo {
+                vm,
+                data_centre,
+                same_data_centre,
+            },
+        );
+    }
+    let mut rng = StdRng::seed_from_u64(SEEDS[0]);
+    let query = Query {
+        class: Class::Interactive,
+        prefix_hash: Some(1),
+        repeatable: true,
+        excluded: &[],
+    };
+    let begin = Instant::now();
+    for now_ms in 0..DECISIONS.into() {
+        let target = pool.choose(now_ms, &query, &mut rng).expect("an idle pool");
+        let attempt = pool.start(now_ms, target, query.class).expect("usable");
+        pool.end(
+            now_ms,
+            attempt,
+            Outcome::Answered {
+                first_byte_us: 1_000,
+            },
+            &mut rng,
+        );
+    }
+    begin.elapsed().as_nanos() as f64 / f64::from(DECISIONS)
+}
+
 fn main() {
     let with = |policy| PoolOptions {
         policy,
@@ -73,6 +117,12 @@
         ("30 entries, 500 ms late", Case::ManyLagging),
         ("prefix reuse", Case::Prefixes),
     ];
+    for targets in [1, 12, 100, 400] {
+        println!(
+            "{targets} targets: {:.0} ns a decision",
+            decision_time_ns(targets)
+        );
+    }
     println!("seeds {SEEDS:?}; ratios are against power-of-two in the same case");
     println!("| case | policy | p50 ms | p99 ms | p99.9 ms | goodput | p50, p99, p99.9 ratios |");
     println!("| --- | --- | ---: | ---: | ---: | ---: | --- |");
--- a/eel-route/src/choose.rs
+++ b/eel-route/src/choose.rs
@@ -8,6 +8,7 @@
     BreakerState, Pool, TargetKey,
     load::MIN_RETRY_AFTER_MS,
     policy::{Candidate, Margins},
+    prefix::CachedAt,
     target::Target,
 };
 
@@ -77,15 +78,13 @@
         if !query.class.is_online() {
             return None;
         }
-        let mut others = self
-            .usable(now_ms, query)
-            .filter(|(_, target)| !target.needs_probe(now_ms));
-        if !query.repeatable && others.next().is_some() {
-            return None;
-        }
-        self.usable(now_ms, query)
-            .find(|(_, target)| target.needs_probe(now_ms))
-            .map(|(key, _)| key)
+        let mut usable = self.usable(now_ms, query);
+        let (probe, _) = usable.find(|(_, target)| target.needs_probe(now_ms))?;
+        let has_other = || {
+            let mut others = self.usable(now_ms, query);
+            others.any(|(_, target)| !target.needs_probe(now_ms))
+        };
+        (query.repeatable || !has_other()).then_some(probe)
     }
 
     fn usable(&self, now_ms: u64, query: &Query<'_>) -> impl Iterator<Item = (TargetKey, &Target)> {
@@ -97,12 +96,15 @@
     /// Fills `self.candidates` with the targets that have room for the request, the own data centre first.
     fn collect(&mut self, now_ms: u64, query: &Query<'_>) {
         let mut candidates = std::mem::take(&mut self.candidates);
+        let cached_at = query
+            .prefix_hash
+            .map_or_else(CachedAt::default, |hash| self.hints.get(hash));
         candidates.clear();
         candidates.extend(
             self.usable(now_ms, query)
                 .filter(|(_, target)| !target.needs_probe(now_ms))
                 .filter(|(_, target)| self.has_room(now_ms, query.class, target))
-                .map(|(key, target)| self.candidate(now_ms, query, key, target)),
+                .map(|(key, target)| self.candidate(now_ms, cached_at, key, target)),
         );
         candidates.sort_unstable_by_key(|candidate| !candidate.local);
         self.candidates = candidates;
@@ -129,7 +131,7 @@
     fn candidate(
         &self,
         now_ms: u64,
-        query: &Query<'_>,
+        cached_at: CachedAt,
         key: TargetKey,
         target: &Target,
     ) -> Candidate {
@@ -140,15 +142,13 @@
         } else {
             1.0
         };
-        let prefix_hash = query.prefix_hash;
         Candidate {
             key,
             in_flight: target.in_flight.online + target.in_flight.batch,
             occupancy,
             cost: occupancy * slowness,
             local: target.info.same_data_centre,
-            cached: prefix_hash.is_some_and(|hash| self.hints.contains(hash, key)),
-            rank: prefix_hash.map_or(0, |hash| rank(hash, target.seed)),
+            cached: cached_at.contains(&Some(key)),
         }
     }
 
@@ -173,11 +173,3 @@
         Refusal::not_run(Reason::NoTarget).retry_after(retry_after_ms)
     }
 }
-
-/// Ranks a target for a prefix (rendezvous hashing).
-fn rank(prefix_hash: u64, seed: u64) -> u64 {
-    let mut bytes = [0; 16];
-    bytes[..8].copy_from_slice(&prefix_hash.to_le_bytes());
-    bytes[8..].copy_from_slice(&seed.to_le_bytes());
-    xxhash_rust::xxh3::xxh3_64(&bytes)
-}
--- a/eel-route/src/policy.rs
+++ b/eel-route/src/policy.rs
@@ -33,8 +33,6 @@
     pub(crate) cost: f32,
     pub(crate) local: bool,
     pub(crate) cached: bool,
-    /// Rank of the target for the request's prefix, the same at every entry node.
-    pub(crate) rank: u64,
 }
 
 /// What the weighted policy trades.
@@ -89,13 +87,6 @@
     margins: Margins,
     rng: &mut impl Rng,
 ) -> Option<&'a Candidate> {
-    let cached = candidates
-        .iter()
-        .filter(|candidate| candidate.cached && candidate.occupancy <= margins.cached_occupancy)
-        .max_by_key(|candidate| (candidate.local, candidate.rank));
-    if cached.is_some() {
-        return cached;
-    }
     let cost = |candidate: &Candidate| {
         if candidate.local {
             candidate.cost
@@ -103,6 +94,13 @@
             candidate.cost + margins.remote_cost
         }
     };
+    let cached = candidates
+        .iter()
+        .filter(|candidate| candidate.cached && candidate.occupancy <= margins.cached_occupancy)
+        .min_by(|a, b| cost(a).total_cmp(&cost(b)));
+    if cached.is_some() {
+        return cached;
+    }
     let (local, remote) = candidates.split_at(candidates.partition_point(|known| known.local));
     let drawn = local.sample(rng, DRAWS).chain(remote.sample(rng, DRAWS));
     drawn.min_by(|a, b| cost(a).total_cmp(&cost(b)))
--- a/eel-route/src/pool.rs
+++ b/eel-route/src/pool.rs
@@ -4,7 +4,6 @@
 use eel_verdict::Reason;
 use rand::Rng;
 use slotmap::{SlotMap, new_key_type};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     BreakerOptions, Outcome, OutlierOptions, Policy, PoolLoad, TargetInfo, TargetStatus,
@@ -108,8 +107,7 @@
 
     /// Adds a target.
     pub fn add_target(&mut self, now_ms: u64, info: TargetInfo) -> TargetKey {
-        let seed = xxh3_64(info.vm.as_bytes());
-        let target = Target::new(now_ms, info, seed, self.options.breaker);
+        let target = Target::new(now_ms, info, self.options.breaker);
         self.targets.insert(target)
     }
 
--- a/eel-route/src/prefix.rs
+++ b/eel-route/src/prefix.rs
@@ -7,12 +7,15 @@
 /// Targets remembered for one prefix.
 const TARGETS_PER_PREFIX: usize = 2;
 
+/// The targets that hold one prefix, the latest hint first.
+pub(crate) type CachedAt = [Option<TargetKey>; TARGETS_PER_PREFIX];
+
 /// Remembers the latest hints, at most `capacity` prefixes. Hints come late and with gaps, so a target that is named
 /// here is preferred and never relied on.
 #[derive(Debug)]
 pub(crate) struct PrefixHints {
     capacity: usize,
-    targets: HashMap<u64, [Option<TargetKey>; TARGETS_PER_PREFIX]>,
+    targets: HashMap<u64, CachedAt>,
     order: VecDeque<u64>,
 }
 
@@ -55,10 +58,8 @@
         }
     }
 
-    /// Returns `true` if `target` is said to hold the prefix.
-    pub(crate) fn contains(&self, prefix_hash: u64, target: TargetKey) -> bool {
-        self.targets
-            .get(&prefix_hash)
-            .is_some_and(|known| known.contains(&Some(target)))
+    /// Returns the targets that are said to hold the prefix.
+    pub(crate) fn get(&self, prefix_hash: u64) -> CachedAt {
+        self.targets.get(&prefix_hash).copied().unwrap_or_default()
     }
 }
--- a/eel-route/src/target.rs
+++ b/eel-route/src/target.rs
@@ -66,7 +66,6 @@
 #[derive(Debug)]
 pub(crate) struct Target {
     pub(crate) info: TargetInfo,
-    pub(crate) seed: u64,
     pub(crate) leaving: bool,
     pub(crate) breaker: Breaker,
     pub(crate) in_flight: InFlight,
@@ -77,10 +76,9 @@
 }
 
 impl Target {
-    pub(crate) fn new(now_ms: u64, info: TargetInfo, seed: u64, breaker: BreakerOptions) -> Self {
+    pub(crate) fn new(now_ms: u64, info: TargetInfo, breaker: BreakerOptions) -> Self {
         Self {
             info,
-            seed,
             leaving: false,
             breaker: Breaker::new(now_ms, breaker),
             in_flight: InFlight::default(),
