--- a/eel-batch/src/board.rs
+++ b/eel-batch/src/board.rs
@@ -8,7 +8,7 @@
 use eel_types::Name;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{ChunkIndex, Head, JobId, RateMeter, Urgency, admission::Queued};
+use crate::{ChunkIndex, Claim, Head, JobId, RateMeter, Urgency, admission::Queued};
 
 /// How much later each further entry node in rendezvous order may claim a chunk.
 const RANK_STEP_MS: u64 = 100;
@@ -27,7 +27,7 @@
     /// A job was cancelled.
     Cancelled(JobId),
     /// A chunk was claimed.
-    Claimed(JobId, ChunkIndex),
+    Claimed(JobId, ChunkIndex, Claim),
     /// A claim was given back or its lease lapsed.
     Unclaimed(JobId, ChunkIndex),
     /// Every item of a chunk has its result.
@@ -86,6 +86,12 @@
         self.peers = peers;
     }
 
+    /// Forgets all jobs, before a new snapshot is applied.
+    pub fn clear(&mut self) {
+        self.jobs.clear();
+        self.early_cancels.clear();
+    }
+
     /// Applies a change of the stored state.
     pub fn apply(&mut self, now_ms: u64, change: Change) {
         match change {
@@ -100,7 +106,7 @@
                     self.early_cancels.insert(job);
                 }
             },
-            Change::Claimed(job, chunk) => self.set(job, chunk, ChunkState::Claimed),
+            Change::Claimed(job, chunk, _) => self.set(job, chunk, ChunkState::Claimed),
             Change::Unclaimed(job, chunk) => self.set(job, chunk, open(now_ms)),
             Change::Done(job, chunk) => self.finish(now_ms, job, chunk),
         }
--- a/eel-batch/src/head.rs
+++ b/eel-batch/src/head.rs
@@ -16,6 +16,8 @@
     pub service: Name,
     /// SHA-256 over the terms and the items, in hex; tells a resend from another job.
     pub digest: Name,
+    /// Drawn anew for each submission, so that a lost answer can be settled by reading.
+    pub token: u64,
     /// Whether an item may run more than once.
     pub repeatable: bool,
     /// When the job was accepted, in Unix time.
@@ -50,6 +52,15 @@
     }
 }
 
+/// What is kept of a job that has ended, until its results are removed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Archive {
+    /// The job's head.
+    pub head: Head,
+    /// Whether the job was cancelled before it was completed.
+    pub cancelled: bool,
+}
+
 /// The value of a claim: who holds the chunk.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
@@ -61,7 +72,7 @@
 
 /// What outlives the claims of a chunk.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Held {
+pub struct History {
     /// How many holders did not hand the chunk back in order.
     pub lost_holders: u32,
     /// Whether an earlier holder may have sent items.
--- a/eel-batch/src/key.rs
+++ b/eel-batch/src/key.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
 
+const HOUR_MS: u64 = 3_600_000;
+
 /// Identifies a job: the first 128 bits of SHA-256 over its caller and idempotency key.
 ///
 /// A resend to any entry node therefore finds the same head, without a further key.
@@ -119,10 +121,10 @@
         format!("{}/state/cancel/", self.prefix)
     }
 
-    /// Returns the prefix of all heads.
+    /// Returns the prefix of the claims of `job`.
     #[must_use]
-    pub fn heads(&self) -> String {
-        format!("{}/state/head/", self.prefix)
+    pub fn claims(&self, job: JobId) -> String {
+        format!("{}/state/claim/{job}/", self.prefix)
     }
 
     /// Returns the prefix of the done marks of `job`.
@@ -166,35 +168,42 @@
         format!("{}/archive/{job}", self.prefix)
     }
 
-    /// Returns the prefix of all archived heads.
+    /// Returns the key that says when what is kept for `job` may be removed.
+    ///
+    /// The hour leads, so that the first keys below [`Keys::expiries`] are due first.
     #[must_use]
-    pub fn archives(&self) -> String {
-        format!("{}/archive/", self.prefix)
+    pub fn expiry(&self, remove_unix_ms: u64, job: JobId) -> String {
+        let hour = remove_unix_ms.div_ceil(HOUR_MS);
+        format!("{}/expiry/{hour:010}/{job}", self.prefix)
     }
 
-    /// Returns the prefix of the data of all jobs.
+    /// Returns the prefix of all expiries.
     #[must_use]
-    pub fn all_data(&self) -> String {
-        format!("{}/data/", self.prefix)
+    pub fn expiries(&self) -> String {
+        format!("{}/expiry/", self.prefix)
     }
 
-    /// Returns the prefix of everything that is kept for `job` beside its state.
+    /// Reads the time and the job from a key of [`Keys::expiries`].
     #[must_use]
-    pub fn data(&self, job: JobId) -> String {
-        format!("{}/data/{job}/", self.prefix)
+    pub fn parse_expiry(&self, key: &str) -> Option<(u64, JobId)> {
+        let rest = key.strip_prefix(&self.prefix)?.strip_prefix("/expiry/")?;
+        let (hour, job) = rest.split_once('/')?;
+        let hour: u64 = hour.parse().ok()?;
+        Some((hour.checked_mul(HOUR_MS)?, job.parse().ok()?))
     }
 
-    /// Reads the job from a key of [`Keys::all_data`].
+    /// Returns the prefix of everything that is kept for `job` beside its state.
     #[must_use]
-    pub fn parse_data(&self, key: &str) -> Option<JobId> {
-        let rest = key.strip_prefix(&self.prefix)?.strip_prefix("/data/")?;
-        rest.split('/').next()?.parse().ok()
+    pub fn data(&self, job: JobId) -> String {
+        format!("{}/data/{job}/", self.prefix)
     }
 
     /// Returns the key of a chunk's input.
+    ///
+    /// The digest keeps apart what two submissions with one idempotency key write.
     #[must_use]
-    pub fn input(&self, job: JobId, chunk: ChunkIndex) -> String {
-        format!("{}in/{chunk}", self.data(job))
+    pub fn input(&self, job: JobId, digest: &str, chunk: ChunkIndex) -> String {
+        format!("{}in/{digest}/{chunk}", self.data(job))
     }
 
     /// Returns the prefix of what holders of a chunk have written: holds, marks and results.
@@ -205,14 +214,20 @@
 
     /// Returns the key that counts the holders of a chunk.
     #[must_use]
-    pub fn held(&self, job: JobId, chunk: ChunkIndex) -> String {
-        format!("{}held", self.work(job, chunk))
+    pub fn history(&self, job: JobId, chunk: ChunkIndex) -> String {
+        format!("{}history", self.work(job, chunk))
+    }
+
+    /// Returns the prefix of the started marks of a chunk.
+    #[must_use]
+    pub fn marks(&self, job: JobId, chunk: ChunkIndex) -> String {
+        format!("{}started/", self.work(job, chunk))
     }
 
     /// Returns the key of a window of started marks.
     #[must_use]
     pub fn started(&self, job: JobId, chunk: ChunkIndex, window: WindowIndex) -> String {
-        format!("{}started/{window}", self.work(job, chunk))
+        format!("{}{window}", self.marks(job, chunk))
     }
 
     /// Returns the prefix of a chunk's results.
--- a/eel-batch/src/lib.rs
+++ b/eel-batch/src/lib.rs
@@ -3,7 +3,8 @@
 //! A job is a list of items. Its inputs and results live in the key-value service as compressed
 //! chunks; any entry node claims a chunk under its lease, runs the items and commits their results
 //! under the claim's epoch. What decides is free of I/O: [`Runner`] drives one claimed chunk,
-//! [`Board`] picks the next chunk to claim, [`admission`] accepts or refuses a job.
+//! [`Board`] picks the next chunk to claim, [`admission`] accepts or refuses a job. [`store`] holds
+//! the operations on the key-value service.
 
 pub mod admission;
 mod board;
@@ -15,10 +16,11 @@
 mod plan;
 mod progress;
 mod runner;
+pub mod store;
 mod urgency;
 
 pub use board::{Board, Change, OpenChunk};
-pub use head::{Claim, Head, Held};
+pub use head::{Archive, Claim, Head, History};
 pub use item::{Item, ItemError, ItemResult, Method, Outcome, Response};
 pub use key::{ChunkIndex, ItemIndex, JobId, Keys, PartIndex, StateKey, WindowIndex};
 pub use meter::RateMeter;
--- a/eel-batch/src/plan.rs
+++ b/eel-batch/src/plan.rs
@@ -10,6 +10,8 @@
 
 /// The longest custom identifier.
 const MAX_CUSTOM_ID_BYTES: usize = 512;
+/// The largest number of chunks of a job; the head is written by one transaction that names all.
+const MAX_CHUNKS: usize = 100;
 
 /// What the operator allows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,6 +73,12 @@
         /// The limit.
         limit: usize,
     },
+    /// The items need too many chunks.
+    #[error("the job needs {chunks} chunks, at most {MAX_CHUNKS} are allowed; split it")]
+    TooManyChunks {
+        /// The number of chunks.
+        chunks: usize,
+    },
     /// A line is not an item.
     #[error("line {line}: {cause}")]
     BadLine {
@@ -94,7 +102,7 @@
 pub struct JobPlan {
     /// The job's identifier.
     pub job: JobId,
-    /// The head to write last; `accepted_unix_ms` is set at submission.
+    /// The head to write last; `accepted_unix_ms` and `token` are set at submission.
     pub head: Head,
     /// The chunks to write first, in order.
     pub chunks: Vec<chunk::Packed>,
@@ -128,11 +136,16 @@
                 cause,
             })
         })?;
+        if chunks.len() > MAX_CHUNKS {
+            let chunks = chunks.len();
+            return Err(Report::new(PlanError::TooManyChunks { chunks }));
+        }
         let head = Head {
             schema: Head::SCHEMA,
             caller: terms.caller.clone(),
             service: terms.service.clone(),
             digest: digest(terms, lines),
+            token: 0,
             repeatable: terms.repeatable,
             accepted_unix_ms: 0,
             deadline_unix_ms: terms.deadline_unix_ms,
--- a/eel-batch/src/runner/drain.rs
+++ b/eel-batch/src/runner/drain.rs
@@ -2,7 +2,7 @@
 
 use eel_verdict::{Reason, Verdict};
 
-use super::{Action, Drain, Held, ItemIndex, Phase, Place, Runner};
+use super::{Action, Drain, History, ItemIndex, Phase, Place, Runner};
 
 impl Runner {
     pub(super) fn start_drain(&mut self, drain: Drain, actions: &mut Vec<Action>) {
@@ -66,10 +66,10 @@
             .slots
             .iter()
             .any(|slot| slot.place == Place::Waiting && slot.verdict != Verdict::NotRun);
-        let held = Held {
-            lost_holders: self.claimed.held.lost_holders,
-            sent: self.claimed.held.sent || unsure,
+        let history = History {
+            lost_holders: self.claimed.history.lost_holders,
+            sent: self.claimed.history.sent || unsure,
         };
-        actions.push(Action::Release { held });
+        actions.push(Action::Release { history });
     }
 }
--- a/eel-batch/src/runner/event.rs
+++ b/eel-batch/src/runner/event.rs
@@ -5,7 +5,7 @@
 use eel_types::Attempt;
 use eel_verdict::Refusal;
 
-use crate::{Held, ItemIndex, ItemResult, PartIndex, Response, WindowIndex};
+use crate::{History, ItemIndex, ItemResult, PartIndex, Response, WindowIndex};
 
 /// The bounds of attempts and the rhythm of commits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,7 +55,7 @@
     /// Items with a durable started mark.
     pub marked: BTreeSet<ItemIndex>,
     /// What earlier holders left behind.
-    pub held: Held,
+    pub history: History,
     /// The first free part.
     pub next_part: PartIndex,
     /// The first free window.
@@ -146,11 +146,11 @@
     },
     /// Write a part under the claim, then report [`Event::Committed`].
     Commit(Part),
-    /// Give the claim back, store `held` and remove the chunk's started marks: whatever is marked
+    /// Give the claim back, store `history` and remove the chunk's started marks: whatever is marked
     /// and has no result did not run. The runner is over.
     Release {
         /// What the next holder must know.
-        held: Held,
+        history: History,
     },
     /// Cut off every item in flight and report how each ended.
     AbortAll,
--- a/eel-batch/src/runner/mod.rs
+++ b/eel-batch/src/runner/mod.rs
@@ -13,7 +13,7 @@
 use eel_types::Attempt;
 use eel_verdict::{Reason, Refusal, Verdict};
 
-use crate::{Held, ItemError, ItemIndex, ItemResult, Outcome, PartIndex, Response, WindowIndex};
+use crate::{History, ItemError, ItemIndex, ItemResult, Outcome, PartIndex, Response, WindowIndex};
 pub use event::{Action, Claimed, Drain, Event, Part, Policy};
 use slot::{Next, Place, Slot};
 
@@ -134,7 +134,7 @@
 
     fn take_up(&mut self, item: ItemIndex) {
         let repeatable = self.claimed.repeatable;
-        let sent_before = repeatable && self.claimed.held.sent;
+        let sent_before = repeatable && self.claimed.history.sent;
         let verdict = if sent_before {
             Verdict::MayHaveRun
         } else {
@@ -142,7 +142,7 @@
         };
         self.slots.push(Slot::new(verdict));
         let lost_mark = !repeatable && self.claimed.marked.contains(&item);
-        let worn_out = self.claimed.held.lost_holders > self.policy.max_lost_holders;
+        let worn_out = self.claimed.history.lost_holders > self.policy.max_lost_holders;
         if self.claimed.settled.contains(&item) {
             self.slots[item.0 as usize].place = Place::Ended;
             self.ended += 1;
--- /dev/null
+++ b/eel-batch/src/store/cancel.rs
@@ -0,0 +1,46 @@
+//! Cancelling a job.
+
+use bytes::Bytes;
+use eel_store::{Compare, KeyValue, Op, OpOutcome, RangeRequest, Txn};
+
+use super::{JobStore, StoreResult};
+use crate::{JobId, StateKey};
+
+/// What a cancel met.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelOutcome {
+    /// The job is cancelled; it was not before, or was already.
+    Cancelled,
+    /// The job had ended and was archived.
+    Ended,
+    /// No such job is kept.
+    Unknown,
+}
+
+impl<S: KeyValue> JobStore<S> {
+    /// Cancels `job`. Sending it again is safe.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Store`](super::Error::Store) if the store gave no answer; the job may be cancelled.
+    pub async fn cancel(&self, job: JobId) -> StoreResult<CancelOutcome> {
+        let txn = Txn {
+            compares: vec![Compare::Exists {
+                key: self.keys.state(StateKey::Head(job)),
+            }],
+            success: vec![Op::put(
+                self.keys.state(StateKey::Cancel(job)),
+                Bytes::from_static(b"{}"),
+            )],
+            failure: vec![Op::Range(RangeRequest::key(self.keys.archive(job)))],
+        };
+        let outcome = self.commit_repeatedly(&txn).await?;
+        if outcome.succeeded {
+            return Ok(CancelOutcome::Cancelled);
+        }
+        match outcome.responses.first() {
+            Some(OpOutcome::Range(archive)) if !archive.kvs.is_empty() => Ok(CancelOutcome::Ended),
+            _ => Ok(CancelOutcome::Unknown),
+        }
+    }
+}
--- /dev/null
+++ b/eel-batch/src/store/claim.rs
@@ -0,0 +1,226 @@
+//! Claiming a chunk under the holder's lease.
+
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+use eel_store::{
+    Compare, KeyValue, LeaseId, Op, RangeOutcome, RangeRequest, Settled, Token, Txn, commit_settled,
+};
+use eel_types::{Name, Revision};
+use error_stack::ResultExt as _;
+
+use super::{Error, Hold, JobStore, StoreResult, exactly, first, from_json, to_json};
+use crate::{
+    Claim, Claimed, Head, History, Item, ItemIndex, ItemResult, OpenChunk, PartIndex, StateKey,
+    WindowIndex, chunk,
+};
+
+/// Who claims.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// The entry node.
+    pub name: Name,
+    /// The node's lease.
+    pub lease: LeaseId,
+    /// A random number, drawn anew for each claim.
+    pub token: u64,
+}
+
+/// A claimed chunk with all that its holder needs.
+#[derive(Debug)]
+pub struct Work {
+    /// Proves the claim in each later write.
+    pub hold: Hold,
+    /// The items, in order.
+    pub items: Vec<Item>,
+    /// Where earlier holders left off; the times are for the caller to set.
+    pub claimed: Claimed,
+}
+
+/// What became of a claim.
+#[derive(Debug)]
+pub enum ClaimOutcome {
+    /// The chunk is claimed.
+    Won(Box<Work>),
+    /// Another node holds the chunk, or it needs no holder any more.
+    Taken,
+    /// The store didn't say. If the claim took effect, it lasts as long as the lease.
+    Unknown,
+}
+
+/// What the store holds of an unclaimed chunk.
+struct Found {
+    input: Bytes,
+    history: History,
+    history_revision: Option<Revision>,
+    claimed: Claimed,
+}
+
+impl<S: KeyValue> JobStore<S> {
+    /// Claims a chunk: one read of all that is known of it, one write.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Store`] if the store gave no answer and the chunk is not claimed;
+    /// [`Error::Damaged`] if the chunk can't be read.
+    pub async fn claim(
+        &self,
+        open: OpenChunk,
+        head: &Head,
+        holder: &Holder,
+    ) -> StoreResult<ClaimOutcome> {
+        let Some(found) = self.find_chunk(open, head).await? else {
+            return Ok(ClaimOutcome::Taken);
+        };
+        let items: Vec<Item> = chunk::unpack(&found.input).change_context(Error::Damaged)?;
+        let (txn, token) = self.claim_txn(open, holder, &found)?;
+        match commit_settled(&self.store, &txn, &token).await {
+            Ok(Settled::Applied { revision }) => Ok(ClaimOutcome::Won(Box::new(Work {
+                hold: Hold::new(&self.keys, open, revision),
+                items,
+                claimed: found.claimed,
+            }))),
+            Ok(Settled::NotApplied { .. }) => Ok(ClaimOutcome::Taken),
+            Ok(Settled::Unknown) => Ok(ClaimOutcome::Unknown),
+            Err(error) => Err(error.change_context(Error::Store)),
+        }
+    }
+
+    /// Deletes a claim that this node made without knowing it; a claim of another is left alone.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Store`] if the store gave no answer.
+    pub async fn disclaim(&self, open: OpenChunk, holder: &Holder) -> StoreResult<()> {
+        let key = self.keys.state(StateKey::Claim(open.job, open.chunk));
+        let value = claim_value(holder)?;
+        let txn = Txn {
+            compares: vec![Compare::Value {
+                key: key.clone(),
+                value,
+            }],
+            success: vec![Op::Delete { key }],
+            failure: Vec::new(),
+        };
+        self.commit_repeatedly(&txn).await.map(drop)
+    }
+
+    /// Reads an unclaimed chunk; `None` if it is claimed, done or gone.
+    async fn find_chunk(&self, open: OpenChunk, head: &Head) -> StoreResult<Option<Found>> {
+        let OpenChunk { job, chunk } = open;
+        let key = |state| Op::Range(RangeRequest::key(self.keys.state(state)));
+        let input = self.keys.input(job, &head.digest, chunk);
+        let txn = Txn {
+            success: vec![
+                key(StateKey::Claim(job, chunk)),
+                key(StateKey::Done(job, chunk)),
+                Op::Range(RangeRequest::key(input)),
+                Op::Range(RangeRequest::key(self.keys.history(job, chunk))),
+                Op::Range(RangeRequest::prefix(self.keys.marks(job, chunk))),
+                Op::Range(RangeRequest::prefix(self.keys.outputs(job, chunk))),
+            ],
+            ..Txn::default()
+        };
+        let [claim, done, input, history, marks, outputs] = exactly(self.read(&txn).await?)?;
+        let Some(input) = input.kvs.into_iter().next() else {
+            return Ok(None);
+        };
+        if !claim.kvs.is_empty() || !done.kvs.is_empty() {
+            return Ok(None);
+        }
+        let known: History = first(&history)?.unwrap_or_default();
+        let claimed = Claimed {
+            items: head.chunk_items.get(chunk.0 as usize).copied().unwrap_or(0),
+            repeatable: head.repeatable,
+            settled: settled(&outputs)?,
+            marked: marked(&marks)?,
+            history: known,
+            next_part: PartIndex(count(&outputs)),
+            next_window: WindowIndex(count(&marks)),
+            ..Claimed::default()
+        };
+        Ok(Some(Found {
+            input: input.value,
+            history: known,
+            history_revision: history.kvs.first().map(|pair| pair.mod_revision),
+            claimed,
+        }))
+    }
+
+    /// Builds the write of a claim. Every claim changes the history key, so that it fails if another
+    /// holder came and went since the chunk was read.
+    fn claim_txn(
+        &self,
+        open: OpenChunk,
+        holder: &Holder,
+        found: &Found,
+    ) -> StoreResult<(Txn, Token)> {
+        let OpenChunk { job, chunk } = open;
+        let key = self.keys.state(StateKey::Claim(job, chunk));
+        let history = self.keys.history(job, chunk);
+        let value = claim_value(holder)?;
+        let unchanged = match found.history_revision {
+            Some(revision) => Compare::ModRevision {
+                key: history.clone(),
+                revision,
+            },
+            None => Compare::Absent {
+                key: history.clone(),
+            },
+        };
+        let compares = vec![
+            Compare::Absent { key: key.clone() },
+            Compare::Absent {
+                key: self.keys.state(StateKey::Done(job, chunk)),
+            },
+            Compare::Exists {
+                key: self.keys.state(StateKey::Head(job)),
+            },
+            unchanged,
+        ];
+        let next = History {
+            lost_holders: found.history.lost_holders + 1,
+            sent: true,
+        };
+        let claim = Op::Put {
+            key: key.clone(),
+            value: value.clone(),
+            lease: Some(holder.lease),
+        };
+        let txn = Txn {
+            compares,
+            success: vec![claim, Op::put(history, to_json(&next)?)],
+            failure: Vec::new(),
+        };
+        Ok((txn, Token { key, value }))
+    }
+}
+
+fn claim_value(holder: &Holder) -> StoreResult<Bytes> {
+    to_json(&Claim {
+        holder: holder.name.clone(),
+        token: holder.token,
+    })
+}
+
+fn count(range: &RangeOutcome) -> u32 {
+    u32::try_from(range.kvs.len()).unwrap_or(u32::MAX)
+}
+
+fn settled(outputs: &RangeOutcome) -> StoreResult<BTreeSet<ItemIndex>> {
+    let mut items = BTreeSet::new();
+    for pair in &outputs.kvs {
+        let results: Vec<ItemResult> = chunk::unpack(&pair.value).change_context(Error::Damaged)?;
+        items.extend(results.iter().map(|result| result.item));
+    }
+    Ok(items)
+}
+
+fn marked(marks: &RangeOutcome) -> StoreResult<BTreeSet<ItemIndex>> {
+    let mut items = BTreeSet::new();
+    for pair in &marks.kvs {
+        let window: super::hold::Mark = from_json(&pair.value)?;
+        items.extend(window.items);
+    }
+    Ok(items)
+}
--- /dev/null
+++ b/eel-batch/src/store/hold.rs
@@ -0,0 +1,155 @@
+//! Writes under a claim. Each compares the claim's epoch, so that a holder that was paused past
+//! its lease is refused.
+
+use eel_store::{Compare, KeyValue, Op, Settled, Token, Txn, commit_settled};
+use eel_types::Revision;
+use error_stack::ResultExt as _;
+use serde::{Deserialize, Serialize};
+
+use super::{Error, JobStore, StoreResult, to_json};
+use crate::{History, ItemIndex, Keys, OpenChunk, Part, StateKey, WindowIndex, chunk};
+
+/// Proves that its owner claimed a chunk.
+#[derive(Clone, Debug)]
+pub struct Hold {
+    open: OpenChunk,
+    claim_key: String,
+    epoch: Revision,
+}
+
+/// What became of a write under a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fenced {
+    /// The store holds it.
+    Written,
+    /// Another node holds the chunk, or none does.
+    Refused,
+    /// The store didn't say; ask again with the same write until the lease ends.
+    Unknown,
+}
+
+/// The value of a window of started marks.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct Mark {
+    epoch: Revision,
+    pub items: Vec<ItemIndex>,
+}
+
+impl Hold {
+    pub(super) fn new(keys: &Keys, open: OpenChunk, epoch: Revision) -> Self {
+        Self {
+            open,
+            claim_key: keys.state(StateKey::Claim(open.job, open.chunk)),
+            epoch,
+        }
+    }
+
+    /// Returns the chunk.
+    #[must_use]
+    pub fn chunk(&self) -> OpenChunk {
+        self.open
+    }
+
+    fn compare(&self) -> Compare {
+        Compare::CreateRevision {
+            key: self.claim_key.clone(),
+            revision: self.epoch,
+        }
+    }
+}
+
+impl<S: KeyValue> JobStore<S> {
+    /// Marks `items` as started.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Store`] if the mark was not written.
+    pub async fn mark(
+        &self,
+        hold: &Hold,
+        window: WindowIndex,
+        items: &[ItemIndex],
+    ) -> StoreResult<Fenced> {
+        let key = self.keys.started(hold.open.job, hold.open.chunk, window);
+        let value = to_json(&Mark {
+            epoch: hold.epoch,
+            items: items.to_vec(),
+        })?;
+        let put = Op::put(key.as_str(), value.clone());
+        self.write_once(hold, Token { key, value }, vec![put]).await
+    }
+
+    /// Commits results; the last part also closes the chunk and gives the claim back.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Store`] if the part was not written, [`Error::Damaged`] if it can't be encoded.
+    pub async fn commit(&self, hold: &Hold, part: &Part) -> StoreResult<Fenced> {
+        let OpenChunk { job, chunk } = hold.open;
+        let key = self.keys.output(job, chunk, part.index);
+        let packed = chunk::pack(&part.results).change_context(Error::Damaged)?;
+        let value = bytes::Bytes::from(packed.bytes);
+        let mut ops = vec![Op::put(key.as_str(), value.clone())];
+        if part.last {
+            let done = self.keys.state(StateKey::Done(job, chunk));
+            ops.push(Op::put(done, bytes::Bytes::from_static(b"{}")));
+            ops.push(Op::Delete {
+                key: hold.claim_key.clone(),
+            });
+        }
+        self.write_once(hold, Token { key, value }, ops).await
+    }
+
+    /// Gives the claim back with nothing in flight and every result committed.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Store`] if the store gave no answer; the claim then ends with the lease, and the
+    /// started marks stay.
+    pub async fn release(&self, hold: &Hold, history: History) -> StoreResult<Fenced> {
+        let OpenChunk { job, chunk } = hold.open;
+        let txn = Txn {
+            compares: vec![hold.compare()],
+            success: vec![
+                Op::Delete {
+                    key: hold.claim_key.clone(),
+                },
+                Op::put(self.keys.history(job, chunk), to_json(&history)?),
+                Op::DeletePrefix {
+                    prefix: self.keys.marks(job, chunk),
+                },
+            ],
+            failure: Vec::new(),
+        };
+        let outcome = self.commit_repeatedly(&txn).await?;
+        Ok(if outcome.succeeded {
+            Fenced::Written
+        } else {
+            Fenced::Refused
+        })
+    }
+
+    /// Writes `ops` if the claim stands and the key of `token` is still absent.
+    async fn write_once(&self, hold: &Hold, token: Token, ops: Vec<Op>) -> StoreResult<Fenced> {
+        let absent = Compare::Absent {
+            key: token.key.clone(),
+        };
+        let txn = Txn {
+            compares: vec![hold.compare(), absent],
+            success: ops,
+            failure: Vec::new(),
+        };
+        let settled = commit_settled(&self.store, &txn, &token)
+            .await
+            .change_context(Error::Store)?;
+        Ok(match settled {
+            Settled::Applied { .. } => Fenced::Written,
+            // A copy that was sent before and took effect late is ours.
+            Settled::NotApplied {
+                current: Some(pair),
+            } if pair.value == token.value => Fenced::Written,
+            Settled::NotApplied { .. } => Fenced::Refused,
+            Settled::Unknown => Fenced::Unknown,
+        })
+    }
+}
--- /dev/null
+++ b/eel-batch/src/store/lookup.rs
@@ -0,0 +1,150 @@
+//! Reading a job: its progress and its results.
+
+use std::collections::BTreeSet;
+
+use eel_store::{KeyValue, Op, RangeRequest, Txn};
+use eel_types::Name;
+use error_stack::ResultExt as _;
+use serde::Serialize;
+
+use super::{Error, JobStore, StoreResult, exactly, first};
+use crate::{
+    Assembler, ChunkIndex, Head, Item, ItemError, ItemResult, JobId, Outcome, Progress, Response,
+    StateKey, chunk, head::Archive,
+};
+
+/// A job as the store holds it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobView {
+    /// The head.
+    pub head: Head,
+    /// How far the job has come.
+    pub progress: Progress,
+    /// The chunks whose items all have results.
+    pub done: BTreeSet<ChunkIndex>,
+}
+
+/// One line of a job's results.
+#[derive(Clone, Debug, Serialize)]
+pub struct ResultLine {
+    /// The caller's own name for the item.
+    pub custom_id: Name,
+    /// The service's whole answer.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub response: Option<Response>,
+    /// Why the item was given up.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub error: Option<ItemError>,
+}
+
+/// The results of one chunk that can be told in item order.
+#[derive(Clone, Debug)]
+pub struct ChunkLines {
+    /// The lines from the item that was asked for up to the first without a result.
+    pub lines: Vec<ResultLine>,
+    /// Whether these are the chunk's last.
+    pub complete: bool,
+}
+
+impl<S: KeyValue> JobStore<S> {
+    /// Reads the head and progress of `job`; `None` if no such job is kept.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Store`] if the store gave no answer, [`Error::Damaged`] if a value can't be read.
+    pub async fn get(&self, job: JobId) -> StoreResult<Option<JobView>> {
+        let key = |key: String| Op::Range(RangeRequest::key(key));
+        let dones = RangeRequest {
+            keys_only: true,
+            ..RangeRequest::prefix(self.keys.dones(job))
+        };
+        let txn = Txn {
+            success: vec![
+                key(self.keys.state(StateKey::Head(job))),
+                key(self.keys.archive(job)),
+                key(self.keys.state(StateKey::Cancel(job))),
+                Op::Range(dones),
+            ],
+            ..Txn::default()
+        };
+        let [live, archived, cancel, dones] = exactly(self.read(&txn).await?)?;
+        if let Some(head) = first::<Head>(&live)? {
+            let keys = dones.kvs.iter();
+            let done = keys.filter_map(|pair| match self.keys.parse_state(&pair.key) {
+                Some(StateKey::Done(_, chunk)) => Some(chunk),
+                _ => None,
+            });
+            return Ok(Some(view(head, done.collect(), !cancel.kvs.is_empty())));
+        }
+        let archive = first::<Archive>(&archived)?;
+        Ok(archive.map(|Archive { head, cancelled }| {
+            let done = head.chunks().collect();
+            view(head, done, cancelled)
+        }))
+    }
+
+    /// Reads the results of a chunk in item order, without the first `skip` items.
+    ///
+    /// # Errors
+    ///
+    /// As [`JobStore::get`].
+    pub async fn results(
+        &self,
+        job: JobId,
+        head: &Head,
+        chunk: ChunkIndex,
+        skip: usize,
+    ) -> StoreResult<ChunkLines> {
+        let input = self.keys.input(job, &head.digest, chunk);
+        let txn = Txn {
+            success: vec![
+                Op::Range(RangeRequest::key(input)),
+                Op::Range(RangeRequest::prefix(self.keys.outputs(job, chunk))),
+            ],
+            ..Txn::default()
+        };
+        let [input, outputs] = exactly(self.read(&txn).await?)?;
+        let items: Vec<Item> = match input.kvs.first() {
+            Some(pair) => chunk::unpack(&pair.value).change_context(Error::Damaged)?,
+            None => Vec::new(),
+        };
+        let mut assembler = Assembler::default();
+        let mut ordered = Vec::new();
+        for part in &outputs.kvs {
+            let results: Vec<ItemResult> =
+                chunk::unpack(&part.value).change_context(Error::Damaged)?;
+            ordered.extend(
+                results
+                    .into_iter()
+                    .flat_map(|result| assembler.push(result)),
+            );
+        }
+        let complete = ordered.len() == items.len();
+        let lines = items.into_iter().zip(ordered).skip(skip);
+        Ok(ChunkLines {
+            lines: lines.map(|(item, result)| line(item, result)).collect(),
+            complete,
+        })
+    }
+}
+
+fn view(head: Head, done: BTreeSet<ChunkIndex>, cancelled: bool) -> JobView {
+    let progress = Progress::new(&head, &done, cancelled);
+    JobView {
+        head,
+        progress,
+        done,
+    }
+}
+
+fn line(item: Item, result: ItemResult) -> ResultLine {
+    let (response, error) = match result.outcome {
+        Outcome::Response(response) => (Some(response), None),
+        Outcome::Error(error) => (None, Some(error)),
+    };
+    ResultLine {
+        custom_id: item.custom_id,
+        response,
+        error,
+    }
+}
--- /dev/null
+++ b/eel-batch/src/store/mod.rs
@@ -0,0 +1,107 @@
+//! What jobs need of the key-value service.
+
+mod cancel;
+mod claim;
+mod error;
+mod follow;
+mod hold;
+mod lookup;
+mod submit;
+mod sweep;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use eel_store::{KeyValue, OpOutcome, RangeOutcome, StoreError, Txn, TxnOutcome};
+use error_stack::{Report, ResultExt as _};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::Keys;
+pub use cancel::CancelOutcome;
+pub use claim::{ClaimOutcome, Holder, Work};
+pub use error::{Error, StoreResult};
+pub use follow::{Followed, Snapshot};
+pub use hold::{Fenced, Hold};
+pub use lookup::{ChunkLines, JobView, ResultLine};
+pub use submit::{SubmitError, Submitted};
+
+/// How often a call that may be repeated is tried.
+const TRIES: u32 = 4;
+const FIRST_BACKOFF_MS: u64 = 50;
+
+/// The jobs kept in a key-value service.
+#[derive(Debug)]
+pub struct JobStore<S> {
+    store: S,
+    keys: Keys,
+}
+
+impl<S: KeyValue> JobStore<S> {
+    /// Keeps jobs in `store`, under `keys`.
+    #[must_use]
+    pub fn new(store: S, keys: Keys) -> Self {
+        Self { store, keys }
+    }
+
+    /// Returns the keys.
+    #[must_use]
+    pub fn keys(&self) -> &Keys {
+        &self.keys
+    }
+
+    /// Returns the key-value service.
+    #[must_use]
+    pub fn store(&self) -> &S {
+        &self.store
+    }
+
+    /// Sends `txn`, which is idempotent, until it is answered or the tries run out.
+    async fn commit_repeatedly(&self, txn: &Txn) -> StoreResult<TxnOutcome> {
+        let mut backoff_ms = FIRST_BACKOFF_MS;
+        for _ in 1..TRIES {
+            match self.store.commit(txn).await {
+                Ok(outcome) => return Ok(outcome),
+                Err(error) if matches!(error.current_context(), StoreError::Rejected(_)) => {
+                    return Err(error.change_context(Error::Store));
+                }
+                Err(_) => tokio::time::sleep(Duration::from_millis(backoff_ms)).await,
+            }
+            backoff_ms *= 2;
+        }
+        let last = self.store.commit(txn).await;
+        last.change_context(Error::Store)
+    }
+
+    /// Reads the ranges of a transaction that writes nothing.
+    async fn read(&self, txn: &Txn) -> StoreResult<Vec<RangeOutcome>> {
+        let outcome = self.commit_repeatedly(txn).await?;
+        let ranges = outcome
+            .responses
+            .into_iter()
+            .map(|response| match response {
+                OpOutcome::Range(range) => range,
+                OpOutcome::Put | OpOutcome::Delete { .. } => RangeOutcome::default(),
+            });
+        Ok(ranges.collect())
+    }
+}
+
+fn to_json<T: Serialize>(value: &T) -> StoreResult<Bytes> {
+    let json = serde_json::to_vec(value).change_context(Error::Damaged)?;
+    Ok(Bytes::from(json))
+}
+
+fn from_json<T: DeserializeOwned>(value: &[u8]) -> StoreResult<T> {
+    serde_json::from_slice(value).change_context(Error::Damaged)
+}
+
+/// Reads the value of the first key of `range`, if there is one.
+fn first<T: DeserializeOwned>(range: &RangeOutcome) -> StoreResult<Option<T>> {
+    let pair = range.kvs.first();
+    pair.map(|pair| from_json(&pair.value)).transpose()
+}
+
+/// Fails for a transaction that answered with fewer ranges than it asked for.
+fn exactly<const N: usize>(ranges: Vec<RangeOutcome>) -> StoreResult<[RangeOutcome; N]> {
+    ranges.try_into().map_err(|_| Report::new(Error::Damaged))
+}
--- /dev/null
+++ b/eel-batch/src/store/submit.rs
@@ -0,0 +1,163 @@
+//! Submission: chunks first, the head last.
+
+use eel_store::{Compare, KeyValue, Op, RangeRequest, Settled, Token, Txn, commit_settled};
+use eel_verdict::{Reason, Refusal};
+use error_stack::Report;
+
+use super::{Error, JobStore, StoreResult, exactly, first, to_json};
+use crate::{Head, JobPlan, StateKey, chunk::MAX_BYTES, head::Archive};
+
+/// When a caller should come back while the key-value service can't keep its job.
+const RETRY_AFTER_MS: u64 = 5_000;
+
+/// A job that the store holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Submitted {
+    /// It was accepted now.
+    Accepted(Head),
+    /// It was accepted before, under the same idempotency key.
+    Existing(Head),
+}
+
+/// Why a job was not accepted, or isn't known to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SubmitError {
+    /// The idempotency key belongs to another job.
+    #[error("the idempotency key belongs to a job with other content")]
+    Conflict,
+    /// The job was not accepted and none of it runs.
+    #[error("the job can't be kept now and was not accepted")]
+    NotAccepted,
+    /// The job may have been accepted. A resend with the same key finds out and is safe.
+    #[error("the job may have been accepted; ask again with the same key")]
+    Unknown,
+}
+
+impl SubmitError {
+    /// Returns the answer to the caller.
+    #[must_use]
+    pub fn refusal(self) -> Refusal {
+        match self {
+            Self::Conflict => Refusal::not_run(Reason::Conflict),
+            Self::NotAccepted => {
+                Refusal::not_run(Reason::StoreUnavailable).retry_after(RETRY_AFTER_MS)
+            }
+            Self::Unknown => {
+                Refusal::may_have_run(Reason::StoreUnavailable).retry_after(RETRY_AFTER_MS)
+            }
+        }
+    }
+}
+
+impl<S: KeyValue> JobStore<S> {
+    /// Returns the job that was accepted earlier under the identity of `plan`.
+    ///
+    /// # Errors
+    ///
+    /// [`SubmitError::Conflict`] if it has other content, [`SubmitError::NotAccepted`] if the
+    /// store can't say.
+    pub async fn find_resend(&self, plan: &JobPlan) -> Result<Option<Head>, Report<SubmitError>> {
+        let found = self.find_head(plan).await;
+        match found.map_err(|error| error.change_context(SubmitError::NotAccepted))? {
+            Some(head) if head.digest == plan.head.digest => Ok(Some(head)),
+            Some(_) => Err(Report::new(SubmitError::Conflict)),
+            None => Ok(None),
+        }
+    }
+
+    /// Keeps the job of `plan`; `token` is a random number.
+    ///
+    /// Call [`JobStore::find_resend`] first: it spares a resend the writing of its chunks.
+    ///
+    /// # Errors
+    ///
+    /// A [`SubmitError`] that says whether the job may have been accepted.
+    pub async fn submit(
+        &self,
+        plan: &JobPlan,
+        now_unix_ms: u64,
+        token: u64,
+    ) -> Result<Submitted, Report<SubmitError>> {
+        let mut head = plan.head.clone();
+        head.accepted_unix_ms = now_unix_ms;
+        head.token = token;
+        self.put_chunks(plan)
+            .await
+            .map_err(|error| error.change_context(SubmitError::NotAccepted))?;
+        let txn = self
+            .head_txn(plan, &head)
+            .map_err(|error| error.change_context(SubmitError::NotAccepted))?;
+        match commit_settled(&self.store, &txn.0, &txn.1).await {
+            Ok(Settled::Applied { .. }) => Ok(Submitted::Accepted(head)),
+            Ok(Settled::NotApplied { .. }) => match self.find_resend(plan).await? {
+                Some(found) if found.token == token => Ok(Submitted::Accepted(found)),
+                Some(found) => Ok(Submitted::Existing(found)),
+                None => Err(Report::new(SubmitError::NotAccepted)),
+            },
+            Ok(Settled::Unknown) => Err(Report::new(SubmitError::Unknown)),
+            Err(error) => Err(error.change_context(SubmitError::NotAccepted)),
+        }
+    }
+
+    async fn find_head(&self, plan: &JobPlan) -> StoreResult<Option<Head>> {
+        let live = self.keys.state(StateKey::Head(plan.job));
+        let txn = Txn {
+            success: vec![
+                Op::Range(RangeRequest::key(live)),
+                Op::Range(RangeRequest::key(self.keys.archive(plan.job))),
+            ],
+            ..Txn::default()
+        };
+        let [live, archived] = exactly(self.read(&txn).await?)?;
+        if let Some(head) = first(&live)? {
+            return Ok(Some(head));
+        }
+        Ok(first::<Archive>(&archived)?.map(|archive| archive.head))
+    }
+
+    /// Writes the chunks, as many at a time as fit one value.
+    async fn put_chunks(&self, plan: &JobPlan) -> StoreResult<()> {
+        let expiry = self.keys.expiry(plan.head.remove_unix_ms(), plan.job);
+        let mut ops = vec![Op::put(expiry, plan.head.digest.to_string())];
+        let mut bytes = 0;
+        for (index, chunk) in plan.head.chunks().zip(&plan.chunks) {
+            if bytes + chunk.bytes.len() > MAX_BYTES && bytes > 0 {
+                self.put_all(std::mem::take(&mut ops)).await?;
+                bytes = 0;
+            }
+            bytes += chunk.bytes.len();
+            let key = self.keys.input(plan.job, &plan.head.digest, index);
+            ops.push(Op::put(key, chunk.bytes.clone()));
+        }
+        self.put_all(ops).await
+    }
+
+    async fn put_all(&self, ops: Vec<Op>) -> StoreResult<()> {
+        let txn = Txn {
+            success: ops,
+            ..Txn::default()
+        };
+        self.commit_repeatedly(&txn).await.map(drop)
+    }
+
+    /// Builds the write of the head; it fails if a chunk was swept away in the meantime.
+    fn head_txn(&self, plan: &JobPlan, head: &Head) -> Result<(Txn, Token), Report<Error>> {
+        let key = self.keys.state(StateKey::Head(plan.job));
+        let value = to_json(head)?;
+        let archive = self.keys.archive(plan.job);
+        let mut compares = vec![
+            Compare::Absent { key: key.clone() },
+            Compare::Absent { key: archive },
+        ];
+        let inputs = head.chunks();
+        compares.extend(inputs.map(|chunk| Compare::Exists {
+            key: self.keys.input(plan.job, &head.digest, chunk),
+        }));
+        let txn = Txn {
+            compares,
+            success: vec![Op::put(key.as_str(), value.clone())],
+            failure: Vec::new(),
+        };
+        Ok((txn, Token { key, value }))
+    }
+}
--- /dev/null
+++ b/eel-batch/src/store/sweep.rs
@@ -0,0 +1,127 @@
+//! Removing what is no longer needed: the state of ended jobs, results past their retention and
+//! the leftovers of submissions that were never accepted.
+
+use eel_store::{Compare, KeyValue, Op, RangeRequest, Txn};
+use eel_types::Revision;
+use error_stack::ResultExt as _;
+
+use super::{Error, JobStore, StoreResult, exactly, first, to_json};
+use crate::{Head, JobId, StateKey, head::Archive};
+
+/// The most jobs that one sweep removes.
+const SWEEP_JOBS: u32 = 50;
+
+impl<S: KeyValue> JobStore<S> {
+    /// Moves an ended job out of the state that every node watches. Its results stay.
+    ///
+    /// Call it no sooner than a minute after the end, so that submissions are settled first.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Store`] if the store gave no answer.
+    pub async fn archive(&self, job: JobId, head: &Head, cancelled: bool) -> StoreResult<()> {
+        let live = self.keys.state(StateKey::Head(job));
+        let archive = Archive {
+            head: head.clone(),
+            cancelled,
+        };
+        let mut success = vec![Op::put(self.keys.archive(job), to_json(&archive)?)];
+        success.extend(self.state_deletes(job));
+        let txn = Txn {
+            compares: vec![Compare::Exists { key: live }],
+            success,
+            failure: Vec::new(),
+        };
+        self.commit_repeatedly(&txn).await.map(drop)
+    }
+
+    /// Removes what is due at `now_unix_ms` and returns the number of jobs looked at.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Store`] if the store gave no answer; the next sweep goes on.
+    pub async fn sweep(&self, now_unix_ms: u64) -> StoreResult<usize> {
+        let request = RangeRequest {
+            limit: SWEEP_JOBS,
+            keys_only: true,
+            ..RangeRequest::prefix(self.keys.expiries())
+        };
+        let range = self.store.range(&request).await;
+        let range = range.change_context(Error::Store)?;
+        let mut looked_at = 0;
+        for pair in &range.kvs {
+            let Some((due_unix_ms, job)) = self.keys.parse_expiry(&pair.key) else {
+                continue;
+            };
+            if due_unix_ms > now_unix_ms {
+                break;
+            }
+            self.expire(&pair.key, job, now_unix_ms).await?;
+            looked_at += 1;
+        }
+        Ok(looked_at)
+    }
+
+    /// Removes one job if it is past its retention or was never accepted.
+    async fn expire(&self, expiry: &str, job: JobId, now_unix_ms: u64) -> StoreResult<()> {
+        let live = self.keys.state(StateKey::Head(job));
+        let archive = self.keys.archive(job);
+        let read = Txn {
+            success: vec![
+                Op::Range(RangeRequest::key(live.as_str())),
+                Op::Range(RangeRequest::key(archive.as_str())),
+            ],
+            ..Txn::default()
+        };
+        let [head, archived] = exactly(self.read(&read).await?)?;
+        let archived_head = first::<Archive>(&archived)?.map(|archive| archive.head);
+        let kept = first::<Head>(&head)?.or(archived_head);
+        let remove_unix_ms = kept.map_or(0, |head| head.remove_unix_ms());
+        let mut success = vec![Op::Delete {
+            key: expiry.to_owned(),
+        }];
+        // A job that was submitted twice may have an earlier expiry than the one that counts.
+        if remove_unix_ms <= now_unix_ms {
+            let data = self.keys.data(job);
+            success.push(Op::DeletePrefix { prefix: data });
+            success.push(Op::Delete {
+                key: archive.clone(),
+            });
+            success.extend(self.state_deletes(job));
+        }
+        let same = |key: String, range: &eel_store::RangeOutcome| {
+            let revision = range.kvs.first().map(|pair| pair.mod_revision);
+            unchanged(key, revision)
+        };
+        let txn = Txn {
+            compares: vec![same(live, &head), same(archive, &archived)],
+            success,
+            failure: Vec::new(),
+        };
+        self.commit_repeatedly(&txn).await.map(drop)
+    }
+
+    fn state_deletes(&self, job: JobId) -> [Op; 4] {
+        [
+            Op::Delete {
+                key: self.keys.state(StateKey::Head(job)),
+            },
+            Op::Delete {
+                key: self.keys.state(StateKey::Cancel(job)),
+            },
+            Op::DeletePrefix {
+                prefix: self.keys.claims(job),
+            },
+            Op::DeletePrefix {
+                prefix: self.keys.dones(job),
+            },
+        ]
+    }
+}
+
+fn unchanged(key: String, revision: Option<Revision>) -> Compare {
+    match revision {
+        Some(revision) => Compare::ModRevision { key, revision },
+        None => Compare::Absent { key },
+    }
+}
--- a/eel-batch/tests/batch/claim_order.rs
+++ b/eel-batch/tests/batch/claim_order.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use eel_batch::{Board, Change, ChunkIndex, Head, JobId, OpenChunk, Urgency};
+use eel_batch::{Board, Change, ChunkIndex, Claim, Head, JobId, OpenChunk, Urgency};
 use eel_types::Name;
 
 fn head(deadline_unix_ms: u64, chunks: usize) -> Head {
@@ -11,6 +11,7 @@
         caller: "ridgelog".into(),
         service: "scribe".into(),
         digest: "d".into(),
+        token: 0,
         repeatable: true,
         accepted_unix_ms: 0,
         deadline_unix_ms,
@@ -19,6 +20,14 @@
     }
 }
 
+fn claimed(open: OpenChunk) -> Change {
+    let claim = Claim {
+        holder: "b".into(),
+        token: 0,
+    };
+    Change::Claimed(open.job, open.chunk, claim)
+}
+
 fn board(me: &str, peers: &[&str]) -> Board {
     let mut board = Board::new(me.into());
     board.set_peers(peers.iter().map(|peer| Name::from(*peer)).collect());
@@ -34,7 +43,7 @@
     let mut order = Vec::new();
     while let Some(open) = board.next_claim(0, 0, "scribe") {
         order.push(open.job.0);
-        board.apply(0, Change::Claimed(open.job, open.chunk));
+        board.apply(0, claimed(open));
     }
     assert_eq!(order, [2, 3, 1]);
     assert_eq!(board.next_claim(0, 0, "other"), None);
@@ -63,7 +72,7 @@
         board.apply(0, Change::Accepted(JobId(9), head(1_000_000, 30)));
         while let Some(open) = board.next_claim(0, 0, "scribe") {
             *firsts.entry(open.chunk).or_default() += 1;
-            board.apply(0, Change::Claimed(open.job, open.chunk));
+            board.apply(0, claimed(open));
         }
     }
     // At once each chunk is offered to exactly one node; after a while to every node.
@@ -87,7 +96,7 @@
     board.pause(0, open);
     assert_eq!(board.next_claim(999, 0, "scribe"), None);
     assert_eq!(board.next_claim(1_000, 0, "scribe"), Some(open));
-    board.apply(0, Change::Claimed(open.job, open.chunk));
+    board.apply(0, claimed(open));
     board.apply(0, Change::Done(open.job, open.chunk));
     board.apply(0, Change::Unclaimed(open.job, open.chunk));
     assert_eq!(board.next_claim(9_000, 0, "scribe"), None);
--- a/eel-batch/tests/batch/main.rs
+++ b/eel-batch/tests/batch/main.rs
@@ -1,9 +1,13 @@
 //! Tests of the batch crate.
 
 mod chunk_codec;
+mod claim_faults;
 mod claim_order;
 mod job_admission;
 mod job_plan;
 mod model;
 mod run_once;
 mod runner_events;
+mod store_calls;
+mod store_world;
+mod submit_faults;
--- a/eel-batch/tests/batch/model.rs
+++ b/eel-batch/tests/batch/model.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use eel_batch::{
-    Action, Claimed, Drain, Event, Held, ItemIndex, ItemResult, PartIndex, Policy, Response,
+    Action, Claimed, Drain, Event, History, ItemIndex, ItemResult, PartIndex, Policy, Response,
     Runner, WindowIndex,
 };
 use eel_verdict::{Reason, Refusal, Verdict};
@@ -20,7 +20,7 @@
     epoch: u64,
     holder: Option<u64>,
     claim_until_ms: u64,
-    held: Held,
+    history: History,
     marked: BTreeSet<ItemIndex>,
     windows: u32,
     pub results: BTreeMap<ItemIndex, Vec<ItemResult>>,
@@ -32,7 +32,7 @@
     epoch: u64,
     runner: Runner,
     in_flight: BTreeSet<ItemIndex>,
-    before: Held,
+    before: History,
     /// A paused holder neither gets events nor acts.
     paused: bool,
 }
@@ -140,8 +140,8 @@
         stored.epoch += 1;
         stored.holder = Some(stored.epoch);
         stored.claim_until_ms = self.now_ms + LEASE_MS;
-        let before = stored.held;
-        stored.held = Held {
+        let before = stored.history;
+        stored.history = History {
             lost_holders: before.lost_holders + 1,
             sent: true,
         };
@@ -150,7 +150,7 @@
             repeatable: self.repeatable,
             settled: stored.results.keys().copied().collect(),
             marked: stored.marked.clone(),
-            held: before,
+            history: before,
             next_part: PartIndex(stored.parts),
             next_window: WindowIndex(stored.windows),
             hold_until_ms: self.now_ms + LEASE_MS - MARGIN_MS,
@@ -245,9 +245,9 @@
                 }
                 events.push(Event::Committed);
             }
-            Action::Release { held } => {
-                assert!(held.lost_holders == holder.before.lost_holders);
-                self.stored.held = held;
+            Action::Release { history } => {
+                assert!(history.lost_holders == holder.before.lost_holders);
+                self.stored.history = history;
                 self.stored.holder = None;
                 self.stored.marked.clear();
             }
--- /dev/null
+++ b/eel-batch/tests/batch/store_world.rs
@@ -0,0 +1,141 @@
+//! A job store over the stand-in, and a driver that runs claimed chunks.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use eel_batch::{
+    Action, Claimed, Drain, Event, Head, ItemIndex, JobPlan, Keys, Limits, OpenChunk, Policy,
+    Response, Runner, Terms,
+    store::{ClaimOutcome, Fenced, Holder, JobStore, Work},
+};
+use eel_standin::kv::KvServer;
+use eel_store::{EtcdJson, EtcdOptions, KeyValue as _, LeaseId};
+
+pub type Store = JobStore<EtcdJson>;
+
+pub const RETENTION_MS: u64 = 7_200_000;
+pub const DEADLINE_MS: u64 = 3_600_000;
+
+static TOKENS: AtomicU64 = AtomicU64::new(1);
+
+pub fn token() -> u64 {
+    TOKENS.fetch_add(1, Ordering::Relaxed)
+}
+
+/// One entry node's client.
+pub fn open(server: &KvServer) -> Store {
+    let options = EtcdOptions {
+        call_timeout_ms: 500,
+        ..EtcdOptions::new(server.url())
+    };
+    JobStore::new(EtcdJson::new(&options).unwrap(), Keys::new("/eel/batch"))
+}
+
+pub fn plan(key: &str, items: usize, repeatable: bool) -> JobPlan {
+    plan_lines(key, &lines(items, "x"), repeatable)
+}
+
+pub fn lines(items: usize, text: &str) -> String {
+    let line = |item| {
+        format!(
+            r#"{{"custom_id":"{item}","method":"POST","url":"/v1/completions","body":{{"prompt":"{text} {item}"}}}}"#
+        )
+    };
+    (0..items).map(line).collect::<Vec<_>>().join("\n")
+}
+
+pub fn plan_lines(key: &str, lines: &str, repeatable: bool) -> JobPlan {
+    let terms = Terms {
+        caller: "piedmont".into(),
+        idempotency_key: key.into(),
+        service: "underwrite-lm".into(),
+        repeatable,
+        deadline_unix_ms: DEADLINE_MS,
+        retention_ms: RETENTION_MS,
+    };
+    JobPlan::parse(&terms, lines.as_bytes(), Limits::default()).unwrap()
+}
+
+pub async fn lease(store: &Store) -> LeaseId {
+    store.store().grant_lease(60_000).await.unwrap().id
+}
+
+pub async fn claim(store: &Store, open: OpenChunk, head: &Head, lease: LeaseId) -> ClaimOutcome {
+    let holder = Holder {
+        name: "entry-a".into(),
+        lease,
+        token: token(),
+    };
+    store.claim(open, head, &holder).await.unwrap()
+}
+
+pub async fn must_claim(store: &Store, open: OpenChunk, head: &Head, lease: LeaseId) -> Box<Work> {
+    match claim(store, open, head, lease).await {
+        ClaimOutcome::Won(work) => work,
+        other => panic!("the chunk can't be claimed: {other:?}"),
+    }
+}
+
+/// What a driver does beside answering each item.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Until {
+    /// Runs the chunk to its end.
+    Done,
+    /// Stops without a word after this many items were sent.
+    Sent(usize),
+    /// Cancels the job after this many items were answered.
+    CancelAt(usize),
+}
+
+/// Runs a claimed chunk; returns the items that were sent. Each answer takes 1 ms of model time.
+pub async fn drive(store: &Store, work: &Work, until: Until) -> Vec<ItemIndex> {
+    let claimed = Claimed {
+        hold_until_ms: u64::MAX,
+        deadline_ms: u64::MAX,
+        ..work.claimed.clone()
+    };
+    let mut runner = Runner::new(0, claimed, Policy::default());
+    let mut sent = Vec::new();
+    let mut events = vec![Event::Tick];
+    let mut now_ms = 0;
+    while !runner.is_over() {
+        let event = events.pop().unwrap_or(Event::CreditGranted { count: 1 });
+        for action in runner.on_event(now_ms, event) {
+            match action {
+                Action::Send { item, .. } => {
+                    sent.push(item);
+                    now_ms += 1;
+                    let response = Response::from_bytes(200, br#"{"text":"an answer"}"#);
+                    match until {
+                        Until::Sent(count) if sent.len() == count => return sent,
+                        Until::CancelAt(count) if sent.len() == count => {
+                            events.push(Event::Drain(Drain::Cancelled));
+                        }
+                        _ => {}
+                    }
+                    events.push(Event::Answered { item, response });
+                }
+                Action::MarkStarted { window, items } => {
+                    let fenced = store.mark(&work.hold, window, &items).await.unwrap();
+                    events.push(written(fenced, Event::Marked));
+                }
+                Action::Commit(part) => {
+                    let fenced = store.commit(&work.hold, &part).await.unwrap();
+                    events.push(written(fenced, Event::Committed));
+                }
+                Action::Release { history } => {
+                    store.release(&work.hold, history).await.unwrap();
+                }
+                Action::AbortAll => {}
+            }
+        }
+    }
+    sent
+}
+
+fn written(fenced: Fenced, event: Event) -> Event {
+    match fenced {
+        Fenced::Written => event,
+        Fenced::Refused => Event::ClaimLost,
+        Fenced::Unknown => panic!("the store gave no answer"),
+    }
+}
