fix(standin): keep waiting watches open

Cause: salvo's default fuse ends connections that it takes for stalled, and a waiting watch looks stalled.

Change: both stand-ins of the platform serve without the fuse, as the engine's stand-in already does.

--- a/eel-standin/src/kv/server.rs
+++ b/eel-standin/src/kv/server.rs
@@ -142,6 +142,6 @@
     };
     let router = Router::with_path("{**path}").goal(api);
     let acceptor = TcpAcceptor::try_from(listener)?;
-    let task = tokio::spawn(Server::new(acceptor).serve(router));
+    let task = tokio::spawn(Server::new(acceptor).disable_fuse().serve(router));
     Ok(AbortOnDropHandle::new(task))
 }
--- a/eel-standin/src/vm_list/server.rs
+++ b/eel-standin/src/vm_list/server.rs
@@ -78,7 +78,7 @@
         };
         let acceptor = TcpAcceptor::try_from(listener)?;
         let router = Router::with_path("{**path}").goal(api);
-        let serving = tokio::spawn(Server::new(acceptor).serve(router));
+        let serving = tokio::spawn(Server::new(acceptor).disable_fuse().serve(router));
         Ok(Self {
             shared,
             address,
