refactor(types): share the VMs of the platform's list

Cause: the membership decisions need the listed VMs, and a plain state machine must not depend on the crate that holds the HTTP client.

Change: `ListedVm` and `ListedState` move from eel-store to eel-types, unchanged.

--- a/eel-store/src/lib.rs
+++ b/eel-store/src/lib.rs
@@ -21,5 +21,5 @@
 pub use range::{KeyValuePair, RangeOutcome, RangeRequest};
 pub use settle::{Settled, Token, commit_settled};
 pub use txn::{Compare, Op, OpOutcome, Txn, TxnOutcome};
-pub use vm_list::{HttpVmList, ListedState, ListedVm, VmList, VmListError};
+pub use vm_list::{HttpVmList, VmList, VmListError};
 pub use watch::{WatchEvent, WatchOptions};
--- a/eel-store/src/vm_list.rs
+++ b/eel-store/src/vm_list.rs
@@ -1,10 +1,10 @@
 //! The edge to the platform's list of VMs.
 
-use std::{future::Future, net::SocketAddr, time::Duration};
+use std::{future::Future, time::Duration};
 
-use eel_types::Name;
+use eel_types::ListedVm;
 use error_stack::{Report, ResultExt as _};
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 
 /// The VM list could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -17,31 +17,6 @@
     Malformed,
 }
 
-/// What the platform intends with a VM.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum ListedState {
-    /// The VM is there to be used.
-    Live,
-    /// The VM is being taken away.
-    Leaving,
-}
-
-/// One VM, as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ListedVm {
-    /// The VM's name.
-    pub name: Name,
-    /// The address of the target node's listener.
-    pub address: SocketAddr,
-    /// The data centre that the VM is in.
-    pub data_centre: Name,
-    /// The pool that the VM's target belongs to.
-    pub pool: Name,
-    /// What the platform intends with it.
-    pub state: ListedState,
-}
-
 /// A list of live and leaving VMs that lags behind the truth.
 pub trait VmList: Send + Sync + 'static {
     /// Reads the list.
--- a/eel-store/tests/store/vm_list.rs
+++ b/eel-store/tests/store/vm_list.rs
@@ -1,7 +1,8 @@
 //! The VM list: what it says, and how its faults are seen.
 
 use eel_standin::vm_list::{ListFault, ListedVm, VmListServer};
-use eel_store::{HttpVmList, ListedState, VmList as _, VmListError};
+use eel_store::{HttpVmList, VmList as _, VmListError};
+use eel_types::ListedState;
 
 use crate::fixture::CALL_TIMEOUT_MS;
 
--- a/eel-types/src/lib.rs
+++ b/eel-types/src/lib.rs
@@ -2,10 +2,12 @@
 
 mod class;
 mod id;
+mod listed_vm;
 mod load;
 mod name;
 
 pub use class::Class;
 pub use id::{Attempt, Incarnation, RequestId, Revision};
+pub use listed_vm::{ListedState, ListedVm};
 pub use load::LoadReport;
 pub use name::Name;
