feat(member): decide which targets an entry links to, uses and gives up

Cause: the VM list lags and may be empty or wrong; a target that leaves must get no new work at once, a dead one must be noticed within 2 s, and links must not grow with the fleet.

Change: `Membership`, a plain state machine that joins the list with what the links bring. Heartbeats missing for 1.1 s end new work, for 1.7 s the target is dead. Leaving is remembered by process, succeeded processes are ignored, failures double the time before a target is used again. An empty list is not believed, and a target that answers stays whatever the list lacks.

An entry links to a subset: rendezvous order, three quarters in its own data centre, 64 links shared out among the pools, at least 4 a pool. Rendezvous order alone was tried first: with 360 entries and a pool of 950 some targets had no link at all and the test failed. So each target is assigned two entries, which all entries work out alike from the entry nodes in the list; these links go first, and before the budget where entries are few.

Ruled out: assigning every link from the target's side. It evens the links per target out, but then the links per entry vary, and it is the entry's control traffic that is short.

--- /dev/null
+++ b/eel-member/src/member.rs
@@ -0,0 +1,182 @@
+//! One target VM, as the entry node sees it.
+
+use std::net::SocketAddr;
+
+use eel_types::{Incarnation, ListedState, ListedVm, Name};
+
+use crate::{Action, Options, Standing, StopReason, flap::FlapDamper, incarnations::Incarnations};
+
+/// How far a target is from being used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum State {
+    /// Known from the list; no link is wanted.
+    Known,
+    /// A link is being opened; nothing was heard on it yet.
+    Joining,
+    /// Heard lately.
+    Live,
+    /// Not heard lately; gets no new work.
+    Suspect,
+    /// Declared leaving by itself or by the list; gets no new work and finishes what it runs.
+    Leaving,
+    /// Not heard for long, or its link was closed; tried again from time to time.
+    Dead,
+}
+
+/// One target VM.
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub(crate) vm: Name,
+    pub(crate) address: SocketAddr,
+    pub(crate) data_centre: Name,
+    pub(crate) pool: Name,
+    /// Whether this entry is one of those that must link to the target.
+    pub(crate) is_assigned: bool,
+    /// What the last list said; `None` if it lacked the VM.
+    pub(crate) listed: Option<ListedState>,
+    pub(crate) state: State,
+    pub(crate) incarnations: Incarnations,
+    /// The incarnation that gets new work.
+    pub(crate) in_use: Option<Incarnation>,
+    /// When the target was last heard, or its link was asked for.
+    pub(crate) heard_ms: u64,
+    /// When the VM was last listed or linked.
+    pub(crate) needed_ms: u64,
+    pub(crate) reconnect_ms: u64,
+    pub(crate) reconnect_delay_ms: u64,
+    pub(crate) flap: FlapDamper,
+}
+
+impl Member {
+    pub(crate) fn new(listed: ListedVm, now_ms: u64) -> Self {
+        Self {
+            vm: listed.name,
+            address: listed.address,
+            data_centre: listed.data_centre,
+            pool: listed.pool,
+            is_assigned: false,
+            listed: Some(listed.state),
+            state: State::Known,
+            incarnations: Incarnations::default(),
+            in_use: None,
+            heard_ms: now_ms,
+            needed_ms: now_ms,
+            reconnect_ms: now_ms,
+            reconnect_delay_ms: 0,
+            flap: FlapDamper::default(),
+        }
+    }
+
+    /// The VM's name.
+    #[must_use]
+    pub fn vm(&self) -> &Name {
+        &self.vm
+    }
+
+    /// The pool that the target belongs to.
+    #[must_use]
+    pub fn pool(&self) -> &Name {
+        &self.pool
+    }
+
+    /// How far the target is from being used.
+    #[must_use]
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// The present incarnation, if one was heard.
+    #[must_use]
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.incarnations.current()
+    }
+
+    /// Returns `true` if the target gets new work.
+    #[must_use]
+    pub fn is_in_use(&self) -> bool {
+        self.in_use.is_some()
+    }
+
+    /// Returns `true` if a link is open or being opened.
+    pub(crate) fn has_link(&self) -> bool {
+        match self.state {
+            State::Joining | State::Live | State::Suspect | State::Leaving => true,
+            State::Known | State::Dead => false,
+        }
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.incarnations.is_leaving() || self.listed == Some(ListedState::Leaving)
+    }
+
+    /// How the subset is to treat the target.
+    pub(crate) fn standing(&self) -> Standing {
+        let is_gone = self.listed.is_none() && !self.has_link();
+        match self.state {
+            _ if is_gone || self.listed == Some(ListedState::Leaving) => Standing::Excluded,
+            State::Live => Standing::Live,
+            State::Known | State::Joining | State::Suspect => Standing::Unproven,
+            // Its successor may come up under the same address, so it is tried like a dead one.
+            State::Leaving | State::Dead => Standing::Dead,
+        }
+    }
+
+    /// Asks for a link.
+    pub(crate) fn connect(&mut self, now_ms: u64) -> Action {
+        self.state = State::Joining;
+        self.heard_ms = now_ms;
+        Action::Connect {
+            vm: self.vm.clone(),
+            address: self.address,
+        }
+    }
+
+    /// Gives the target up for now and plans the next attempt.
+    pub(crate) fn lose_link(&mut self, options: &Options, now_ms: u64) {
+        self.state = State::Dead;
+        let doubled_ms = self.reconnect_delay_ms.saturating_mul(2);
+        self.reconnect_delay_ms =
+            doubled_ms.clamp(options.reconnect_first_ms, options.reconnect_max_ms);
+        self.reconnect_ms = now_ms + self.reconnect_delay_ms;
+    }
+
+    /// Notes a message of the present incarnation.
+    pub(crate) fn note_heard(&mut self, now_ms: u64) {
+        self.heard_ms = now_ms;
+        self.reconnect_delay_ms = 0;
+        self.state = if self.is_leaving() {
+            State::Leaving
+        } else {
+            State::Live
+        };
+    }
+
+    /// Takes the target out of use.
+    pub(crate) fn stop_use(&mut self, reason: StopReason, actions: &mut Vec<Action>) {
+        if let Some(incarnation) = self.in_use.take() {
+            actions.push(Action::StopUse {
+                vm: self.vm.clone(),
+                incarnation,
+                reason,
+            });
+        }
+    }
+
+    /// Takes the target into use, if it is live and not held back.
+    pub(crate) fn start_use(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        let is_ready = self.state == State::Live && self.flap.allows_use(now_ms);
+        let Some(incarnation) = self.incarnation().filter(|_| is_ready) else {
+            return;
+        };
+        if self.in_use.is_some() {
+            return;
+        }
+        self.in_use = Some(incarnation);
+        actions.push(Action::Use {
+            vm: self.vm.clone(),
+            incarnation,
+            pool: self.pool.clone(),
+            data_centre: self.data_centre.clone(),
+        });
+    }
+}
--- /dev/null
+++ b/eel-member/src/membership.rs
@@ -0,0 +1,440 @@
+//! The state machine over all members.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use eel_types::{Incarnation, ListedState, ListedVm, Name};
+use slotmap::SlotMap;
+
+use crate::{
+    Action, Assignment, Candidate, EntryNode, Event, Member, Options, Standing, State, StopReason,
+    choose, incarnations::Heard,
+};
+
+slotmap::new_key_type! {
+    struct MemberId;
+}
+
+/// Everything that an entry node knows of its targets.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    options: Options,
+    members: SlotMap<MemberId, Member>,
+    by_vm: BTreeMap<Name, MemberId>,
+    assignment: Assignment,
+    /// The members that the subset contains.
+    wanted: BTreeSet<MemberId>,
+    /// Whether the subset has to be chosen again.
+    is_stale: bool,
+    late_messages: u64,
+}
+
+impl Membership {
+    /// Starts without any member.
+    #[must_use]
+    pub fn new(options: Options) -> Self {
+        Self {
+            options,
+            members: SlotMap::with_key(),
+            by_vm: BTreeMap::new(),
+            assignment: Assignment::default(),
+            wanted: BTreeSet::new(),
+            is_stale: false,
+            late_messages: 0,
+        }
+    }
+
+    /// Takes in one event and returns what is to be done, in order.
+    pub fn on_event(&mut self, now_ms: u64, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::ListRead { vms } => self.read_list(now_ms, vms, &mut actions),
+            Event::ListFailed => {}
+            Event::Heard { vm, incarnation } => {
+                self.on_member(&vm, |this, id| {
+                    this.hear(now_ms, id, incarnation, &mut actions);
+                });
+            }
+            Event::SaidLeaving { vm, incarnation } => {
+                self.on_member(&vm, |this, id| {
+                    this.hear_leaving(now_ms, id, incarnation, &mut actions);
+                });
+            }
+            Event::LinkSilent { vm, incarnation } => {
+                self.on_member(&vm, |this, id| {
+                    this.suspect(now_ms, id, incarnation, &mut actions);
+                });
+            }
+            Event::LinkClosed { vm, incarnation } => {
+                self.on_member(&vm, |this, id| {
+                    this.close(now_ms, id, incarnation, &mut actions);
+                });
+            }
+            Event::Tick => self.tick(now_ms, &mut actions),
+        }
+        if self.is_stale {
+            self.is_stale = false;
+            self.choose_subset(now_ms, &mut actions);
+        }
+        actions
+    }
+
+    /// Returns what is known of `vm`.
+    #[must_use]
+    pub fn member(&self, vm: &Name) -> Option<&Member> {
+        self.members.get(*self.by_vm.get(vm)?)
+    }
+
+    /// Returns all members by name.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.by_vm.values().map(|id| &self.members[*id])
+    }
+
+    /// The number of messages that came from processes which had been succeeded.
+    #[must_use]
+    pub fn late_messages(&self) -> u64 {
+        self.late_messages
+    }
+
+    /// Applies `change` to a known VM, and notes whether the subset is affected.
+    fn on_member(&mut self, vm: &Name, change: impl FnOnce(&mut Self, MemberId)) {
+        let Some(id) = self.by_vm.get(vm).copied() else {
+            return;
+        };
+        let before = self.members[id].standing();
+        change(self, id);
+        self.is_stale |= self.members[id].standing() != before;
+    }
+
+    /// An empty list is not believed.
+    fn read_list(&mut self, now_ms: u64, vms: Vec<ListedVm>, actions: &mut Vec<Action>) {
+        if vms.is_empty() {
+            return;
+        }
+        let entry_pool = &self.options.entry_pool;
+        let (entries, targets): (Vec<_>, Vec<_>) =
+            vms.into_iter().partition(|vm| vm.pool == *entry_pool);
+        let listed: BTreeMap<Name, ListedVm> = targets
+            .into_iter()
+            .map(|vm| (vm.name.clone(), vm))
+            .collect();
+        self.read_entries(entries);
+        let ids: Vec<_> = self.by_vm.values().copied().collect();
+        for id in ids {
+            let before = self.members[id].standing();
+            let vm = listed.get(&self.members[id].vm);
+            self.apply_listed(now_ms, id, vm, actions);
+            self.is_stale |= self.members[id].standing() != before;
+        }
+        for (name, vm) in listed {
+            if !self.by_vm.contains_key(&name) {
+                let id = self.members.insert(Member::new(vm, now_ms));
+                self.by_vm.insert(name, id);
+                self.assign(id);
+                self.is_stale = true;
+            }
+        }
+    }
+
+    /// Shares the targets among the listed entries, this one included. Without any, the assignment stays.
+    fn read_entries(&mut self, listed: Vec<ListedVm>) {
+        let mut entries: Vec<_> = listed
+            .into_iter()
+            .filter(|vm| vm.state == ListedState::Live)
+            .map(|vm| EntryNode {
+                vm: vm.name,
+                data_centre: vm.data_centre,
+            })
+            .collect();
+        if entries.is_empty() {
+            return;
+        }
+        let Options {
+            vm, data_centre, ..
+        } = &self.options;
+        entries.retain(|entry| entry.vm != *vm);
+        entries.push(EntryNode {
+            vm: vm.clone(),
+            data_centre: data_centre.clone(),
+        });
+        let assignment = Assignment::new(entries);
+        if assignment == self.assignment {
+            return;
+        }
+        self.assignment = assignment;
+        let ids: Vec<_> = self.by_vm.values().copied().collect();
+        for id in ids {
+            self.assign(id);
+        }
+        self.is_stale = true;
+    }
+
+    fn assign(&mut self, id: MemberId) {
+        let member = &mut self.members[id];
+        let count = self.options.limits.entries_per_target;
+        member.is_assigned = self
+            .assignment
+            .entries_of(&member.vm, &member.data_centre, count)
+            .iter()
+            .any(|entry| entry.vm == self.options.vm);
+    }
+
+    fn apply_listed(
+        &mut self,
+        now_ms: u64,
+        id: MemberId,
+        listed: Option<&ListedVm>,
+        actions: &mut Vec<Action>,
+    ) {
+        let member = &mut self.members[id];
+        member.listed = listed.map(|vm| vm.state);
+        let Some(vm) = listed else { return };
+        member.needed_ms = now_ms;
+        match member.state {
+            // A target that answers is where its link leads, whatever a lagging list says.
+            State::Live | State::Suspect | State::Leaving => {}
+            State::Known | State::Joining | State::Dead => {
+                let has_moved = member.address != vm.address;
+                member.address = vm.address;
+                member.pool = vm.pool.clone();
+                member.data_centre = vm.data_centre.clone();
+                if has_moved && member.state == State::Joining {
+                    actions.push(member.connect(now_ms));
+                }
+            }
+        }
+        let is_linked = matches!(member.state, State::Live | State::Suspect);
+        if vm.state == ListedState::Leaving && is_linked {
+            member.state = State::Leaving;
+            if member.is_in_use() {
+                member.flap.fail(&self.options, now_ms); // damps a list that changes its mind
+            }
+            member.stop_use(StopReason::Leaving, actions);
+        }
+    }
+
+    fn hear(
+        &mut self,
+        now_ms: u64,
+        id: MemberId,
+        incarnation: Incarnation,
+        actions: &mut Vec<Action>,
+    ) {
+        if !self.succeed(now_ms, id, incarnation, actions) {
+            return;
+        }
+        let member = &mut self.members[id];
+        if member.has_link() {
+            member.note_heard(now_ms);
+            member.start_use(now_ms, actions);
+        }
+    }
+
+    fn hear_leaving(
+        &mut self,
+        now_ms: u64,
+        id: MemberId,
+        incarnation: Incarnation,
+        actions: &mut Vec<Action>,
+    ) {
+        if !self.succeed(now_ms, id, incarnation, actions) {
+            return;
+        }
+        let member = &mut self.members[id];
+        member.incarnations.set_leaving();
+        member.stop_use(StopReason::Leaving, actions);
+        if member.has_link() {
+            member.note_heard(now_ms);
+        }
+    }
+
+    /// Makes `incarnation` the present one; returns `false` if it was succeeded long ago.
+    fn succeed(
+        &mut self,
+        now_ms: u64,
+        id: MemberId,
+        incarnation: Incarnation,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let member = &mut self.members[id];
+        match member.incarnations.hear(incarnation) {
+            Heard::Current => {}
+            Heard::New => {
+                if member.is_in_use() {
+                    member.flap.fail(&self.options, now_ms);
+                }
+                member.stop_use(StopReason::Restarted, actions);
+            }
+            Heard::Old => {
+                self.late_messages += 1;
+                return false;
+            }
+        }
+        true
+    }
+
+    fn suspect(
+        &mut self,
+        now_ms: u64,
+        id: MemberId,
+        incarnation: Option<Incarnation>,
+        actions: &mut Vec<Action>,
+    ) {
+        let member = &mut self.members[id];
+        if member.state == State::Live && member.incarnations.concerns_current(incarnation) {
+            member.state = State::Suspect;
+            self.fail(now_ms, id, StopReason::Silent, actions);
+        }
+    }
+
+    fn close(
+        &mut self,
+        now_ms: u64,
+        id: MemberId,
+        incarnation: Option<Incarnation>,
+        actions: &mut Vec<Action>,
+    ) {
+        let member = &mut self.members[id];
+        if member.has_link() && member.incarnations.concerns_current(incarnation) {
+            member.lose_link(&self.options, now_ms);
+            self.fail(now_ms, id, StopReason::Closed, actions);
+        }
+    }
+
+    /// Takes a target out of use because it failed.
+    fn fail(&mut self, now_ms: u64, id: MemberId, reason: StopReason, actions: &mut Vec<Action>) {
+        let member = &mut self.members[id];
+        if member.is_in_use() {
+            member.flap.fail(&self.options, now_ms);
+        }
+        member.stop_use(reason, actions);
+    }
+
+    fn tick(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        let ids: Vec<_> = self.by_vm.values().copied().collect();
+        for id in ids {
+            let before = self.members[id].standing();
+            self.check_heartbeat(now_ms, id, actions);
+            self.retry(now_ms, id, actions);
+            self.members[id].start_use(now_ms, actions);
+            self.is_stale |= self.members[id].standing() != before;
+        }
+        self.forget(now_ms);
+    }
+
+    fn check_heartbeat(&mut self, now_ms: u64, id: MemberId, actions: &mut Vec<Action>) {
+        let member = &mut self.members[id];
+        if !member.has_link() {
+            return;
+        }
+        member.needed_ms = now_ms;
+        let silent_ms = now_ms.saturating_sub(member.heard_ms);
+        if silent_ms >= self.options.dead_after_ms {
+            let vm = member.vm.clone();
+            member.lose_link(&self.options, now_ms);
+            self.fail(now_ms, id, StopReason::Silent, actions);
+            actions.push(Action::Disconnect { vm });
+        } else if silent_ms >= self.options.suspect_after_ms && member.state == State::Live {
+            member.state = State::Suspect;
+            self.fail(now_ms, id, StopReason::Silent, actions);
+        }
+    }
+
+    /// Tries a dead target again, or stops trying when the subset no longer contains it.
+    fn retry(&mut self, now_ms: u64, id: MemberId, actions: &mut Vec<Action>) {
+        let is_wanted = self.wanted.contains(&id);
+        let member = &mut self.members[id];
+        if member.state != State::Dead || now_ms < member.reconnect_ms {
+            return;
+        }
+        if is_wanted {
+            actions.push(member.connect(now_ms));
+        } else {
+            member.state = State::Known;
+        }
+    }
+
+    fn forget(&mut self, now_ms: u64) {
+        let forget_after_ms = self.options.forget_after_ms;
+        self.members.retain(|_, member| {
+            let unneeded_ms = now_ms.saturating_sub(member.needed_ms);
+            member.listed.is_some() || member.has_link() || unneeded_ms < forget_after_ms
+        });
+        let members = &self.members;
+        self.by_vm.retain(|_, id| members.contains_key(*id));
+        self.wanted.retain(|id| members.contains_key(*id));
+    }
+
+    /// Chooses each pool's subset; opens the links that it lacks and closes those that it has replaced.
+    fn choose_subset(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        let mut pools: BTreeMap<Name, Vec<MemberId>> = BTreeMap::new();
+        for id in self.by_vm.values() {
+            let pool = self.members[*id].pool.clone();
+            pools.entry(pool).or_default().push(*id);
+        }
+        let links = self.options.limits.per_pool(pools.len());
+        self.wanted.clear();
+        for ids in pools.values() {
+            let chosen = self.choose_in_pool(ids, links);
+            self.wanted.extend(&chosen);
+            self.open_links(now_ms, &chosen, actions);
+            self.close_replaced(ids, &chosen, actions);
+        }
+    }
+
+    fn choose_in_pool(&self, ids: &[MemberId], links: usize) -> BTreeSet<MemberId> {
+        let candidate = |id: &MemberId| {
+            let member = &self.members[*id];
+            Candidate {
+                vm: &member.vm,
+                data_centre: &member.data_centre,
+                standing: member.standing(),
+                is_assigned: member.is_assigned,
+            }
+        };
+        let candidates: Vec<_> = ids.iter().map(candidate).collect();
+        let Options {
+            vm,
+            data_centre,
+            limits,
+            ..
+        } = &self.options;
+        choose(vm, data_centre, &candidates, links, limits.other_percent)
+            .into_iter()
+            .map(|position| ids[position])
+            .collect()
+    }
+
+    fn open_links(&mut self, now_ms: u64, chosen: &BTreeSet<MemberId>, actions: &mut Vec<Action>) {
+        for id in chosen {
+            let member = &mut self.members[*id];
+            if member.state == State::Known {
+                actions.push(member.connect(now_ms));
+            }
+        }
+    }
+
+    /// A replaced link stays until every member of the subset that is not dead has answered.
+    fn close_replaced(
+        &mut self,
+        ids: &[MemberId],
+        chosen: &BTreeSet<MemberId>,
+        actions: &mut Vec<Action>,
+    ) {
+        let has_answered = |id: &MemberId| {
+            let standing = self.members[*id].standing();
+            matches!(standing, Standing::Live | Standing::Dead)
+        };
+        if !chosen.iter().all(has_answered) {
+            return;
+        }
+        for id in ids.iter().filter(|id| !chosen.contains(id)) {
+            let member = &mut self.members[*id];
+            if member.has_link() && member.state != State::Leaving {
+                member.state = State::Known;
+                member.stop_use(StopReason::Replaced, actions);
+                let vm = member.vm.clone();
+                actions.push(Action::Disconnect { vm });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/eel-member/src/subset.rs
@@ -0,0 +1,146 @@
+//! Chooses the targets that an entry node links to.
+//!
+//! Each entry ranks a pool's targets by a hash of both names (rendezvous hashing), so that entries spread over the pool
+//! without talking to each other, and one target's coming or going changes at most one link of an entry. Targets that
+//! the entry is [assigned](crate::Assignment) go before the rest, so that none is left without a link.
+
+use std::cmp::Reverse;
+
+use eel_types::Name;
+
+use crate::assignment::score;
+
+/// How many links an entry node keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Links in total, shared out evenly among the pools.
+    pub total: usize,
+    /// Links that each pool gets whatever the total.
+    pub pool_min: usize,
+    /// The part of a pool's links, in percent, that goes to other data centres.
+    pub other_percent: usize,
+    /// The entries that link to a target whatever they rank it.
+    pub entries_per_target: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            total: 64,
+            pool_min: 4,
+            other_percent: 25,
+            entries_per_target: 2,
+        }
+    }
+}
+
+impl Limits {
+    /// The links for each of `pools` pools.
+    #[must_use]
+    pub fn per_pool(&self, pools: usize) -> usize {
+        (self.total / pools.max(1)).max(self.pool_min)
+    }
+}
+
+/// What is known of a candidate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It answers.
+    Live,
+    /// No link to it has been tried, or it has not answered yet.
+    Unproven,
+    /// It does not answer, or its present process is leaving: wanted, but the next one takes its place.
+    Dead,
+    /// Not to be linked to.
+    Excluded,
+}
+
+/// A target that may be linked to.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// The target's VM.
+    pub vm: &'a Name,
+    /// The data centre that the VM is in.
+    pub data_centre: &'a Name,
+    /// What is known of it.
+    pub standing: Standing,
+    /// Whether the entry is one of those that must link to it.
+    pub is_assigned: bool,
+}
+
+/// Returns the positions of the candidates that `entry` links to: `links` that may answer, or as many as it is assigned,
+/// and up to as many dead ones that rank before them.
+#[must_use]
+pub fn choose(
+    entry: &Name,
+    data_centre: &Name,
+    candidates: &[Candidate<'_>],
+    links: usize,
+    other_percent: usize,
+) -> Vec<usize> {
+    let (near, far): (Vec<_>, Vec<_>) = ranked(entry, candidates)
+        .into_iter()
+        .partition(|position| candidates[*position].data_centre == data_centre);
+    let near_assigned = alive(candidates, &near, |candidate| candidate.is_assigned);
+    let far_assigned = alive(candidates, &far, |candidate| candidate.is_assigned);
+    let links = links.max(near_assigned + far_assigned);
+    let far_share = (links * other_percent)
+        .div_ceil(100)
+        .min(links - near_assigned)
+        .max(far_assigned);
+    let near_wanted = links - far_share.min(alive(candidates, &far, |_| true));
+    let near_found = near_wanted.min(alive(candidates, &near, |_| true));
+    let far_wanted = far_share.max(links - near_found);
+    let mut chosen = take(candidates, &near, near_wanted);
+    chosen.extend(take(candidates, &far, far_wanted));
+    chosen
+}
+
+/// The positions of the candidates that are not excluded, best first.
+fn ranked(entry: &Name, candidates: &[Candidate<'_>]) -> Vec<usize> {
+    let rank = |position: &usize| {
+        let candidate = &candidates[*position];
+        let score = score(entry, candidate.vm);
+        Reverse((candidate.is_assigned, score, candidate.vm))
+    };
+    let mut ranked: Vec<usize> = (0..candidates.len())
+        .filter(|position| candidates[*position].standing != Standing::Excluded)
+        .collect();
+    ranked.sort_by_cached_key(rank);
+    ranked
+}
+
+/// Counts the candidates that may answer and fulfil `condition`.
+fn alive(
+    candidates: &[Candidate<'_>],
+    positions: &[usize],
+    condition: impl Fn(&Candidate<'_>) -> bool,
+) -> usize {
+    positions
+        .iter()
+        .map(|position| &candidates[*position])
+        .filter(|candidate| candidate.standing != Standing::Dead && condition(candidate))
+        .count()
+}
+
+/// Takes candidates until `links` of them may answer, passing over dead ones beyond that number.
+fn take(candidates: &[Candidate<'_>], positions: &[usize], links: usize) -> Vec<usize> {
+    let mut chosen = Vec::new();
+    let mut alive_left = links;
+    let mut dead_left = links;
+    for position in positions {
+        if alive_left == 0 {
+            break;
+        }
+        let left = match candidates[*position].standing {
+            Standing::Dead => &mut dead_left,
+            Standing::Live | Standing::Unproven => &mut alive_left,
+            Standing::Excluded => continue,
+        };
+        if *left > 0 {
+            *left -= 1;
+            chosen.push(*position);
+        }
+    }
+    chosen
+}
--- /dev/null
+++ b/eel-member/tests/member/event_tables.rs
@@ -0,0 +1,216 @@
+//! Sequences of events, and the actions that each one brings.
+
+use eel_member::{Event, State};
+use eel_types::ListedVm;
+
+use crate::fixture::{
+    address, closed, feed, heard, leaving, list, membership, said_leaving, silent, vm,
+};
+
+struct Case {
+    name: &'static str,
+    /// When, what, and the actions expected.
+    steps: Vec<(u64, Event, Vec<&'static str>)>,
+    state: Option<State>,
+}
+
+/// The first steps of most cases: listed, linked, heard, in use.
+fn joined() -> Vec<(u64, Event, Vec<&'static str>)> {
+    vec![
+        (0, list(&[vm("a")]), vec!["connect a 1"]),
+        (10, heard("a", 1), vec!["use a 1"]),
+    ]
+}
+
+fn case(
+    name: &'static str,
+    steps: Vec<(u64, Event, Vec<&'static str>)>,
+    state: impl Into<Option<State>>,
+) -> Case {
+    Case {
+        name,
+        steps: joined().into_iter().chain(steps).collect(),
+        state: state.into(),
+    }
+}
+
+fn moved() -> ListedVm {
+    ListedVm {
+        address: address(2),
+        ..vm("a")
+    }
+}
+
+fn leave_cases() -> Vec<Case> {
+    vec![
+        case(
+            "says that it is leaving",
+            vec![
+                (20, said_leaving("a", 1), vec!["stop a 1 Leaving"]),
+                (30, heard("a", 1), vec![]),
+                (40, list(&[vm("a")]), vec![]),
+                (500, Event::Tick, vec![]),
+            ],
+            State::Leaving,
+        ),
+        case(
+            "is listed as leaving",
+            vec![
+                (20, list(&[leaving("a")]), vec!["stop a 1 Leaving"]),
+                (30, heard("a", 1), vec![]),
+            ],
+            State::Leaving,
+        ),
+        case(
+            "is replaced after leaving",
+            vec![
+                (20, said_leaving("a", 1), vec!["stop a 1 Leaving"]),
+                (30, closed("a", Some(1)), vec![]),
+                (280, Event::Tick, vec!["connect a 1"]),
+                (290, heard("a", 2), vec!["use a 2"]),
+                (300, said_leaving("a", 1), vec![]),
+            ],
+            State::Live,
+        ),
+        case(
+            "comes back as the leaving process",
+            vec![
+                (20, said_leaving("a", 1), vec!["stop a 1 Leaving"]),
+                (30, closed("a", Some(1)), vec![]),
+                (280, Event::Tick, vec!["connect a 1"]),
+                (290, heard("a", 1), vec![]),
+            ],
+            State::Leaving,
+        ),
+        case(
+            "says so before its first heartbeat",
+            vec![
+                (20, said_leaving("a", 2), vec!["stop a 1 Restarted"]),
+                (30, heard("a", 2), vec![]),
+            ],
+            State::Leaving,
+        ),
+    ]
+}
+
+fn failure_cases() -> Vec<Case> {
+    vec![
+        case(
+            "dies without a word",
+            vec![
+                (1_000, Event::Tick, vec![]),
+                (1_250, Event::Tick, vec!["stop a 1 Silent"]),
+                (1_750, Event::Tick, vec!["disconnect a"]),
+                (2_000, Event::Tick, vec!["connect a 1"]),
+                (2_010, closed("a", None), vec![]),
+                (2_250, Event::Tick, vec![]),
+                (2_510, Event::Tick, vec!["connect a 1"]),
+            ],
+            State::Joining,
+        ),
+        case(
+            "has a silent link",
+            vec![
+                (20, silent("a", 1), vec!["stop a 1 Silent"]),
+                (30, heard("a", 1), vec![]),
+                (520, Event::Tick, vec!["use a 1"]),
+            ],
+            State::Live,
+        ),
+        case(
+            "closes its link",
+            vec![
+                (20, closed("a", Some(1)), vec!["stop a 1 Closed"]),
+                (270, Event::Tick, vec!["connect a 1"]),
+            ],
+            State::Joining,
+        ),
+        case(
+            "restarts under the same address",
+            vec![
+                (20, heard("a", 2), vec!["stop a 1 Restarted"]),
+                (30, heard("a", 1), vec![]),
+                (35, closed("a", Some(1)), vec![]),
+                (40, silent("a", 1), vec![]),
+                (520, heard("a", 2), vec!["use a 2"]),
+            ],
+            State::Live,
+        ),
+    ]
+}
+
+fn list_cases() -> Vec<Case> {
+    vec![
+        case(
+            "is missing from the list but answers",
+            vec![
+                (20, list(&[vm("b")]), vec!["connect b 1"]),
+                (30, heard("a", 1), vec![]),
+                (500, Event::Tick, vec![]),
+            ],
+            State::Live,
+        ),
+        case(
+            "is missing from the list and dies",
+            vec![
+                (20, list(&[vm("b")]), vec!["connect b 1"]),
+                (30, closed("b", None), vec![]),
+                (40, closed("a", Some(1)), vec!["stop a 1 Closed"]),
+                (1_000, Event::Tick, vec!["connect b 1"]),
+                (700_000, Event::Tick, vec!["disconnect b"]),
+            ],
+            None,
+        ),
+        case(
+            "empty list",
+            vec![(20, list(&[]), vec![]), (30, Event::ListFailed, vec![])],
+            State::Live,
+        ),
+        case(
+            "wrong address while it answers",
+            vec![
+                (20, list(&[moved()]), vec![]),
+                (30, heard("a", 1), vec![]),
+                (40, closed("a", Some(1)), vec!["stop a 1 Closed"]),
+                (50, list(&[moved()]), vec![]),
+                (290, Event::Tick, vec!["connect a 2"]),
+            ],
+            State::Joining,
+        ),
+        case(
+            "unknown VM",
+            vec![
+                (20, heard("x", 1), vec![]),
+                (30, said_leaving("x", 1), vec![]),
+                (40, closed("x", None), vec![]),
+            ],
+            State::Live,
+        ),
+    ]
+}
+
+#[test]
+fn actions_by_event() {
+    let cases = [leave_cases(), failure_cases(), list_cases()];
+    for case in cases.into_iter().flatten() {
+        let mut membership = membership();
+        for (now_ms, event, expected) in case.steps {
+            let step = format!("{}, at {now_ms} ms: {event:?}", case.name);
+            assert_eq!(feed(&mut membership, now_ms, event), expected, "{step}");
+        }
+        let state = membership
+            .member(&"a".into())
+            .map(eel_member::Member::state);
+        assert_eq!(state, case.state, "{}", case.name);
+    }
+}
+
+#[test]
+fn late_messages_counted() {
+    let mut membership = membership();
+    feed(&mut membership, 0, list(&[vm("a")]));
+    for incarnation in [1, 2, 1, 1, 2] {
+        feed(&mut membership, 10, heard("a", incarnation));
+    }
+    assert_eq!(membership.late_messages(), 2);
+}
--- /dev/null
+++ b/eel-member/tests/member/flap_hold.rs
@@ -0,0 +1,45 @@
+//! Flapping targets are held back longer each time, and forgiven when they stay up.
+
+use eel_member::{Event, Membership};
+
+use crate::fixture::{feed, heard, is_in_use, list, membership, silent, vm};
+
+const STEP_MS: u64 = 250;
+
+/// Lets the target fail, then answer; returns how long it was held back.
+fn flap(membership: &mut Membership, now_ms: &mut u64) -> u64 {
+    feed(membership, *now_ms, silent("a", 1));
+    let failed_ms = *now_ms;
+    while !is_in_use(membership, "a") {
+        *now_ms += STEP_MS;
+        feed(membership, *now_ms, heard("a", 1));
+        feed(membership, *now_ms, Event::Tick);
+    }
+    *now_ms - failed_ms
+}
+
+fn stay_up(membership: &mut Membership, now_ms: &mut u64, duration_ms: u64) {
+    let until_ms = *now_ms + duration_ms;
+    while *now_ms < until_ms {
+        *now_ms += STEP_MS;
+        feed(membership, *now_ms, heard("a", 1));
+        feed(membership, *now_ms, Event::Tick);
+    }
+}
+
+#[test]
+fn hold_grows_and_decays() {
+    let mut membership = membership();
+    let mut now_ms = 0;
+    feed(&mut membership, now_ms, list(&[vm("a")]));
+    feed(&mut membership, now_ms, heard("a", 1));
+    let mut held_ms: Vec<u64> = (0..7).map(|_| flap(&mut membership, &mut now_ms)).collect();
+    stay_up(&mut membership, &mut now_ms, 60_000);
+    held_ms.push(flap(&mut membership, &mut now_ms));
+    stay_up(&mut membership, &mut now_ms, 600_000);
+    held_ms.push(flap(&mut membership, &mut now_ms));
+    // Seven failures in a row; one 90 s after the seventh, when three of them are forgiven, so that it counts as the
+    // fifth; one after ten minutes of quiet.
+    let expected = [500, 1_000, 2_000, 4_000, 8_000, 16_000, 30_000, 8_000, 500];
+    assert_eq!(held_ms, expected);
+}
