feat(core): check, plan, apply, get, status, keys, settings check and job verbs

Operators drive the fleet by declarations in files. plan is a pure difference between a directory, the store and the directory's lock file, which holds the revision that each declaration is based on. Without that base a compare-and-swap against the revision just read would let the later of two operators undo the earlier one's change unseen; a store-wide revision as the base was ruled out, since it refuses changes that touch different records.

apply writes one transaction with a compare for each record, and for each record that a new version refers to; above the store's limit of 128 operations it takes several and says how far it came. A lost answer is settled by the token in the record's metadata; a transaction of deletions alone writes a mark for that. The later of two racing operators is refused and told which fields differ.

status compares accepted revisions with GET /status of the entry nodes, whose shape is NodeStatus. Exit codes stand in Exit.

--- /dev/null
+++ b/eel-core/src/apply/commit.rs
@@ -0,0 +1,54 @@
+//! Transactions one after the other, each settled before the next.
+
+use eel_record::RecordKey;
+use eel_store::{KeyValue, Settled, commit_settled};
+use eel_types::Revision;
+
+use super::{Verdict, is_without_effect, transaction::Part};
+
+/// What was certainly written.
+#[derive(Default)]
+pub struct Written {
+    pub revision: Option<Revision>,
+    pub keys: Vec<RecordKey>,
+}
+
+/// Commits `parts` in order and stops at the first that does not take effect.
+pub async fn run<S: KeyValue>(store: &S, parts: &[Part]) -> (Verdict, Written) {
+    let mut written = Written::default();
+    for part in parts {
+        let verdict = run_part(store, part, &mut written).await;
+        let Some(verdict) = verdict else {
+            continue;
+        };
+        let verdict = match verdict {
+            Verdict::Conflict | Verdict::NotWritten if !written.keys.is_empty() => Verdict::Partial,
+            verdict => verdict,
+        };
+        return (verdict, written);
+    }
+    (Verdict::Applied, written)
+}
+
+/// Returns the verdict that ends the apply; `None` if the part took effect.
+async fn run_part<S: KeyValue>(store: &S, part: &Part, written: &mut Written) -> Option<Verdict> {
+    let token = part.token.as_ref()?;
+    match commit_settled(store, &part.txn, token).await {
+        Ok(Settled::Applied { revision }) => {
+            written.revision = Some(revision);
+            written.keys.extend(part.keys.iter().cloned());
+            None
+        }
+        Ok(Settled::NotApplied { .. }) => Some(Verdict::Conflict),
+        Ok(Settled::Unknown) => Some(Verdict::Unknown),
+        Err(report) => {
+            log::warn!("apply: {report}.");
+            let is_certain = is_without_effect(*report.current_context());
+            Some(if is_certain {
+                Verdict::NotWritten
+            } else {
+                Verdict::Unknown
+            })
+        }
+    }
+}
--- /dev/null
+++ b/eel-core/src/job/client.rs
@@ -0,0 +1,112 @@
+//! Calls of an entry node's batch interface.
+
+use std::time::Duration;
+
+use eel_types::Name;
+use error_stack::{Report, ResultExt as _};
+use reqwest::{Client, Method, RequestBuilder, Response, StatusCode};
+
+use super::{Error, JobStatus};
+
+const ROUNDS: u32 = 3;
+const BACKOFF_MS: u64 = 250;
+
+/// A client of entry nodes, tried in turn.
+#[derive(Clone, Debug)]
+pub struct JobClient {
+    http: Client,
+    entries: Vec<Name>,
+    key: Name,
+}
+
+impl JobClient {
+    /// Creates a client of the entry nodes at `entries`, which authenticates with a caller's `key`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the HTTP client cannot be built.
+    pub fn new(
+        entries: Vec<Name>,
+        key: Name,
+        connect_timeout_ms: u64,
+    ) -> Result<Self, Report<Error>> {
+        let http = Client::builder()
+            .connect_timeout(Duration::from_millis(connect_timeout_ms))
+            .build()
+            .change_context(Error::Unreachable)?;
+        Ok(Self { http, entries, key })
+    }
+
+    /// Reads the status of a job.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no entry node answers, or the one that does refuses.
+    pub async fn get(&self, id: &str) -> Result<JobStatus, Report<Error>> {
+        let path = format!("/v1/batches/{id}");
+        let answer = self.send(&Method::GET, &path, |request| request).await?;
+        read_status(answer).await
+    }
+
+    /// Cancels a job; results of items that have ended stay readable.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no entry node answers, or the one that does refuses.
+    pub async fn cancel(&self, id: &str) -> Result<JobStatus, Report<Error>> {
+        let path = format!("/v1/batches/{id}/cancel");
+        let answer = self.send(&Method::POST, &path, |request| request).await?;
+        read_status(answer).await
+    }
+
+    /// Sends an idempotent request to one entry node after the other until one answers.
+    pub(super) async fn send(
+        &self,
+        method: &Method,
+        path: &str,
+        build: impl Fn(RequestBuilder) -> RequestBuilder,
+    ) -> Result<Response, Report<Error>> {
+        let mut last = Report::new(Error::Unreachable);
+        for round in 0..ROUNDS {
+            if round > 0 {
+                tokio::time::sleep(Duration::from_millis(BACKOFF_MS << round)).await;
+            }
+            for entry in &self.entries {
+                let url = format!("{}{path}", entry.trim_end_matches('/'));
+                let request = self.http.request(method.clone(), url);
+                match build(request.bearer_auth(&self.key)).send().await {
+                    Ok(answer) if is_final(answer.status()) => return check(answer).await,
+                    Ok(answer) => last = Report::new(refused(answer).await),
+                    Err(err) => last = Report::new(err).change_context(Error::Unreachable),
+                }
+            }
+        }
+        Err(last)
+    }
+}
+
+/// Another node, or the same one later, may answer differently to the others.
+fn is_final(status: StatusCode) -> bool {
+    !matches!(
+        status,
+        StatusCode::BAD_GATEWAY | StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
+    )
+}
+
+async fn check(answer: Response) -> Result<Response, Report<Error>> {
+    if answer.status().is_success() {
+        return Ok(answer);
+    }
+    Err(Report::new(refused(answer).await))
+}
+
+async fn refused(answer: Response) -> Error {
+    Error::Refused {
+        status: answer.status().as_u16(),
+        body: answer.text().await.unwrap_or_default(),
+    }
+}
+
+pub(super) async fn read_status(answer: Response) -> Result<JobStatus, Report<Error>> {
+    answer.json().await.change_context(Error::Answer)
+}
--- /dev/null
+++ b/eel-core/src/job/follow.rs
@@ -0,0 +1,34 @@
+//! Waiting for a job, with a progress bar on a terminal.
+
+use std::time::Duration;
+
+use error_stack::Report;
+use indicatif::{ProgressBar, ProgressStyle};
+
+use super::{Error, JobClient, JobStatus};
+
+const POLL_MS: u64 = 1_000;
+const TEMPLATE: &str = "{bar:40} {pos}/{len} items, {msg} failed, {eta} left";
+
+/// Reads the status of job `id` until no item will change any more.
+///
+/// # Errors
+///
+/// Returns an error if no entry node answers, or the one that does refuses.
+pub async fn follow(id: &str, client: &JobClient) -> Result<JobStatus, Report<Error>> {
+    let bar = ProgressBar::new(0);
+    if let Ok(style) = ProgressStyle::with_template(TEMPLATE) {
+        bar.set_style(style);
+    }
+    loop {
+        let status = client.get(id).await?;
+        bar.set_length(status.items);
+        bar.set_position(status.ended());
+        bar.set_message(status.failed.to_string());
+        if status.is_final() {
+            bar.finish_and_clear();
+            return Ok(status);
+        }
+        tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+    }
+}
--- /dev/null
+++ b/eel-core/src/job/results.rs
@@ -0,0 +1,53 @@
+//! Results of a job.
+
+use std::fmt;
+
+use error_stack::{Report, ResultExt as _};
+use reqwest::Method;
+use serde::Serialize;
+use tokio::io::{AsyncWrite, AsyncWriteExt as _};
+
+use super::{Error, JobClient};
+use crate::Exit;
+
+/// What was read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ResultsOutcome {
+    /// The bytes written.
+    pub bytes: u64,
+}
+
+impl ResultsOutcome {
+    /// Returns what the outcome means to a script.
+    #[must_use]
+    pub fn exit(&self) -> Exit {
+        Exit::Success
+    }
+}
+
+impl fmt::Display for ResultsOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} bytes of results", self.bytes)
+    }
+}
+
+/// Writes the results of job `id`, one JSON object a line in the order of the items, to `sink` as they come.
+///
+/// # Errors
+///
+/// Returns an error if no entry node answers, the answer ends early, or `sink` takes no more.
+pub async fn results(
+    id: &str,
+    client: &JobClient,
+    sink: &mut (impl AsyncWrite + Unpin),
+) -> Result<ResultsOutcome, Report<Error>> {
+    let path = format!("/v1/batches/{id}/results");
+    let mut answer = client.send(&Method::GET, &path, |request| request).await?;
+    let mut bytes = 0;
+    while let Some(part) = answer.chunk().await.change_context(Error::Unreachable)? {
+        sink.write_all(&part).await.change_context(Error::File)?;
+        bytes += part.len() as u64;
+    }
+    sink.flush().await.change_context(Error::File)?;
+    Ok(ResultsOutcome { bytes })
+}
--- /dev/null
+++ b/eel-core/src/job/submit.rs
@@ -0,0 +1,62 @@
+//! Submission of a job.
+
+use bytes::Bytes;
+use eel_types::Name;
+use error_stack::{Report, ResultExt as _};
+use reqwest::Method;
+
+use super::{Error, JobClient, JobStatus, client::read_status};
+
+/// A job to submit.
+#[derive(Clone, Debug)]
+pub struct SubmitOptions {
+    /// The service that runs the items.
+    pub service: Name,
+    /// The time left until the job is due.
+    pub deadline_ms: u64,
+    /// Whether an item may run more than once.
+    pub repeatable: bool,
+    /// Under this key a second submission of the job is recognised.
+    pub idempotency_key: Name,
+}
+
+/// Submits a job whose items stand in `items_file`, one JSON value a line.
+///
+/// # Errors
+///
+/// Returns an error if the file cannot be read, no entry node answers, or the one that does refuses.
+pub async fn submit(
+    options: &SubmitOptions,
+    items_file: &std::path::Path,
+    client: &JobClient,
+) -> Result<JobStatus, Report<Error>> {
+    let items = tokio::fs::read(items_file)
+        .await
+        .change_context(Error::File)
+        .attach_with(|| items_file.display().to_string())?;
+    submit_items(options, Bytes::from(items), client).await
+}
+
+/// Submits a job. It may be sent several times, and is accepted once.
+///
+/// # Errors
+///
+/// Returns an error if no entry node answers, or the one that does refuses.
+pub async fn submit_items(
+    options: &SubmitOptions,
+    items: Bytes,
+    client: &JobClient,
+) -> Result<JobStatus, Report<Error>> {
+    let answer = client
+        .send(&Method::POST, "/v1/batches", |request| {
+            request
+                .header("content-type", "application/jsonl")
+                .header("x-eel-service", options.service.as_str())
+                .header("x-eel-deadline-ms", options.deadline_ms)
+                .header("x-eel-repeatable", options.repeatable.to_string())
+                .header("idempotency-key", options.idempotency_key.as_str())
+                .body(items.clone())
+        })
+        .await?;
+    read_status(answer).await
+}
--- /dev/null
+++ b/eel-core/src/keys.rs
@@ -0,0 +1,194 @@
+//! `keys`: the fleet's certificate authority, node certificates and callers' keys.
+
+use std::{
+    fmt::{self, Write as _},
+    fs::{self, OpenOptions},
+    io::Write as _,
+    os::unix::fs::OpenOptionsExt as _,
+    path::{Path, PathBuf},
+};
+
+use eel_types::Name;
+use eel_wire::credentials::{PemPair, create_authority, issue_node};
+use error_stack::{Report, ResultExt as _};
+use serde::Serialize;
+use sha2::{Digest as _, Sha256};
+use thiserror::Error as ThisError;
+
+use crate::Exit;
+
+const AUTHORITY: &str = "ca";
+const PUBLIC_MODE: u32 = 0o644;
+const PRIVATE_MODE: u32 = 0o600;
+const CALLER_KEY_PREFIX: &str = "eel-";
+
+/// What to make.
+#[derive(Clone, Debug)]
+pub enum Options {
+    /// The fleet's certificate authority: `ca.pem` and `ca.key`.
+    Authority {
+        /// The directory to write to.
+        directory: PathBuf,
+    },
+    /// A node's certificate: `NAME.pem` and `NAME.key`, signed by `ca.key` of the same directory.
+    Node {
+        /// The directory that holds the authority and is written to.
+        directory: PathBuf,
+        /// The VM's name.
+        name: Name,
+        /// Whether a certificate that exists is replaced.
+        replace: bool,
+    },
+    /// A caller's key.
+    Caller {
+        /// Random bytes that nobody else knows.
+        secret: [u8; 32],
+    },
+}
+
+/// What was made.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// A certificate and its private key.
+    Certificate {
+        /// The certificate's file.
+        certificate: PathBuf,
+        /// The private key's file.
+        key: PathBuf,
+    },
+    /// A caller's key.
+    Caller {
+        /// The key; it is not kept anywhere.
+        key: String,
+        /// Its digest, for the caller's record.
+        sha256: String,
+    },
+}
+
+/// Why nothing was made.
+#[derive(Debug, ThisError)]
+pub enum Error {
+    /// The authority cannot be read.
+    #[error("cannot read {}", .0.display())]
+    Read(PathBuf),
+    /// A file cannot be written, or exists.
+    #[error("cannot write {}", .0.display())]
+    Write(PathBuf),
+    /// The certificate cannot be generated.
+    #[error("cannot generate the certificate")]
+    Generate,
+    /// The name is none that a VM can have.
+    #[error("'{0}' is not a valid VM name")]
+    Name(Name),
+}
+
+impl Outcome {
+    /// Returns what the outcome means to a script.
+    #[must_use]
+    pub fn exit(&self) -> Exit {
+        Exit::Success
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Certificate { certificate, key } => {
+                write!(f, "wrote {} and {}", certificate.display(), key.display())
+            }
+            Self::Caller { key, sha256 } => write!(f, "key    {key}\nsha256 {sha256}"),
+        }
+    }
+}
+
+/// Makes the keys that `options` name. An authority is never replaced: its nodes would lose their links.
+///
+/// # Errors
+///
+/// Returns an error if a file cannot be read or written, or a certificate cannot be generated.
+pub fn keys(options: &Options) -> Result<Outcome, Report<Error>> {
+    match options {
+        Options::Authority { directory } => {
+            let pair = create_authority().change_context(Error::Generate)?;
+            fs::create_dir_all(directory).change_context_lazy(|| write_error(directory))?;
+            write_pair(directory, AUTHORITY, &pair, false)
+        }
+        Options::Node {
+            directory,
+            name,
+            replace,
+        } => make_node(directory, name, *replace),
+        Options::Caller { secret } => Ok(make_caller(secret)),
+    }
+}
+
+fn make_node(directory: &Path, name: &Name, replace: bool) -> Result<Outcome, Report<Error>> {
+    if !name.is_identifier() || name.as_str() == AUTHORITY {
+        return Err(Report::new(Error::Name(name.clone())));
+    }
+    let authority = PemPair {
+        certificate: read(&directory.join("ca.pem"))?,
+        key: read(&directory.join("ca.key"))?,
+    };
+    let pair = issue_node(&authority, name).change_context(Error::Generate)?;
+    write_pair(directory, name, &pair, replace)
+}
+
+fn make_caller(secret: &[u8]) -> Outcome {
+    let key = format!("{CALLER_KEY_PREFIX}{}", hex(secret));
+    let sha256 = hex(&Sha256::digest(key.as_bytes()));
+    Outcome::Caller { key, sha256 }
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}"); // writing to a string cannot fail
+        text
+    })
+}
+
+fn read(path: &Path) -> Result<String, Report<Error>> {
+    fs::read_to_string(path).change_context_lazy(|| Error::Read(path.to_owned()))
+}
+
+fn write_pair(
+    directory: &Path,
+    name: &str,
+    pair: &PemPair,
+    replace: bool,
+) -> Result<Outcome, Report<Error>> {
+    let certificate = directory.join(format!("{name}.pem"));
+    let key = directory.join(format!("{name}.key"));
+    write(&key, &pair.key, PRIVATE_MODE, replace)?;
+    write(&certificate, &pair.certificate, PUBLIC_MODE, replace)?;
+    Ok(Outcome::Certificate { certificate, key })
+}
+
+/// Writes a file that must not exist, or replaces one as a whole.
+fn write(path: &Path, text: &str, mode: u32, replace: bool) -> Result<(), Report<Error>> {
+    let mut options = OpenOptions::new();
+    options.write(true).mode(mode);
+    let target = if replace {
+        options.create(true).truncate(true);
+        path.with_added_extension("new")
+    } else {
+        options.create_new(true);
+        path.to_owned()
+    };
+    let written = options
+        .open(&target)
+        .and_then(|mut file| file.write_all(text.as_bytes()))
+        .and_then(|()| {
+            if replace {
+                fs::rename(&target, path)
+            } else {
+                Ok(())
+            }
+        });
+    written.change_context_lazy(|| write_error(path))
+}
+
+fn write_error(path: &Path) -> Error {
+    Error::Write(path.to_owned())
+}
--- a/eel-core/src/lib.rs
+++ b/eel-core/src/lib.rs
@@ -1,1 +1,20 @@
 //! What the command line's verbs do, free of argument parsing.
+//!
+//! Each verb is a module with its own `Options`, `Outcome`, `Context` and `Error` beside one free function. Outcomes
+//! print as text with `Display`, serialise for scripts, and say which [`Exit`] they mean.
+
+pub mod apply;
+pub mod check;
+mod exit;
+pub mod get;
+pub mod job;
+pub mod keys;
+mod lock;
+pub mod plan;
+pub mod settings_check;
+pub mod status;
+mod store_records;
+
+pub use exit::Exit;
+pub use lock::{LOCK_FILE, Lock};
+pub use store_records::{StoredEntry, StoredRecords, config_prefix, read_records};
--- /dev/null
+++ b/eel-core/src/plan/diff.rs
@@ -0,0 +1,147 @@
+//! The difference between declarations and the store.
+
+use std::collections::BTreeSet;
+
+use eel_record::{Declarations, RecordKey};
+use eel_types::Revision;
+use serde_json::Value;
+
+use super::{Action, Change, Conflict, ConflictCause, FieldChange, Plan};
+use crate::{Lock, StoredEntry, StoredRecords};
+
+/// What the declarations are based on, and what may be done beyond that.
+#[derive(Clone, Copy, Debug)]
+pub struct Base<'a> {
+    /// The revisions that the directory last saw.
+    pub lock: &'a Lock,
+    /// Records whose present version may be overwritten.
+    pub overwrite: &'a [RecordKey],
+    /// Whether records that were declared once are deleted.
+    pub prune: bool,
+}
+
+impl Base<'_> {
+    /// Returns `true` if a record's version in the store may be replaced.
+    fn allows(&self, key: &RecordKey, found: Option<Revision>) -> bool {
+        self.overwrite.contains(key) || self.lock.records.get(key).copied() == found
+    }
+}
+
+/// Finds what to change in `stored` so that it holds what `declared` says.
+#[must_use]
+pub fn diff(declared: &Declarations, stored: &StoredRecords, base: Base<'_>) -> Plan {
+    let mut plan = Plan {
+        revision: stored.revision,
+        ..Plan::default()
+    };
+    for (key, declaration) in &declared.records {
+        let content = declaration.record.content();
+        add_declared(&mut plan, key, &content, stored.records.get(key), base);
+    }
+    let undeclared = stored.records.iter();
+    for (key, entry) in undeclared.filter(|(key, _)| !declared.records.contains_key(key)) {
+        add_undeclared(&mut plan, key, entry, base);
+    }
+    plan
+}
+
+fn add_declared(
+    plan: &mut Plan,
+    key: &RecordKey,
+    content: &Value,
+    entry: Option<&StoredEntry>,
+    base: Base<'_>,
+) {
+    let found = entry.map(|entry| entry.revision);
+    let stored = entry.map_or(Value::Null, StoredEntry::content);
+    if let Some(found) = found
+        && stored == *content
+    {
+        plan.unchanged.push((key.clone(), found));
+        return;
+    }
+    let fields = field_changes(&stored, content);
+    if base.allows(key, found) {
+        let action = match found {
+            Some(_) => Action::Update,
+            None => Action::Create,
+        };
+        plan.changes.push(Change {
+            key: key.clone(),
+            action,
+            expected: found,
+            fields,
+        });
+    } else {
+        plan.conflicts.push(conflict(key, found, fields, base));
+    }
+}
+
+fn add_undeclared(plan: &mut Plan, key: &RecordKey, entry: &StoredEntry, base: Base<'_>) {
+    let found = Some(entry.revision);
+    let was_declared = base.lock.records.contains_key(key);
+    if !base.prune || !was_declared {
+        plan.kept.push(key.clone());
+        return;
+    }
+    let fields = field_changes(&entry.content(), &Value::Null);
+    if base.allows(key, found) {
+        plan.changes.push(Change {
+            key: key.clone(),
+            action: Action::Delete,
+            expected: found,
+            fields,
+        });
+    } else {
+        plan.conflicts.push(conflict(key, found, fields, base));
+    }
+}
+
+fn conflict(
+    key: &RecordKey,
+    found: Option<Revision>,
+    fields: Vec<FieldChange>,
+    base: Base<'_>,
+) -> Conflict {
+    let base = base.lock.records.get(key).copied();
+    let cause = match (base, found) {
+        (_, None) => ConflictCause::Deleted,
+        (None, Some(_)) => ConflictCause::Created,
+        (Some(_), Some(_)) => ConflictCause::Changed,
+    };
+    Conflict {
+        key: key.clone(),
+        cause,
+        base,
+        found,
+        fields,
+    }
+}
+
+/// Lists the fields that differ between two records.
+#[must_use]
+pub fn field_changes(stored: &Value, declared: &Value) -> Vec<FieldChange> {
+    let mut changes = Vec::new();
+    collect(stored, declared, "", &mut changes);
+    changes
+}
+
+fn collect(stored: &Value, declared: &Value, path: &str, changes: &mut Vec<FieldChange>) {
+    if stored == declared {
+        return;
+    }
+    if let (Value::Object(a), Value::Object(b)) = (stored, declared) {
+        let fields: BTreeSet<_> = a.keys().chain(b.keys()).collect();
+        for field in fields {
+            let dot = if path.is_empty() { "" } else { "." };
+            let path = format!("{path}{dot}{field}");
+            collect(&stored[field], &declared[field], &path, changes);
+        }
+        return;
+    }
+    changes.push(FieldChange {
+        field: path.to_owned(),
+        stored: stored.clone(),
+        declared: declared.clone(),
+    });
+}
--- /dev/null
+++ b/eel-core/src/plan/mod.rs
@@ -0,0 +1,97 @@
+//! `plan`: shows what an `apply` would change.
+
+mod diff;
+mod outcome;
+
+use std::path::PathBuf;
+
+use eel_record::{Declarations, load_directory};
+use eel_store::KeyValue;
+use error_stack::{Report, ResultExt as _};
+use thiserror::Error as ThisError;
+
+use crate::{Lock, StoredRecords, check, read_records};
+
+pub use diff::{Base, diff, field_changes};
+pub use outcome::{Action, Change, Conflict, ConflictCause, FieldChange, Outcome, Plan};
+
+/// What to plan.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// The directory of record files.
+    pub directory: PathBuf,
+    /// Records whose present version in the store may be overwritten, whatever the directory is based on.
+    pub overwrite: Vec<eel_record::RecordKey>,
+    /// Whether records that the directory no longer declares are deleted.
+    pub prune: bool,
+}
+
+/// What a plan runs against.
+#[derive(Debug)]
+pub struct Context<'a, S> {
+    /// The key-value service.
+    pub store: &'a S,
+    /// The prefix of every key of the fleet.
+    pub prefix: &'a str,
+}
+
+/// Why no plan could be made.
+#[derive(Debug, ThisError)]
+pub enum Error {
+    /// The directory or its lock file cannot be read.
+    #[error("cannot read the records")]
+    Read,
+    /// The store cannot be read.
+    #[error("cannot read the store")]
+    Store,
+}
+
+/// What a plan is made from.
+pub(crate) struct Inputs {
+    pub declared: Declarations,
+    pub stored: StoredRecords,
+    pub lock: Lock,
+}
+
+/// Compares a directory with the store and changes nothing.
+///
+/// # Errors
+///
+/// Returns an error if the directory or the store cannot be read.
+pub async fn plan<S: KeyValue>(
+    options: &Options,
+    context: &Context<'_, S>,
+) -> Result<Outcome, Report<Error>> {
+    let inputs = read_inputs(options, context).await?;
+    Ok(inputs.outcome(options))
+}
+
+pub(crate) async fn read_inputs<S: KeyValue>(
+    options: &Options,
+    context: &Context<'_, S>,
+) -> Result<Inputs, Report<Error>> {
+    let declared = load_directory(&options.directory).change_context(Error::Read)?;
+    let lock = Lock::load(&options.directory).change_context(Error::Read)?;
+    let stored = read_records(context.store, context.prefix)
+        .await
+        .change_context(Error::Store)?;
+    Ok(Inputs {
+        declared,
+        stored,
+        lock,
+    })
+}
+
+impl Inputs {
+    pub(crate) fn outcome(&self, options: &Options) -> Outcome {
+        let base = Base {
+            lock: &self.lock,
+            overwrite: &options.overwrite,
+            prune: options.prune,
+        };
+        Outcome {
+            check: check::Outcome::from(&self.declared),
+            plan: diff(&self.declared, &self.stored, base),
+        }
+    }
+}
--- /dev/null
+++ b/eel-core/tests/core/apply_faults.rs
@@ -0,0 +1,171 @@
+//! An apply reports truthfully what became of it, whatever the store does.
+
+use eel_core::{
+    apply::{self, Verdict},
+    read_records,
+};
+use eel_standin::kv::{Faults, KvServer};
+use serde_json::json;
+
+use crate::directory::{Operator, PREFIX, connect, connect_within, has_lock, service, slots};
+
+#[tokio::test]
+async fn lost_answers() {
+    // Answers lost after the effect, the records to change and whether a record is deleted too.
+    for (lost_answers, changes, deletes) in
+        [(1, 1, false), (2, 3, false), (1, 0, true), (1, 2, true)]
+    {
+        let server = KvServer::start().await.unwrap();
+        let store = connect(&server);
+        let operator = Operator::new("t");
+        let names = ["a", "b", "c", "gone"];
+        for name in names {
+            operator.declare(name, 1);
+        }
+        operator.apply(&store).await;
+        for name in &names[..changes] {
+            operator.declare(name, 2);
+        }
+        if deletes {
+            operator.remove("gone");
+        }
+        server.set_faults(Faults {
+            lost_answers,
+            ..Faults::default()
+        });
+        let options = apply::Options {
+            prune: true,
+            ..operator.options()
+        };
+        let outcome = operator.apply_with(&options, &store).await;
+        let case = format!("{lost_answers} lost, {changes} changes, deletes {deletes}: {outcome}");
+        assert_eq!(outcome.verdict, Verdict::Applied, "{case}");
+        assert_eq!(
+            outcome.applied.len(),
+            changes + usize::from(deletes),
+            "{case}"
+        );
+        let found = slots(&store).await;
+        assert_eq!(found.len(), names.len() - usize::from(deletes), "{case}");
+        assert_eq!(
+            found.iter().filter(|(_, slots)| *slots == 2).count(),
+            changes,
+            "{case}"
+        );
+        let again = operator.apply_with(&options, &store).await;
+        assert_eq!(again.revision, None, "{case}: nothing is left to change");
+    }
+}
+
+#[tokio::test]
+async fn store_without_answers() {
+    let cases = [
+        (
+            Faults {
+                unavailable: true,
+                ..Faults::default()
+            },
+            false,
+        ),
+        (
+            Faults {
+                hang: true,
+                ..Faults::default()
+            },
+            false,
+        ),
+        (
+            Faults {
+                lost_answers: 100,
+                ..Faults::default()
+            },
+            true,
+        ),
+    ];
+    for (faults, takes_effect) in cases {
+        let server = KvServer::start().await.unwrap();
+        let store = connect(&server);
+        let operator = Operator::new("t");
+        operator.declare("a", 1);
+        let ready = operator.prepare(&store).await;
+        server.set_faults(faults.clone());
+        let impatient = connect_within(&server, 100);
+        let outcome = operator.commit(ready, &impatient).await;
+        server.set_faults(Faults::default());
+        let is_stored = !slots(&store).await.is_empty();
+        assert_eq!(is_stored, takes_effect, "{faults:?}");
+        match outcome.verdict {
+            Verdict::Applied => assert!(is_stored, "{faults:?}"),
+            Verdict::NotWritten => assert!(!is_stored, "{faults:?}"),
+            Verdict::Unknown => assert_eq!(outcome.exit().code(), 4),
+            verdict => panic!("{faults:?}: {verdict:?}"),
+        }
+        assert!(operator.apply(&store).await.exit().code() == 0);
+        assert_eq!(slots(&store).await.len(), 1);
+    }
+}
+
+#[tokio::test]
+async fn store_down_at_start() {
+    let mut server = KvServer::start().await.unwrap();
+    let store = connect(&server);
+    server.stop().await;
+    let operator = Operator::new("t");
+    operator.declare("a", 1);
+    let report = apply::apply(&operator.options(), &operator.context(&store)).await;
+    let report = report.unwrap_err();
+    assert!(
+        matches!(report.current_context(), apply::Error::Store),
+        "{report:?}"
+    );
+    assert!(!has_lock(operator.directory.path()));
+}
+
+#[tokio::test]
+async fn large_changes_take_parts() {
+    let server = KvServer::start().await.unwrap();
+    let store = connect(&server);
+    let operator = Operator::new("t");
+    let records: Vec<_> = (0..300).map(|i| service(&format!("s{i}"), 1)).collect();
+    operator.write("all", &json!(records));
+    let writes = server.counts().writes;
+    let outcome = operator.apply(&store).await;
+    assert_eq!(
+        (outcome.verdict, outcome.applied.len()),
+        (Verdict::Applied, 300)
+    );
+    assert_eq!(server.counts().writes - writes, 3);
+}
+
+#[tokio::test]
+async fn invalid_directory_writes_nothing() {
+    let server = KvServer::start().await.unwrap();
+    let store = connect(&server);
+    let operator = Operator::new("t");
+    operator.declare("good", 1);
+    let mut too_new = service("new", 1);
+    too_new["schema"] = json!(3);
+    for bad in [service("bad", 0), too_new] {
+        operator.write("bad", &bad);
+        let outcome = operator.apply(&store).await;
+        assert_eq!(outcome.verdict, Verdict::Invalid, "{outcome}");
+        assert_eq!(outcome.exit().code(), 2);
+    }
+    assert_eq!(slots(&store).await, []);
+}
+
+#[tokio::test]
+async fn unknown_fields_reach_the_store() {
+    let server = KvServer::start().await.unwrap();
+    let store = connect(&server);
+    let operator = Operator::new("t");
+    let mut record = service("a", 1);
+    record["spec"]["later"] = json!({ "x": [1, null] });
+    record["colour"] = json!("red");
+    operator.write("a", &record);
+    assert_eq!(operator.apply(&store).await.verdict, Verdict::Applied);
+    let stored = read_records(&store, PREFIX).await.unwrap();
+    let entry = stored.records.values().next().unwrap();
+    assert_eq!(entry.content(), record);
+    assert_eq!(entry.record.as_ref().unwrap().token(), Some("t"));
+}
--- /dev/null
+++ b/eel-core/tests/core/main.rs
@@ -0,0 +1,8 @@
+//! Tests of `eel-core`.
+
+mod apply_faults;
+mod directory;
+mod key_files;
+mod plan_diff;
+mod racing_operators;
+mod status_view;
--- /dev/null
+++ b/eel-core/tests/core/racing_operators.rs
@@ -0,0 +1,125 @@
+//! Two operators change up to three records each, in every order of their steps; no update is lost.
+
+use eel_core::apply::{Prepared, Verdict};
+use eel_standin::kv::KvServer;
+
+use crate::directory::{Operator, connect, slots};
+
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
+/// Whose next step it is: the first step of each reads, the second writes.
+const ORDERS: [[usize; 4]; 6] = [
+    [0, 0, 1, 1],
+    [0, 1, 0, 1],
+    [0, 1, 1, 0],
+    [1, 0, 0, 1],
+    [1, 0, 1, 0],
+    [1, 1, 0, 0],
+];
+
+fn is_in(set: u32, index: usize) -> bool {
+    set & (1 << index) != 0
+}
+
+/// Runs one order and returns the verdicts and the store's content.
+async fn race(order: [usize; 4], sets: [u32; 2]) -> ([Verdict; 2], Vec<u64>) {
+    let server = KvServer::start().await.unwrap();
+    let store = connect(&server);
+    let first = Operator::new("base");
+    for name in NAMES {
+        first.declare(name, 1);
+    }
+    assert_eq!(first.apply(&store).await.verdict, Verdict::Applied);
+    let operators = [
+        Operator::clone_of(&first, "x"),
+        Operator::clone_of(&first, "y"),
+    ];
+    for (who, operator) in (2..).zip(&operators) {
+        for (index, name) in NAMES.iter().enumerate() {
+            if is_in(sets[who - 2], index) {
+                operator.declare(name, u32::try_from(who).unwrap());
+            }
+        }
+    }
+    let mut prepared: [Option<Prepared>; 2] = [None, None];
+    let mut verdicts = [None, None];
+    for who in order {
+        let operator = &operators[who];
+        match prepared[who].take() {
+            None => prepared[who] = Some(operator.prepare(&store).await),
+            Some(ready) => verdicts[who] = Some(operator.commit(ready, &store).await.verdict),
+        }
+    }
+    let content = slots(&store).await.into_iter().map(|(_, slots)| slots);
+    (verdicts.map(Option::unwrap), content.collect())
+}
+
+#[tokio::test]
+async fn no_update_is_lost() {
+    for order in ORDERS {
+        for first in 1..8 {
+            for second in 1..8 {
+                let sets = [first, second];
+                let (verdicts, content) = race(order, sets).await;
+                check(order, sets, verdicts, &content);
+            }
+        }
+    }
+}
+
+fn check(order: [usize; 4], sets: [u32; 2], verdicts: [Verdict; 2], content: &[u64]) {
+    let case = format!("order {order:?}, records {sets:?}: {verdicts:?} {content:?}");
+    let winner = order[order.iter().rposition(|&who| who != order[3]).unwrap()];
+    let loser = 1 - winner;
+    assert_eq!(verdicts[winner], Verdict::Applied, "{case}");
+    // The later operator's directory is based on versions that are no longer the present ones.
+    let saw_conflict = order[..2] == [winner, winner];
+    let overlaps = sets[0] & sets[1] != 0;
+    let expected = if saw_conflict || overlaps {
+        Verdict::Conflict
+    } else {
+        Verdict::Applied
+    };
+    assert_eq!(verdicts[loser], expected, "{case}");
+    for (index, &slots) in content.iter().enumerate() {
+        let expected = if is_in(sets[winner], index) {
+            winner + 2
+        } else if verdicts[loser] == Verdict::Applied && is_in(sets[loser], index) {
+            loser + 2
+        } else {
+            1
+        };
+        assert_eq!(slots, u64::try_from(expected).unwrap(), "{case}");
+    }
+}
+
+#[tokio::test]
+async fn refusal_says_what_changed() {
+    let server = KvServer::start().await.unwrap();
+    let store = connect(&server);
+    let first = Operator::new("x");
+    first.declare("a", 1);
+    first.apply(&store).await;
+    let second = Operator::clone_of(&first, "y");
+    second.declare("a", 3);
+    let ready = second.prepare(&store).await;
+    first.declare("a", 2);
+    first.apply(&store).await;
+    let outcome = second.commit(ready, &store).await;
+    let text = outcome.to_string();
+    assert!(
+        text.contains("! service/a was changed by another operator at revision 3"),
+        "{text}"
+    );
+    assert!(
+        text.contains("spec.slots: 2 in the store, 3 here"),
+        "{text}"
+    );
+    assert_eq!(outcome.exit().code(), 3);
+
+    let mut options = second.options();
+    options.overwrite = vec!["service/a".parse().unwrap()];
+    let outcome = second.apply_with(&options, &store).await;
+    assert_eq!(outcome.verdict, Verdict::Applied);
+    assert_eq!(slots(&store).await, [("a".to_owned(), 3)]);
+}
--- a/eel-record/src/lib.rs
+++ b/eel-record/src/lib.rs
@@ -26,7 +26,7 @@
 pub use key::{Kind, RecordKey};
 pub use problem::{Error, Fault, Problem, Severity};
 pub use record::{EnvelopeError, NEWEST_SCHEMA, Record};
-pub use references::missing_references;
+pub use references::{missing_references, references_of};
 pub use snapshot::Snapshot;
 pub use snapshot_build::{SnapshotOutcome, StoredRecord};
 pub use spec::{CallerSpec, ModelSpec, ModelVersion, Protocol, Route, ServiceSpec};
--- a/eel-record/src/references.rs
+++ b/eel-record/src/references.rs
@@ -9,7 +9,7 @@
 pub fn missing_references(records: &BTreeMap<RecordKey, Spec>) -> Vec<Problem> {
     let mut problems = Vec::new();
     for (key, spec) in records {
-        for (field, target) in references(spec) {
+        for (field, target) in references_of(spec) {
             if !records.contains_key(&target) {
                 let fault = Fault::MissingReference(target);
                 problems.push(Problem::new(Some(key.clone()), field, fault));
@@ -19,8 +19,9 @@
     problems
 }
 
-/// Lists the fields of a record that name others; these have the same path in every schema.
-fn references(spec: &Spec) -> Vec<(String, RecordKey)> {
+/// Lists the fields of a record that name others, with what they name; these have the same path in every schema.
+#[must_use]
+pub fn references_of(spec: &Spec) -> Vec<(String, RecordKey)> {
     match spec {
         Spec::Service(service) => {
             let model = service.model.iter();
--- a/eel-types/src/name.rs
+++ b/eel-types/src/name.rs
@@ -1,6 +1,6 @@
 //! Shared immutable names.
 
-use std::{borrow::Borrow, fmt, ops::Deref, sync::Arc};
+use std::{borrow::Borrow, convert::Infallible, fmt, ops::Deref, str::FromStr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
@@ -40,6 +40,14 @@
     }
 }
 
+impl FromStr for Name {
+    type Err = Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Infallible> {
+        Ok(Self::from(text))
+    }
+}
+
 impl Borrow<str> for Name {
     fn borrow(&self) -> &str {
         &self.0
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,49 @@
 //! The entry node and the command line of operators and callers.
 
-fn main() {}
+mod error;
+mod job;
+mod options;
+mod print;
+mod records;
+mod serve;
+mod setup;
+
+use std::process::ExitCode;
+
+use eel_core::Exit;
+use error_stack::Report;
+
+use error::Error;
+use options::{Options, Verb};
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let options: Options = argh::from_env();
+    match run(options).await {
+        Ok(exit) => ExitCode::from(exit.code()),
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::from(Exit::Failure.code())
+        }
+    }
+}
+
+async fn run(options: Options) -> Result<Exit, Report<Error>> {
+    let connection = records::Connection {
+        store: &options.store,
+        prefix: &options.prefix,
+        timeout_ms: options.timeout_ms,
+        format: options.format,
+    };
+    match &options.verb {
+        Verb::Serve(serve) => serve::run(serve).await,
+        Verb::Check(check) => records::check(check, options.format),
+        Verb::Plan(plan) => records::plan(plan, &connection).await,
+        Verb::Apply(apply) => records::apply(apply, &connection).await,
+        Verb::Get(get) => records::get(get, &connection).await,
+        Verb::Status(status) => records::status(status, &connection).await,
+        Verb::Job(job) => job::run(job, options.timeout_ms, options.format).await,
+        Verb::Keys(keys) => setup::keys(keys, options.format),
+        Verb::Settings(settings) => setup::settings(settings, options.format),
+    }
+}
--- /dev/null
+++ b/src/options/keys.rs
@@ -0,0 +1,51 @@
+//! Arguments of `keys`.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use eel_types::Name;
+
+/// Make the fleet's certificates and callers' keys.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "keys")]
+pub struct KeysOptions {
+    #[argh(subcommand)]
+    pub verb: KeysVerb,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum KeysVerb {
+    Ca(KeysCaOptions),
+    Node(KeysNodeOptions),
+    Caller(KeysCallerOptions),
+}
+
+/// Make the fleet's certificate authority, ca.pem and ca.key.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "ca")]
+pub struct KeysCaOptions {
+    /// directory to write to
+    #[argh(positional)]
+    pub directory: PathBuf,
+}
+
+/// Make a node's certificate, NAME.pem and NAME.key.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "node")]
+pub struct KeysNodeOptions {
+    /// replace a certificate that exists
+    #[argh(switch)]
+    pub replace: bool,
+    /// directory that holds ca.pem and ca.key
+    #[argh(positional)]
+    pub directory: PathBuf,
+    /// name of the VM
+    #[argh(positional)]
+    pub name: Name,
+}
+
+/// Make a caller's key, and print it with the digest for the caller's record.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "caller")]
+pub struct KeysCallerOptions {}
--- /dev/null
+++ b/src/options/mod.rs
@@ -0,0 +1,102 @@
+//! Arguments of `eelgrassgap`.
+
+mod job;
+mod keys;
+mod records;
+
+use std::{path::PathBuf, str::FromStr};
+
+use argh::FromArgs;
+
+pub use job::{JobOptions, JobResultsOptions, JobSubmitOptions, JobVerb};
+pub use keys::{KeysOptions, KeysVerb};
+pub use records::{ApplyOptions, CheckOptions, GetOptions, PlanOptions, StatusOptions, parse_what};
+
+/// Serves online and batch inference on one fleet, and drives it from declared records.
+#[derive(FromArgs)]
+pub struct Options {
+    /// URL of the key-value service, several separated by commas (default: port 2379 of this VM)
+    #[argh(option, default = "String::from(\"http://127.0.0.1:2379\")")]
+    pub store: String,
+    /// prefix of the fleet's keys in the key-value service (default /eelgrassgap)
+    #[argh(option, default = "String::from(\"/eelgrassgap\")")]
+    pub prefix: String,
+    /// time that one call may take (default 3000)
+    #[argh(option, default = "3000")]
+    pub timeout_ms: u64,
+    /// text or json (default text)
+    #[argh(option, default = "Format::Text")]
+    pub format: Format,
+    #[argh(subcommand)]
+    pub verb: Verb,
+}
+
+/// How outcomes are printed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Format {
+    /// For people.
+    Text,
+    /// For scripts.
+    Json,
+}
+
+impl FromStr for Format {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(format!("'{text}' is not text or json")),
+        }
+    }
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum Verb {
+    Serve(ServeOptions),
+    Check(CheckOptions),
+    Plan(PlanOptions),
+    Apply(ApplyOptions),
+    Get(GetOptions),
+    Status(StatusOptions),
+    Job(JobOptions),
+    Keys(KeysOptions),
+    Settings(SettingsOptions),
+}
+
+/// Run an entry node.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "serve")]
+pub struct ServeOptions {
+    /// settings file
+    #[argh(option)]
+    pub settings: PathBuf,
+}
+
+/// Look into settings files.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "settings")]
+pub struct SettingsOptions {
+    #[argh(subcommand)]
+    pub verb: SettingsVerb,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum SettingsVerb {
+    Check(SettingsCheckOptions),
+}
+
+/// Validate a settings file without starting a process.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct SettingsCheckOptions {
+    /// the file is that of a target node, not of an entry node
+    #[argh(switch)]
+    pub target: bool,
+    /// settings file
+    #[argh(positional)]
+    pub file: PathBuf,
+}
--- /dev/null
+++ b/src/setup.rs
@@ -0,0 +1,48 @@
+//! The verbs that prepare a node: keys and settings.
+
+use eel_core::{
+    Exit, keys,
+    settings_check::{self, Process},
+};
+use error_stack::{Report, ResultExt as _};
+use rand::RngExt as _;
+
+use crate::{
+    error::Error,
+    options::{Format, KeysOptions, KeysVerb, SettingsOptions, SettingsVerb},
+    print::print,
+};
+
+pub fn keys(options: &KeysOptions, format: Format) -> Result<Exit, Report<Error>> {
+    let options = match &options.verb {
+        KeysVerb::Ca(options) => keys::Options::Authority {
+            directory: options.directory.clone(),
+        },
+        KeysVerb::Node(options) => keys::Options::Node {
+            directory: options.directory.clone(),
+            name: options.name.clone(),
+            replace: options.replace,
+        },
+        KeysVerb::Caller(_) => keys::Options::Caller {
+            secret: rand::rng().random(),
+        },
+    };
+    let outcome = keys::keys(&options).change_context(Error::Verb)?;
+    print(&outcome, format)?;
+    Ok(outcome.exit())
+}
+
+pub fn settings(options: &SettingsOptions, format: Format) -> Result<Exit, Report<Error>> {
+    let SettingsVerb::Check(options) = &options.verb;
+    let options = settings_check::Options {
+        file: options.file.clone(),
+        process: if options.target {
+            Process::Target
+        } else {
+            Process::Entry
+        },
+    };
+    let outcome = settings_check::settings_check(&options).change_context(Error::Verb)?;
+    print(&outcome, format)?;
+    Ok(outcome.exit())
+}
