feat(bench): a load generator and the comparison of a path with its end

Cause: latency that the product adds can only be judged against the same endpoint called directly, in the same run, on the same busy machine.

Change: `load` sends open or closed loads to loopback addresses for a bounded time; an open load does not wait for answers, and what it could not send is counted. `compare` runs each load on each pair of endpoint and path in turn, takes the median over rounds and prints ratios to the first pair, with processor time a request and peak memory of the given processes.

Ruled out: one schedule for each client that waits for its last answer; it releases less when the path is slow and so hides the tail.

Not measured yet: the product's path is not there.

--- /dev/null
+++ b/eel-bench/src/compare.rs
@@ -0,0 +1,213 @@
+//! Compares a path with the endpoint behind it, and with a reference path, in one run.
+
+use std::fmt;
+
+use bytes::Bytes;
+use error_stack::Report;
+
+use crate::{
+    load::{self, Arrivals, Error},
+    memory::{Usage, usage},
+};
+
+/// A path and the endpoint that it leads to.
+#[derive(Clone, Debug)]
+pub struct Pair {
+    /// The name of the path in the table.
+    pub name: String,
+    /// The endpoint, called directly.
+    pub direct_url: String,
+    /// The endpoint, called through the path.
+    pub path_url: String,
+    /// The bearer key for the path.
+    pub key: Option<String>,
+    /// The processes of the path, for their memory and processor time.
+    pub pids: Vec<u32>,
+}
+
+/// What to compare.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The paths; the first is the reference of the ratios.
+    pub pairs: Vec<Pair>,
+    /// The rates of the open loads, in requests a second.
+    pub rates_per_s: Vec<u32>,
+    /// The clients of the closed load that saturates a path.
+    pub clients: u32,
+    /// How long each load lasts.
+    pub seconds: u64,
+    /// How often each load is run; the median over the rounds counts.
+    pub rounds: u32,
+    /// The body of each request.
+    pub body: Bytes,
+}
+
+/// The median over the rounds of one load on one pair.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// The name of the pair.
+    pub name: String,
+    /// How requests were released.
+    pub arrivals: Arrivals,
+    /// Requests a second that the path answered.
+    pub rate_per_s: f64,
+    /// Latency added by the path at p50, p99 and p99.9, in microseconds.
+    pub added_us: [f64; 3],
+    /// Processor time of the path's processes for each request, in microseconds.
+    pub cpu_us: f64,
+    /// Requests that failed or were not sent, on the path.
+    pub lost: u64,
+}
+
+/// The rows of a comparison, pair after pair within each load.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// The rows.
+    pub rows: Vec<Row>,
+    /// The names of the pairs with what their processes used in all.
+    pub usage: Vec<(String, Usage)>,
+    pairs: usize,
+}
+
+const QUANTILES: [f64; 3] = [0.5, 0.99, 0.999];
+
+struct Sample {
+    rate_per_s: f64,
+    added_us: [f64; 3],
+    cpu_us: f64,
+    lost: u64,
+}
+
+/// Runs each load on each pair in turn, round after round, so that a busy machine harms all alike.
+///
+/// # Errors
+///
+/// [`Error`] if a load cannot be run.
+pub async fn run(options: &Options) -> Result<Outcome, Report<Error>> {
+    let open = options
+        .rates_per_s
+        .iter()
+        .map(|rate| Arrivals::Open { rate_per_s: *rate });
+    let closed = Arrivals::Closed {
+        clients: options.clients,
+    };
+    let mut rows = Vec::new();
+    for arrivals in open.chain([closed]) {
+        let mut samples: Vec<Vec<Sample>> = options.pairs.iter().map(|_| Vec::new()).collect();
+        for _ in 0..options.rounds.max(1) {
+            for (pair, samples) in options.pairs.iter().zip(&mut samples) {
+                samples.push(measure(options, pair, arrivals).await?);
+            }
+        }
+        for (pair, samples) in options.pairs.iter().zip(&samples) {
+            rows.push(median_row(&pair.name, arrivals, samples));
+        }
+    }
+    let used = options
+        .pairs
+        .iter()
+        .map(|pair| (pair.name.clone(), total_usage(&pair.pids)));
+    Ok(Outcome {
+        rows,
+        usage: used.collect(),
+        pairs: options.pairs.len(),
+    })
+}
+
+async fn measure(
+    options: &Options,
+    pair: &Pair,
+    arrivals: Arrivals,
+) -> Result<Sample, Report<Error>> {
+    let load = |url: &str, key: &Option<String>| load::Options {
+        url: url.to_owned(),
+        key: key.clone(),
+        body: options.body.clone(),
+        arrivals,
+        seconds: options.seconds,
+    };
+    let direct = load::run(&load(&pair.direct_url, &None)).await?;
+    let before = total_usage(&pair.pids);
+    let path = load::run(&load(&pair.path_url, &pair.key)).await?;
+    let after = total_usage(&pair.pids);
+    let added_us = QUANTILES
+        .map(|quantile| to_f64(path.quantile_us(quantile)) - to_f64(direct.quantile_us(quantile)));
+    Ok(Sample {
+        rate_per_s: path.rate_per_s(),
+        added_us,
+        cpu_us: to_f64((after.cpu_ms - before.cpu_ms) * 1_000) / to_f64(path.answered.max(1)),
+        lost: path.failed + path.unsent,
+    })
+}
+
+fn total_usage(pids: &[u32]) -> Usage {
+    let used = pids.iter().filter_map(|pid| usage(*pid));
+    used.fold(Usage::default(), |total, one| Usage {
+        peak_kb: total.peak_kb + one.peak_kb,
+        cpu_ms: total.cpu_ms + one.cpu_ms,
+    })
+}
+
+fn median_row(name: &str, arrivals: Arrivals, samples: &[Sample]) -> Row {
+    let over = |value: &dyn Fn(&Sample) -> f64| median(samples.iter().map(value).collect());
+    Row {
+        name: name.to_owned(),
+        arrivals,
+        rate_per_s: over(&|sample| sample.rate_per_s),
+        added_us: [0, 1, 2].map(|index| over(&move |sample| sample.added_us[index])),
+        cpu_us: over(&|sample| sample.cpu_us),
+        lost: samples.iter().map(|sample| sample.lost).sum(),
+    }
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or(f64::NAN)
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn to_f64(value: u64) -> f64 {
+    value as f64
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "| load | path | requests/s | added p50, p99, p99.9 us | CPU us a request | lost | ratios: rate, p50, p99, p99.9, CPU |"
+        )?;
+        writeln!(f, "| --- | --- | ---: | --- | ---: | ---: | --- |")?;
+        for load in self.rows.chunks(self.pairs.max(1)) {
+            let reference = &load[0];
+            for row in load {
+                write_row(f, row, reference)?;
+            }
+        }
+        for (name, usage) in &self.usage {
+            writeln!(f, "{name}: peak memory {} kB", usage.peak_kb)?;
+        }
+        Ok(())
+    }
+}
+
+fn write_row(f: &mut fmt::Formatter<'_>, row: &Row, reference: &Row) -> fmt::Result {
+    let [p50, p99, p999] = row.added_us;
+    let [base_p50, base_p99, base_p999] = reference.added_us;
+    let load = match row.arrivals {
+        Arrivals::Open { rate_per_s } => format!("{rate_per_s}/s"),
+        Arrivals::Closed { clients } => format!("{clients} clients"),
+    };
+    writeln!(
+        f,
+        "| {load} | {} | {:.0} | {p50:.0}, {p99:.0}, {p999:.0} | {:.0} | {} | {:.2}, {:.2}, {:.2}, {:.2}, {:.2} |",
+        row.name,
+        row.rate_per_s,
+        row.cpu_us,
+        row.lost,
+        row.rate_per_s / reference.rate_per_s,
+        p50 / base_p50,
+        p99 / base_p99,
+        p999 / base_p999,
+        row.cpu_us / reference.cpu_us,
+    )
+}
--- /dev/null
+++ b/eel-bench/src/load.rs
@@ -0,0 +1,290 @@
+//! A load generator for one HTTP endpoint.
+
+use std::{
+    fmt,
+    net::IpAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use error_stack::{Report, ResultExt as _};
+use hdrhistogram::Histogram;
+use reqwest::{Client, StatusCode, Url};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    task::JoinSet,
+    time::MissedTickBehavior,
+};
+
+/// The longest time that a load lasts.
+pub const MAX_SECONDS: u64 = 300;
+
+/// Requests of an open load that may be unanswered at the same time.
+const MAX_OUTSTANDING: usize = 4_096;
+
+/// The time between two releases of requests that are due.
+const TICK: Duration = Duration::from_millis(1);
+
+/// The time after which a request counts as failed.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How requests are released.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Arrivals {
+    /// At a fixed rate, whether or not earlier requests were answered.
+    Open {
+        /// Requests a second.
+        rate_per_s: u32,
+    },
+    /// By this many clients, each as soon as its last request was answered.
+    Closed {
+        /// The clients.
+        clients: u32,
+    },
+}
+
+/// What to send, where and for how long.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The endpoint; its host must be a loopback address.
+    pub url: String,
+    /// The bearer key that is sent, if any.
+    pub key: Option<String>,
+    /// The body of each `POST`.
+    pub body: Bytes,
+    /// How requests are released.
+    pub arrivals: Arrivals,
+    /// How long requests are released.
+    pub seconds: u64,
+}
+
+/// What was measured.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// Requests answered with status 200 and a whole body.
+    pub answered: u64,
+    /// Requests that failed or were answered otherwise.
+    pub failed: u64,
+    /// Requests that were due but not sent, because too many were unanswered.
+    pub unsent: u64,
+    /// The time from the first release to the last answer.
+    pub elapsed: Duration,
+    /// Times from release to the last byte of the answered requests, in microseconds.
+    pub latency_us: Histogram<u64>,
+}
+
+/// Why a load was not run.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The address is no loopback address.
+    #[error("loads go to loopback addresses only, not to {0}")]
+    NotLoopback(String),
+    /// The duration is zero or longer than [`MAX_SECONDS`].
+    #[error("a load lasts from 1 to {MAX_SECONDS} seconds, not {0}")]
+    Duration(u64),
+    /// The rate or the number of clients is zero.
+    #[error("a load needs a rate or a number of clients above zero")]
+    Empty,
+    /// The HTTP client or the histogram cannot be set up.
+    #[error("the load generator cannot be set up")]
+    Setup,
+}
+
+impl Outcome {
+    /// Returns the answered requests a second.
+    #[must_use]
+    pub fn rate_per_s(&self) -> f64 {
+        let answered = u32::try_from(self.answered).unwrap_or(u32::MAX);
+        f64::from(answered) / self.elapsed.as_secs_f64()
+    }
+
+    /// Returns a quantile of the latency in microseconds.
+    #[must_use]
+    pub fn quantile_us(&self, quantile: f64) -> u64 {
+        self.latency_us.value_at_quantile(quantile)
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{:.0} requests/s, p50 {} us, p99 {} us, p99.9 {} us, {} failed, {} unsent",
+            self.rate_per_s(),
+            self.quantile_us(0.5),
+            self.quantile_us(0.99),
+            self.quantile_us(0.999),
+            self.failed,
+            self.unsent,
+        )
+    }
+}
+
+/// Sends the load and waits for the last answer.
+///
+/// # Errors
+///
+/// [`Error`] if the options are out of bounds or the client cannot be set up. Failed requests are counted, not reported
+/// as errors.
+pub async fn run(options: &Options) -> Result<Outcome, Report<Error>> {
+    let sender = Arc::new(Sender::new(options)?);
+    let begin = Instant::now();
+    let end = begin + Duration::from_secs(options.seconds);
+    let mut latency_us = new_histogram()?;
+    let (samples_us, unsent) = match options.arrivals {
+        Arrivals::Open { rate_per_s } => open(&sender, rate_per_s, end).await,
+        Arrivals::Closed { clients } => (closed(&sender, clients, end).await, 0),
+    };
+    for sample_us in &samples_us {
+        latency_us.saturating_record(*sample_us);
+    }
+    Ok(Outcome {
+        answered: latency_us.len(),
+        failed: sender.failed.load(Ordering::Relaxed),
+        unsent,
+        elapsed: begin.elapsed(),
+        latency_us,
+    })
+}
+
+fn new_histogram() -> Result<Histogram<u64>, Report<Error>> {
+    Histogram::new(3).change_context(Error::Setup)
+}
+
+struct Sender {
+    client: Client,
+    url: Url,
+    key: Option<String>,
+    body: Bytes,
+    failed: AtomicU64,
+}
+
+impl Sender {
+    fn new(options: &Options) -> Result<Self, Report<Error>> {
+        check(options)?;
+        let url = loopback_url(&options.url)?;
+        let client = Client::builder()
+            .no_proxy()
+            .timeout(REQUEST_TIMEOUT)
+            .build()
+            .change_context(Error::Setup)?;
+        Ok(Self {
+            client,
+            url,
+            key: options.key.clone(),
+            body: options.body.clone(),
+            failed: AtomicU64::new(0),
+        })
+    }
+
+    /// Sends one request; returns the time to the last byte if it was answered.
+    async fn send(&self) -> Option<u64> {
+        let begin = Instant::now();
+        let mut request = self.client.post(self.url.clone()).body(self.body.clone());
+        if let Some(key) = &self.key {
+            request = request.bearer_auth(key);
+        }
+        if matches!(answer(request).await, Ok(StatusCode::OK)) {
+            return u64::try_from(begin.elapsed().as_micros()).ok();
+        }
+        self.failed.fetch_add(1, Ordering::Relaxed);
+        None
+    }
+}
+
+async fn answer(request: reqwest::RequestBuilder) -> reqwest::Result<StatusCode> {
+    let response = request.send().await?;
+    let status = response.status();
+    response.bytes().await?;
+    Ok(status)
+}
+
+fn check(options: &Options) -> Result<(), Report<Error>> {
+    if !(1..=MAX_SECONDS).contains(&options.seconds) {
+        return Err(Report::new(Error::Duration(options.seconds)));
+    }
+    match options.arrivals {
+        Arrivals::Open { rate_per_s: 0 } | Arrivals::Closed { clients: 0 } => {
+            Err(Report::new(Error::Empty))
+        }
+        Arrivals::Open { .. } | Arrivals::Closed { .. } => Ok(()),
+    }
+}
+
+fn loopback_url(text: &str) -> Result<Url, Report<Error>> {
+    let refused = || Report::new(Error::NotLoopback(text.to_owned()));
+    let url = Url::parse(text).map_err(|_| refused())?;
+    let host = url.host_str().unwrap_or_default();
+    let address: IpAddr = host
+        .trim_matches(['[', ']'])
+        .parse()
+        .map_err(|_| refused())?;
+    if address.is_loopback() {
+        Ok(url)
+    } else {
+        Err(refused())
+    }
+}
+
+/// Releases requests at `rate_per_s` until `end`; returns the latencies and the number of requests not sent.
+async fn open(sender: &Arc<Sender>, rate_per_s: u32, end: Instant) -> (Vec<u64>, u64) {
+    let slots = Arc::new(Semaphore::new(MAX_OUTSTANDING));
+    let begin = Instant::now();
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    let mut tasks = JoinSet::new();
+    let mut samples_us = Vec::new();
+    let (mut released, mut unsent) = (0, 0);
+    while Instant::now() < end {
+        ticks.tick().await;
+        let due = due(begin.elapsed(), rate_per_s);
+        for _ in released..due {
+            match slots.clone().try_acquire_owned() {
+                Ok(slot) => drop(tasks.spawn(send_one(sender.clone(), slot))),
+                Err(_) => unsent += 1,
+            }
+        }
+        released = due;
+        while let Some(ended) = tasks.try_join_next() {
+            samples_us.extend(ended.ok().flatten());
+        }
+    }
+    while let Some(ended) = tasks.join_next().await {
+        samples_us.extend(ended.ok().flatten());
+    }
+    (samples_us, unsent)
+}
+
+fn due(elapsed: Duration, rate_per_s: u32) -> u64 {
+    let due = elapsed.as_micros() * u128::from(rate_per_s) / 1_000_000;
+    u64::try_from(due).unwrap_or(u64::MAX)
+}
+
+async fn send_one(sender: Arc<Sender>, slot: OwnedSemaphorePermit) -> Option<u64> {
+    let sample_us = sender.send().await;
+    drop(slot);
+    sample_us
+}
+
+async fn closed(sender: &Arc<Sender>, clients: u32, end: Instant) -> Vec<u64> {
+    let mut tasks = JoinSet::new();
+    for _ in 0..clients {
+        let sender = sender.clone();
+        tasks.spawn(async move {
+            let mut samples_us = Vec::new();
+            while Instant::now() < end {
+                samples_us.extend(sender.send().await);
+            }
+            samples_us
+        });
+    }
+    let mut samples_us = Vec::new();
+    while let Some(ended) = tasks.join_next().await {
+        samples_us.extend(ended.unwrap_or_default());
+    }
+    samples_us
+}
--- /dev/null
+++ b/eel-bench/src/memory.rs
@@ -0,0 +1,34 @@
+//! Memory and processor time of a process, from `/proc`.
+
+use std::fs;
+
+/// The kernel's clock ticks a second, as `/proc` counts processor time.
+const TICKS_PER_S: u64 = 100;
+
+/// What a process has used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// The largest resident set so far, in kB.
+    pub peak_kb: u64,
+    /// Processor time in user and kernel mode, in milliseconds.
+    pub cpu_ms: u64,
+}
+
+/// Reads what the process `pid` has used; `None` if there is no such process or no `/proc`.
+#[must_use]
+pub fn usage(pid: u32) -> Option<Usage> {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let peak = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmHWM:"))?;
+    let peak_kb = peak.split_whitespace().next()?.parse().ok()?;
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    // The fields are counted from the end of the command, which may hold spaces; user and system time are 11 and 12.
+    let (_, fields) = stat.rsplit_once(')')?;
+    let ticks = fields.split_whitespace().skip(11).take(2);
+    let ticks: u64 = ticks.filter_map(|field| field.parse::<u64>().ok()).sum();
+    Some(Usage {
+        peak_kb,
+        cpu_ms: ticks * 1_000 / TICKS_PER_S,
+    })
+}
--- /dev/null
+++ b/eel-bench/tests/bench/main.rs
@@ -0,0 +1,3 @@
+//! Tests of `eel-bench`.
+
+mod load_generator;
