feat(target): serve requests over links through the admission state machine

Cause: the target node must be the only path to its target, so that one place decides on slots, priority, cancellation and what may still start.

Ruled out: a worker task that owns the state machine and is asked over channels, which costs two task switches for each event; a mutex around a decision of a few hundred nanoseconds does not.

Change: links with a control stream and a stream for each request; settlement over a fresh link; answers passed on as they come, with the end mark of streamed completions checked; draining that waits until the entry nodes hold the answers.

--- a/eel-admit/src/event.rs
+++ b/eel-admit/src/event.rs
@@ -1,19 +1,10 @@
 //! What the state machine hears and what it asks for.
 
-use eel_types::{Attempt, Class, Name, RequestId};
+use eel_types::{Class, Name, RequestKey};
 use eel_verdict::Refusal;
 
 use crate::LinkKey;
 
-/// Identifies one attempt of one request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct RequestKey {
-    /// The request.
-    pub id: RequestId,
-    /// The attempt.
-    pub attempt: Attempt,
-}
-
 /// A request that has come over a link.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Arrival {
--- a/eel-admit/src/lib.rs
+++ b/eel-admit/src/lib.rs
@@ -14,7 +14,8 @@
 mod queue;
 
 pub use admission::Admission;
-pub use event::{Action, Arrival, Event, Finish, RequestKey, Settlement, Targets};
+pub use eel_types::RequestKey;
+pub use event::{Action, Arrival, Event, Finish, Settlement, Targets};
 pub use link::{LinkHello, LinkKey};
 pub use link_clock::LinkClock;
 pub use options::Options;
--- /dev/null
+++ b/eel-target/src/config.rs
@@ -0,0 +1,93 @@
+//! The configuration in force at the target node.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use eel_admit::Targets;
+use eel_record::{Protocol, Snapshot};
+use eel_types::{Name, Revision};
+use eel_wire::message::Configuration;
+
+/// Holds the newest snapshot that any entry node has sent; an older one never replaces it.
+pub(crate) struct InForce {
+    pool: Name,
+    snapshot: ArcSwap<Snapshot>,
+}
+
+impl InForce {
+    pub(crate) fn new(pool: Name) -> Self {
+        Self {
+            pool,
+            snapshot: ArcSwap::default(),
+        }
+    }
+
+    pub(crate) fn revision(&self) -> Revision {
+        self.snapshot.load().revision
+    }
+
+    /// Puts `configuration` in force if it is newer, and returns what it states for this pool.
+    pub(crate) fn offer(&self, configuration: &Configuration) -> Option<Targets> {
+        if configuration.revision <= self.revision() {
+            return None;
+        }
+        let snapshot: Snapshot = match serde_json::from_slice(&configuration.snapshot_json) {
+            Ok(snapshot) => snapshot,
+            Err(error) => {
+                log::warn!(target: "config", "A snapshot cannot be read: {error}.");
+                return None;
+            }
+        };
+        let offered = Arc::new(snapshot);
+        let before = self.snapshot.rcu(|current| {
+            if offered.revision > current.revision {
+                offered.clone()
+            } else {
+                current.clone()
+            }
+        });
+        if offered.revision <= before.revision {
+            return None;
+        }
+        log::info!(target: "config", "Revision {} is in force.", offered.revision);
+        targets_of(&offered, &self.pool)
+    }
+
+    /// Returns whether the targets of `service` are model engines.
+    pub(crate) fn is_engine(&self, service: &Name) -> bool {
+        let snapshot = self.snapshot.load();
+        let service = snapshot.services.get(service);
+        service.is_some_and(|service| service.protocol == Protocol::Openai)
+    }
+
+    /// Returns the configuration in force, for a node that cannot reach the key-value service.
+    pub(crate) fn to_message(&self) -> Configuration {
+        let snapshot = self.snapshot.load();
+        let snapshot_json = serde_json::to_vec(snapshot.as_ref()).unwrap_or_default();
+        Configuration {
+            revision: snapshot.revision,
+            snapshot_json: Bytes::from(snapshot_json),
+        }
+    }
+}
+
+/// Joins what the services of `pool` state: the most slots, the longest queue and the tightest latencies.
+fn targets_of(snapshot: &Snapshot, pool: &Name) -> Option<Targets> {
+    snapshot
+        .services
+        .values()
+        .filter(|service| service.pool == *pool)
+        .map(|service| Targets {
+            slots: service.slots,
+            queue: service.queue,
+            first_token_ms: service.first_token_ms,
+            between_tokens_ms: service.between_tokens_ms,
+        })
+        .reduce(|a, b| Targets {
+            slots: a.slots.max(b.slots),
+            queue: a.queue.max(b.queue),
+            first_token_ms: a.first_token_ms.min(b.first_token_ms),
+            between_tokens_ms: a.between_tokens_ms.min(b.between_tokens_ms),
+        })
+}
--- /dev/null
+++ b/eel-target/src/engine.rs
@@ -0,0 +1,118 @@
+//! The HTTP client of the target.
+
+use std::time::Duration;
+
+use eel_settings::EngineSettings;
+use eel_verdict::{Reason, Refusal};
+use eel_wire::message::{Header, ServeRequest};
+use error_stack::{Report, ResultExt as _};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use reqwest::{Client, Response, redirect, retry};
+
+use crate::Error;
+
+/// Unused connections are closed after this time, so that few can go silent unnoticed.
+const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Keep-alive probes find a connection that a middlebox has forgotten.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+const KEEPALIVE_RETRIES: u32 = 3;
+
+/// Sends requests to the target.
+pub(crate) struct Engine {
+    client: Client,
+    base_url: String,
+}
+
+impl Engine {
+    pub(crate) fn new(settings: &EngineSettings) -> Result<Self, Report<Error>> {
+        let client = Client::builder()
+            .no_proxy()
+            .redirect(redirect::Policy::none())
+            .retry(retry::never())
+            .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
+            .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+            .tcp_keepalive(KEEPALIVE)
+            .tcp_keepalive_interval(KEEPALIVE)
+            .tcp_keepalive_retries(KEEPALIVE_RETRIES)
+            .build()
+            .change_context(Error::Client)?;
+        Ok(Self {
+            client,
+            base_url: settings.url.to_string(),
+        })
+    }
+
+    /// Sends `request`, and returns the target's answer once its head has come.
+    ///
+    /// # Errors
+    ///
+    /// A refusal that says "not run" if no connection could be made, else "may have run".
+    pub(crate) async fn send(
+        &self,
+        request: &ServeRequest,
+        traceparent: Option<String>,
+    ) -> Result<Response, Refusal> {
+        let method = Method::from_bytes(request.method.as_bytes())
+            .map_err(|_| Refusal::not_run(Reason::BadRequest))?;
+        let url = format!("{}{}", self.base_url, request.path);
+        let mut headers = to_header_map(&request.headers);
+        if let Some(value) = traceparent.and_then(|text| HeaderValue::from_str(&text).ok()) {
+            headers.insert(eel_telemetry::trace::TRACEPARENT, value);
+        }
+        self.client
+            .request(method, url)
+            .headers(headers)
+            .body(request.body.clone())
+            .send()
+            .await
+            .map_err(|error| to_refusal(&error))
+    }
+}
+
+fn to_refusal(error: &reqwest::Error) -> Refusal {
+    if error.is_connect() || error.is_builder() {
+        Refusal::not_run(Reason::TargetFailed)
+    } else {
+        Refusal::may_have_run(Reason::TargetFailed)
+    }
+}
+
+fn to_header_map(headers: &[Header]) -> HeaderMap {
+    let mut map = HeaderMap::with_capacity(headers.len() + 1);
+    for header in headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_maybe_shared(header.value.clone());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            map.append(name, value);
+        }
+    }
+    map
+}
+
+/// Returns the headers of an answer that concern its receiver, not the connection.
+pub(crate) fn answer_headers(headers: &HeaderMap) -> Vec<Header> {
+    headers
+        .iter()
+        .filter(|(name, _)| !is_hop_by_hop(name))
+        .map(|(name, value)| Header {
+            name: name.as_str().into(),
+            value: bytes::Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
+}
+
+/// Source: RFC 9110, section 7.6.1.
+fn is_hop_by_hop(name: &HeaderName) -> bool {
+    matches!(
+        name.as_str(),
+        "connection"
+            | "content-length"
+            | "date"
+            | "keep-alive"
+            | "proxy-connection"
+            | "te"
+            | "trailer"
+            | "transfer-encoding"
+            | "upgrade"
+    )
+}
--- /dev/null
+++ b/eel-target/src/gate.rs
@@ -0,0 +1,255 @@
+//! The admission state machine, shared by all requests of the process.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use eel_admit::{Action, Admission, Arrival, Event, Finish, LinkHello, LinkKey, Options, Targets};
+use eel_types::{Clock, LoadReport, RequestKey};
+use eel_verdict::{Reason, Refusal};
+use tokio::sync::{Notify, oneshot, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::metrics::Metrics;
+
+/// What the state machine decided on a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Decision {
+    /// Send it to the target.
+    Start,
+    /// Answer with this refusal.
+    Refuse(Refusal),
+}
+
+/// A request's place in the state machine.
+pub(crate) struct Ticket {
+    decision: oneshot::Receiver<Decision>,
+    cancelled: CancellationToken,
+}
+
+impl Ticket {
+    /// Waits for the decision.
+    pub(crate) async fn decided(&mut self) -> Decision {
+        let lost = Decision::Refuse(Refusal::may_have_run(Reason::Cancelled));
+        (&mut self.decision).await.unwrap_or(lost)
+    }
+
+    /// Waits until the started request is to be cancelled.
+    pub(crate) async fn cancelled(&self) {
+        self.cancelled.cancelled().await;
+    }
+}
+
+struct Waiter {
+    decision: Option<oneshot::Sender<Decision>>,
+    cancelled: CancellationToken,
+}
+
+struct Inner {
+    admission: Admission,
+    waiters: HashMap<RequestKey, Waiter>,
+    settlement: Option<eel_admit::Settlement>,
+    duplicate: Option<Refusal>,
+    actions: Vec<Action>,
+}
+
+/// The admission state machine with the tasks that wait on it.
+pub(crate) struct Gate {
+    inner: Mutex<Inner>,
+    clock: Clock,
+    deadline_moved: Notify,
+    drained: watch::Sender<bool>,
+    metrics: Arc<Metrics>,
+}
+
+impl Gate {
+    pub(crate) fn new(options: Options, clock: Clock, metrics: Arc<Metrics>) -> Self {
+        Self {
+            inner: Mutex::new(Inner {
+                admission: Admission::new(options),
+                waiters: HashMap::new(),
+                settlement: None,
+                duplicate: None,
+                actions: Vec::new(),
+            }),
+            clock,
+            deadline_moved: Notify::new(),
+            drained: watch::Sender::new(false),
+            metrics,
+        }
+    }
+
+    pub(crate) fn open_link(&self, hello: LinkHello) -> LinkKey {
+        let mut inner = self.lock();
+        let mut actions = Vec::new();
+        let key = inner
+            .admission
+            .open_link(self.clock.now_ms(), hello, &mut actions);
+        inner.actions = actions;
+        self.apply(&mut inner);
+        key
+    }
+
+    pub(crate) fn close_link(&self, key: LinkKey) {
+        self.on_event(Event::LinkClosed(key));
+    }
+
+    /// Hands a request to the state machine.
+    pub(crate) fn arrive(&self, arrival: Arrival) -> Ticket {
+        let (sender, receiver) = oneshot::channel();
+        let cancelled = CancellationToken::new();
+        let ticket = Ticket {
+            decision: receiver,
+            cancelled: cancelled.clone(),
+        };
+        let waiter = Waiter {
+            decision: Some(sender),
+            cancelled,
+        };
+        let key = arrival.key;
+        let mut inner = self.lock();
+        // The duplicate of a known attempt must not displace the waiter of the first.
+        let displaced = inner.waiters.insert(key, waiter);
+        self.dispatch(&mut inner, Event::Arrived(arrival));
+        if let Some(refusal) = inner.duplicate.take() {
+            let duplicate = match displaced {
+                Some(first) => inner.waiters.insert(key, first),
+                None => inner.waiters.remove(&key),
+            };
+            if let Some(sender) = duplicate.and_then(|waiter| waiter.decision) {
+                let _ = sender.send(Decision::Refuse(refusal));
+            }
+        }
+        ticket
+    }
+
+    /// Reports that a started request holds its slot no longer.
+    pub(crate) fn finish(&self, finish: Finish) {
+        let mut inner = self.lock();
+        inner.waiters.remove(&finish.key);
+        self.dispatch(&mut inner, Event::Finished(finish));
+    }
+
+    pub(crate) fn cancel(&self, key: RequestKey) {
+        self.on_event(Event::CancelRequested(key));
+    }
+
+    /// Asks what became of an attempt, and bars it from starting if it has not.
+    pub(crate) fn settle(&self, key: RequestKey) -> eel_admit::Settlement {
+        let mut inner = self.lock();
+        self.dispatch(&mut inner, Event::Settle(key));
+        let settlement = inner.settlement.take();
+        settlement.unwrap_or(eel_admit::Settlement::Unknown)
+    }
+
+    pub(crate) fn configure(&self, targets: Targets) {
+        self.on_event(Event::Configured(targets));
+    }
+
+    pub(crate) fn ask_credits(&self, link: LinkKey) {
+        self.on_event(Event::CreditsAsked(link));
+    }
+
+    pub(crate) fn report(&self, link: LinkKey) -> LoadReport {
+        self.lock().admission.report(self.clock.now_ms(), link)
+    }
+
+    /// Takes no new work from now on.
+    pub(crate) fn start_drain(&self) {
+        self.on_event(Event::DrainStarted);
+    }
+
+    /// Waits until nothing runs or waits any more.
+    pub(crate) async fn drained(&self) {
+        let mut drained = self.drained.subscribe();
+        let _ = drained.wait_for(|drained| *drained).await;
+    }
+
+    /// Ticks the state machine at its deadlines, for ever.
+    pub(crate) async fn run_timer(&self) {
+        loop {
+            let next_ms = self.lock().admission.next_deadline_ms();
+            let moved = self.deadline_moved.notified();
+            match next_ms {
+                None => moved.await,
+                Some(at_ms) => {
+                    tokio::select! {
+                        () = moved => {}
+                        () = tokio::time::sleep_until(self.clock.instant(at_ms).into()) => {
+                            self.on_event(Event::Tick);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn on_event(&self, event: Event) {
+        let mut inner = self.lock();
+        self.dispatch(&mut inner, event);
+    }
+
+    fn dispatch(&self, inner: &mut Inner, event: Event) {
+        let before_ms = inner.admission.next_deadline_ms();
+        let mut actions = std::mem::take(&mut inner.actions);
+        inner
+            .admission
+            .on_event(self.clock.now_ms(), event, &mut actions);
+        inner.actions = actions;
+        self.apply(inner);
+        let after_ms = inner.admission.next_deadline_ms();
+        if after_ms.is_some_and(|after| before_ms.is_none_or(|before| after < before)) {
+            self.deadline_moved.notify_one();
+        }
+    }
+
+    fn apply(&self, inner: &mut Inner) {
+        let mut actions = std::mem::take(&mut inner.actions);
+        for action in actions.drain(..) {
+            self.apply_one(inner, &action);
+        }
+        inner.actions = actions;
+    }
+
+    fn apply_one(&self, inner: &mut Inner, action: &Action) {
+        match *action {
+            Action::Start(key) => inner.decide(key, Decision::Start),
+            Action::Refuse(key, refusal) => {
+                inner.decide(key, Decision::Refuse(refusal));
+                inner.waiters.remove(&key);
+            }
+            Action::RefuseDuplicate(_, refusal) => inner.duplicate = Some(refusal),
+            Action::Preempt(key) => {
+                self.metrics.preemptions.inc();
+                inner.cancel(key);
+            }
+            Action::Cancel(key) => inner.cancel(key),
+            Action::Settled(_, settlement) => inner.settlement = Some(settlement),
+            // Credits travel with the next load report.
+            Action::Grant { .. } => {}
+            Action::DrainDone => {
+                self.drained.send_replace(true);
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn decide(&mut self, key: RequestKey, decision: Decision) {
+        let waiter = self.waiters.get_mut(&key);
+        if let Some(sender) = waiter.and_then(|waiter| waiter.decision.take()) {
+            let _ = sender.send(decision);
+        }
+    }
+
+    fn cancel(&mut self, key: RequestKey) {
+        if let Some(waiter) = self.waiters.get(&key) {
+            waiter.cancelled.cancel();
+        }
+    }
+}
--- a/eel-target/src/lib.rs
+++ b/eel-target/src/lib.rs
@@ -1,1 +1,17 @@
 //! The target node: the only path to the target beside it.
+//!
+//! Every request to the target passes the [`Admission`](eel_admit::Admission) state machine of this process, so slots,
+//! priorities and cancellation are decided in one place without any coordination service.
+
+mod admin;
+mod config;
+mod engine;
+mod error;
+mod gate;
+mod link;
+mod metrics;
+mod node;
+mod serve;
+
+pub use error::Error;
+pub use node::{Context, Shutdown, TargetNode};
--- /dev/null
+++ b/eel-target/src/link.rs
@@ -0,0 +1,218 @@
+//! Links from entry nodes.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use eel_admit::{LinkClock, LinkHello, LinkKey};
+use eel_wire::{
+    codec,
+    message::{
+        EntryControl, Hello, Opening, PROTOCOL_VERSION, Ping, Pong, Settlement, TargetControl,
+        Welcome,
+    },
+};
+use error_stack::{Report, ResultExt as _};
+use quinn::{Connection, Endpoint, RecvStream, SendStream};
+use tokio_util::sync::CancellationToken;
+
+use crate::{node::Context, serve};
+
+/// One link from an entry node.
+pub(crate) struct Link {
+    pub(crate) key: LinkKey,
+    pub(crate) context: Arc<Context>,
+    clock: Mutex<LinkClock>,
+}
+
+impl Link {
+    /// Returns the deadline, on this process's clock, of a request sent over this link.
+    pub(crate) fn deadline_ms(&self, sent_ms: u64, time_left_ms: u64) -> u64 {
+        let now_ms = self.context.clock.now_ms();
+        self.lock_clock().deadline_ms(now_ms, sent_ms, time_left_ms)
+    }
+
+    fn observe(&self, sent_ms: u64) {
+        let now_ms = self.context.clock.now_ms();
+        self.lock_clock().observe(now_ms, sent_ms);
+    }
+
+    fn lock_clock(&self) -> std::sync::MutexGuard<'_, LinkClock> {
+        self.clock.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.context.gate.close_link(self.key);
+        self.context.metrics.links.dec();
+    }
+}
+
+/// Accepts links until `stop` is cancelled.
+pub(crate) async fn accept(endpoint: &Endpoint, context: &Arc<Context>, stop: &CancellationToken) {
+    loop {
+        let incoming = tokio::select! {
+            incoming = endpoint.accept() => incoming,
+            () = stop.cancelled() => return,
+        };
+        let Some(incoming) = incoming else {
+            return;
+        };
+        let context = context.clone();
+        tokio::spawn(async move {
+            match incoming.await {
+                Ok(connection) => run(connection, context).await,
+                Err(error) => log::warn!(target: "link", "A link is refused: {error}."),
+            }
+        });
+    }
+}
+
+async fn run(connection: Connection, context: Arc<Context>) {
+    let peer = connection.remote_address();
+    match serve_link(&connection, context).await {
+        Ok(()) => log::info!(target: "link", "The link from {peer} has closed."),
+        Err(error) => log::warn!(target: "link", "The link from {peer} has failed: {error}."),
+    }
+    connection.close(0u32.into(), b"");
+}
+
+async fn serve_link(
+    connection: &Connection,
+    context: Arc<Context>,
+) -> Result<(), Report<eel_wire::Error>> {
+    let (mut send, mut recv) = connection
+        .accept_bi()
+        .await
+        .change_context(eel_wire::Error::Closed)?;
+    let hello = read_hello(&mut recv).await?;
+    log::info!(target: "link", "{} has opened link {}.", hello.vm, hello.generation);
+    let key = context.gate.open_link(LinkHello {
+        entry: hello.vm,
+        incarnation: hello.incarnation,
+        generation: hello.generation,
+        supersedes: hello.supersedes,
+    });
+    context.metrics.links.inc();
+    let link = Arc::new(Link {
+        key,
+        context,
+        clock: Mutex::default(),
+    });
+    codec::write(&mut send, &TargetControl::Welcome(welcome(&link))).await?;
+    tokio::select! {
+        ended = control(&link, &mut send, &mut recv) => ended,
+        () = accept_requests(connection, &link) => Ok(()),
+    }
+}
+
+async fn read_hello(recv: &mut RecvStream) -> Result<Hello, Report<eel_wire::Error>> {
+    match codec::read(recv).await? {
+        Some(EntryControl::Hello(hello)) if hello.protocol_version == PROTOCOL_VERSION => Ok(hello),
+        _ => Err(Report::new(eel_wire::Error::Malformed)),
+    }
+}
+
+fn welcome(link: &Link) -> Welcome {
+    let context = &link.context;
+    Welcome {
+        vm: context.vm.clone(),
+        incarnation: context.incarnation,
+        pool: context.pool.clone(),
+        load: context.gate.report(link.key),
+        revision: context.in_force.revision(),
+    }
+}
+
+async fn control(
+    link: &Link,
+    send: &mut SendStream,
+    recv: &mut RecvStream,
+) -> Result<(), Report<eel_wire::Error>> {
+    let mut told_leaving = false;
+    loop {
+        let message = {
+            let read = codec::read::<EntryControl>(recv);
+            tokio::pin!(read);
+            loop {
+                tokio::select! {
+                    message = &mut read => break message?,
+                    () = link.context.leaving.cancelled(), if !told_leaving => {
+                        told_leaving = true;
+                        codec::write(send, &TargetControl::Leaving).await?;
+                    }
+                }
+            }
+        };
+        match message {
+            None => return Ok(()),
+            Some(EntryControl::Ping(ping)) => {
+                codec::write(send, &TargetControl::Pong(pong(link, ping))).await?;
+            }
+            Some(EntryControl::Configure(configuration)) => {
+                if let Some(targets) = link.context.in_force.offer(&configuration) {
+                    link.context.gate.configure(targets);
+                }
+                let revision = i64::try_from(link.context.in_force.revision().0);
+                link.context.metrics.revision.set(revision.unwrap_or(0));
+            }
+            Some(EntryControl::Hello(_)) => return Err(Report::new(eel_wire::Error::Malformed)),
+        }
+    }
+}
+
+fn pong(link: &Link, ping: Ping) -> Pong {
+    let context = &link.context;
+    link.observe(ping.sent_ms);
+    if ping.wants_credits {
+        context.gate.ask_credits(link.key);
+    }
+    Pong {
+        sequence: ping.sequence,
+        load: context.gate.report(link.key),
+        revision: context.in_force.revision(),
+        leaving: context.leaving.is_cancelled(),
+    }
+}
+
+async fn accept_requests(connection: &Connection, link: &Arc<Link>) {
+    while let Ok((send, recv)) = connection.accept_bi().await {
+        let link = link.clone();
+        let tracker = link.context.requests.clone();
+        tracker.spawn(async move {
+            if let Err(error) = request(&link, send, recv).await {
+                log::debug!(target: "link", "A request stream has failed: {error}.");
+            }
+        });
+    }
+}
+
+async fn request(
+    link: &Arc<Link>,
+    mut send: SendStream,
+    mut recv: RecvStream,
+) -> Result<(), Report<eel_wire::Error>> {
+    match codec::read::<Opening>(&mut recv).await? {
+        Some(Opening::Serve(request)) => serve::serve(link, *request, &mut send).await?,
+        Some(Opening::Settle(key)) => {
+            link.context.metrics.settlements.inc();
+            let settlement = into_message(link.context.gate.settle(key));
+            codec::write(&mut send, &settlement).await?;
+        }
+        Some(Opening::FetchConfiguration) => {
+            codec::write(&mut send, &link.context.in_force.to_message()).await?;
+        }
+        None => return Ok(()),
+    }
+    let _ = send.finish();
+    // The stream counts as running until the entry node has the whole answer, so that a shutdown cannot cut it off.
+    let _ = send.stopped().await;
+    Ok(())
+}
+
+fn into_message(settlement: eel_admit::Settlement) -> Settlement {
+    match settlement {
+        eel_admit::Settlement::NeverStarted => Settlement::NeverStarted,
+        eel_admit::Settlement::Started { finished } => Settlement::Started { finished },
+        eel_admit::Settlement::Unknown => Settlement::Unknown,
+    }
+}
--- /dev/null
+++ b/eel-target/src/node.rs
@@ -0,0 +1,210 @@
+//! The process as a whole: what its parts share, its supervisor tree and its shutdown.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use eel_admit::Options;
+use eel_settings::TargetSettings;
+use eel_supervise::{RestartPolicy, Supervisor};
+use eel_types::{Clock, Incarnation, Name};
+use eel_wire::{
+    EndpointOptions, bind_server,
+    credentials::{CredentialPaths, Credentials},
+};
+use error_stack::{Report, ResultExt as _};
+use quinn::Endpoint;
+use salvo::{Server, conn::tcp::TcpAcceptor};
+use tokio::net::TcpListener;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{Error, admin, config::InForce, engine::Engine, gate::Gate, link, metrics::Metrics};
+
+/// What the parts of the process share.
+pub struct Context {
+    pub(crate) vm: Name,
+    pub(crate) pool: Name,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: Clock,
+    pub(crate) gate: Arc<Gate>,
+    pub(crate) engine: Engine,
+    pub(crate) in_force: InForce,
+    pub(crate) metrics: Arc<Metrics>,
+    /// Cancelled once the node takes no new work.
+    pub(crate) leaving: CancellationToken,
+    /// The requests that are being served.
+    pub(crate) requests: TaskTracker,
+}
+
+/// How the process is told to end.
+#[derive(Clone, Debug, Default)]
+pub struct Shutdown {
+    /// Finish what runs, take nothing new, then end.
+    pub drain: CancellationToken,
+    /// End now.
+    pub now: CancellationToken,
+}
+
+/// A target node whose listeners are bound.
+pub struct TargetNode {
+    context: Arc<Context>,
+    endpoint: Endpoint,
+    admin: TcpAcceptor,
+    admin_address: SocketAddr,
+    registry: prometheus_client::registry::Registry,
+    drain_timeout: Duration,
+}
+
+impl TargetNode {
+    /// Binds the listeners that `settings` name.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the credentials cannot be used or a listener cannot be bound.
+    pub async fn bind(settings: &TargetSettings) -> Result<Self, Report<Error>> {
+        let credentials = Credentials::load(&CredentialPaths {
+            ca: settings.tls.ca.clone(),
+            certificate: settings.tls.certificate.clone(),
+            key: settings.tls.key.clone(),
+        })
+        .change_context(Error::Credentials)?;
+        let endpoint = bind_server(
+            settings.listen.quic,
+            &credentials,
+            EndpointOptions::default(),
+        )
+        .change_context(Error::Bind)?;
+        let admin = TcpListener::bind(settings.listen.admin)
+            .await
+            .change_context(Error::Bind)?;
+        let admin_address = admin.local_addr().change_context(Error::Bind)?;
+        let (metrics, registry) = Metrics::register();
+        let context = Arc::new(new_context(settings, metrics)?);
+        Ok(Self {
+            context,
+            endpoint,
+            admin: TcpAcceptor::try_from(admin).change_context(Error::Bind)?,
+            admin_address,
+            registry,
+            drain_timeout: Duration::from_millis(settings.drain.timeout_ms),
+        })
+    }
+
+    /// Returns the address at which links are accepted.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Bind`] if the socket has no address.
+    pub fn quic_address(&self) -> Result<SocketAddr, Report<Error>> {
+        self.endpoint.local_addr().change_context(Error::Bind)
+    }
+
+    /// Returns the address of the admin listener.
+    #[must_use]
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Serves until `shutdown` says otherwise.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Supervisor`] if a part of the process failed too often.
+    pub async fn run(self, shutdown: Shutdown) -> Result<(), Report<Error>> {
+        let stop = CancellationToken::new();
+        let admin = admin::router(self.context.clone(), self.registry);
+        let admin_server = Server::new(self.admin);
+        let admin_handle = admin_server.handle();
+        let admin_task = tokio::spawn(admin_server.serve(admin));
+        let mut supervisor = Supervisor::new(stop.clone(), RestartPolicy::default());
+        spawn_timer(&mut supervisor, &self.context, &stop);
+        spawn_links(&mut supervisor, &self.context, &self.endpoint, &stop);
+        let drain = drain(self.context.clone(), shutdown, self.drain_timeout);
+        let outcome = tokio::select! {
+            ended = supervisor.join() => ended.change_context(Error::Supervisor),
+            () = drain => Ok(()),
+        };
+        stop.cancel();
+        self.endpoint.close(0u32.into(), b"");
+        self.endpoint.wait_idle().await;
+        admin_handle.stop_forceful();
+        admin_task.abort();
+        outcome
+    }
+}
+
+fn new_context(settings: &TargetSettings, metrics: Arc<Metrics>) -> Result<Context, Report<Error>> {
+    let clock = Clock::start();
+    let gate = Gate::new(Options::default(), clock, metrics.clone());
+    Ok(Context {
+        vm: settings.node.name.clone(),
+        pool: settings.node.pool.clone(),
+        incarnation: Incarnation::random(&mut rand::rng()),
+        clock,
+        gate: Arc::new(gate),
+        engine: Engine::new(&settings.target)?,
+        in_force: InForce::new(settings.node.pool.clone()),
+        metrics,
+        leaving: CancellationToken::new(),
+        requests: TaskTracker::new(),
+    })
+}
+
+fn spawn_timer(supervisor: &mut Supervisor, context: &Arc<Context>, stop: &CancellationToken) {
+    let gate = context.gate.clone();
+    let stop = stop.clone();
+    supervisor.spawn("admission timer", move || {
+        let gate = gate.clone();
+        let stop = stop.clone();
+        async move {
+            tokio::select! {
+                () = gate.run_timer() => {}
+                () = stop.cancelled() => {}
+            }
+            Ok(())
+        }
+    });
+}
+
+fn spawn_links(
+    supervisor: &mut Supervisor,
+    context: &Arc<Context>,
+    endpoint: &Endpoint,
+    stop: &CancellationToken,
+) {
+    let context = context.clone();
+    let endpoint = endpoint.clone();
+    let stop = stop.clone();
+    supervisor.spawn("links", move || {
+        let context = context.clone();
+        let endpoint = endpoint.clone();
+        let stop = stop.clone();
+        async move {
+            link::accept(&endpoint, &context, &stop).await;
+            Ok(())
+        }
+    });
+}
+
+/// Waits for the order to end, then until what runs has ended, the drain timeout has passed or the order comes to end now.
+async fn drain(context: Arc<Context>, shutdown: Shutdown, timeout: Duration) {
+    tokio::select! {
+        () = shutdown.drain.cancelled() => {}
+        () = shutdown.now.cancelled() => return,
+    }
+    log::info!(target: "node", "Draining.");
+    context.leaving.cancel();
+    context.gate.start_drain();
+    let finished = async {
+        context.gate.drained().await;
+        context.requests.close();
+        context.requests.wait().await;
+    };
+    tokio::select! {
+        () = finished => log::info!(target: "node", "Drained."),
+        () = tokio::time::sleep(timeout) => {
+            log::warn!(target: "node", "The drain timeout has passed with requests running.");
+        }
+        () = shutdown.now.cancelled() => {
+            log::warn!(target: "node", "Ending with requests running.");
+        }
+    }
+}
--- /dev/null
+++ b/eel-target/src/serve.rs
@@ -0,0 +1,316 @@
+//! One request: admitted, sent to the target, its answer passed on.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use eel_admit::{Arrival, Finish};
+use eel_telemetry::trace;
+use eel_types::RequestKey;
+use eel_verdict::{Reason, Refusal};
+use eel_wire::{
+    codec,
+    message::{ReplyEnd, ReplyHead, ReplyRefused, ServeReply, ServeRequest},
+};
+use error_stack::{Report, ResultExt as _};
+use fastrace::Span;
+use futures_util::FutureExt as _;
+use quinn::SendStream;
+use reqwest::Response;
+use tokio::time::Instant;
+
+use crate::{
+    engine::answer_headers,
+    gate::{Decision, Gate, Ticket},
+    link::Link,
+    metrics::{AttemptLabels, ClassLabel, Outcome},
+};
+
+mod end_mark;
+mod timing;
+
+use end_mark::EndMark;
+use timing::Timing;
+
+/// The answer is handed to the link once this much of it is buffered.
+const FLUSH_BYTES: usize = 64 * 1024;
+/// The longest pause within an answer before its connection counts as silent.
+const STALL_TIMEOUT: Duration = Duration::from_secs(10);
+
+type WireResult<T> = Result<T, Report<eel_wire::Error>>;
+
+/// Serves `request` and writes its answer or refusal to `send`.
+///
+/// # Errors
+///
+/// An error of the link; the target's failures become refusals.
+pub(crate) async fn serve(
+    link: &Arc<Link>,
+    request: ServeRequest,
+    send: &mut SendStream,
+) -> WireResult<()> {
+    let parent = trace::context(request.traceparent.as_deref(), false);
+    let span = trace::hop("target", parent);
+    let arrived = Instant::now();
+    let deadline_ms = link.deadline_ms(request.sent_ms, request.time_left_ms);
+    let mut ticket = link.context.gate.arrive(Arrival {
+        key: request.key,
+        link: link.key,
+        caller: request.caller.clone(),
+        class: request.class,
+        deadline_ms,
+        repeatable: request.repeatable,
+    });
+    let decision = tokio::select! {
+        decision = ticket.decided() => decision,
+        _ = send.stopped() => {
+            link.context.gate.cancel(request.key);
+            ticket.decided().await
+        }
+    };
+    span.add_property(|| ("wait_us", arrived.elapsed().as_micros().to_string()));
+    let ended = match decision {
+        Decision::Refuse(refusal) => Ended::Refused(refusal),
+        Decision::Start => {
+            let waited = arrived.elapsed().as_secs_f64();
+            link.context.metrics.wait_seconds.observe(waited);
+            Attempt::new(link, &request, &ticket, deadline_ms)
+                .run(send, &span)
+                .await?
+        }
+    };
+    count(link, &request, &ended);
+    match ended {
+        Ended::Answered => Ok(()),
+        Ended::Refused(refusal) | Ended::Failed(refusal) => {
+            span.add_property(|| ("refusal", refusal.to_string()));
+            refuse(link, send, request.key, refusal).await
+        }
+    }
+}
+
+/// How an attempt ended.
+enum Ended {
+    Answered,
+    Refused(Refusal),
+    Failed(Refusal),
+}
+
+fn count(link: &Link, request: &ServeRequest, ended: &Ended) {
+    let outcome = match ended {
+        Ended::Answered => Outcome::Answered,
+        Ended::Refused(_) => Outcome::Refused,
+        Ended::Failed(_) => Outcome::Failed,
+    };
+    let labels = AttemptLabels {
+        class: ClassLabel::from(request.class),
+        outcome,
+    };
+    link.context.metrics.attempts.get_or_create(&labels).inc();
+}
+
+async fn refuse(
+    link: &Link,
+    send: &mut SendStream,
+    key: RequestKey,
+    refusal: Refusal,
+) -> WireResult<()> {
+    let reply = ServeReply::Refused(ReplyRefused {
+        key,
+        refusal,
+        load: link.context.gate.report(link.key),
+    });
+    codec::write(send, &reply).await
+}
+
+/// Frees the slot of a started request, however its task ends.
+struct SlotGuard<'a> {
+    gate: &'a Gate,
+    finish: Option<Finish>,
+}
+
+impl<'a> SlotGuard<'a> {
+    fn new(gate: &'a Gate, key: RequestKey) -> Self {
+        let finish = Finish {
+            key,
+            first_byte_ms: None,
+            between_tokens_ms: None,
+        };
+        Self {
+            gate,
+            finish: Some(finish),
+        }
+    }
+
+    fn release(mut self, timing: &Timing) {
+        if let Some(mut finish) = self.finish.take() {
+            finish.first_byte_ms = timing.first_byte_ms();
+            finish.between_tokens_ms = timing.between_tokens_ms();
+            self.gate.finish(finish);
+        }
+    }
+}
+
+impl Drop for SlotGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(finish) = self.finish.take() {
+            self.gate.finish(finish);
+        }
+    }
+}
+
+/// A started request.
+struct Attempt<'a> {
+    link: &'a Link,
+    request: &'a ServeRequest,
+    ticket: &'a Ticket,
+    deadline: Instant,
+}
+
+impl<'a> Attempt<'a> {
+    fn new(
+        link: &'a Link,
+        request: &'a ServeRequest,
+        ticket: &'a Ticket,
+        deadline_ms: u64,
+    ) -> Self {
+        let deadline = link.context.clock.instant(deadline_ms).into();
+        Self {
+            link,
+            request,
+            ticket,
+            deadline,
+        }
+    }
+
+    async fn run(&self, send: &mut SendStream, span: &Span) -> WireResult<Ended> {
+        let slot = SlotGuard::new(&self.link.context.gate, self.request.key);
+        let mut timing = Timing::start();
+        let traceparent = trace::traceparent(span).or_else(|| self.traceparent());
+        let answer = self.link.context.engine.send(self.request, traceparent);
+        let answered = tokio::select! {
+            answered = answer => answered,
+            refusal = self.interrupted(send) => Err(refusal),
+        };
+        let ended = match answered {
+            Ok(response) => self.pass_on(response, send, &mut timing).await,
+            Err(refusal) => Ok(Ended::Failed(refusal)),
+        };
+        if let Some(first_byte) = timing.first_byte() {
+            let first_byte_seconds = &self.link.context.metrics.first_byte_seconds;
+            first_byte_seconds.observe(first_byte.as_secs_f64());
+        }
+        slot.release(&timing);
+        let ended = ended?;
+        if matches!(ended, Ended::Answered) {
+            self.end(send, timing.body_bytes()).await?;
+        }
+        Ok(ended)
+    }
+
+    fn traceparent(&self) -> Option<String> {
+        self.request.traceparent.as_deref().map(str::to_owned)
+    }
+
+    /// Waits for whatever ends a started request before its answer does.
+    ///
+    /// A request that is not repeatable runs to its end when its entry node is gone: cutting it off half-way would leave
+    /// its effect unknown and gain nothing.
+    async fn interrupted(&self, send: &SendStream) -> Refusal {
+        let repeatable = self.request.repeatable;
+        tokio::select! {
+            () = self.ticket.cancelled() => Refusal::may_have_run(Reason::Cancelled),
+            _ = send.stopped(), if repeatable => Refusal::may_have_run(Reason::Cancelled),
+            () = tokio::time::sleep_until(self.deadline) => {
+                Refusal::may_have_run(Reason::DeadlineExceeded)
+            }
+        }
+    }
+
+    async fn pass_on(
+        &self,
+        mut response: Response,
+        send: &mut SendStream,
+        timing: &mut Timing,
+    ) -> WireResult<Ended> {
+        let is_engine = self.link.context.in_force.is_engine(&self.request.service);
+        let mut end_mark = EndMark::new(is_engine, response.headers());
+        let mut buffer = Vec::with_capacity(1024);
+        codec::append(&mut buffer, &self.head(&response))?;
+        loop {
+            let ready = response.chunk().now_or_never();
+            let part = if let Some(part) = ready {
+                part
+            } else {
+                write_out(send, &mut buffer).await?;
+                match self.next_part(&mut response, send).await {
+                    Ok(part) => part,
+                    Err(refusal) => return Ok(Ended::Failed(refusal)),
+                }
+            };
+            match part {
+                Ok(Some(data)) => {
+                    timing.on_part(data.len());
+                    end_mark.on_data(&data);
+                    append_data(&mut buffer, data)?;
+                    if buffer.len() >= FLUSH_BYTES {
+                        write_out(send, &mut buffer).await?;
+                    }
+                }
+                Ok(None) if end_mark.is_whole() => {
+                    write_out(send, &mut buffer).await?;
+                    return Ok(Ended::Answered);
+                }
+                Ok(None) | Err(_) => {
+                    write_out(send, &mut buffer).await?;
+                    return Ok(Ended::Failed(Refusal::may_have_run(Reason::Truncated)));
+                }
+            }
+        }
+    }
+
+    async fn next_part(
+        &self,
+        response: &mut Response,
+        send: &SendStream,
+    ) -> Result<reqwest::Result<Option<Bytes>>, Refusal> {
+        tokio::select! {
+            part = response.chunk() => Ok(part),
+            refusal = self.interrupted(send) => Err(refusal),
+            () = tokio::time::sleep(STALL_TIMEOUT) => {
+                Err(Refusal::may_have_run(Reason::Truncated))
+            }
+        }
+    }
+
+    fn head(&self, response: &Response) -> ServeReply {
+        ServeReply::Head(ReplyHead {
+            key: self.request.key,
+            status: response.status().as_u16(),
+            headers: answer_headers(response.headers()),
+        })
+    }
+
+    async fn end(&self, send: &mut SendStream, body_bytes: u64) -> WireResult<()> {
+        let end = ServeReply::End(ReplyEnd {
+            key: self.request.key,
+            body_bytes,
+            load: self.link.context.gate.report(self.link.key),
+        });
+        codec::write(send, &end).await
+    }
+}
+
+fn append_data(buffer: &mut Vec<u8>, data: Bytes) -> WireResult<()> {
+    codec::append(buffer, &ServeReply::Data(data))
+}
+
+async fn write_out(send: &mut SendStream, buffer: &mut Vec<u8>) -> WireResult<()> {
+    if buffer.is_empty() {
+        return Ok(());
+    }
+    send.write_all(buffer)
+        .await
+        .change_context(eel_wire::Error::Closed)?;
+    buffer.clear();
+    Ok(())
+}
--- /dev/null
+++ b/eel-target/src/serve/end_mark.rs
@@ -0,0 +1,43 @@
+//! The end mark of streamed completions.
+
+use http::{HeaderMap, header::CONTENT_TYPE};
+
+/// The last event of a streamed completion.
+///
+/// Source: the streaming format of the `OpenAI` completions interface.
+const DONE: &[u8] = b"data: [DONE]";
+
+/// Enough of an answer's end to hold the mark and the line ends after it.
+const TAIL_BYTES: usize = 32;
+
+/// Tells whether a streamed completion has come as a whole; answers of other kinds need no mark.
+pub(super) struct EndMark {
+    required: bool,
+    tail: Vec<u8>,
+}
+
+impl EndMark {
+    pub(super) fn new(is_engine: bool, headers: &HeaderMap) -> Self {
+        let content_type = headers.get(CONTENT_TYPE);
+        let is_stream =
+            content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
+        Self {
+            required: is_engine && is_stream,
+            tail: Vec::new(),
+        }
+    }
+
+    pub(super) fn on_data(&mut self, data: &[u8]) {
+        if !self.required {
+            return;
+        }
+        let kept = &data[data.len().saturating_sub(TAIL_BYTES)..];
+        self.tail.extend_from_slice(kept);
+        let surplus = self.tail.len().saturating_sub(TAIL_BYTES);
+        self.tail.drain(..surplus);
+    }
+
+    pub(super) fn is_whole(&self) -> bool {
+        !self.required || self.tail.trim_ascii_end().ends_with(DONE)
+    }
+}
--- /dev/null
+++ b/eel-types/src/clock.rs
@@ -0,0 +1,31 @@
+//! The monotonic clock of a process.
+
+use std::time::{Duration, Instant};
+
+/// Tells the time since the process started; the functions that decide take it as `now_ms`.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    started: Instant,
+}
+
+impl Clock {
+    /// Starts the clock at 0 ms.
+    #[must_use]
+    pub fn start() -> Self {
+        Self {
+            started: Instant::now(),
+        }
+    }
+
+    /// Returns the present time.
+    #[must_use]
+    pub fn now_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Returns the instant at which this clock shows `at_ms`.
+    #[must_use]
+    pub fn instant(&self, at_ms: u64) -> Instant {
+        self.started + Duration::from_millis(at_ms)
+    }
+}
--- a/eel-types/src/id.rs
+++ b/eel-types/src/id.rs
@@ -26,6 +26,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Attempt(pub u32);
 
+/// Identifies one attempt of one request; an answer counts only if it carries the same key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestKey {
+    /// The request.
+    pub id: RequestId,
+    /// The attempt.
+    pub attempt: Attempt,
+}
+
 /// Distinguishes successive processes that run under the same VM name and address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
--- a/eel-types/src/lib.rs
+++ b/eel-types/src/lib.rs
@@ -1,13 +1,14 @@
 //! Identifiers and small enums that every crate of the workspace shares.
 
 mod class;
+mod clock;
 mod id;
-mod listed_vm;
 mod load;
 mod name;
+mod vm;
 
 pub use class::Class;
-pub use id::{Attempt, Incarnation, RequestId, Revision};
-pub use listed_vm::{ListedState, ListedVm};
+pub use clock::Clock;
+pub use id::{Attempt, Incarnation, RequestId, RequestKey, Revision};
 pub use load::LoadReport;
 pub use name::Name;
--- a/eel-wire/src/message.rs
+++ b/eel-wire/src/message.rs
@@ -1,22 +1,13 @@
 //! The messages that travel on a link.
 
 use bytes::Bytes;
-use eel_types::{Attempt, Class, Incarnation, LoadReport, Name, RequestId, Revision};
+use eel_types::{Class, Incarnation, LoadReport, Name, RequestKey, Revision};
 use eel_verdict::Refusal;
 use serde::{Deserialize, Serialize};
 
 /// The version of these messages; nodes with different versions refuse each other's links.
 pub const PROTOCOL_VERSION: u32 = 1;
 
-/// Identifies one attempt of one request; an answer counts only if it carries the same key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct RequestKey {
-    /// The request.
-    pub id: RequestId,
-    /// The attempt.
-    pub attempt: Attempt,
-}
-
 /// One HTTP header.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Header {
@@ -46,8 +37,10 @@
     pub vm: Name,
     /// The entry node's process.
     pub incarnation: Incarnation,
-    /// Counts the links of this process to this target; a higher generation fences the lower ones.
+    /// Counts the links of this process to this target.
     pub generation: u64,
+    /// Whether nothing that came over links with a lower generation may start any more.
+    pub supersedes: bool,
 }
 
 /// Asks for a sign of life.
@@ -55,6 +48,10 @@
 pub struct Ping {
     /// Counts the pings of the link.
     pub sequence: u64,
+    /// The sender's monotonic time.
+    pub sent_ms: u64,
+    /// Whether the entry node has batch items for this target.
+    pub wants_credits: bool,
 }
 
 /// Records in force at a revision.
@@ -110,9 +107,9 @@
 pub enum Opening {
     /// Asks to run a request.
     Serve(Box<ServeRequest>),
-    /// Asks what became of an attempt, and bars it from starting if it has not started.
+    /// Asks what became of an attempt, and bars it from starting if it has not started; answered by [`Settlement`].
     Settle(RequestKey),
-    /// Asks for the configuration that is in force at the target node.
+    /// Asks for the configuration in force at the target node; answered by [`Configuration`].
     FetchConfiguration,
 }
 
@@ -127,7 +124,9 @@
     pub service: Name,
     /// The priority class.
     pub class: Class,
-    /// The time left until the caller's deadline.
+    /// The sender's monotonic time, from which the target node tells how long the message has travelled.
+    pub sent_ms: u64,
+    /// The time left until the caller's deadline when the message was sent.
     pub time_left_ms: u64,
     /// Whether the request may run more than once.
     pub repeatable: bool,
@@ -195,6 +194,11 @@
 pub enum Settlement {
     /// The attempt has not started and never will.
     NeverStarted,
-    /// The attempt has started; it is cancelled if it still runs.
-    Started,
+    /// The attempt has started.
+    Started {
+        /// Whether it has ended at the target.
+        finished: bool,
+    },
+    /// The attempt is not remembered, but may have been forgotten: it may have run.
+    Unknown,
 }
