feat: serve requests end to end through separate processes

Cause: nothing was served yet.

Ruled out: streaming every answer, since an answer that breaks off after its first byte cannot be tried again; answers up to 64 KiB are collected first, event streams are not.

Change: the entry node (intake, attempts, links with settlement, configuration and VM list) and both binaries; process tests with the stand-ins in the test's process.

Found: `told_by_itself` failed once in a full run with "no-target", because the test stopped a target before the entry node had a link to the other one; ready means one open link.

--- a/eel-batch/src/runner/slot.rs
+++ b/eel-batch/src/runner/slot.rs
@@ -96,6 +96,7 @@
         | Reason::Truncated
         | Reason::DeadlineExceeded
         | Reason::UnknownService
+        | Reason::RequestTimeout
         | Reason::Conflict => Weight::Failed,
         Reason::BadRequest | Reason::Unauthorized | Reason::Forbidden | Reason::TooLarge => {
             Weight::Permanent
--- a/eel-core/src/lib.rs
+++ b/eel-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod keys;
 mod lock;
 pub mod plan;
+pub mod serve;
 pub mod settings_check;
 pub mod status;
 mod store_records;
--- /dev/null
+++ b/eel-core/src/serve.rs
@@ -0,0 +1,96 @@
+//! Runs the two kinds of node until they are told to end.
+
+use std::path::Path;
+
+use eel_entry::EntryNode;
+use eel_settings::{EntrySettings, TargetSettings, TelemetrySettings};
+use eel_supervise::Shutdown;
+use eel_target::TargetNode;
+use eel_telemetry::{logs, trace};
+use error_stack::{Report, ResultExt as _};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Why a node ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The settings file cannot be used.
+    #[error("the settings cannot be used")]
+    Settings,
+    /// Logs or traces cannot be set up.
+    #[error("telemetry cannot be set up")]
+    Telemetry,
+    /// Signals cannot be received.
+    #[error("signals cannot be received")]
+    Signals,
+    /// The node cannot start or go on.
+    #[error("the node cannot go on")]
+    Node,
+}
+
+/// Runs an entry node with the settings at `path`.
+///
+/// # Errors
+///
+/// [`Error`] if the node cannot start or go on.
+pub async fn entry(path: &Path) -> Result<(), Report<Error>> {
+    let settings = EntrySettings::load(path).change_context(Error::Settings)?;
+    install_telemetry(&settings.telemetry)?;
+    let node = EntryNode::bind(&settings)
+        .await
+        .change_context(Error::Node)?;
+    let http = node.http_address().change_context(Error::Node)?;
+    let admin = node.admin_address().change_context(Error::Node)?;
+    log::info!(target: "node", "Callers are served at {http}.");
+    log::info!(target: "node", "Metrics are served at {admin}.");
+    let ended = node.run(shutdown_by_signals()?).await;
+    trace::flush();
+    ended.change_context(Error::Node)
+}
+
+/// Runs a target node with the settings at `path`.
+///
+/// # Errors
+///
+/// [`Error`] if the node cannot start or go on.
+pub async fn target(path: &Path) -> Result<(), Report<Error>> {
+    let settings = TargetSettings::load(path).change_context(Error::Settings)?;
+    install_telemetry(&settings.telemetry)?;
+    let node = TargetNode::bind(&settings)
+        .await
+        .change_context(Error::Node)?;
+    let quic = node.quic_address().change_context(Error::Node)?;
+    let admin = node.admin_address();
+    log::info!(target: "node", "Links are accepted at {quic}.");
+    log::info!(target: "node", "Metrics are served at {admin}.");
+    let ended = node.run(shutdown_by_signals()?).await;
+    trace::flush();
+    ended.change_context(Error::Node)
+}
+
+fn install_telemetry(settings: &TelemetrySettings) -> Result<(), Report<Error>> {
+    logs::install(&logs::Options {
+        level: settings.log_level,
+        file: settings.log_file.clone(),
+    })
+    .change_context(Error::Telemetry)?;
+    if let Some(path) = &settings.trace_file {
+        trace::install_file(path).change_context(Error::Telemetry)?;
+    }
+    Ok(())
+}
+
+/// Ends the node on SIGTERM or SIGINT: the first drains it, the second ends it at once.
+fn shutdown_by_signals() -> Result<Shutdown, Report<Error>> {
+    let shutdown = Shutdown::default();
+    for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
+        let signals = signal(kind).change_context(Error::Signals)?;
+        tokio::spawn(pass_on(signals, shutdown.clone()));
+    }
+    Ok(shutdown)
+}
+
+async fn pass_on(mut signals: Signal, shutdown: Shutdown) {
+    while signals.recv().await.is_some() {
+        shutdown.on_signal();
+    }
+}
--- /dev/null
+++ b/eel-entry/src/authenticate.rs
@@ -0,0 +1,58 @@
+//! Which caller a key belongs to.
+
+use std::collections::HashMap;
+
+use eel_record::Snapshot;
+use eel_types::Name;
+use eel_verdict::{Reason, Refusal};
+use http::{HeaderMap, header::AUTHORIZATION};
+use sha2::{Digest as _, Sha256};
+
+const SCHEME: &str = "Bearer ";
+
+/// Callers by the SHA-256 digests of their keys, in lower-case hexadecimal.
+#[derive(Debug, Default)]
+pub(crate) struct CallerIndex {
+    by_digest: HashMap<Name, Name>,
+}
+
+impl CallerIndex {
+    pub(crate) fn new(snapshot: &Snapshot) -> Self {
+        let by_digest = snapshot
+            .callers
+            .iter()
+            .flat_map(|(name, caller)| {
+                let digests = caller.key_sha256.iter();
+                digests.map(|digest| (digest.clone(), name.clone()))
+            })
+            .collect();
+        Self { by_digest }
+    }
+
+    /// Returns the caller that sent `headers`.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a missing or unknown key.
+    pub(crate) fn caller(&self, headers: &HeaderMap) -> Result<Name, Refusal> {
+        let unauthorized = Refusal::not_run(Reason::Unauthorized);
+        let key = headers
+            .get(AUTHORIZATION)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|text| text.strip_prefix(SCHEME))
+            .ok_or(unauthorized)?;
+        let digest = digest(key);
+        let caller = self.by_digest.get(digest.as_str());
+        caller.cloned().ok_or(unauthorized)
+    }
+}
+
+fn digest(key: &str) -> String {
+    use std::fmt::Write as _;
+
+    let mut text = String::with_capacity(64);
+    for byte in Sha256::digest(key.as_bytes()) {
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
--- a/eel-entry/src/lib.rs
+++ b/eel-entry/src/lib.rs
@@ -1,1 +1,15 @@
 //! The entry node: HTTP in, QUIC to target nodes, batch jobs from the store.
+
+mod admin;
+mod authenticate;
+mod config;
+mod error;
+mod link;
+mod membership;
+mod metrics;
+mod node;
+mod routing;
+mod serve;
+
+pub use error::Error;
+pub use node::{Context, EntryNode};
--- /dev/null
+++ b/eel-entry/src/link/attempt.rs
@@ -0,0 +1,143 @@
+//! One attempt of a request over a link.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use eel_types::{LoadReport, RequestKey};
+use eel_verdict::{Reason, Refusal, Verdict};
+use eel_wire::{
+    codec,
+    message::{Opening, ReplyHead, ServeReply, ServeRequest},
+};
+use error_stack::Report;
+use quinn::RecvStream;
+
+use super::{Link, Session, settle::settle};
+
+/// An attempt that is about to be sent.
+pub(crate) struct Attempt {
+    link: Arc<Link>,
+    session: Arc<Session>,
+    key: RequestKey,
+}
+
+/// An answer whose head has come.
+pub(crate) struct Reply {
+    pub(crate) head: ReplyHead,
+    attempt: Attempt,
+    recv: RecvStream,
+    body_bytes: u64,
+}
+
+/// The next part of an answer.
+pub(crate) enum ReplyPart {
+    /// More of the body.
+    Data(Bytes),
+    /// The answer is whole.
+    End(LoadReport),
+}
+
+impl Attempt {
+    /// Prepares an attempt over the open connection of `link`.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the attempt as not run if no connection is open.
+    pub(crate) fn new(link: Arc<Link>, key: RequestKey) -> Result<Self, Refusal> {
+        let session = link
+            .session()
+            .ok_or(Refusal::not_run(Reason::TargetFailed))?;
+        Ok(Self { link, session, key })
+    }
+
+    /// Sends `request` and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// The target node's refusal, or one of this side whose verdict has been settled with the target node.
+    pub(crate) async fn send(self, request: ServeRequest) -> Result<Reply, Refusal> {
+        let lost = self.session.lost.clone();
+        let opened = tokio::select! {
+            opened = self.session.connection.open_bi() => opened.ok(),
+            () = lost.cancelled() => None,
+        };
+        let Some((mut send, mut recv)) = opened else {
+            return Err(Refusal::not_run(Reason::TargetFailed));
+        };
+        let exchanged = tokio::select! {
+            head = exchange(&mut send, &mut recv, request) => head,
+            () = lost.cancelled() => Err(Report::new(eel_wire::Error::Closed)),
+        };
+        match exchanged {
+            Ok(ServeReply::Head(head)) if head.key == self.key => Ok(Reply {
+                head,
+                attempt: self,
+                recv,
+                body_bytes: 0,
+            }),
+            Ok(ServeReply::Refused(refused)) if refused.key == self.key => Err(refused.refusal),
+            Ok(_) | Err(_) => Err(self.settled(Reason::TargetFailed).await),
+        }
+    }
+
+    async fn settled(&self, reason: Reason) -> Refusal {
+        let verdict = settle(&self.link, &self.session, self.key).await;
+        Refusal {
+            verdict,
+            reason,
+            retry_after_ms: None,
+        }
+    }
+}
+
+async fn exchange(
+    send: &mut quinn::SendStream,
+    recv: &mut RecvStream,
+    request: ServeRequest,
+) -> Result<ServeReply, Report<eel_wire::Error>> {
+    codec::write(send, &Opening::Serve(Box::new(request))).await?;
+    let _ = send.finish();
+    read_reply(recv).await
+}
+
+async fn read_reply(recv: &mut RecvStream) -> Result<ServeReply, Report<eel_wire::Error>> {
+    let reply = codec::read(recv).await?;
+    reply.ok_or_else(|| Report::new(eel_wire::Error::Closed))
+}
+
+impl Reply {
+    /// Waits for the next part.
+    ///
+    /// # Errors
+    ///
+    /// A refusal if the answer ends before its end mark, or is not the answer to this attempt.
+    pub(crate) async fn next(&mut self) -> Result<ReplyPart, Refusal> {
+        let read = tokio::select! {
+            reply = read_reply(&mut self.recv) => reply,
+            () = self.attempt.session.lost.cancelled() => {
+                Err(Report::new(eel_wire::Error::Closed))
+            }
+        };
+        match read {
+            Ok(ServeReply::Data(data)) => {
+                self.body_bytes += data.len() as u64;
+                Ok(ReplyPart::Data(data))
+            }
+            Ok(ServeReply::End(end)) if self.is_whole(end.key, end.body_bytes) => {
+                Ok(ReplyPart::End(end.load))
+            }
+            Ok(ServeReply::Refused(refused)) if refused.key == self.attempt.key => {
+                Err(refused.refusal)
+            }
+            Ok(_) | Err(_) => Err(Refusal {
+                verdict: Verdict::MayHaveRun,
+                reason: Reason::Truncated,
+                retry_after_ms: None,
+            }),
+        }
+    }
+
+    fn is_whole(&self, key: RequestKey, body_bytes: u64) -> bool {
+        key == self.attempt.key && body_bytes == self.body_bytes
+    }
+}
--- /dev/null
+++ b/eel-entry/src/link/mod.rs
@@ -0,0 +1,10 @@
+//! Links to target nodes: kept alive, replaced when silent, and the attempts that travel on them.
+
+mod attempt;
+mod keeper;
+mod session;
+mod settle;
+
+pub(crate) use attempt::{Attempt, Reply, ReplyPart};
+pub(crate) use keeper::{Identity, Link, LinkEvents, run};
+pub(crate) use session::Session;
--- /dev/null
+++ b/eel-entry/src/link/settle.rs
@@ -0,0 +1,62 @@
+//! Finds out over a fresh link what became of an attempt whose link was lost.
+
+use std::{sync::Arc, time::Duration};
+
+use eel_types::RequestKey;
+use eel_verdict::Verdict;
+use eel_wire::{
+    codec,
+    message::{Opening, Settlement},
+};
+use error_stack::{Report, ResultExt as _};
+
+use super::{Link, Session};
+
+/// How long a fresh link and its answer are waited for; after that the attempt counts as one that may have run.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Returns whether the attempt may have run, and bars it from starting if it has not.
+///
+/// A fresh link to another process under the same address proves nothing: the process before may have run the attempt.
+pub(super) async fn settle(link: &Link, old: &Arc<Session>, key: RequestKey) -> Verdict {
+    let settled = tokio::time::timeout(SETTLE_TIMEOUT, ask(link, old, key)).await;
+    match settled {
+        Ok(Some(Settlement::NeverStarted)) => Verdict::NotRun,
+        Ok(Some(Settlement::Started { finished: true })) => Verdict::Ran,
+        Ok(Some(Settlement::Started { finished: false } | Settlement::Unknown) | None) | Err(_) => {
+            Verdict::MayHaveRun
+        }
+    }
+}
+
+async fn ask(link: &Link, old: &Arc<Session>, key: RequestKey) -> Option<Settlement> {
+    let session = if old.lost.is_cancelled() {
+        link.session_after(old).await?
+    } else {
+        old.clone()
+    };
+    if session.incarnation != old.incarnation {
+        return None;
+    }
+    match ask_over(&session, key).await {
+        Ok(settlement) => settlement,
+        Err(error) => {
+            log::debug!(target: "link", "An attempt cannot be settled: {error}.");
+            None
+        }
+    }
+}
+
+async fn ask_over(
+    session: &Session,
+    key: RequestKey,
+) -> Result<Option<Settlement>, Report<eel_wire::Error>> {
+    let (mut send, mut recv) = session
+        .connection
+        .open_bi()
+        .await
+        .change_context(eel_wire::Error::Closed)?;
+    codec::write(&mut send, &Opening::Settle(key)).await?;
+    let _ = send.finish();
+    codec::read(&mut recv).await
+}
--- /dev/null
+++ b/eel-entry/src/metrics.rs
@@ -0,0 +1,103 @@
+//! Metrics of the entry node.
+
+use std::sync::Arc;
+
+use eel_telemetry::metrics::registry;
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// Labels of the counts of refusals.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RefusalLabels {
+    pub(crate) reason: &'static str,
+    pub(crate) verdict: &'static str,
+}
+
+/// The metrics of one process.
+pub(crate) struct Metrics {
+    pub(crate) requests: Counter,
+    pub(crate) answers: Counter,
+    pub(crate) refusals: Family<RefusalLabels, Counter>,
+    pub(crate) retries: Counter,
+    pub(crate) cut_streams: Counter,
+    pub(crate) open_requests: Gauge,
+    pub(crate) links: Gauge,
+    pub(crate) revision: Gauge,
+    pub(crate) first_byte_seconds: Histogram,
+}
+
+impl Metrics {
+    /// Creates the metrics and the registry that holds them.
+    pub(crate) fn register() -> (Arc<Self>, Registry) {
+        let metrics = Self {
+            requests: Counter::default(),
+            answers: Counter::default(),
+            refusals: Family::default(),
+            retries: Counter::default(),
+            cut_streams: Counter::default(),
+            open_requests: Gauge::default(),
+            links: Gauge::default(),
+            revision: Gauge::default(),
+            first_byte_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 16)),
+        };
+        let mut registry = registry();
+        metrics.fill_counts(&mut registry);
+        metrics.fill_levels(&mut registry);
+        (Arc::new(metrics), registry)
+    }
+
+    fn fill_counts(&self, registry: &mut Registry) {
+        registry.register("entry_requests", "Requests received", self.requests.clone());
+        registry.register(
+            "entry_answers",
+            "Answers passed on as a whole",
+            self.answers.clone(),
+        );
+        registry.register(
+            "entry_refusals",
+            "Requests that ended without a whole answer, by reason and verdict",
+            self.refusals.clone(),
+        );
+        registry.register(
+            "entry_retries",
+            "Attempts after the first",
+            self.retries.clone(),
+        );
+        registry.register(
+            "entry_cut_streams",
+            "Streamed answers that broke off after their first part",
+            self.cut_streams.clone(),
+        );
+    }
+
+    fn fill_levels(&self, registry: &mut Registry) {
+        registry.register(
+            "entry_open_requests",
+            "Requests being served",
+            self.open_requests.clone(),
+        );
+        registry.register(
+            "entry_links",
+            "Open links to target nodes",
+            self.links.clone(),
+        );
+        registry.register(
+            "entry_configuration_revision",
+            "Revision of the configuration in force",
+            self.revision.clone(),
+        );
+        registry.register(
+            "entry_first_byte_seconds",
+            "Time from the request to the first byte of its answer",
+            self.first_byte_seconds.clone(),
+        );
+    }
+}
--- /dev/null
+++ b/eel-entry/src/node.rs
@@ -0,0 +1,277 @@
+//! The process as a whole: what its parts share, its supervisor tree and its shutdown.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use eel_record::Snapshot;
+use eel_settings::EntrySettings;
+use eel_store::{EtcdJson, EtcdOptions, HttpVmList};
+use eel_supervise::{ChildError, RestartPolicy, Shutdown, Supervisor};
+use eel_types::{Clock, Incarnation, Name};
+use eel_wire::{
+    EndpointOptions, bind_client,
+    credentials::{CredentialPaths, Credentials},
+};
+use error_stack::{Report, ResultExt as _};
+use prometheus_client::registry::Registry;
+use quinn::Endpoint;
+use salvo::{Server, conn::tcp::TcpAcceptor, server::ServerHandle};
+use tokio::{net::TcpListener, task::JoinHandle};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    Error, admin,
+    config::{self, InForce},
+    link::Identity,
+    membership,
+    metrics::Metrics,
+    routing::Routing,
+    serve,
+};
+
+/// How long the node still takes requests after it has stopped being ready, so that the balancer can move away.
+const LEAVE_NOTICE: Duration = Duration::from_secs(2);
+/// The pause before the configuration is read again after an error.
+const CONFIG_RETRY: Duration = Duration::from_millis(200);
+
+/// What the parts of the process share.
+pub struct Context {
+    pub(crate) data_centre: Name,
+    pub(crate) clock: Clock,
+    pub(crate) identity: Identity,
+    pub(crate) endpoint: Endpoint,
+    pub(crate) routing: Arc<Routing>,
+    pub(crate) in_force: InForce,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) trace_sample_percent: u8,
+    /// Cancelled once the node is not ready any more.
+    pub(crate) leaving: CancellationToken,
+    /// Cancelled once the node refuses new requests.
+    pub(crate) draining: CancellationToken,
+}
+
+impl Context {
+    /// Draws whether a request that brings no trace is traced.
+    pub(crate) fn is_sampled(&self) -> bool {
+        self.trace_sample_percent > 0
+            && rand::random_range(0..100) < u32::from(self.trace_sample_percent)
+    }
+}
+
+/// An entry node whose listeners are bound.
+pub struct EntryNode {
+    context: Arc<Context>,
+    http: TcpListener,
+    admin: TcpListener,
+    registry: Registry,
+    settings: EntrySettings,
+}
+
+impl EntryNode {
+    /// Binds the listeners that `settings` name.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the credentials cannot be used or a listener cannot be bound.
+    pub async fn bind(settings: &EntrySettings) -> Result<Self, Report<Error>> {
+        let credentials = Credentials::load(&CredentialPaths {
+            ca: settings.tls.ca.clone(),
+            certificate: settings.tls.certificate.clone(),
+            key: settings.tls.key.clone(),
+        })
+        .change_context(Error::Credentials)?;
+        let endpoint = bind_client(
+            settings.listen.quic_bind,
+            &credentials,
+            EndpointOptions::default(),
+        )
+        .change_context(Error::Bind)?;
+        let http = TcpListener::bind(settings.listen.http)
+            .await
+            .change_context(Error::Bind)?;
+        let admin = TcpListener::bind(settings.listen.admin)
+            .await
+            .change_context(Error::Bind)?;
+        let (metrics, registry) = Metrics::register();
+        Ok(Self {
+            context: Arc::new(new_context(settings, endpoint, metrics)),
+            http,
+            admin,
+            registry,
+            settings: settings.clone(),
+        })
+    }
+
+    /// Returns the address of the callers' listener.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Bind`] if the socket has no address.
+    pub fn http_address(&self) -> Result<SocketAddr, Report<Error>> {
+        self.http.local_addr().change_context(Error::Bind)
+    }
+
+    /// Returns the address of the admin listener.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Bind`] if the socket has no address.
+    pub fn admin_address(&self) -> Result<SocketAddr, Report<Error>> {
+        self.admin.local_addr().change_context(Error::Bind)
+    }
+
+    /// Serves until `shutdown` says otherwise.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if a client of the platform cannot be set up or a part of the process failed too often.
+    pub async fn run(self, shutdown: Shutdown) -> Result<(), Report<Error>> {
+        let stop = CancellationToken::new();
+        let context = self.context;
+        let store = Arc::new(open_store(&self.settings)?);
+        let vms = open_vm_list(&self.settings)?;
+        let mut supervisor = Supervisor::new(stop.clone(), RestartPolicy::default());
+        let prefix = format!("{}/config/", self.settings.store.prefix);
+        spawn_config(&mut supervisor, &context, store, prefix, &stop);
+        let poll = Duration::from_millis(self.settings.vm_list.poll_ms);
+        spawn_membership(&mut supervisor, &context, vms, poll, &stop);
+        let admin = start(self.admin, admin::router(context.clone(), self.registry))?;
+        let callers = start(self.http, serve::router(context.clone()))?;
+        let timeout = Duration::from_millis(self.settings.drain.timeout_ms);
+        let outcome = tokio::select! {
+            ended = supervisor.join() => ended.change_context(Error::Supervisor),
+            () = drain(&context, shutdown, callers, timeout) => Ok(()),
+        };
+        stop.cancel();
+        admin.handle.stop_forceful();
+        context.endpoint.close(0u32.into(), b"");
+        context.endpoint.wait_idle().await;
+        outcome
+    }
+}
+
+fn new_context(settings: &EntrySettings, endpoint: Endpoint, metrics: Arc<Metrics>) -> Context {
+    let clock = Clock::start();
+    Context {
+        data_centre: settings.node.data_centre.clone(),
+        clock,
+        identity: Identity {
+            vm: settings.node.name.clone(),
+            incarnation: Incarnation::random(&mut rand::rng()),
+            clock,
+        },
+        endpoint,
+        routing: Arc::new(Routing::new(clock)),
+        in_force: InForce::new(),
+        metrics,
+        trace_sample_percent: settings.telemetry.trace_sample_percent,
+        leaving: CancellationToken::new(),
+        draining: CancellationToken::new(),
+    }
+}
+
+fn open_store(settings: &EntrySettings) -> Result<EtcdJson, Report<Error>> {
+    let endpoints = settings.store.endpoints.iter();
+    let mut options = EtcdOptions::new(String::new());
+    options.endpoints = endpoints.map(ToString::to_string).collect();
+    options.call_timeout_ms = settings.store.timeout_ms;
+    EtcdJson::new(&options).change_context(Error::Client)
+}
+
+fn open_vm_list(settings: &EntrySettings) -> Result<HttpVmList, Report<Error>> {
+    let url = settings.vm_list.url.as_str();
+    HttpVmList::new(url, settings.store.timeout_ms).change_context(Error::Client)
+}
+
+/// A running HTTP server.
+struct HttpServer {
+    handle: ServerHandle,
+    task: JoinHandle<()>,
+}
+
+fn start(listener: TcpListener, router: salvo::Router) -> Result<HttpServer, Report<Error>> {
+    let acceptor = TcpAcceptor::try_from(listener).change_context(Error::Bind)?;
+    let server = Server::new(acceptor);
+    let handle = server.handle();
+    let task = tokio::spawn(server.serve(router));
+    Ok(HttpServer { handle, task })
+}
+
+fn spawn_config(
+    supervisor: &mut Supervisor,
+    context: &Arc<Context>,
+    store: Arc<EtcdJson>,
+    prefix: String,
+    stop: &CancellationToken,
+) {
+    let context = context.clone();
+    let stop = stop.clone();
+    supervisor.spawn("configuration", move || {
+        let context = context.clone();
+        let store = store.clone();
+        let prefix = prefix.clone();
+        let stop = stop.clone();
+        async move {
+            tokio::select! {
+                () = follow_config(&context, &store, &prefix) => Err(Report::new(ChildError)),
+                () = stop.cancelled() => Ok(()),
+            }
+        }
+    });
+}
+
+/// Follows the configuration through outages of the store.
+async fn follow_config(context: &Context, store: &EtcdJson, prefix: &str) {
+    let on_change = |previous: &Snapshot, next: &Snapshot| {
+        context.routing.configure(previous, next);
+        let revision = i64::try_from(next.revision.0).unwrap_or(i64::MAX);
+        context.metrics.revision.set(revision);
+    };
+    loop {
+        if let Err(error) = config::follow(store, prefix, &context.in_force, on_change).await {
+            log::warn!(target: "config", "The store cannot be read: {error}.");
+        }
+        tokio::time::sleep(CONFIG_RETRY).await;
+    }
+}
+
+fn spawn_membership(
+    supervisor: &mut Supervisor,
+    context: &Arc<Context>,
+    vms: HttpVmList,
+    poll: Duration,
+    stop: &CancellationToken,
+) {
+    let context = context.clone();
+    let stop = stop.clone();
+    supervisor.spawn("membership", move || {
+        let context = context.clone();
+        let vms = vms.clone();
+        let stop = stop.clone();
+        async move {
+            membership::follow(&vms, poll, context, stop).await;
+            Ok(())
+        }
+    });
+}
+
+/// Waits for the order to end, then for the balancer to move away, then for open requests.
+async fn drain(context: &Context, shutdown: Shutdown, callers: HttpServer, timeout: Duration) {
+    tokio::select! {
+        () = shutdown.drain.cancelled() => {}
+        () = shutdown.now.cancelled() => return,
+    }
+    log::info!(target: "node", "Leaving.");
+    context.leaving.cancel();
+    let finished = async {
+        tokio::time::sleep(LEAVE_NOTICE).await;
+        callers.handle.stop_graceful(timeout);
+        let _ = callers.task.await;
+    };
+    tokio::select! {
+        () = finished => log::info!(target: "node", "Drained."),
+        () = shutdown.now.cancelled() => {
+            context.draining.cancel();
+            log::warn!(target: "node", "Ending with requests open.");
+        }
+    }
+}
--- /dev/null
+++ b/eel-entry/src/serve/handler.rs
@@ -0,0 +1,68 @@
+//! The HTTP handler of callers' requests.
+
+use std::sync::Arc;
+
+use eel_telemetry::trace;
+use eel_types::RequestId;
+use eel_verdict::{Reason, Refusal};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
+
+use super::{
+    answer,
+    guard::OpenRequest,
+    intake::take_in,
+    run::{Answer, run},
+};
+use crate::node::Context;
+
+/// Returns the routes of callers.
+pub(crate) fn router(context: Arc<Context>) -> Router {
+    Router::with_path("{**rest}").goal(Serve(context))
+}
+
+struct Serve(Arc<Context>);
+
+#[async_trait]
+impl Handler for Serve {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let id = RequestId::random(&mut rand::rng());
+        let metrics = &self.0.metrics;
+        metrics.requests.inc();
+        match self.serve(id, req).await {
+            Ok((answer, open)) => answer::write(res, id, answer, open, metrics),
+            Err(refusal) => {
+                log::debug!(target: "serve", "Request {id} is refused: {refusal}.");
+                answer::write_refusal(res, id, &refusal, metrics);
+            }
+        }
+    }
+}
+
+impl Serve {
+    async fn serve(
+        &self,
+        id: RequestId,
+        req: &mut Request,
+    ) -> Result<(Answer, OpenRequest), Refusal> {
+        let context = &self.0;
+        if context.draining.is_cancelled() {
+            const RETRY_AFTER_MS: u64 = 100;
+            return Err(Refusal::not_run(Reason::Leaving).retry_after(RETRY_AFTER_MS));
+        }
+        let traceparent = req.header::<String>(trace::TRACEPARENT);
+        let parent = trace::context(traceparent.as_deref(), context.is_sampled());
+        let span = trace::hop("entry", parent);
+        span.add_property(|| ("request_id", id.to_string()));
+        let request = take_in(context, id, req).await?;
+        let permit = context.routing.admit(&request.caller)?;
+        let open = OpenRequest::new(context.metrics.clone(), permit);
+        let answer = run(context, &request, &span).await?;
+        Ok((answer, open))
+    }
+}
--- /dev/null
+++ b/eel-entry/src/serve/run.rs
@@ -0,0 +1,236 @@
+//! The attempts of one request, until one is answered or the request is given up on.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use eel_route::{AttemptEnd, Attempts, Next, Outcome, Query, RetryOptions, TargetKey};
+use eel_telemetry::trace;
+use eel_types::{LoadReport, RequestKey};
+use eel_verdict::{Reason, Refusal};
+use eel_wire::message::{ReplyHead, ServeRequest};
+use fastrace::Span;
+
+use super::{answer::is_event_stream, request::Request};
+use crate::{
+    link::{Attempt, Reply, ReplyPart},
+    node::Context,
+    routing::{Chosen, InFlight},
+};
+
+/// Answers up to this length are collected as a whole, so that a broken one can be tried again.
+const WHOLE_ANSWER_BYTES: usize = 64 * 1024;
+/// How long the target node, which answers in time itself, may be late before the entry node gives up.
+const DEADLINE_GRACE: Duration = Duration::from_millis(250);
+
+/// The answer to a request.
+pub(crate) enum Answer {
+    /// The answer has come as a whole.
+    Whole {
+        /// Status and headers.
+        head: ReplyHead,
+        /// The body.
+        body: Bytes,
+    },
+    /// The answer has begun.
+    Stream(Box<Streaming>),
+}
+
+/// An answer that is passed on while it comes.
+pub(crate) struct Streaming {
+    pub(crate) head: ReplyHead,
+    /// The part of the body that has come already.
+    pub(crate) begun: Vec<Bytes>,
+    pub(crate) reply: Reply,
+    pub(crate) end: AnswerEnd,
+}
+
+/// What is recorded once an answer has ended.
+pub(crate) struct AnswerEnd {
+    context: Arc<Context>,
+    request: Request,
+    target: TargetKey,
+    in_flight: InFlight,
+    first_byte_us: u64,
+}
+
+impl AnswerEnd {
+    /// Records that the answer has ended as a whole.
+    pub(crate) fn whole(self, load: LoadReport) {
+        let routing = &self.context.routing;
+        self.in_flight.end(Outcome::Answered {
+            first_byte_us: self.first_byte_us,
+        });
+        routing.report(&self.request.pool, self.target, load);
+        routing.on_answered(&self.request.service);
+        if let Some(prefix_hash) = self.request.prefix_hash {
+            routing.on_prefix_cached(&self.request.pool, prefix_hash, self.target);
+        }
+    }
+
+    /// Records that the answer broke off.
+    pub(crate) fn broken(self, refusal: &Refusal) {
+        self.in_flight.end(outcome_of(refusal));
+    }
+}
+
+fn outcome_of(refusal: &Refusal) -> Outcome {
+    match refusal.reason {
+        Reason::TargetFailed | Reason::Truncated => Outcome::Failed,
+        Reason::Cancelled => Outcome::Cancelled,
+        reason => Outcome::Refused(reason),
+    }
+}
+
+/// Sends `request` to targets until one answers.
+///
+/// # Errors
+///
+/// The final refusal, whose verdict covers all attempts.
+pub(crate) async fn run(
+    context: &Arc<Context>,
+    request: &Request,
+    span: &Span,
+) -> Result<Answer, Refusal> {
+    let now_ms = context.clock.now_ms();
+    let time_left_ms = request.deadline_ms.saturating_sub(now_ms);
+    context.routing.load(&request.pool).admit(time_left_ms)?;
+    let mut attempts = Attempts::new(
+        RetryOptions::default(),
+        request.repeatable,
+        request.deadline_ms,
+    );
+    loop {
+        let query = Query {
+            class: request.class,
+            prefix_hash: request.prefix_hash,
+            repeatable: request.repeatable,
+            excluded: attempts.excluded(),
+        };
+        let chosen = context.routing.choose(&request.pool, &query);
+        let chosen = chosen.map_err(|refusal| attempts.finish(refusal))?;
+        let number = attempts.on_start(chosen.target);
+        if number.0 > 1 {
+            context.metrics.retries.inc();
+        }
+        let key = RequestKey {
+            id: request.id,
+            attempt: number,
+        };
+        let hop = Span::enter_with_parent("attempt", span);
+        let refusal = match attempt(context, request, key, chosen, &hop).await {
+            Ok(answer) => return Ok(answer),
+            Err(refusal) => refusal,
+        };
+        hop.add_property(|| ("refusal", refusal.to_string()));
+        let end = AttemptEnd::from(refusal);
+        match context.routing.after(&request.service, &mut attempts, end) {
+            Next::Retry => {}
+            Next::Finish(refusal) => return Err(refusal),
+        }
+    }
+}
+
+async fn attempt(
+    context: &Arc<Context>,
+    request: &Request,
+    key: RequestKey,
+    chosen: Chosen,
+    hop: &Span,
+) -> Result<Answer, Refusal> {
+    let Chosen {
+        target,
+        link,
+        in_flight,
+    } = chosen;
+    hop.add_property(|| ("target", link.vm.to_string()));
+    let started = Instant::now();
+    let message = to_message(context, request, key, hop);
+    let deadline = context.clock.instant(request.deadline_ms) + DEADLINE_GRACE;
+    let reply = async { Attempt::new(link, key)?.send(message).await };
+    let reply = match tokio::time::timeout_at(deadline.into(), reply).await {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(refusal)) => {
+            in_flight.end(outcome_of(&refusal));
+            return Err(refusal);
+        }
+        Err(_) => {
+            in_flight.end(Outcome::Failed);
+            return Err(Refusal::may_have_run(Reason::DeadlineExceeded));
+        }
+    };
+    let first_byte = started.elapsed();
+    context
+        .metrics
+        .first_byte_seconds
+        .observe(first_byte.as_secs_f64());
+    let end = AnswerEnd {
+        context: context.clone(),
+        request: request.clone(),
+        target,
+        in_flight,
+        first_byte_us: u64::try_from(first_byte.as_micros()).unwrap_or(u64::MAX),
+    };
+    collect(reply, end).await
+}
+
+fn to_message(context: &Context, request: &Request, key: RequestKey, hop: &Span) -> ServeRequest {
+    let sent_ms = context.clock.now_ms();
+    ServeRequest {
+        key,
+        caller: request.caller.clone(),
+        service: request.service.clone(),
+        class: request.class,
+        sent_ms,
+        time_left_ms: request.deadline_ms.saturating_sub(sent_ms),
+        repeatable: request.repeatable,
+        method: request.method.clone(),
+        path: request.path.clone(),
+        headers: request.headers.clone(),
+        traceparent: trace::traceparent(hop).map(Into::into),
+        body: request.body.clone(),
+    }
+}
+
+/// Collects a short answer as a whole; an event stream or a long answer is passed on while it comes.
+async fn collect(mut reply: Reply, end: AnswerEnd) -> Result<Answer, Refusal> {
+    let mut begun = Vec::new();
+    let mut begun_bytes = 0;
+    let is_stream = is_event_stream(&reply.head);
+    loop {
+        if begun_bytes > WHOLE_ANSWER_BYTES || (is_stream && begun_bytes > 0) {
+            return Ok(Answer::Stream(Box::new(Streaming {
+                head: reply.head.clone(),
+                begun,
+                reply,
+                end,
+            })));
+        }
+        match reply.next().await {
+            Ok(ReplyPart::Data(data)) => {
+                begun_bytes += data.len();
+                begun.push(data);
+            }
+            Ok(ReplyPart::End(load)) => {
+                end.whole(load);
+                return Ok(Answer::Whole {
+                    head: reply.head,
+                    body: join(begun),
+                });
+            }
+            Err(refusal) => {
+                end.broken(&refusal);
+                return Err(refusal);
+            }
+        }
+    }
+}
+
+fn join(mut parts: Vec<Bytes>) -> Bytes {
+    if parts.len() <= 1 {
+        return parts.pop().unwrap_or_default();
+    }
+    Bytes::from(parts.concat())
+}
--- a/eel-route/src/attempts.rs
+++ b/eel-route/src/attempts.rs
@@ -153,6 +153,7 @@
         | Reason::Unauthorized
         | Reason::Forbidden
         | Reason::UnknownService
+        | Reason::RequestTimeout
         | Reason::TooLarge
         | Reason::CallerLimit
         | Reason::DeadlineExceeded
--- a/eel-route/src/pool.rs
+++ b/eel-route/src/pool.rs
@@ -270,6 +270,7 @@
             | Reason::Unauthorized
             | Reason::Forbidden
             | Reason::UnknownService
+            | Reason::RequestTimeout
             | Reason::TooLarge
             | Reason::CallerLimit
             | Reason::DeadlineExceeded
--- a/eel-supervise/src/lib.rs
+++ b/eel-supervise/src/lib.rs
@@ -5,7 +5,9 @@
 //! error and the platform starts it anew.
 
 mod restart;
+mod shutdown;
 mod supervisor;
 
 pub use restart::{RestartDecision, RestartPolicy, Restarts};
+pub use shutdown::Shutdown;
 pub use supervisor::{ChildError, Error, RestartCounter, Supervisor};
--- a/eel-target/src/lib.rs
+++ b/eel-target/src/lib.rs
@@ -14,4 +14,4 @@
 mod serve;
 
 pub use error::Error;
-pub use node::{Context, Shutdown, TargetNode};
+pub use node::{Context, TargetNode};
--- a/eel-target/src/node.rs
+++ b/eel-target/src/node.rs
@@ -4,7 +4,7 @@
 
 use eel_admit::Options;
 use eel_settings::TargetSettings;
-use eel_supervise::{RestartPolicy, Supervisor};
+use eel_supervise::{RestartPolicy, Shutdown, Supervisor};
 use eel_types::{Clock, Incarnation, Name};
 use eel_wire::{
     EndpointOptions, bind_server,
@@ -34,15 +34,6 @@
     pub(crate) requests: TaskTracker,
 }
 
-/// How the process is told to end.
-#[derive(Clone, Debug, Default)]
-pub struct Shutdown {
-    /// Finish what runs, take nothing new, then end.
-    pub drain: CancellationToken,
-    /// End now.
-    pub now: CancellationToken,
-}
-
 /// A target node whose listeners are bound.
 pub struct TargetNode {
     context: Arc<Context>,
--- a/eel-types/src/lib.rs
+++ b/eel-types/src/lib.rs
@@ -3,12 +3,13 @@
 mod class;
 mod clock;
 mod id;
+mod listed_vm;
 mod load;
 mod name;
-mod vm;
 
 pub use class::Class;
 pub use clock::Clock;
 pub use id::{Attempt, Incarnation, RequestId, RequestKey, Revision};
+pub use listed_vm::{ListedState, ListedVm};
 pub use load::LoadReport;
 pub use name::Name;
--- a/eel-verdict/src/refusal.rs
+++ b/eel-verdict/src/refusal.rs
@@ -18,6 +18,8 @@
     Forbidden,
     /// No record declares this service.
     UnknownService,
+    /// The body did not come in time.
+    RequestTimeout,
     /// The body is larger than the service accepts.
     TooLarge,
     /// The caller exceeds its rate or its number of concurrent requests.
@@ -51,6 +53,7 @@
             Self::Unauthorized => "unauthorized",
             Self::Forbidden => "forbidden",
             Self::UnknownService => "unknown-service",
+            Self::RequestTimeout => "request-timeout",
             Self::TooLarge => "too-large",
             Self::CallerLimit => "caller-limit",
             Self::Overloaded => "overloaded",
@@ -73,6 +76,7 @@
             Self::Unauthorized => 401,
             Self::Forbidden => 403,
             Self::UnknownService => 404,
+            Self::RequestTimeout => 408,
             Self::Conflict => 409,
             Self::TooLarge => 413,
             Self::CallerLimit => 429,
--- /dev/null
+++ b/tests/process/fleet/mod.rs
@@ -0,0 +1,223 @@
+//! A small fleet: stand-ins in this process, entry and target nodes as processes of their own.
+
+mod node;
+mod records;
+
+use std::path::PathBuf;
+
+use eel_standin::{
+    engine::{Engine, EngineOptions},
+    kv::KvServer,
+    vm_list::{ListedVm, VmListServer},
+};
+use eel_wire::credentials::{PemPair, create_authority, issue_node};
+pub use node::{Node, eventually};
+pub use records::{CALLER_KEY, Service};
+use reqwest::{Client, RequestBuilder, Response};
+use tempfile::TempDir;
+
+/// The platform's stand-ins and the credentials of a fleet.
+pub struct Platform {
+    pub store: KvServer,
+    pub vm_list: VmListServer,
+    directory: TempDir,
+    authority: PemPair,
+    listed: Vec<ListedVm>,
+}
+
+/// A target node with the stand-in target beside it.
+pub struct Target {
+    pub node: Node,
+    pub engine: Engine,
+    vm: ListedVm,
+}
+
+/// An entry node and a client of it.
+pub struct Entry {
+    pub node: Node,
+    pub url: String,
+    pub admin_url: String,
+    client: Client,
+}
+
+impl Platform {
+    /// Starts the platform with `services` declared.
+    pub async fn start(services: &[Service]) -> Self {
+        let store = KvServer::start().await.expect("a free port");
+        records::put(&store.url(), services).await;
+        let authority = create_authority().expect("a certificate");
+        let directory = tempfile::tempdir().expect("a temporary directory");
+        std::fs::write(directory.path().join("ca.pem"), &authority.certificate)
+            .expect("a written file");
+        Self {
+            store,
+            vm_list: VmListServer::start().await.expect("a free port"),
+            directory,
+            authority,
+            listed: Vec::new(),
+        }
+    }
+
+    /// Starts a target node of `pool` and lists it.
+    pub async fn target(&mut self, name: &str, pool: &str) -> Target {
+        let engine = Engine::start(EngineOptions {
+            step_us: 1_000,
+            ..EngineOptions::default()
+        });
+        self.target_with(name, pool, engine.await).await
+    }
+
+    /// Starts a target node of `pool` beside `engine` and lists it.
+    pub async fn target_with(&mut self, name: &str, pool: &str, engine: Engine) -> Target {
+        let tls = self.tls_section(name);
+        let url = engine.url();
+        let settings = format!(
+            "[node]\nname = {name}\ndata_centre = dc-a\npool = {pool}\n\
+             [listen]\nquic = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\
+             [target]\nurl = {url}\n{tls}"
+        );
+        let path = self.write_settings(name, &settings);
+        let node = Node::start(env!("CARGO_BIN_EXE_eelgrassgap-target"), "run", &path);
+        let address = node.value_after("Links are accepted at ").await;
+        let vm = ListedVm {
+            name: name.to_owned(),
+            address: address.parse().expect("an address"),
+            data_centre: "dc-a".to_owned(),
+            pool: pool.to_owned(),
+            state: "live",
+        };
+        self.listed.push(vm.clone());
+        self.vm_list.set_vms(self.listed.clone());
+        Target { node, engine, vm }
+    }
+
+    /// Starts an entry node and waits until it is ready and has a link to each listed target.
+    pub async fn entry(&self, name: &str) -> Entry {
+        let entry = self.start_entry(name).await;
+        entry.wait_ready().await;
+        entry.wait_links(self.listed.len()).await;
+        entry
+    }
+
+    /// Starts an entry node.
+    pub async fn start_entry(&self, name: &str) -> Entry {
+        let tls = self.tls_section(name);
+        let store = self.store.url();
+        let list = self.vm_list.url();
+        let settings = format!(
+            "[node]\nname = {name}\ndata_centre = dc-a\nregion = here\n\
+             [listen]\nhttp = 127.0.0.1:0\nadmin = 127.0.0.1:0\nquic_bind = 127.0.0.1:0\n\
+             [store]\nendpoints = {store}\n[vm_list]\nurl = {list}\npoll_ms = 100\n{tls}"
+        );
+        let path = self.write_settings(name, &settings);
+        let node = Node::start(env!("CARGO_BIN_EXE_eelgrassgap"), "serve", &path);
+        let http = node.value_after("Callers are served at ").await;
+        let admin = node.value_after("Metrics are served at ").await;
+        Entry {
+            node,
+            url: format!("http://{http}"),
+            admin_url: format!("http://{admin}"),
+            client: client(),
+        }
+    }
+
+    /// Lists `target` as leaving.
+    pub fn list_leaving(&mut self, target: &Target) {
+        for vm in &mut self.listed {
+            if vm.name == target.vm.name {
+                vm.state = "leaving";
+            }
+        }
+        self.vm_list.set_vms(self.listed.clone());
+    }
+
+    /// Returns the path of a file in the fleet's directory.
+    pub fn path(&self, file: &str) -> PathBuf {
+        self.directory.path().join(file)
+    }
+
+    fn tls_section(&self, name: &str) -> String {
+        let pair = issue_node(&self.authority, name).expect("a certificate");
+        let certificate = self.path(&format!("{name}.pem"));
+        let key = self.path(&format!("{name}.key"));
+        std::fs::write(&certificate, pair.certificate).expect("a written file");
+        std::fs::write(&key, pair.key).expect("a written file");
+        let ca = self.path("ca.pem");
+        let trace = self.path(&format!("{name}.trace"));
+        format!(
+            "[tls]\nca = {}\ncertificate = {}\nkey = {}\n\
+             [telemetry]\nlog_level = debug\ntrace_file = {}\ntrace_sample_percent = 100\n",
+            ca.display(),
+            certificate.display(),
+            key.display(),
+            trace.display(),
+        )
+    }
+
+    fn write_settings(&self, name: &str, settings: &str) -> PathBuf {
+        let path = self.path(&format!("{name}.ini"));
+        std::fs::write(&path, settings).expect("a written file");
+        path
+    }
+}
+
+fn client() -> Client {
+    let builder = Client::builder().no_proxy();
+    builder.build().expect("an HTTP client")
+}
+
+impl Entry {
+    /// Prepares a POST with the caller's key.
+    pub fn post(&self, path: &str, tag: &str, body: impl Into<reqwest::Body>) -> RequestBuilder {
+        self.post_as(CALLER_KEY, path, tag, body)
+    }
+
+    /// Prepares a POST with any key.
+    pub fn post_as(
+        &self,
+        key: &str,
+        path: &str,
+        tag: &str,
+        body: impl Into<reqwest::Body>,
+    ) -> RequestBuilder {
+        self.client
+            .post(format!("{}{path}", self.url))
+            .bearer_auth(key)
+            .header("x-tag", tag)
+            .body(body)
+    }
+
+    /// Sends a completion request.
+    pub async fn complete(&self, tag: &str, body: &str) -> reqwest::Result<Response> {
+        self.post("/v1/completions", tag, body.to_owned())
+            .send()
+            .await
+    }
+
+    /// Waits until the node says that it is ready.
+    pub async fn wait_ready(&self) {
+        let url = format!("{}/readyz", self.admin_url);
+        node::eventually("the entry node is ready", async || {
+            let answer = self.client.get(&url).send().await;
+            answer.is_ok_and(|answer| answer.status().is_success())
+        })
+        .await;
+    }
+
+    /// Waits until `count` links are open.
+    pub async fn wait_links(&self, count: usize) {
+        let line = format!("eelgrassgap_entry_links {count}");
+        node::eventually("the links are open", async || {
+            let metrics = self.metrics().await;
+            metrics.lines().any(|found| found == line)
+        })
+        .await;
+    }
+
+    /// Returns the page of metrics.
+    pub async fn metrics(&self) -> String {
+        let page = self.client.get(format!("{}/metrics", self.admin_url));
+        let answer = page.send().await.expect("an answer");
+        answer.text().await.expect("a body")
+    }
+}
--- /dev/null
+++ b/tests/process/fleet/node.rs
@@ -0,0 +1,122 @@
+//! One process of the product.
+
+use std::{
+    io::{BufRead as _, BufReader},
+    path::Path,
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use tokio::sync::watch;
+
+/// Keeps a hanging test from running for ever; no verdict rests on it.
+const HANG_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// A running node; killed when dropped.
+pub struct Node {
+    child: Mutex<Child>,
+    pid: Pid,
+    lines: Arc<Mutex<Vec<String>>>,
+    changes: watch::Receiver<usize>,
+}
+
+impl Node {
+    /// Starts `binary verb --settings path`.
+    pub fn start(binary: &str, verb: &str, settings: &Path) -> Self {
+        let mut child = Command::new(binary)
+            .arg(verb)
+            .arg("--settings")
+            .arg(settings)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("a started process");
+        let pid = Pid::from_raw(i32::try_from(child.id()).expect("a process number"));
+        let stderr = BufReader::new(child.stderr.take().expect("a pipe"));
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let (sender, changes) = watch::channel(0);
+        let kept = lines.clone();
+        std::thread::spawn(move || {
+            for line in stderr.lines().map_while(Result::ok) {
+                let mut kept = kept.lock().unwrap_or_else(PoisonError::into_inner);
+                kept.push(line);
+                sender.send_replace(kept.len());
+            }
+        });
+        Self {
+            child: Mutex::new(child),
+            pid,
+            lines,
+            changes,
+        }
+    }
+
+    /// Waits for a log line with `text` and returns the word after it, without a full stop.
+    pub async fn value_after(&self, text: &str) -> String {
+        let mut changes = self.changes.clone();
+        let found = async {
+            loop {
+                if let Some(value) = self.find(text) {
+                    return value;
+                }
+                changes.changed().await.expect("a running process");
+            }
+        };
+        let found = tokio::time::timeout(HANG_TIMEOUT, found).await;
+        found.unwrap_or_else(|_| panic!("no line with {text:?} in:\n{}", self.log()))
+    }
+
+    /// Returns everything that was logged.
+    pub fn log(&self) -> String {
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.join("\n")
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        kill(self.pid, signal).expect("a running process");
+    }
+
+    /// Waits for the end of the process.
+    pub async fn ended(&self) -> ExitStatus {
+        let mut status = None;
+        eventually("the process has ended", async || {
+            let mut child = self.child.lock().unwrap_or_else(PoisonError::into_inner);
+            status = child.try_wait().expect("a known process");
+            status.is_some()
+        })
+        .await;
+        status.expect("an ended process")
+    }
+
+    fn find(&self, text: &str) -> Option<String> {
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        let rest = lines.iter().find_map(|line| line.split_once(text))?.1;
+        let word = rest.split_whitespace().next()?;
+        Some(word.trim_end_matches('.').to_owned())
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let mut child = self.child.lock().unwrap_or_else(PoisonError::into_inner);
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
+/// Waits until `condition` holds.
+pub async fn eventually(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    const POLL: Duration = Duration::from_millis(20);
+    let holds = async {
+        while !condition().await {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    let held = tokio::time::timeout(HANG_TIMEOUT, holds).await;
+    assert!(held.is_ok(), "it never holds that {what}");
+}
--- /dev/null
+++ b/tests/process/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the two binaries as processes of their own, with the stand-ins in the test's process.
+
+mod fleet;
+mod leaving_target;
+mod whole_path;
