feat(core): submit and cancel the jobs that records declare

An operator's job record is to do what a caller's submission does. apply now parses the items together with the records, refuses the whole directory if a line is bad, and after the records' transaction submits each declared job, or cancels it, through eel-batch's JobStore, the same path that entry nodes use for callers. Submitting over an entry node's HTTP interface was ruled out: it needs a caller's key on the operator's VM and a reachable entry node, and the job's identifier would have to be kept somewhere to cancel it.

The idempotency key is the record's kind and name, so applying again changes nothing. A job that is not found before its deadline was never accepted, because results are kept beyond it; past the deadline nothing is submitted. Job records name the caller that owns the job, and the retention of its results. The job verbs read the status that the batch interface gives.

--- a/eel-batch/src/key.rs
+++ b/eel-batch/src/key.rs
@@ -109,6 +109,12 @@
         }
     }
 
+    /// Uses the part for batch jobs of a fleet's `prefix`.
+    #[must_use]
+    pub fn of_fleet(prefix: &str) -> Self {
+        Self::new(&format!("{prefix}/batch"))
+    }
+
     /// Returns the prefix of the state of all live jobs.
     #[must_use]
     pub fn states(&self) -> String {
--- /dev/null
+++ b/eel-core/src/apply/jobs.rs
@@ -0,0 +1,170 @@
+//! Brings declared jobs to the state that their records declare.
+
+use std::fmt;
+
+use eel_batch::{
+    JobPlan, Keys, State,
+    store::{CancelOutcome, JobStore, SubmitError, Submitted},
+};
+use eel_record::RecordKey;
+use eel_store::KeyValue;
+use serde::Serialize;
+use sha2::{Digest as _, Sha256};
+
+use super::Context;
+use crate::{Exit, job::DeclaredJob};
+
+/// What became of a declared job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum JobVerdict {
+    /// The job was accepted now.
+    Accepted,
+    /// The job was accepted before.
+    Existing,
+    /// The job is cancelled.
+    Cancelled,
+    /// The job was cancelled before and does not start again.
+    CancelledBefore,
+    /// The job had ended before it could be cancelled; its results stay readable.
+    Ended,
+    /// The job was never accepted, or its results are past their retention; nothing is left to cancel.
+    Unknown,
+    /// The deadline has passed, so the job is not submitted.
+    PastDeadline,
+    /// A job with the same name and caller, but other content, was accepted before.
+    Conflict,
+    /// The store took no write; the job was not accepted, or the cancel is not certain. Applying again is safe.
+    Unsettled,
+}
+
+/// A declared job and what became of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct JobOutcome {
+    /// The record.
+    pub key: RecordKey,
+    /// The job's identifier, for `job get` and `job results`.
+    pub id: String,
+    /// What became of it.
+    pub verdict: JobVerdict,
+}
+
+impl JobOutcome {
+    /// Returns what the outcome means to a script.
+    #[must_use]
+    pub fn exit(&self) -> Exit {
+        match self.verdict {
+            JobVerdict::Accepted
+            | JobVerdict::Existing
+            | JobVerdict::Cancelled
+            | JobVerdict::Ended
+            | JobVerdict::Unknown
+            | JobVerdict::PastDeadline => Exit::Success,
+            JobVerdict::Conflict | JobVerdict::CancelledBefore => Exit::Partial,
+            JobVerdict::Unsettled => Exit::Unknown,
+        }
+    }
+}
+
+impl fmt::Display for JobOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let verdict = match self.verdict {
+            JobVerdict::Accepted => "accepted",
+            JobVerdict::Existing => "accepted before",
+            JobVerdict::Cancelled => "cancelled",
+            JobVerdict::CancelledBefore => {
+                "refused, it was cancelled before; declare it under a new name"
+            }
+            JobVerdict::Ended => "had ended already",
+            JobVerdict::Unknown => "was never accepted",
+            JobVerdict::PastDeadline => "not submitted, its deadline has passed",
+            JobVerdict::Conflict => {
+                "refused, it was accepted before with other content; declare it under a new name"
+            }
+            JobVerdict::Unsettled => "not settled, the store gave no answer; apply again",
+        };
+        write!(f, "{} ({}): {verdict}", self.key, self.id)
+    }
+}
+
+/// Submits and cancels declared jobs; doing so again changes nothing.
+pub async fn settle_jobs<S: KeyValue + Clone>(
+    jobs: &[DeclaredJob],
+    context: &Context<'_, S>,
+) -> Vec<JobOutcome> {
+    let store = JobStore::new(context.store.clone(), Keys::of_fleet(context.prefix));
+    let mut outcomes = Vec::new();
+    for job in jobs {
+        let verdict = match &job.plan {
+            Some(plan) => submit(&store, plan, &job.key, context).await,
+            None => cancel(&store, job).await,
+        };
+        outcomes.push(JobOutcome {
+            key: job.key.clone(),
+            id: job.id.to_string(),
+            verdict,
+        });
+    }
+    outcomes
+}
+
+/// Results are kept beyond the deadline, so a job that is not found before its deadline was never accepted.
+async fn submit<S: KeyValue>(
+    store: &JobStore<S>,
+    plan: &JobPlan,
+    key: &RecordKey,
+    context: &Context<'_, S>,
+) -> JobVerdict {
+    match store.find_resend(plan).await {
+        Ok(Some(_)) => return existing(store, plan).await,
+        Ok(None) if plan.head.deadline_unix_ms <= context.now_unix_ms => {
+            return JobVerdict::PastDeadline;
+        }
+        Ok(None) => {}
+        Err(report) => return refused(*report.current_context()),
+    }
+    let token = job_token(context.token, key);
+    match store.submit(plan, context.now_unix_ms, token).await {
+        Ok(Submitted::Accepted(_)) => JobVerdict::Accepted,
+        Ok(Submitted::Existing(_)) => JobVerdict::Existing,
+        Err(report) => refused(*report.current_context()),
+    }
+}
+
+/// A cancel is final: declaring the job as running again does not start it.
+async fn existing<S: KeyValue>(store: &JobStore<S>, plan: &JobPlan) -> JobVerdict {
+    let Ok(found) = store.get(plan.job).await else {
+        return JobVerdict::Unsettled;
+    };
+    match found.map(|view| view.progress.state) {
+        Some(State::Cancelling | State::Cancelled) => JobVerdict::CancelledBefore,
+        Some(State::InProgress | State::Completed) | None => JobVerdict::Existing,
+    }
+}
+
+async fn cancel<S: KeyValue>(store: &JobStore<S>, job: &DeclaredJob) -> JobVerdict {
+    match store.cancel(job.id).await {
+        Ok(CancelOutcome::Cancelled) => JobVerdict::Cancelled,
+        Ok(CancelOutcome::Ended) => JobVerdict::Ended,
+        Ok(CancelOutcome::Unknown) => JobVerdict::Unknown,
+        Err(report) => {
+            log::warn!("apply: {report}.");
+            JobVerdict::Unsettled
+        }
+    }
+}
+
+fn refused(error: SubmitError) -> JobVerdict {
+    match error {
+        SubmitError::Conflict => JobVerdict::Conflict,
+        SubmitError::NotAccepted | SubmitError::Unknown => JobVerdict::Unsettled,
+    }
+}
+
+/// Derives a number that no other submission draws.
+fn job_token(token: &str, key: &RecordKey) -> u64 {
+    let digest = Sha256::digest(format!("{token} {key}"));
+    let mut first = [0; 8];
+    first.copy_from_slice(&digest[..8]);
+    u64::from_be_bytes(first)
+}
--- a/eel-core/src/apply/mod.rs
+++ b/eel-core/src/apply/mod.rs
@@ -1,6 +1,7 @@
 //! `apply`: brings a directory's declarations into the store.
 
 mod commit;
+mod jobs;
 mod outcome;
 mod transaction;
 
@@ -10,6 +11,7 @@
 
 use crate::{Lock, plan};
 
+pub use jobs::{JobOutcome, JobVerdict};
 pub use outcome::{Outcome, Verdict};
 
 /// What to apply; the same as what to plan.
@@ -24,6 +26,8 @@
     pub prefix: &'a str,
     /// A random text that tells this apply's writes from all others.
     pub token: &'a str,
+    /// The present time, in milliseconds since the Unix epoch.
+    pub now_unix_ms: u64,
 }
 
 /// Why an apply could not run; it had no effect.
@@ -50,12 +54,13 @@
 /// Brings the declarations of a directory into the store, each record by compare-and-swap on its revision.
 ///
 /// All or nothing where one transaction of the store holds the change; a larger one takes several, and stops at the
-/// first that is refused. If an answer is lost, the store is read to find out whether the write took effect.
+/// first that is refused. If an answer is lost, the store is read to find out whether the write took effect. Declared
+/// jobs are then submitted or cancelled; that is idempotent, and done again by the next apply where it did not succeed.
 ///
 /// # Errors
 ///
 /// Returns an error if the directory or the store cannot be read; refusals and lost answers are part of the outcome.
-pub async fn apply<S: KeyValue>(
+pub async fn apply<S: KeyValue + Clone>(
     options: &Options,
     context: &Context<'_, S>,
 ) -> Result<Outcome, Report<Error>> {
@@ -93,7 +98,7 @@
 /// # Errors
 ///
 /// Returns an error if the directory's lock file cannot be read, or a record is too large.
-pub async fn commit<S: KeyValue>(
+pub async fn commit<S: KeyValue + Clone>(
     prepared: Prepared,
     context: &Context<'_, S>,
 ) -> Result<Outcome, Report<Error>> {
@@ -115,9 +120,13 @@
         revision: written.revision,
         applied: written.keys,
         warning: None,
+        jobs: Vec::new(),
         check,
         plan,
     };
+    if outcome.verdict == Verdict::Applied {
+        outcome.jobs = jobs::settle_jobs(&inputs.jobs, context).await;
+    }
     if let Verdict::Conflict | Verdict::Partial = outcome.verdict {
         outcome.explain(&options, context).await;
     }
--- a/eel-core/src/apply/outcome.rs
+++ b/eel-core/src/apply/outcome.rs
@@ -7,7 +7,7 @@
 use eel_types::Revision;
 use serde::Serialize;
 
-use super::{Context, Options};
+use super::{Context, JobOutcome, Options};
 use crate::{
     Exit, Lock, check,
     plan::{self, Action, Plan},
@@ -40,6 +40,8 @@
     pub revision: Option<Revision>,
     /// The records that certainly were written.
     pub applied: Vec<RecordKey>,
+    /// The declared jobs, once the records are applied.
+    pub jobs: Vec<JobOutcome>,
     /// What went wrong beside the store, such as the lock file.
     pub warning: Option<String>,
     /// The check of the directory.
@@ -56,6 +58,7 @@
             revision: None,
             applied: Vec::new(),
             warning: None,
+            jobs: Vec::new(),
             check,
             plan,
         }
@@ -103,11 +106,19 @@
         lock
     }
 
+    fn jobs_exit(&self) -> Exit {
+        let exits = self.jobs.iter().map(JobOutcome::exit);
+        let failed = exits.filter(|exit| *exit != Exit::Success);
+        failed
+            .max_by_key(|exit| exit.code())
+            .unwrap_or(Exit::Success)
+    }
+
     /// Returns what the outcome means to a script.
     #[must_use]
     pub fn exit(&self) -> Exit {
         match self.verdict {
-            Verdict::Applied => Exit::Success,
+            Verdict::Applied => self.jobs_exit(),
             Verdict::Invalid => Exit::Invalid,
             Verdict::Conflict => Exit::Conflict,
             Verdict::NotWritten => Exit::Failure,
@@ -121,6 +132,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "{}", self.check)?;
         writeln!(f, "{}", self.plan)?;
+        for job in &self.jobs {
+            writeln!(f, "{job}")?;
+        }
         if let Some(warning) = &self.warning {
             writeln!(f, "warning: {warning}")?;
         }
--- a/eel-core/src/check.rs
+++ b/eel-core/src/check.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use thiserror::Error as ThisError;
 
-use crate::Exit;
+use crate::{Exit, job::resolve_jobs};
 
 /// What to check.
 #[derive(Clone, Debug)]
@@ -73,6 +73,7 @@
 ///
 /// Returns an error if the directory cannot be read; invalid records are part of the outcome.
 pub fn check(options: &Options) -> Result<Outcome, Report<Error>> {
-    let declarations = load_directory(&options.directory).change_context(Error::Read)?;
+    let mut declarations = load_directory(&options.directory).change_context(Error::Read)?;
+    let _ = resolve_jobs(&mut declarations);
     Ok(Outcome::from(&declarations))
 }
--- /dev/null
+++ b/eel-core/src/job/declared.rs
@@ -0,0 +1,78 @@
+//! Jobs that records declare.
+
+use std::{fs, path::Path};
+
+use eel_batch::{JobId, JobPlan, Limits, Terms};
+use eel_record::{Declaration, Declarations, Fault, JobItems, JobSpec, JobState, RecordKey, Spec};
+
+/// A declared job, checked.
+#[derive(Clone, Debug)]
+pub struct DeclaredJob {
+    /// The record.
+    pub key: RecordKey,
+    /// The job's identifier.
+    pub id: JobId,
+    /// The job to submit; `None` if it is declared as cancelled.
+    pub plan: Option<JobPlan>,
+}
+
+/// Resolves the items of every declared job, and adds what is wrong with them to the problems.
+#[must_use]
+pub fn resolve_jobs(declarations: &mut Declarations) -> Vec<DeclaredJob> {
+    let mut jobs = Vec::new();
+    let mut problems = Vec::new();
+    for (key, declaration) in &declarations.records {
+        let Some(Spec::Job(spec)) = &declaration.spec else {
+            continue;
+        };
+        match resolve(key, declaration, spec) {
+            Ok(job) => jobs.push(job),
+            Err(message) => {
+                let field = match &spec.items {
+                    JobItems::Inline(_) => "spec.items",
+                    JobItems::File(_) => "spec.items_file",
+                };
+                problems.push(declaration.problem(field, Fault::Syntax(message)));
+            }
+        }
+    }
+    declarations.problems.extend(problems);
+    jobs
+}
+
+fn resolve(
+    key: &RecordKey,
+    declaration: &Declaration,
+    spec: &JobSpec,
+) -> Result<DeclaredJob, String> {
+    let terms = Terms {
+        caller: spec.caller.clone(),
+        idempotency_key: key.to_string().into(),
+        service: spec.service.clone(),
+        repeatable: spec.repeatable,
+        deadline_unix_ms: spec.deadline_unix_ms,
+        retention_ms: spec.retention_ms,
+    };
+    let plan = match spec.state {
+        JobState::Run => Some(plan(&terms, declaration, spec)?),
+        JobState::Cancelled => None,
+    };
+    Ok(DeclaredJob {
+        key: key.clone(),
+        id: JobId::derive(&terms.caller, &terms.idempotency_key),
+        plan,
+    })
+}
+
+fn plan(terms: &Terms, declaration: &Declaration, spec: &JobSpec) -> Result<JobPlan, String> {
+    let lines = match &spec.items {
+        JobItems::Inline(items) => items.join("\n").into_bytes(),
+        JobItems::File(file) => {
+            let directory = Path::new(&declaration.file).parent();
+            let path = directory.unwrap_or(Path::new("")).join(file.as_str());
+            fs::read(&path).map_err(|err| format!("cannot read {}: {err}", path.display()))?
+        }
+    };
+    let plan = JobPlan::parse(terms, &lines, Limits::default());
+    plan.map_err(|report| report.current_context().to_string())
+}
--- a/eel-core/src/job/mod.rs
+++ b/eel-core/src/job/mod.rs
@@ -1,38 +1,45 @@
 //! `job`: submits, follows and cancels batch jobs through an entry node.
 
 mod client;
+mod declared;
 mod follow;
 mod results;
 mod submit;
 
 use std::fmt;
 
+use eel_batch::State;
 use serde::{Deserialize, Serialize};
 use thiserror::Error as ThisError;
 
 use crate::Exit;
 
 pub use client::JobClient;
+pub use declared::{DeclaredJob, resolve_jobs};
 pub use follow::follow;
 pub use results::{ResultsOutcome, results};
 pub use submit::{SubmitOptions, submit, submit_items};
 
 /// What an entry node says about a job.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobStatus {
     /// The job's identifier.
     pub id: String,
-    /// The job's state, such as `running`, `completed` or `cancelled`.
-    pub state: String,
-    /// The number of items.
-    #[serde(default)]
-    pub items: u64,
-    /// Items with a result.
-    #[serde(default)]
-    pub completed: u64,
-    /// Items with a final error.
-    #[serde(default)]
-    pub failed: u64,
+    /// The job's state.
+    pub status: State,
+    /// When the job is due, in Unix time.
+    pub deadline_unix_ms: u64,
+    /// How far the job has come.
+    pub request_counts: Counts,
+}
+
+/// How many items a job has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// All items.
+    pub total: u64,
+    /// Items with a final result or error.
+    pub ended: u64,
 }
 
 /// Why a job's call failed.
@@ -64,32 +71,25 @@
         Exit::Success
     }
 
-    /// Returns the number of items that have ended.
-    #[must_use]
-    pub fn ended(&self) -> u64 {
-        self.completed + self.failed
-    }
-
     /// Returns `true` if no item will change any more.
     #[must_use]
     pub fn is_final(&self) -> bool {
-        let all_ended = self.items > 0 && self.ended() >= self.items;
-        all_ended || matches!(self.state.as_str(), "completed" | "cancelled" | "failed")
+        match self.status {
+            State::Completed | State::Cancelled => true,
+            State::InProgress | State::Cancelling => false,
+        }
     }
 }
 
 impl fmt::Display for JobStatus {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self {
-            id,
-            state,
-            items,
-            completed,
-            failed,
-        } = self;
-        write!(
-            f,
-            "{id} {state}: {completed} of {items} completed, {failed} failed"
-        )
+        let status = match self.status {
+            State::InProgress => "in progress",
+            State::Cancelling => "cancelling",
+            State::Cancelled => "cancelled",
+            State::Completed => "completed",
+        };
+        let Counts { total, ended } = self.request_counts;
+        write!(f, "{} {status}: {ended} of {total} items ended", self.id)
     }
 }
--- a/eel-core/src/plan/mod.rs
+++ b/eel-core/src/plan/mod.rs
@@ -10,7 +10,11 @@
 use error_stack::{Report, ResultExt as _};
 use thiserror::Error as ThisError;
 
-use crate::{Lock, StoredRecords, check, read_records};
+use crate::{
+    Lock, StoredRecords, check,
+    job::{DeclaredJob, resolve_jobs},
+    read_records,
+};
 
 pub use diff::{Base, diff, field_changes};
 pub use outcome::{Action, Change, Conflict, ConflictCause, FieldChange, Outcome, Plan};
@@ -49,6 +53,7 @@
 /// What a plan is made from.
 pub(crate) struct Inputs {
     pub declared: Declarations,
+    pub jobs: Vec<DeclaredJob>,
     pub stored: StoredRecords,
     pub lock: Lock,
 }
@@ -70,13 +75,15 @@
     options: &Options,
     context: &Context<'_, S>,
 ) -> Result<Inputs, Report<Error>> {
-    let declared = load_directory(&options.directory).change_context(Error::Read)?;
+    let mut declared = load_directory(&options.directory).change_context(Error::Read)?;
+    let jobs = resolve_jobs(&mut declared);
     let lock = Lock::load(&options.directory).change_context(Error::Read)?;
     let stored = read_records(context.store, context.prefix)
         .await
         .change_context(Error::Store)?;
     Ok(Inputs {
         declared,
+        jobs,
         stored,
         lock,
     })
--- a/eel-core/tests/core/directory.rs
+++ b/eel-core/tests/core/directory.rs
@@ -9,6 +9,7 @@
 use tempfile::TempDir;
 
 pub const PREFIX: &str = "/fleet";
+pub const NOW_UNIX_MS: u64 = 1_800_000_000_000;
 
 /// An operator with a directory of its own.
 pub struct Operator {
@@ -67,6 +68,7 @@
             store,
             prefix: &self.prefix,
             token: self.token,
+            now_unix_ms: NOW_UNIX_MS,
         }
     }
 
--- a/eel-core/tests/core/main.rs
+++ b/eel-core/tests/core/main.rs
@@ -1,6 +1,7 @@
 //! Tests of `eel-core`.
 
 mod apply_faults;
+mod declared_jobs;
 mod directory;
 mod key_files;
 mod plan_diff;
--- a/eel-record/src/job.rs
+++ b/eel-record/src/job.rs
@@ -26,10 +26,14 @@
 /// A batch job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
+    /// The caller that the job belongs to and who may read its results.
+    pub caller: Name,
     /// The service that runs the items.
     pub service: Name,
     /// When the job is due, in milliseconds since the Unix epoch.
     pub deadline_unix_ms: u64,
+    /// How long the results stay readable after the deadline.
+    pub retention_ms: u64,
     /// Whether an item may run more than once.
     pub repeatable: bool,
     /// The items.
--- a/eel-record/src/references.rs
+++ b/eel-record/src/references.rs
@@ -36,7 +36,10 @@
                 .map(|(i, name)| reference(&format!("spec.services[{i}]"), Kind::Service, name))
                 .collect()
         }
-        Spec::Job(job) => vec![reference("spec.service", Kind::Service, &job.service)],
+        Spec::Job(job) => vec![
+            reference("spec.caller", Kind::Caller, &job.caller),
+            reference("spec.service", Kind::Service, &job.service),
+        ],
         Spec::Model(_) => Vec::new(),
     }
 }
--- a/eel-record/src/schema/job.rs
+++ b/eel-record/src/schema/job.rs
@@ -8,12 +8,16 @@
 use crate::{JobItems, JobSpec, JobState};
 
 const MS_PER_S: u64 = 1_000;
+const RETENTION_S: u64 = 7 * 24 * 60 * 60;
 
 /// Schema 1: a deadline in seconds, items always in a file.
 #[derive(Serialize, Deserialize)]
 pub struct JobV1 {
+    caller: Name,
     service: Name,
     deadline_unix_s: u64,
+    #[serde(default = "retention_s")]
+    retention_s: u64,
     #[serde(default)]
     repeatable: bool,
     items_file: Name,
@@ -24,8 +28,11 @@
 /// Schema 2: a deadline in milliseconds, items in a file or in the record.
 #[derive(Serialize, Deserialize)]
 pub struct JobV2 {
+    caller: Name,
     service: Name,
     deadline_unix_ms: u64,
+    #[serde(default = "retention_ms")]
+    retention_ms: u64,
     #[serde(default)]
     repeatable: bool,
     #[serde(default)]
@@ -41,8 +48,10 @@
 
     fn upgrade(self) -> JobSpec {
         JobSpec {
+            caller: self.caller,
             service: self.service,
             deadline_unix_ms: self.deadline_unix_s.saturating_mul(MS_PER_S),
+            retention_ms: self.retention_s.saturating_mul(MS_PER_S),
             repeatable: self.repeatable,
             items: JobItems::File(self.items_file),
             state: self.state,
@@ -52,6 +61,7 @@
     fn path_of(field: &str) -> String {
         match field {
             "deadline_unix_ms" => "deadline_unix_s".to_owned(),
+            "retention_ms" => "retention_s".to_owned(),
             _ => field.to_owned(),
         }
     }
@@ -63,8 +73,10 @@
     fn upgrade(self) -> JobSpec {
         let inline = self.items.iter().map(|item| item.to_string().into());
         JobSpec {
+            caller: self.caller,
             service: self.service,
             deadline_unix_ms: self.deadline_unix_ms,
+            retention_ms: self.retention_ms,
             repeatable: self.repeatable,
             items: match self.items_file {
                 Some(file) => JobItems::File(file),
@@ -78,3 +90,11 @@
         field.to_owned()
     }
 }
+
+fn retention_s() -> u64 {
+    RETENTION_S
+}
+
+fn retention_ms() -> u64 {
+    RETENTION_S * MS_PER_S
+}
--- a/eel-record/src/validate.rs
+++ b/eel-record/src/validate.rs
@@ -17,6 +17,7 @@
 const RATE_PER_S: RangeInclusive<u32> = 1..=1_000_000;
 const CONCURRENCY: RangeInclusive<u32> = 1..=1_000_000;
 const DEADLINE_UNIX_MS: RangeInclusive<u64> = 1..=u64::MAX / 1_000;
+const RETENTION_MS: RangeInclusive<u64> = 0..=365 * 24 * 60 * 60 * 1_000;
 const INLINE_ITEMS: RangeInclusive<usize> = 1..=100;
 const SHA256_HEX_DIGITS: usize = 64;
 const WHOLE_PERCENT: u32 = 100;
@@ -155,6 +156,7 @@
 /// Checks a job.
 pub fn job(spec: &JobSpec) -> Vec<Invalid> {
     let mut found = Vec::new();
+    identifier(&mut found, "caller", &spec.caller);
     identifier(&mut found, "service", &spec.service);
     range(
         &mut found,
@@ -162,6 +164,7 @@
         spec.deadline_unix_ms,
         &DEADLINE_UNIX_MS,
     );
+    range(&mut found, "retention_ms", spec.retention_ms, &RETENTION_MS);
     match &spec.items {
         JobItems::Inline(items) if !INLINE_ITEMS.contains(&items.len()) => {
             let allowed = "1 to 100 items, or items_file for more";
--- a/eel-record/tests/record/bad_records.rs
+++ b/eel-record/tests/record/bad_records.rs
@@ -82,7 +82,7 @@
     (
         2,
         "job",
-        "\"service\": \"s\", \"deadline_unix_ms\": 1",
+        "\"caller\": \"c\", \"service\": \"s\", \"deadline_unix_ms\": 1",
         "f:4: job/x: spec.items: 0 items is not allowed",
     ),
     (
--- a/eel-record/tests/record/schema_upgrade.rs
+++ b/eel-record/tests/record/schema_upgrade.rs
@@ -36,8 +36,8 @@
         ),
         (
             "job",
-            json!({ "service": "s", "deadline_unix_s": 5, "items_file": "f", "state": "cancelled" }),
-            json!({ "service": "s", "deadline_unix_ms": 5000, "items_file": "f", "state": "cancelled" }),
+            json!({ "caller": "c", "service": "s", "deadline_unix_s": 5, "retention_s": 2, "items_file": "f", "state": "cancelled" }),
+            json!({ "caller": "c", "service": "s", "deadline_unix_ms": 5000, "retention_ms": 2000, "items_file": "f", "state": "cancelled" }),
         ),
     ];
     for (kind, first, second) in cases {
--- a/src/records.rs
+++ b/src/records.rs
@@ -1,5 +1,7 @@
 //! The verbs on records.
 
+use std::time::{SystemTime, UNIX_EPOCH};
+
 use eel_core::{Exit, apply, check, get, plan, status};
 use eel_store::{EtcdJson, EtcdOptions};
 use error_stack::{Report, ResultExt as _};
@@ -76,6 +78,7 @@
         store: &connection.open()?,
         prefix: connection.prefix,
         token: &format!("{token:032x}"),
+        now_unix_ms: unix_ms(),
     };
     let outcome = apply::apply(&options, &context)
         .await
@@ -116,3 +119,8 @@
     print(&outcome, connection.format)?;
     Ok(outcome.exit())
 }
+
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |now| u64::try_from(now.as_millis()).unwrap_or(u64::MAX))
+}
