feat(jobs): run claimed chunks and serve callers' jobs in an entry node

It stands apart from `eel-entry` so that it can be tested with a stand-in store alone; the rest of the entry node is the trait `Host` (caller keys, services, credits, one send).

- A holder stops at three quarters of its lease by its own clock, counted from before the call that extended it.
- Beside the watch one range read polls the cancels every 2 s, whatever the number of jobs.
No item is sent on a view of the cancels that is older than 4 s, so none starts more than 5 s after a cancel was accepted, at the price that batch pauses while the store gives no answer.
Trusting the watch's progress marks instead was ruled out: they show that the watch lives, not how far it lags.
- A claim or write whose answer stays unsettled is sent again; an unsettled claim is given back several times, as its write may take effect late.
- Submissions are refused with "not run" while the store can't keep them, with 400 and the line at fault, 409 for another job under the same key, and 503 with the earliest deadline that can be met.

Counted at the host: one result an item, at most one execution of an item that is not repeatable.

--- a/eel-batch/src/board.rs
+++ b/eel-batch/src/board.rs
@@ -6,9 +6,12 @@
 };
 
 use eel_types::Name;
-use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{ChunkIndex, Claim, Head, JobId, RateMeter, Urgency, admission::Queued};
+use crate::{
+    ChunkIndex, Claim, Head, JobId, RateMeter, Urgency,
+    admission::Queued,
+    rendezvous::{Place, rank, weight},
+};
 
 /// How much later each further entry node in rendezvous order may claim a chunk.
 const RANK_STEP_MS: u64 = 100;
@@ -173,6 +176,18 @@
         finished.map(|(id, _)| *id)
     }
 
+    /// Returns `true` if this node archives `job` once it has ended.
+    #[must_use]
+    pub fn is_archiver(&self, job: JobId) -> bool {
+        self.is_first(Place::Archive(job))
+    }
+
+    /// Returns `true` if this node sweeps in the round `round`.
+    #[must_use]
+    pub fn is_sweeper(&self, round: u64) -> bool {
+        self.is_first(Place::Sweep(round))
+    }
+
     /// Returns the unfinished work of `service`, for [`crate::admission::decide`].
     #[must_use]
     pub fn queued(&self, service: &str) -> Vec<Queued> {
@@ -269,19 +284,17 @@
             _ => None,
         });
         let mine = ready.filter(|(chunk, since_ms)| {
-            let delay_ms = self.rank(id, *chunk) * RANK_STEP_MS;
+            let place = Place::Chunk(id, *chunk);
+            let delay_ms = rank(&self.me, &self.peers, place) * RANK_STEP_MS;
             since_ms + delay_ms.min(MAX_RANK_DELAY_MS) <= now_ms
         });
         mine.map(|(chunk, _)| chunk)
-            .max_by_key(|chunk| weight(&self.me, id, *chunk))
+            .max_by_key(|chunk| weight(&self.me, Place::Chunk(id, *chunk)))
             .map(|chunk| OpenChunk { job: id, chunk })
     }
 
-    /// Returns how many peers come before this node for a chunk.
-    fn rank(&self, job: JobId, chunk: ChunkIndex) -> u64 {
-        let own = weight(&self.me, job, chunk);
-        let peers = self.peers.iter().filter(|peer| **peer != self.me);
-        peers.filter(|peer| weight(peer, job, chunk) > own).count() as u64
+    fn is_first(&self, place: Place) -> bool {
+        rank(&self.me, &self.peers, place) == 0
     }
 }
 
@@ -291,11 +304,3 @@
         not_before_ms: now_ms,
     }
 }
-
-fn weight(node: &Name, job: JobId, chunk: ChunkIndex) -> u64 {
-    let mut key = Vec::with_capacity(node.len() + 20);
-    key.extend_from_slice(node.as_bytes());
-    key.extend_from_slice(&job.0.to_be_bytes());
-    key.extend_from_slice(&chunk.0.to_be_bytes());
-    xxh3_64(&key)
-}
--- a/eel-batch/src/lib.rs
+++ b/eel-batch/src/lib.rs
@@ -15,6 +15,7 @@
 mod meter;
 mod plan;
 mod progress;
+mod rendezvous;
 mod runner;
 pub mod store;
 mod urgency;
--- /dev/null
+++ b/eel-jobs/src/api/answer.rs
@@ -0,0 +1,161 @@
+//! Answers of the callers' interface.
+
+use eel_batch::{JobId, Progress, State, store::JobView};
+use eel_types::Name;
+use eel_verdict::{Reason, Refusal};
+use http::{
+    HeaderName, HeaderValue, StatusCode,
+    header::{CONTENT_TYPE, RETRY_AFTER},
+};
+use salvo::Response;
+use serde::Serialize;
+
+const VERDICT: HeaderName = HeaderName::from_static("x-eel-verdict");
+const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("x-eel-retry-after-ms");
+/// When the caller should ask again while the store gives no answer.
+const STORE_RETRY_AFTER_MS: u64 = 5_000;
+
+/// Why a call was not served.
+#[derive(Clone, Debug)]
+pub(super) struct Problem {
+    refusal: Refusal,
+    status: u16,
+    message: String,
+    earliest_deadline_unix_ms: Option<u64>,
+}
+
+impl From<Refusal> for Problem {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            refusal,
+            status: refusal.reason.http_status(),
+            message: format!("The call was not served: {refusal}."),
+            earliest_deadline_unix_ms: None,
+        }
+    }
+}
+
+impl Problem {
+    /// A malformed call.
+    pub(super) fn bad_request(message: impl Into<String>) -> Self {
+        Self {
+            message: message.into(),
+            ..Self::from(Refusal::not_run(Reason::BadRequest))
+        }
+    }
+
+    /// A job that isn't kept, or isn't the caller's.
+    pub(super) fn unknown_job() -> Self {
+        Self {
+            status: StatusCode::NOT_FOUND.as_u16(),
+            ..Self::bad_request("No such job is kept.")
+        }
+    }
+
+    /// A read that the store didn't answer.
+    pub(super) fn store_unavailable() -> Self {
+        let refusal = Refusal::not_run(Reason::StoreUnavailable);
+        Self::from(refusal.retry_after(STORE_RETRY_AFTER_MS))
+    }
+
+    /// A job that can't make its deadline.
+    pub(super) fn too_late(earliest_deadline_unix_ms: u64, retry_after_ms: u64) -> Self {
+        let refusal = Refusal::not_run(Reason::Overloaded).retry_after(retry_after_ms);
+        Self {
+            message: "The job can't make its deadline on the capacity at hand.".to_owned(),
+            earliest_deadline_unix_ms: Some(earliest_deadline_unix_ms),
+            ..Self::from(refusal)
+        }
+    }
+
+    /// Replaces the message.
+    pub(super) fn with_message(mut self, message: impl Into<String>) -> Self {
+        self.message = message.into();
+        self
+    }
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorDetail<'a>,
+}
+
+#[derive(Serialize)]
+struct ErrorDetail<'a> {
+    r#type: &'static str,
+    message: &'a str,
+    verdict: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    earliest_deadline_unix_ms: Option<u64>,
+}
+
+pub(super) fn write_problem(res: &mut Response, problem: &Problem) {
+    let Problem { refusal, .. } = problem;
+    let body = ErrorBody {
+        error: ErrorDetail {
+            r#type: refusal.reason.as_str(),
+            message: &problem.message,
+            verdict: refusal.verdict.as_str(),
+            retry_after_ms: refusal.retry_after_ms,
+            earliest_deadline_unix_ms: problem.earliest_deadline_unix_ms,
+        },
+    };
+    let status = StatusCode::from_u16(problem.status);
+    write_json(res, status.unwrap_or(StatusCode::BAD_GATEWAY), &body);
+    let headers = res.headers_mut();
+    headers.insert(VERDICT, HeaderValue::from_static(refusal.verdict.as_str()));
+    if let Some(retry_after_ms) = refusal.retry_after_ms {
+        headers.insert(RETRY_AFTER, retry_after_ms.div_ceil(1_000).into());
+        headers.insert(RETRY_AFTER_MS, retry_after_ms.into());
+    }
+}
+
+#[derive(Serialize)]
+struct StatusBody {
+    id: String,
+    object: &'static str,
+    status: State,
+    service: Name,
+    created_at_unix_ms: u64,
+    deadline_unix_ms: u64,
+    results_kept_until_unix_ms: u64,
+    request_counts: Counts,
+}
+
+#[derive(Serialize)]
+struct Counts {
+    total: u32,
+    ended: u32,
+}
+
+pub(super) fn write_status(res: &mut Response, job: JobId, view: &JobView) {
+    let JobView { head, progress, .. } = view;
+    let Progress {
+        state,
+        items,
+        ended,
+    } = *progress;
+    let body = StatusBody {
+        id: job.to_string(),
+        object: "batch",
+        status: state,
+        service: head.service.clone(),
+        created_at_unix_ms: head.accepted_unix_ms,
+        deadline_unix_ms: head.deadline_unix_ms,
+        results_kept_until_unix_ms: head.remove_unix_ms(),
+        request_counts: Counts {
+            total: items,
+            ended,
+        },
+    };
+    write_json(res, StatusCode::OK, &body);
+}
+
+fn write_json(res: &mut Response, status: StatusCode, body: &impl Serialize) {
+    res.status_code(status);
+    let json = HeaderValue::from_static("application/json");
+    res.headers_mut().insert(CONTENT_TYPE, json);
+    let _ = res.write_body(serde_json::to_vec(body).unwrap_or_default());
+}
--- /dev/null
+++ b/eel-jobs/src/api/submit.rs
@@ -0,0 +1,176 @@
+//! Submission of a job.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use eel_batch::{
+    Head, JobPlan, PlanError, Progress, Terms,
+    admission::{self, Decision, Queued},
+    store::{JobView, SubmitError, Submitted},
+};
+use eel_store::KeyValue;
+use eel_types::Name;
+use eel_verdict::{Reason, Refusal};
+use error_stack::Report;
+use http::HeaderMap;
+use salvo::{Request, Response, http::ParseError};
+
+use super::answer::{Problem, write_status};
+use crate::{Host, JobNode, node::unix_ms};
+
+const SERVICE: &str = "x-eel-service";
+const DEADLINE_MS: &str = "x-eel-deadline-ms";
+const REPEATABLE: &str = "x-eel-repeatable";
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// When a caller should come back while other submissions are being kept.
+const BUSY_RETRY_AFTER_MS: u64 = 1_000;
+
+pub(super) async fn submit<S: KeyValue, H: Host>(
+    node: &Arc<JobNode<S, H>>,
+    req: &mut Request,
+    res: &mut Response,
+) -> Result<(), Problem> {
+    let caller = node.host.caller(req.headers())?;
+    let terms = terms(req.headers(), caller, node.options.retention_ms)?;
+    node.host.check_service(&terms.caller, &terms.service)?;
+    if node.leaving.is_cancelled() {
+        let refusal = Refusal::not_run(Reason::Leaving);
+        return Err(refusal.retry_after(BUSY_RETRY_AFTER_MS).into());
+    }
+    let Ok(_permit) = node.submissions.try_acquire() else {
+        let refusal = Refusal::not_run(Reason::Overloaded);
+        return Err(refusal.retry_after(BUSY_RETRY_AFTER_MS).into());
+    };
+    let plan = read_plan(node, req, terms).await?;
+    let resend = node.jobs.find_resend(&plan).await;
+    let view = match resend.map_err(|report| refused(&report))? {
+        Some(_) => view(node, &plan).await?,
+        None => new_view(keep(node, &plan).await?),
+    };
+    write_status(res, plan.job, &view);
+    Ok(())
+}
+
+/// Reads a job that is kept already.
+async fn view<S: KeyValue, H: Host>(
+    node: &Arc<JobNode<S, H>>,
+    plan: &JobPlan,
+) -> Result<JobView, Problem> {
+    let view = node.jobs.get(plan.job).await;
+    let view = view.map_err(|_| Problem::store_unavailable())?;
+    view.ok_or_else(Problem::unknown_job)
+}
+
+fn new_view(head: Head) -> JobView {
+    JobView {
+        progress: Progress::new(&head, &BTreeSet::new(), false),
+        done: BTreeSet::new(),
+        head,
+    }
+}
+
+/// Admits and keeps a job that isn't kept yet.
+async fn keep<S: KeyValue, H: Host>(
+    node: &Arc<JobNode<S, H>>,
+    plan: &JobPlan,
+) -> Result<Head, Problem> {
+    let now_unix_ms = unix_ms();
+    admit(node, plan, now_unix_ms)?;
+    let submitted = node.jobs.submit(plan, now_unix_ms, rand::random()).await;
+    let (Submitted::Accepted(head) | Submitted::Existing(head)) =
+        submitted.map_err(|report| refused(&report))?;
+    log::info!(target: "jobs", "Job {} of {} holds {} items.", plan.job, head.caller, head.items());
+    Ok(head)
+}
+
+fn admit<S: KeyValue, H: Host>(
+    node: &Arc<JobNode<S, H>>,
+    plan: &JobPlan,
+    now_unix_ms: u64,
+) -> Result<(), Problem> {
+    let board = node.board();
+    let service = &plan.head.service;
+    let queued = board.queued(service);
+    let candidate = Queued {
+        deadline_unix_ms: plan.head.deadline_unix_ms,
+        items: plan.head.items().into(),
+    };
+    match admission::decide(now_unix_ms, &queued, board.items_per_s(service), candidate) {
+        Decision::Accept => Ok(()),
+        Decision::Refuse {
+            earliest_deadline_unix_ms,
+            retry_after_ms,
+        } => Err(Problem::too_late(earliest_deadline_unix_ms, retry_after_ms)),
+    }
+}
+
+async fn read_plan<S: KeyValue, H: Host>(
+    node: &Arc<JobNode<S, H>>,
+    req: &mut Request,
+    terms: Terms,
+) -> Result<JobPlan, Problem> {
+    let limits = node.options.limits;
+    let lines = match req.payload_with_max_size(limits.bytes).await {
+        Ok(lines) => lines.clone(),
+        Err(ParseError::PayloadTooLarge) => {
+            return Err(Refusal::not_run(Reason::TooLarge).into());
+        }
+        Err(_) => return Err(Problem::bad_request("The body can't be read.")),
+    };
+    let parsed = tokio::task::spawn_blocking(move || JobPlan::parse(&terms, &lines, limits));
+    match parsed.await {
+        Ok(Ok(plan)) => Ok(plan),
+        Ok(Err(report)) => Err(malformed(&report)),
+        Err(_) => Err(Problem::bad_request("The job can't be read.")),
+    }
+}
+
+fn malformed(report: &Report<PlanError>) -> Problem {
+    let error = report.current_context();
+    let message = format!("The job was not accepted: {error}.");
+    match error {
+        PlanError::TooManyBytes { .. }
+        | PlanError::TooManyItems { .. }
+        | PlanError::TooManyChunks { .. } => {
+            Problem::from(Refusal::not_run(Reason::TooLarge)).with_message(message)
+        }
+        PlanError::Empty
+        | PlanError::NoKey
+        | PlanError::BadLine { .. }
+        | PlanError::DuplicateId { .. } => Problem::bad_request(message),
+    }
+}
+
+fn refused(report: &Report<SubmitError>) -> Problem {
+    let error = *report.current_context();
+    log::warn!(target: "jobs", "A submission was not settled or refused: {error}.");
+    Problem::from(error.refusal()).with_message(format!("{error}."))
+}
+
+fn terms(headers: &HeaderMap, caller: Name, retention_ms: u64) -> Result<Terms, Problem> {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let need = |name: &str| {
+        let message = format!("The header `{name}` is missing.");
+        text(name).ok_or_else(|| Problem::bad_request(message))
+    };
+    let deadline_ms: u64 = need(DEADLINE_MS)?.parse().map_err(|_| {
+        Problem::bad_request(format!(
+            "The header `{DEADLINE_MS}` is not a number of milliseconds."
+        ))
+    })?;
+    let repeatable = match text(REPEATABLE) {
+        None | Some("true") => true,
+        Some("false") => false,
+        Some(_) => {
+            let message = format!("The header `{REPEATABLE}` is neither `true` nor `false`.");
+            return Err(Problem::bad_request(message));
+        }
+    };
+    Ok(Terms {
+        caller,
+        idempotency_key: need(IDEMPOTENCY_KEY)?.into(),
+        service: need(SERVICE)?.into(),
+        repeatable,
+        deadline_unix_ms: unix_ms().saturating_add(deadline_ms),
+        retention_ms,
+    })
+}
--- /dev/null
+++ b/eel-jobs/src/follow.rs
@@ -0,0 +1,60 @@
+//! Keeping the board: a snapshot, the watch after it, and a poll of the cancels beside it.
+
+use std::{sync::Arc, time::Duration};
+
+use eel_batch::store::Followed;
+use eel_store::KeyValue;
+use eel_types::Revision;
+use futures_util::StreamExt as _;
+
+use crate::{Host, JobNode};
+
+/// The pause before the state is read again after an error.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// How often the cancels are polled, whatever the number of jobs.
+const CANCEL_POLL: Duration = Duration::from_secs(2);
+
+/// Follows the state of all live jobs. Never returns.
+pub(crate) async fn run<S: KeyValue, H: Host>(node: &Arc<JobNode<S, H>>) {
+    loop {
+        let Ok(snapshot) = node.jobs.snapshot().await else {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        {
+            let mut board = node.board();
+            board.clear();
+            for change in snapshot.changes {
+                board.apply(node.now_ms(), change);
+            }
+        }
+        let mut events = node.jobs.watch(snapshot.revision);
+        while let Some(event) = events.next().await {
+            match node.jobs.followed(&event) {
+                Followed::Change(change) => node.board().apply(node.now_ms(), change),
+                Followed::Nothing => {}
+                Followed::Lost => break,
+            }
+        }
+    }
+}
+
+/// Polls the cancels, so that a silent watch doesn't delay one. Never returns.
+pub(crate) async fn poll_cancels<S: KeyValue, H: Host>(node: &Arc<JobNode<S, H>>) {
+    let mut from = Revision(0);
+    loop {
+        let began_ms = node.now_ms();
+        if let Ok((cancelled, revision)) = node.jobs.cancels(from).await {
+            from = revision;
+            let mut board = node.board();
+            for job in cancelled {
+                board.apply(node.now_ms(), eel_batch::Change::Cancelled(job));
+            }
+            node.set_cancels_read(began_ms);
+        } else {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        }
+        tokio::time::sleep(CANCEL_POLL).await;
+    }
+}
--- /dev/null
+++ b/eel-jobs/src/lease.rs
@@ -0,0 +1,82 @@
+//! The one lease of an entry node, to which all of its claims are attached.
+
+use std::{sync::Arc, time::Duration};
+
+use eel_store::{KeyValue, LeaseId, RejectReason, StoreError};
+use tokio::sync::watch;
+
+use crate::{Host, JobNode};
+
+/// The pause after a grant or extension that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// The lease as the node may rely on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Held {
+    pub(crate) id: LeaseId,
+    /// When work under the lease must stop, in monotonic milliseconds.
+    pub(crate) hold_until_ms: u64,
+}
+
+/// Keeps a lease and publishes it, `None` while there is none. Never returns.
+pub(crate) async fn keep<S: KeyValue, H: Host>(
+    node: &Arc<JobNode<S, H>>,
+    lease: &watch::Sender<Option<Held>>,
+) {
+    let store = node.jobs.store();
+    loop {
+        let asked_ms = node.now_ms();
+        let Ok(granted) = store.grant_lease(node.options.lease_ttl_ms).await else {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        log::info!(target: "jobs", "Lease {} was granted.", granted.id);
+        lease.send_replace(Some(Held {
+            id: granted.id,
+            hold_until_ms: hold_until_ms(asked_ms, granted.ttl_ms),
+        }));
+        extend(node, lease, granted.id, granted.ttl_ms).await;
+        lease.send_replace(None);
+        log::warn!(target: "jobs", "Lease {} was lost.", granted.id);
+    }
+}
+
+/// Extends the lease until it is lost.
+async fn extend<S: KeyValue, H: Host>(
+    node: &Arc<JobNode<S, H>>,
+    lease: &watch::Sender<Option<Held>>,
+    id: LeaseId,
+    ttl_ms: u64,
+) {
+    let mut until_ms = hold_until_ms(node.now_ms(), ttl_ms);
+    let mut pause = Duration::from_millis(ttl_ms / 3);
+    loop {
+        tokio::time::sleep(pause).await;
+        let asked_ms = node.now_ms();
+        if asked_ms >= until_ms {
+            return;
+        }
+        match node.jobs.store().keep_alive(id).await {
+            Ok(extended) => {
+                until_ms = hold_until_ms(asked_ms, extended.ttl_ms);
+                pause = Duration::from_millis(extended.ttl_ms / 3);
+                lease.send_replace(Some(Held {
+                    id,
+                    hold_until_ms: until_ms,
+                }));
+            }
+            Err(error) => {
+                let gone = StoreError::Rejected(RejectReason::LeaseGone);
+                if *error.current_context() == gone {
+                    return;
+                }
+                pause = RETRY_PAUSE;
+            }
+        }
+    }
+}
+
+/// Leaves a quarter of the time to live for clocks that differ and messages under way.
+fn hold_until_ms(asked_ms: u64, ttl_ms: u64) -> u64 {
+    asked_ms + ttl_ms - ttl_ms / 4
+}
--- /dev/null
+++ b/eel-jobs/src/node.rs
@@ -0,0 +1,127 @@
+//! What the tasks of the batch part share, and how they are run.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use eel_batch::{Board, Keys, OpenChunk, store::JobStore};
+use eel_store::KeyValue;
+use eel_types::Name;
+use tokio::sync::{Semaphore, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::{Host, Options, claim, follow, lease, sweep, work::Active};
+
+/// Submissions that are read and kept at the same time.
+const PARALLEL_SUBMISSIONS: usize = 2;
+
+/// The batch part of one entry node.
+#[derive(Debug)]
+pub struct JobNode<S, H> {
+    pub(crate) options: Options,
+    pub(crate) jobs: JobStore<S>,
+    pub(crate) host: Arc<H>,
+    board: Mutex<Board>,
+    active: Mutex<HashMap<OpenChunk, Arc<Active>>>,
+    /// When the latest complete reading of the cancels began.
+    cancels_read_ms: AtomicU64,
+    pub(crate) lease: watch::Sender<Option<lease::Held>>,
+    pub(crate) submissions: Semaphore,
+    /// Cancelled once the node leaves: it claims nothing more and hands its chunks back.
+    pub(crate) leaving: CancellationToken,
+}
+
+impl<S: KeyValue, H: Host> JobNode<S, H> {
+    /// Sets the batch part up; [`JobNode::run`] makes it work.
+    #[must_use]
+    pub fn new(options: Options, store: S, host: Arc<H>) -> Arc<Self> {
+        let keys = Keys::new(&options.prefix);
+        Arc::new(Self {
+            board: Mutex::new(Board::new(options.vm.clone())),
+            jobs: JobStore::new(store, keys),
+            host,
+            active: Mutex::default(),
+            cancels_read_ms: AtomicU64::new(0),
+            lease: watch::Sender::new(None),
+            submissions: Semaphore::new(PARALLEL_SUBMISSIONS),
+            leaving: CancellationToken::new(),
+            options,
+        })
+    }
+
+    /// Names the entry nodes that claim chunks too, this one included or not.
+    pub fn set_peers(&self, peers: Vec<Name>) {
+        self.board().set_peers(peers);
+    }
+
+    /// Works until [`JobNode::leave`] is called and every claimed chunk is handed back or done.
+    pub async fn run(self: &Arc<Self>) {
+        let claims = async {
+            if self.options.claims {
+                claim::run(self).await;
+            } else {
+                self.leaving.cancelled().await;
+            }
+        };
+        let background = async {
+            tokio::join!(
+                lease::keep(self, &self.lease),
+                follow::run(self),
+                follow::poll_cancels(self),
+                sweep::run(self),
+            );
+        };
+        tokio::select! {
+            () = claims => {}
+            () = background => {}
+        }
+        let held = *self.lease.borrow();
+        if let Some(held) = held {
+            // A lease that can't be revoked lapses.
+            let _ = self.jobs.store().revoke(held.id).await;
+        }
+        log::info!(target: "jobs", "The batch part has stopped.");
+    }
+
+    /// Asks the batch part to leave: no further claims, what runs may finish.
+    pub fn leave(&self) {
+        self.leaving.cancel();
+    }
+
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.host.now_ms()
+    }
+
+    pub(crate) fn board(&self) -> MutexGuard<'_, Board> {
+        self.board.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn active(&self) -> MutexGuard<'_, HashMap<OpenChunk, Arc<Active>>> {
+        self.active.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn set_cancels_read(&self, began_ms: u64) {
+        self.cancels_read_ms.store(began_ms, Ordering::Relaxed);
+    }
+
+    /// Returns `true` if a cancel that was accepted a few seconds ago would be known here.
+    pub(crate) fn knows_cancels(&self) -> bool {
+        /// Leaves a second of the promised five for an item to be sent.
+        const MAX_AGE_MS: u64 = 4_000;
+        let read_ms = self.cancels_read_ms.load(Ordering::Relaxed);
+        self.now_ms().saturating_sub(read_ms) <= MAX_AGE_MS
+    }
+}
+
+/// Returns the present Unix time.
+pub(crate) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- /dev/null
+++ b/eel-jobs/src/sweep.rs
@@ -0,0 +1,67 @@
+//! Archiving jobs that have ended and removing what is past its retention.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use eel_batch::JobId;
+use eel_store::KeyValue;
+
+use crate::{Host, JobNode, node::unix_ms};
+
+const INTERVAL: Duration = Duration::from_secs(30);
+/// How long a job stays live after its end, so that submissions are settled.
+const ARCHIVE_AFTER_MS: u64 = 90_000;
+
+/// Archives and sweeps. Never returns.
+pub(crate) async fn run<S: KeyValue, H: Host>(node: &Arc<JobNode<S, H>>) {
+    let mut ended_ms: HashMap<JobId, u64> = HashMap::new();
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        let now_ms = node.now_ms();
+        let due = due(node, &mut ended_ms, now_ms);
+        for job in due {
+            archive(node, job).await;
+        }
+        if !node.board().is_sweeper(unix_ms() / sweep_interval_ms()) {
+            continue;
+        }
+        if let Err(error) = node.jobs.sweep(unix_ms()).await {
+            log::warn!(target: "jobs", "The sweep failed: {error}.");
+        }
+    }
+}
+
+fn sweep_interval_ms() -> u64 {
+    u64::try_from(INTERVAL.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns the jobs that ended a while ago and that this node archives.
+fn due<S: KeyValue, H: Host>(
+    node: &Arc<JobNode<S, H>>,
+    ended_ms: &mut HashMap<JobId, u64>,
+    now_ms: u64,
+) -> Vec<JobId> {
+    let finished: Vec<_> = node.board().finished().collect();
+    ended_ms.retain(|job, _| finished.contains(job));
+    for job in &finished {
+        ended_ms.entry(*job).or_insert(now_ms);
+    }
+    let due = ended_ms.iter();
+    let due = due.filter(|(_, ended_ms)| **ended_ms + ARCHIVE_AFTER_MS <= now_ms);
+    due.map(|(job, _)| *job).collect()
+}
+
+async fn archive<S: KeyValue, H: Host>(node: &Arc<JobNode<S, H>>, job: JobId) {
+    let (head, cancelled, mine) = {
+        let board = node.board();
+        let Some(head) = board.head(job).cloned() else {
+            return;
+        };
+        (head, board.is_cancelled(job), board.is_archiver(job))
+    };
+    if !mine {
+        return;
+    }
+    if let Err(error) = node.jobs.archive(job, &head, cancelled).await {
+        log::warn!(target: "jobs", "Job {job} can't be archived yet: {error}.");
+    }
+}
--- /dev/null
+++ b/eel-jobs/src/work.rs
@@ -0,0 +1,284 @@
+//! Running one claimed chunk: carries out what its [`Runner`] decides.
+
+use std::{
+    collections::HashMap,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use eel_batch::{
+    Action, Claimed, Drain, Event, Head, Item, ItemIndex, Part, Response, Runner, WindowIndex,
+    store::{Fenced, Hold, StoreResult, Work},
+};
+use eel_store::{KeyValue, LeaseId};
+use eel_types::{Attempt, Name};
+use eel_verdict::{Reason, Refusal, Verdict};
+use futures_util::{StreamExt as _, stream::FuturesUnordered};
+use tokio::{
+    sync::watch,
+    task::{Id, JoinSet},
+    time::{Instant, MissedTickBehavior},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{Host, ItemRequest, JobNode, lease::Held, node::unix_ms};
+
+/// How often a chunk looks for credits, cancels and time that has passed.
+const TICK: Duration = Duration::from_millis(50);
+/// How long items that are cut off may take to say how they ended.
+const ABORT_GRACE: Duration = Duration::from_secs(2);
+/// The pause before a write without an answer is sent again.
+const WRITE_PAUSE: Duration = Duration::from_millis(200);
+/// The largest answer that is kept.
+const MAX_RESPONSE_BYTES: usize = 512 << 10;
+
+/// A chunk that this node works on, as the claim loop sees it.
+#[derive(Debug)]
+pub(crate) struct Active {
+    pub(crate) service: Name,
+    ready: AtomicUsize,
+}
+
+impl Active {
+    pub(crate) fn new(service: Name, ready: usize) -> Self {
+        Self {
+            service,
+            ready: AtomicUsize::new(ready),
+        }
+    }
+
+    /// Returns how many items could be sent at once.
+    pub(crate) fn ready(&self) -> usize {
+        self.ready.load(Ordering::Relaxed)
+    }
+}
+
+type Sent = Result<Response, Refusal>;
+type Write = Pin<Box<dyn Future<Output = Event> + Send>>;
+
+struct Chunk<S, H> {
+    node: Arc<JobNode<S, H>>,
+    hold: Hold,
+    head: Head,
+    items: Vec<Item>,
+    runner: Runner,
+    lease: LeaseId,
+    deadline_ms: u64,
+    sends: JoinSet<Sent>,
+    sent_items: HashMap<Id, ItemIndex>,
+    writes: FuturesUnordered<Write>,
+    cut_off: CancellationToken,
+    cut_off_at: Option<Instant>,
+}
+
+/// Runs the chunk of `work` until it is done, handed back or lost.
+pub(crate) async fn run<S: KeyValue, H: Host>(
+    node: &Arc<JobNode<S, H>>,
+    work: Work,
+    head: &Head,
+    lease: Held,
+    active: &Active,
+) {
+    let now_ms = node.now_ms();
+    let deadline_ms = now_ms + head.deadline_unix_ms.saturating_sub(unix_ms());
+    let claimed = Claimed {
+        hold_until_ms: lease.hold_until_ms,
+        deadline_ms,
+        ..work.claimed
+    };
+    let mut chunk = Chunk {
+        node: node.clone(),
+        hold: work.hold,
+        head: head.clone(),
+        items: work.items,
+        runner: Runner::new(now_ms, claimed, node.options.policy),
+        lease: lease.id,
+        deadline_ms,
+        sends: JoinSet::new(),
+        sent_items: HashMap::new(),
+        writes: FuturesUnordered::new(),
+        cut_off: CancellationToken::new(),
+        cut_off_at: None,
+    };
+    chunk.drive(active).await;
+    chunk.cut_off.cancel();
+    let ended = async { while chunk.sends.join_next().await.is_some() {} };
+    let _ = tokio::time::timeout(ABORT_GRACE, ended).await;
+}
+
+impl<S: KeyValue, H: Host> Chunk<S, H> {
+    async fn drive(&mut self, active: &Active) {
+        let mut lease = self.node.lease.subscribe();
+        let leaving = self.node.leaving.clone();
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut is_leaving = false;
+        while !self.runner.is_over() {
+            let event = tokio::select! {
+                Some(joined) = self.sends.join_next_with_id() => self.landed(joined),
+                Some(event) = self.writes.next() => event,
+                Ok(()) = lease.changed() => self.lease_event(&mut lease),
+                () = leaving.cancelled(), if !is_leaving => {
+                    is_leaving = true;
+                    Event::Drain(Drain::Leaving)
+                }
+                _ = ticks.tick() => self.tick(),
+            };
+            self.feed(event).await;
+            self.grant_credits().await;
+            let ready = self.runner.ready(self.node.now_ms());
+            active.ready.store(ready, Ordering::Relaxed);
+        }
+    }
+
+    async fn feed(&mut self, event: Event) {
+        for action in self.runner.on_event(self.node.now_ms(), event) {
+            match action {
+                Action::Send { item, attempt } => self.send(item, attempt),
+                Action::MarkStarted { window, items } => self.mark(window, items),
+                Action::Commit(part) => self.commit(part),
+                Action::Release { history } => {
+                    // A claim that can't be given back ends with the lease.
+                    let _ = self.node.jobs.release(&self.hold, history).await;
+                }
+                Action::AbortAll => {
+                    self.cut_off.cancel();
+                    self.cut_off_at = Some(Instant::now());
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self) -> Event {
+        if self.cut_off_at.is_some_and(|at| at.elapsed() > ABORT_GRACE) {
+            self.sends.abort_all();
+        }
+        if self.node.board().is_cancelled(self.hold.chunk().job) {
+            return Event::Drain(Drain::Cancelled);
+        }
+        Event::Tick
+    }
+
+    async fn grant_credits(&mut self) {
+        let ready = self.runner.ready(self.node.now_ms());
+        // The cancels are looked at last, so that no item starts on a stale view of them.
+        if ready == 0 || !self.node.knows_cancels() {
+            return;
+        }
+        if self.node.board().is_cancelled(self.hold.chunk().job) {
+            return;
+        }
+        let count = self.node.host.credits(&self.head.service);
+        if count > 0 {
+            self.feed(Event::CreditGranted { count }).await;
+        }
+    }
+
+    fn lease_event(&self, lease: &mut watch::Receiver<Option<Held>>) -> Event {
+        match *lease.borrow_and_update() {
+            Some(held) if held.id == self.lease => Event::LeaseRenewed {
+                hold_until_ms: held.hold_until_ms,
+            },
+            _ => Event::ClaimLost,
+        }
+    }
+
+    fn send(&mut self, item: ItemIndex, attempt: Attempt) {
+        let request = self.request(item, attempt);
+        let host = self.node.host.clone();
+        let handle = self
+            .sends
+            .spawn(async move { host.send(request).await.and_then(check_size) });
+        self.sent_items.insert(handle.id(), item);
+    }
+
+    fn request(&self, item: ItemIndex, attempt: Attempt) -> ItemRequest {
+        let content = &self.items[item.0 as usize];
+        let body = content.body.as_ref();
+        ItemRequest {
+            caller: self.head.caller.clone(),
+            service: self.head.service.clone(),
+            repeatable: self.head.repeatable,
+            attempt,
+            method: content.method,
+            url: content.url.clone(),
+            body: body.map_or_else(Bytes::new, |body| {
+                Bytes::copy_from_slice(body.get().as_bytes())
+            }),
+            deadline_ms: self.deadline_ms,
+            cancel: self.cut_off.clone(),
+        }
+    }
+
+    /// Reads how a sent item ended. One whose task was cut off or panicked may have run.
+    fn landed(&mut self, joined: Result<(Id, Sent), tokio::task::JoinError>) -> Event {
+        let (id, sent) = match joined {
+            Ok((id, sent)) => (id, sent),
+            Err(error) => (error.id(), Err(Refusal::may_have_run(Reason::Cancelled))),
+        };
+        let Some(item) = self.sent_items.remove(&id) else {
+            return Event::Tick;
+        };
+        match sent {
+            Ok(response) => Event::Answered { item, response },
+            Err(refusal) => Event::Refused { item, refusal },
+        }
+    }
+
+    fn mark(&mut self, window: WindowIndex, items: Vec<ItemIndex>) {
+        let node = self.node.clone();
+        let hold = self.hold.clone();
+        self.writes.push(Box::pin(async move {
+            loop {
+                let written = node.jobs.mark(&hold, window, &items).await;
+                if let Some(event) = settle(&written, Event::Marked) {
+                    return event;
+                }
+                tokio::time::sleep(WRITE_PAUSE).await;
+            }
+        }));
+    }
+
+    fn commit(&mut self, part: Part) {
+        let node = self.node.clone();
+        let hold = self.hold.clone();
+        self.writes.push(Box::pin(async move {
+            loop {
+                let written = node.jobs.commit(&hold, &part).await;
+                if let Some(event) = settle(&written, Event::Committed) {
+                    return event;
+                }
+                tokio::time::sleep(WRITE_PAUSE).await;
+            }
+        }));
+    }
+}
+
+/// Returns what a write under the claim means; `None` if it has to be sent again.
+fn settle(written: &StoreResult<Fenced>, event: Event) -> Option<Event> {
+    match written {
+        Ok(Fenced::Written) => Some(event),
+        Ok(Fenced::Refused) => Some(Event::ClaimLost),
+        Ok(Fenced::Unknown) => None,
+        Err(error) => {
+            log::warn!(target: "jobs", "A write under a claim failed: {error}.");
+            None
+        }
+    }
+}
+
+fn check_size(response: Response) -> Sent {
+    if response.body.get().len() <= MAX_RESPONSE_BYTES {
+        return Ok(response);
+    }
+    Err(Refusal {
+        verdict: Verdict::Ran,
+        reason: Reason::TooLarge,
+        retry_after_ms: None,
+    })
+}
--- /dev/null
+++ b/eel-jobs/tests/jobs/entry_killed.rs
@@ -0,0 +1,56 @@
+//! An entry that holds claims is killed, or leaves: another finishes, one result an item.
+
+use eel_standin::kv::KvServer;
+
+use crate::world::{Entry, Executions, FakeHost, check_whole, executed, job_of, lines, until};
+
+const ITEMS: usize = 300;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn another_entry_finishes() {
+    for repeatable in [true, false] {
+        let server = KvServer::start().await.unwrap();
+        let executions = Executions::default();
+        let first = Entry::start(&server, "entry-a", FakeHost::new(&executions)).await;
+        let job = job_of(first.submit("k", lines(ITEMS), repeatable).await).await;
+        until(|| executed(&executions) >= ITEMS / 3).await;
+        first.kill();
+        let second = Entry::start(&server, "entry-b", FakeHost::new(&executions)).await;
+        let results = second.results(&job).await;
+        let answered = check_whole(&results, ITEMS);
+        assert_eq!(second.status(&job).await["status"], "completed");
+        let counts = executions.lock().unwrap().clone();
+        if repeatable {
+            assert_eq!(answered, ITEMS);
+        } else {
+            assert!(counts.values().all(|count| *count == 1));
+            // What was marked and has no result may have run, and only that.
+            let unsure = results.iter().filter(|line| !line["error"].is_null());
+            assert!(
+                unsure
+                    .clone()
+                    .all(|line| line["error"]["verdict"] == "may-have-run")
+            );
+            assert_eq!(unsure.count() + answered, ITEMS);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_entry_hands_back() {
+    for repeatable in [true, false] {
+        let server = KvServer::start().await.unwrap();
+        let executions = Executions::default();
+        let first = Entry::start(&server, "entry-a", FakeHost::new(&executions)).await;
+        let job = job_of(first.submit("k", lines(ITEMS), repeatable).await).await;
+        until(|| executed(&executions) >= ITEMS / 3).await;
+        first.leave().await;
+        let before = executed(&executions);
+        assert!(before < ITEMS);
+        let second = Entry::start(&server, "entry-b", FakeHost::new(&executions)).await;
+        let results = second.results(&job).await;
+        assert_eq!(check_whole(&results, ITEMS), ITEMS);
+        // Nothing was cut off and nothing ran twice.
+        assert!(executions.lock().unwrap().values().all(|count| *count == 1));
+    }
+}
--- /dev/null
+++ b/eel-jobs/tests/jobs/entry_paused.rs
@@ -0,0 +1,54 @@
+//! An entry is paused past its lease and unaware of it; it wakes after another has finished.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use eel_standin::kv::KvServer;
+
+use crate::world::{
+    Entry, Executions, FakeHost, check_whole, executed, job_of, lines, new_node, until,
+};
+
+const ITEMS: usize = 300;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn late_writes_are_refused() {
+    for repeatable in [true, false] {
+        let server = KvServer::start().await.unwrap();
+        let executions = Executions::default();
+        let host = FakeHost::new(&executions);
+        let pause = host.pause.clone();
+        let paused = new_node(&server, "entry-a", host);
+        let second = Entry::start(&server, "entry-b", FakeHost::new(&executions)).await;
+        // The second has no capacity yet, so that the first claims.
+        second.node_credits(0);
+        let job = job_of(second.submit("k", lines(ITEMS), repeatable).await).await;
+        let thread = {
+            let node = Arc::clone(&paused);
+            std::thread::spawn(move || {
+                let runtime = tokio::runtime::Builder::new_current_thread()
+                    .enable_all()
+                    .build()
+                    .unwrap();
+                runtime.block_on(node.run());
+            })
+        };
+        until(|| executed(&executions) >= ITEMS / 3).await;
+        pause.store(true, Ordering::Relaxed);
+        second.node_credits(8);
+        let results = second.results(&job).await;
+        let answered = check_whole(&results, ITEMS);
+        pause.store(false, Ordering::Relaxed);
+        paused.leave();
+        tokio::task::spawn_blocking(|| thread.join().unwrap())
+            .await
+            .unwrap();
+        // The late one changed nothing.
+        assert_eq!(second.results(&job).await, results);
+        let counts = executions.lock().unwrap().clone();
+        if repeatable {
+            assert_eq!(answered, ITEMS);
+        } else {
+            assert!(counts.values().all(|count| *count == 1));
+        }
+    }
+}
--- /dev/null
+++ b/eel-jobs/tests/jobs/store_outage.rs
@@ -0,0 +1,110 @@
+//! The store is down, slow or forgets the lease while jobs run and are submitted.
+
+use std::time::Duration;
+
+use eel_standin::kv::{Faults, KvServer};
+use tokio::task::JoinSet;
+
+use crate::world::{
+    Entry, Executions, FakeHost, check_whole, executed, job_of, json, lines, until,
+};
+
+const ITEMS: usize = 300;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nothing_accepted_is_lost() {
+    let down = Faults {
+        unavailable: true,
+        ..Faults::default()
+    };
+    let hang = Faults {
+        hang: true,
+        ..Faults::default()
+    };
+    let slow = Faults {
+        delay_ms: 200,
+        answer_delay_ms: 200,
+        ..Faults::default()
+    };
+    let lossy = Faults {
+        lost_answers: 5,
+        ..Faults::default()
+    };
+    let mut cases = JoinSet::new();
+    for (name, faults) in [
+        ("down", down),
+        ("hang", hang),
+        ("slow", slow),
+        ("lossy", lossy),
+    ] {
+        for repeatable in [true, false] {
+            cases.spawn(survive(name, faults.clone(), repeatable));
+        }
+    }
+    cases.join_all().await;
+}
+
+/// Brings `faults` about in the middle of a job for longer than the lease lasts.
+async fn survive(name: &str, faults: Faults, repeatable: bool) {
+    let server = KvServer::start().await.unwrap();
+    let executions = Executions::default();
+    let entry = Entry::start(&server, "entry-a", FakeHost::new(&executions)).await;
+    let job = job_of(entry.submit("k", lines(ITEMS), repeatable).await).await;
+    until(|| executed(&executions) >= ITEMS / 3).await;
+    server.set_faults(faults.clone());
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    if faults.unavailable || faults.hang {
+        let refused = entry.submit("other", lines(3), true).await;
+        assert_eq!(refused.status(), 503, "{name}");
+        assert_eq!(refused.headers()["x-eel-verdict"], "not-run");
+        assert!(refused.headers().contains_key("retry-after"));
+        assert_eq!(json(refused).await["error"]["type"], "store-unavailable");
+    }
+    server.set_faults(Faults::default());
+    let answered = check_whole(&entry.results(&job).await, ITEMS);
+    if repeatable {
+        assert_eq!(answered, ITEMS, "{name}");
+    } else {
+        let counts = executions.lock().unwrap().clone();
+        assert!(counts.values().all(|count| *count == 1), "{name}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lease_and_watch_lost() {
+    let server = KvServer::start().await.unwrap();
+    let executions = Executions::default();
+    let entry = Entry::start(&server, "entry-a", FakeHost::new(&executions)).await;
+    let job = job_of(entry.submit("k", lines(ITEMS), true).await).await;
+    until(|| executed(&executions) >= ITEMS / 3).await;
+    server.cut_watches();
+    server.compact();
+    server.lose_leases();
+    assert_eq!(check_whole(&entry.results(&job).await, ITEMS), ITEMS);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cancel_under_a_silent_watch() {
+    let server = KvServer::start().await.unwrap();
+    let executions = Executions::default();
+    let mut host = FakeHost::new(&executions);
+    host.run_ms = 50;
+    let entry = Entry::start(&server, "entry-a", host).await;
+    let job = job_of(entry.submit("k", lines(1_000), true).await).await;
+    until(|| executed(&executions) >= 20).await;
+    server.set_faults(Faults {
+        mute_new_watches: true,
+        ..Faults::default()
+    });
+    server.silence_watches();
+    let answer = entry.post(&format!("/{job}/cancel")).send().await.unwrap();
+    assert_eq!(json(answer).await["status"], "cancelling");
+    let results = entry.results(&job).await;
+    let answered = check_whole(&results, 1_000);
+    assert!((8..1_000).contains(&answered));
+    assert_eq!(entry.status(&job).await["status"], "cancelled");
+    let unstarted = results
+        .iter()
+        .filter(|line| line["error"]["verdict"] == "not-run");
+    assert!(executed(&executions) + unstarted.count() <= 1_000);
+}
--- /dev/null
+++ b/eel-jobs/tests/jobs/world.rs
@@ -0,0 +1,236 @@
+//! Entry nodes' batch parts over one stand-in store, before a host that counts executions.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use eel_batch::Response;
+use eel_jobs::{Host, ItemRequest, JobNode, Options, router};
+use eel_standin::kv::KvServer;
+use eel_store::{EtcdJson, EtcdOptions};
+use eel_types::Name;
+use eel_verdict::{Reason, Refusal};
+use http::HeaderMap;
+use salvo::{Server, conn::tcp::TcpAcceptor};
+use tokio::{net::TcpListener, task::JoinHandle};
+
+/// Executions by item body, shared by all nodes of a test.
+pub type Executions = Arc<Mutex<BTreeMap<Vec<u8>, u32>>>;
+
+/// A host whose one service runs every item at once.
+pub struct FakeHost {
+    started: Instant,
+    pub executions: Executions,
+    pub credits: Arc<AtomicU32>,
+    running: AtomicU32,
+    /// How long an item runs.
+    pub run_ms: u64,
+    /// Stops the thread of the node before its next send, until released.
+    pub pause: Arc<AtomicBool>,
+}
+
+impl FakeHost {
+    pub fn new(executions: &Executions) -> Self {
+        Self {
+            started: Instant::now(),
+            executions: executions.clone(),
+            credits: Arc::new(AtomicU32::new(8)),
+            running: AtomicU32::new(0),
+            run_ms: 1,
+            pause: Arc::default(),
+        }
+    }
+}
+
+impl Host for FakeHost {
+    fn caller(&self, headers: &HeaderMap) -> Result<Name, Refusal> {
+        let key = headers
+            .get("authorization")
+            .and_then(|value| value.to_str().ok());
+        let caller = key.and_then(|key| key.strip_prefix("Bearer "));
+        caller
+            .map(Name::from)
+            .ok_or(Refusal::not_run(Reason::Unauthorized))
+    }
+
+    fn check_service(&self, _caller: &Name, service: &Name) -> Result<(), Refusal> {
+        match service.as_str() {
+            "scribe" => Ok(()),
+            _ => Err(Refusal::not_run(Reason::UnknownService)),
+        }
+    }
+
+    fn credits(&self, _service: &Name) -> u32 {
+        let credits = self.credits.load(Ordering::Relaxed);
+        credits.saturating_sub(self.running.load(Ordering::Relaxed))
+    }
+
+    async fn send(&self, request: ItemRequest) -> Result<Response, Refusal> {
+        if request.cancel.is_cancelled() {
+            return Err(Refusal::not_run(Reason::Cancelled));
+        }
+        {
+            let mut executions = self.executions.lock().unwrap();
+            *executions.entry(request.body.to_vec()).or_default() += 1;
+        }
+        while self.pause.load(Ordering::Relaxed) {
+            // Blocks every task of the node, as a stopped process does.
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        self.running.fetch_add(1, Ordering::Relaxed);
+        let cut_off = tokio::select! {
+            () = tokio::time::sleep(Duration::from_millis(self.run_ms)) => false,
+            () = request.cancel.cancelled() => true,
+        };
+        self.running.fetch_sub(1, Ordering::Relaxed);
+        if cut_off {
+            return Err(Refusal::may_have_run(Reason::Cancelled));
+        }
+        Ok(Response::from_bytes(200, &request.body))
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap()
+    }
+}
+
+pub type Node = JobNode<EtcdJson, FakeHost>;
+
+/// A node's batch part with its callers' interface.
+pub struct Entry {
+    pub node: Arc<Node>,
+    credits: Arc<AtomicU32>,
+    pub address: SocketAddr,
+    running: JoinHandle<()>,
+    serving: JoinHandle<()>,
+}
+
+pub fn new_node(server: &KvServer, vm: &str, host: FakeHost) -> Arc<Node> {
+    let options = Options {
+        lease_ttl_ms: 2_000,
+        ..Options::new(vm.into(), "/eel")
+    };
+    let store = EtcdOptions {
+        call_timeout_ms: 500,
+        ..EtcdOptions::new(server.url())
+    };
+    JobNode::new(options, EtcdJson::new(&store).unwrap(), Arc::new(host))
+}
+
+impl Entry {
+    pub async fn start(server: &KvServer, vm: &str, host: FakeHost) -> Self {
+        let credits = host.credits.clone();
+        let node = new_node(server, vm, host);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let http = Server::new(TcpAcceptor::try_from(listener).unwrap());
+        let serving = tokio::spawn(http.serve(router(&node)));
+        let running = node.clone();
+        let running = tokio::spawn(async move { running.run().await });
+        Self {
+            node,
+            credits,
+            address,
+            running,
+            serving,
+        }
+    }
+
+    pub fn node_credits(&self, credits: u32) {
+        self.credits.store(credits, Ordering::Relaxed);
+    }
+
+    /// Ends every task of the node without a word, as a kill does.
+    pub fn kill(self) {
+        self.running.abort();
+        self.serving.abort();
+    }
+
+    pub async fn leave(self) {
+        self.node.leave();
+        self.running.await.unwrap();
+    }
+
+    pub async fn submit(&self, key: &str, lines: String, repeatable: bool) -> reqwest::Response {
+        let request = self.post("").header("idempotency-key", key.to_owned());
+        let request = request.header("x-eel-service", "scribe");
+        let request = request.header("x-eel-deadline-ms", "600000");
+        let request = request.header("x-eel-repeatable", repeatable.to_string());
+        request.body(lines).send().await.unwrap()
+    }
+
+    pub fn post(&self, path: &str) -> reqwest::RequestBuilder {
+        let url = format!("http://{}/v1/batches{path}", self.address);
+        reqwest::Client::new().post(url).bearer_auth("ridgelog")
+    }
+
+    pub async fn get(&self, path: &str) -> reqwest::Response {
+        let url = format!("http://{}/v1/batches{path}", self.address);
+        let request = reqwest::Client::new().get(url).bearer_auth("ridgelog");
+        request.send().await.unwrap()
+    }
+
+    /// Reads all results, waiting for them.
+    pub async fn results(&self, job: &str) -> Vec<serde_json::Value> {
+        let text = self.get(&format!("/{job}/results?follow=true")).await;
+        let text = text.text().await.unwrap();
+        text.lines()
+            .map(|line| serde_json::from_str(line).unwrap())
+            .collect()
+    }
+
+    pub async fn status(&self, job: &str) -> serde_json::Value {
+        json(self.get(&format!("/{job}")).await).await
+    }
+}
+
+pub async fn json(response: reqwest::Response) -> serde_json::Value {
+    let text = response.text().await.unwrap();
+    serde_json::from_str(&text).unwrap()
+}
+
+pub async fn job_of(response: reqwest::Response) -> String {
+    assert_eq!(response.status(), 200);
+    json(response).await["id"].as_str().unwrap().to_owned()
+}
+
+pub fn lines(items: usize) -> String {
+    let line = |item| {
+        format!(
+            r#"{{"custom_id":"i{item}","method":"POST","url":"/v1/completions","body":{{"n":{item}}}}}"#
+        )
+    };
+    (0..items).map(line).collect::<Vec<_>>().join("\n")
+}
+
+pub fn executed(executions: &Executions) -> usize {
+    executions.lock().unwrap().len()
+}
+
+/// Waits until `condition` holds.
+pub async fn until(mut condition: impl FnMut() -> bool) {
+    while !condition() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Checks that each item has one result, in order; returns how many have an answer.
+pub fn check_whole(results: &[serde_json::Value], items: usize) -> usize {
+    assert_eq!(results.len(), items);
+    for (place, line) in results.iter().enumerate() {
+        assert_eq!(line["custom_id"], format!("i{place}"));
+        if line["error"].is_null() {
+            assert_eq!(line["response"]["body"]["n"], place);
+        }
+    }
+    results
+        .iter()
+        .filter(|line| line["error"].is_null())
+        .count()
+}
