feat(entry): carry out the membership decisions on links

Cause: the entry node linked to every listed VM for ever, used a target again the moment it came back, and could not tell a restarted process from the one before.

Change: `eel-member` decides; a link opens one connection for each order to connect, and a fresh one replaces a silent one, over which the attempts of the silent one are settled.

Ruled out: reconnecting inside the link, which would hide failures from the damping of flapping targets.

--- a/eel-entry/src/admin.rs
+++ b/eel-entry/src/admin.rs
@@ -55,7 +55,7 @@
     }
 }
 
-/// Ready once a configuration is in force and at least one link is open, until the node drains.
+/// Ready once a configuration is in force and at least one target is in use, until the node drains.
 struct Readyz(Arc<Context>);
 
 #[async_trait]
@@ -70,7 +70,7 @@
         let context = &self.0;
         let is_ready = !context.leaving.is_cancelled()
             && context.in_force.revision().0 > 0
-            && context.metrics.links.get() > 0;
+            && context.metrics.targets.get() > 0;
         res.status_code(if is_ready {
             StatusCode::OK
         } else {
--- a/eel-entry/src/link/keeper.rs
+++ b/eel-entry/src/link/keeper.rs
@@ -1,11 +1,18 @@
-//! Keeps one link to a target node: opens it, watches its progress, and opens a fresh one when it is silent.
+//! Opens a connection to a target node and keeps it as long as it makes progress.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use eel_types::{Clock, Incarnation, LoadReport, Name, Revision};
 use eel_wire::{
     codec,
-    message::{Configuration, EntryControl, Ping, TargetControl, Welcome},
+    message::{Configuration, EntryControl, Ping, TargetControl},
 };
 use error_stack::Report;
 use quinn::{Endpoint, RecvStream, SendStream};
@@ -18,20 +25,14 @@
 const PING_INTERVAL: Duration = Duration::from_millis(500);
 /// A link that has answered no ping for this long is silent.
 const SILENCE_TIMEOUT_MS: u64 = 1_500;
-/// The pause before the first attempt to open a link anew; it doubles up to the longest.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_secs(2);
-
-/// What a link reports to the rest of the process.
+/// What a connection reports to the rest of the process.
 pub(crate) trait LinkEvents: Send + Sync + 'static {
-    /// The link is open.
-    fn on_open(&self, welcome: &Welcome);
-    /// The target node has answered a ping.
-    fn on_alive(&self, load: LoadReport, revision: Revision);
+    /// The target node has given a sign of life.
+    fn on_alive(&self, incarnation: Incarnation, load: LoadReport, revision: Revision);
     /// The target node says that it takes no new work.
-    fn on_leaving(&self);
-    /// The link has closed or gone silent.
-    fn on_lost(&self);
+    fn on_leaving(&self, incarnation: Incarnation);
+    /// The connection has closed, has gone silent or could not be opened.
+    fn on_lost(&self, incarnation: Option<Incarnation>, loss: Loss);
     /// Whether there are batch items for this target.
     fn wants_credits(&self) -> bool;
     /// The configuration to keep the target node on.
@@ -41,15 +42,15 @@
 /// The link to one target node, through all its connections.
 pub(crate) struct Link {
     pub(crate) vm: Name,
-    pub(crate) address: SocketAddr,
+    generation: AtomicU64,
     current: watch::Sender<Option<Arc<Session>>>,
 }
 
 impl Link {
-    pub(crate) fn new(vm: Name, address: SocketAddr) -> Self {
+    pub(crate) fn new(vm: Name) -> Self {
         Self {
             vm,
-            address,
+            generation: AtomicU64::new(0),
             current: watch::Sender::new(None),
         }
     }
@@ -59,6 +60,28 @@
         self.current.borrow().clone()
     }
 
+    fn next_generation(&self) -> u64 {
+        self.generation.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Puts `session` in place of an earlier connection, whose attempts are then settled over it.
+    fn publish(&self, session: Arc<Session>) {
+        if let Some(earlier) = self.current.send_replace(Some(session)) {
+            earlier.lost.cancel();
+        }
+    }
+
+    fn withdraw(&self, session: &Arc<Session>) {
+        self.current.send_if_modified(|current| {
+            let is_current = current.as_ref().is_some_and(|it| Arc::ptr_eq(it, session));
+            if is_current {
+                *current = None;
+            }
+            is_current
+        });
+        session.lost.cancel();
+    }
+
     /// Waits for a connection other than `old`.
     pub(crate) async fn session_after(&self, old: &Arc<Session>) -> Option<Arc<Session>> {
         let mut current = self.current.subscribe();
@@ -80,47 +103,42 @@
     pub(crate) clock: Clock,
 }
 
-/// Keeps `link` open until `stop` is cancelled.
+/// Opens a connection of `link` to `address` and keeps it until it is lost or `stop` is cancelled.
 pub(crate) async fn run(
     link: Arc<Link>,
+    address: SocketAddr,
     endpoint: Endpoint,
     identity: Identity,
     events: impl LinkEvents,
     stop: CancellationToken,
 ) {
-    let mut generation = 0;
-    let mut pause = FIRST_PAUSE;
-    loop {
-        generation += 1;
-        let hello = hello(&identity.vm, identity.incarnation, generation);
-        let opened = tokio::select! {
-            opened = open(&endpoint, link.address, hello) => opened,
-            () = stop.cancelled() => return,
-        };
-        match opened {
-            Ok(opened) => {
-                pause = FIRST_PAUSE;
-                let keep = keep(&link, opened, identity.clock, &events, &stop);
-                let reason = keep.await;
-                log::info!(target: "link", "The link to {} ended: {reason}.", link.vm);
-            }
-            Err(error) => {
-                log::debug!(target: "link", "The link to {} cannot be opened: {error}.", link.vm);
-            }
+    let hello = hello(&identity.vm, identity.incarnation, link.next_generation());
+    let opened = tokio::select! {
+        opened = open(&endpoint, address, hello) => opened,
+        () = stop.cancelled() => return,
+    };
+    match opened {
+        Ok(opened) => {
+            let incarnation = opened.session.incarnation;
+            let loss = keep(&link, opened, identity.clock, &events, &stop).await;
+            log::info!(target: "link", "The link to {} ended: {loss}.", link.vm);
+            events.on_lost(Some(incarnation), loss);
         }
-        tokio::select! {
-            () = tokio::time::sleep(pause) => {}
-            () = stop.cancelled() => return,
+        Err(error) => {
+            log::debug!(target: "link", "The link to {} cannot be opened: {error}.", link.vm);
+            events.on_lost(None, Loss::Closed);
         }
-        pause = (pause * 2).min(LONGEST_PAUSE);
     }
 }
 
 /// Why a connection is kept no longer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Loss {
+pub(crate) enum Loss {
+    /// The connection has closed or could not be opened.
     Closed,
+    /// The target node has not answered for too long.
     Silent,
+    /// This side has ended it.
     Stopped,
 }
 
@@ -142,18 +160,18 @@
     stop: &CancellationToken,
 ) -> Loss {
     let session = Arc::new(opened.session);
-    events.on_open(&opened.welcome);
-    link.current.send_replace(Some(session.clone()));
+    let incarnation = session.incarnation;
+    let welcome = opened.welcome;
+    link.publish(session.clone());
+    events.on_alive(incarnation, welcome.load, welcome.revision);
     let heard = watch::Sender::new(clock.now_ms());
     let loss = tokio::select! {
-        _ = receive(opened.recv, clock, events, &heard) => Loss::Closed,
+        _ = receive(opened.recv, clock, incarnation, events, &heard) => Loss::Closed,
         _ = transmit(opened.send, clock, events) => Loss::Closed,
         () = silence(&heard, clock) => Loss::Silent,
         () = stop.cancelled() => Loss::Stopped,
     };
-    link.current.send_replace(None);
-    session.lost.cancel();
-    events.on_lost();
+    link.withdraw(&session);
     if loss == Loss::Stopped {
         session.connection.close(0u32.into(), b"");
     } else {
@@ -174,6 +192,7 @@
 async fn receive(
     mut recv: RecvStream,
     clock: Clock,
+    incarnation: Incarnation,
     events: &impl LinkEvents,
     heard: &watch::Sender<u64>,
 ) -> Result<(), Report<eel_wire::Error>> {
@@ -181,12 +200,12 @@
         heard.send_replace(clock.now_ms());
         match message {
             TargetControl::Pong(pong) => {
-                events.on_alive(pong.load, pong.revision);
+                events.on_alive(incarnation, pong.load, pong.revision);
                 if pong.leaving {
-                    events.on_leaving();
+                    events.on_leaving(incarnation);
                 }
             }
-            TargetControl::Leaving => events.on_leaving(),
+            TargetControl::Leaving => events.on_leaving(incarnation),
             TargetControl::Welcome(_) => return Err(Report::new(eel_wire::Error::Malformed)),
         }
     }
--- a/eel-entry/src/link/mod.rs
+++ b/eel-entry/src/link/mod.rs
@@ -6,5 +6,5 @@
 mod settle;
 
 pub(crate) use attempt::{Attempt, Reply, ReplyPart};
-pub(crate) use keeper::{Identity, Link, LinkEvents, run};
+pub(crate) use keeper::{Identity, Link, LinkEvents, Loss, run};
 pub(crate) use session::Session;
--- a/eel-entry/src/membership.rs
+++ b/eel-entry/src/membership.rs
@@ -1,141 +1,249 @@
-//! The targets that this node keeps links to.
+//! Carries out the membership decisions: links are opened, used and given up.
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
+use eel_member::{Action, Event, Membership, Options, State, StopReason};
 use eel_route::TargetInfo;
 use eel_store::VmList;
-use eel_types::{ListedState, ListedVm, LoadReport, Name, Revision};
-use eel_wire::message::{Configuration, Welcome};
-use tokio::sync::watch;
+use eel_types::{Incarnation, LoadReport, Name, Revision};
+use eel_wire::message::Configuration;
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    link::{Link, LinkEvents, run},
+    link::{Link, LinkEvents, Loss, run},
     node::Context,
     routing::TargetHandle,
 };
 
-struct Linked {
-    events: Arc<TargetEvents>,
-    stop: CancellationToken,
-}
+/// The time between two ticks of the decisions.
+const TICK: Duration = Duration::from_millis(200);
 
-/// Follows the VM list, and keeps a link to each live target, until `stop` is cancelled.
+/// Follows the VM list and the links until `stop` is cancelled.
 pub(crate) async fn follow(
     list: &impl VmList,
     poll: Duration,
     context: Arc<Context>,
     stop: CancellationToken,
 ) {
-    let mut linked: HashMap<Name, Linked> = HashMap::new();
-    let mut ticks = tokio::time::interval(poll);
+    let (sender, mut events) = mpsc::unbounded_channel();
+    let vm = context.identity.vm.clone();
+    let options = Options::new(vm, context.data_centre.clone());
+    let mut driver = Driver {
+        membership: Membership::new(options),
+        targets: HashMap::new(),
+        sender: sender.clone(),
+        context,
+        stop: stop.child_token(),
+    };
+    let _links = driver.stop.clone().drop_guard();
+    let mut ticks = tokio::time::interval(TICK);
+    let polls = read_list(list, poll, &sender);
+    tokio::pin!(polls);
     loop {
-        tokio::select! {
-            _ = ticks.tick() => {}
+        let event = tokio::select! {
+            Some(event) = events.recv() => event,
+            _ = ticks.tick() => Event::Tick,
+            () = &mut polls => return,
             () = stop.cancelled() => return,
-        }
-        match list.read().await {
-            Ok(vms) => reconcile(&mut linked, vms, &context, &stop),
-            Err(error) => log::warn!(target: "members", "The VM list cannot be read: {error}."),
+        };
+        driver.on_event(event);
+    }
+}
+
+async fn read_list(list: &impl VmList, poll: Duration, events: &mpsc::UnboundedSender<Event>) {
+    let mut ticks = tokio::time::interval(poll);
+    loop {
+        ticks.tick().await;
+        let event = match list.read().await {
+            Ok(vms) => Event::ListRead { vms },
+            Err(error) => {
+                log::warn!(target: "members", "The VM list cannot be read: {error}.");
+                Event::ListFailed
+            }
+        };
+        if events.send(event).is_err() {
+            return;
         }
     }
 }
 
-fn reconcile(
-    linked: &mut HashMap<Name, Linked>,
-    vms: Vec<ListedVm>,
-    context: &Arc<Context>,
-    stop: &CancellationToken,
-) {
-    for vm in vms {
-        match vm.state {
-            ListedState::Leaving => {
-                if let Some(known) = linked.get(&vm.name) {
-                    known.events.on_leaving();
+struct Driver {
+    membership: Membership,
+    targets: HashMap<Name, Target>,
+    sender: mpsc::UnboundedSender<Event>,
+    context: Arc<Context>,
+    stop: CancellationToken,
+}
+
+/// A target that is linked or used.
+struct Target {
+    shared: Arc<TargetLink>,
+    stop: CancellationToken,
+}
+
+impl Driver {
+    fn on_event(&mut self, event: Event) {
+        let now_ms = self.context.clock.now_ms();
+        for action in self.membership.on_event(now_ms, event) {
+            self.apply(action);
+        }
+    }
+
+    fn apply(&mut self, action: Action) {
+        match action {
+            Action::Connect { vm, address } => {
+                let context = self.context.clone();
+                let target = self.target(vm);
+                let keeper = run(
+                    target.shared.link.clone(),
+                    address,
+                    context.endpoint.clone(),
+                    context.identity.clone(),
+                    target.shared.clone(),
+                    target.stop.clone(),
+                );
+                tokio::spawn(keeper);
+            }
+            Action::Use {
+                vm,
+                pool,
+                data_centre,
+                incarnation: _,
+            } => {
+                let info = TargetInfo {
+                    vm: vm.clone(),
+                    same_data_centre: data_centre == self.context.data_centre,
+                    data_centre,
+                };
+                log::info!(target: "members", "{vm} is used.");
+                self.target(vm).shared.start_use(&pool, info);
+                self.count_targets();
+            }
+            Action::StopUse { vm, reason, .. } => {
+                log::info!(target: "members", "{vm} is not used any more: {reason:?}.");
+                if let Some(target) = self.targets.get(&vm) {
+                    target.shared.stop_use(reason);
                 }
+                self.count_targets();
             }
-            ListedState::Live => {
-                if !linked.contains_key(&vm.name) {
-                    let name = vm.name.clone();
-                    linked.insert(name, connect(vm, context, stop));
+            Action::Disconnect { vm } => {
+                if let Some(target) = self.targets.remove(&vm) {
+                    target.shared.forget();
+                    target.stop.cancel();
                 }
             }
         }
     }
-    linked.retain(|_, known| !known.stop.is_cancelled());
-}
 
-fn connect(vm: ListedVm, context: &Arc<Context>, stop: &CancellationToken) -> Linked {
-    log::info!(target: "members", "{} has been listed at {}.", vm.name, vm.address);
-    let link = Arc::new(Link::new(vm.name.clone(), vm.address));
-    let stop = stop.child_token();
-    let events = Arc::new(TargetEvents {
-        pool: vm.pool,
-        info: TargetInfo {
-            vm: vm.name,
-            same_data_centre: vm.data_centre == context.data_centre,
-            data_centre: vm.data_centre,
-        },
-        link: link.clone(),
-        context: context.clone(),
-        handle: Mutex::default(),
-    });
-    let keeper = run(
-        link,
-        context.endpoint.clone(),
-        context.identity.clone(),
-        events.clone(),
-        stop.clone(),
-    );
-    tokio::spawn(keeper);
-    Linked { events, stop }
+    fn count_targets(&self) {
+        let members = self.membership.members();
+        let used = members
+            .filter(|member| member.state() == State::Live)
+            .count();
+        let used = i64::try_from(used).unwrap_or(i64::MAX);
+        self.context.metrics.targets.set(used);
+    }
+
+    fn target(&mut self, vm: Name) -> &Target {
+        self.targets.entry(vm).or_insert_with_key(|vm| Target {
+            shared: Arc::new(TargetLink {
+                link: Arc::new(Link::new(vm.clone())),
+                context: self.context.clone(),
+                events: self.sender.clone(),
+                in_use: Mutex::default(),
+            }),
+            stop: self.stop.child_token(),
+        })
+    }
 }
 
-/// Tells the routing what a link hears.
-struct TargetEvents {
-    pool: Name,
-    info: TargetInfo,
+/// Joins what a link hears with the membership decisions and the routing.
+struct TargetLink {
     link: Arc<Link>,
     context: Arc<Context>,
-    handle: Mutex<Option<TargetHandle>>,
+    events: mpsc::UnboundedSender<Event>,
+    in_use: Mutex<InUse>,
 }
 
-impl TargetEvents {
-    fn with_handle(&self, act: impl FnOnce(&TargetHandle)) {
-        let handle = self.handle.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(handle) = handle.as_ref() {
-            act(handle);
-        }
-    }
+#[derive(Default)]
+struct InUse {
+    handle: Option<TargetHandle>,
+    load: LoadReport,
 }
 
-impl LinkEvents for Arc<TargetEvents> {
-    fn on_open(&self, welcome: &Welcome) {
+impl TargetLink {
+    fn start_use(&self, pool: &Name, info: TargetInfo) {
+        self.forget();
         let routing = &self.context.routing;
-        let handle = routing.add_target(&self.pool, self.info.clone(), self.link.clone());
-        routing.on_report(&handle, welcome.load);
-        *self.handle.lock().unwrap_or_else(PoisonError::into_inner) = Some(handle);
-        self.context.metrics.links.inc();
+        let mut in_use = self.lock();
+        let handle = routing.add_target(pool, info, self.link.clone());
+        routing.on_report(&handle, in_use.load);
+        in_use.handle = Some(handle);
+    }
+
+    fn stop_use(&self, reason: StopReason) {
+        match reason {
+            // What a leaving target runs still counts as its load until it is forgotten.
+            StopReason::Leaving => {
+                if let Some(handle) = &self.lock().handle {
+                    self.context.routing.stop_use(handle);
+                }
+            }
+            StopReason::Silent
+            | StopReason::Closed
+            | StopReason::Restarted
+            | StopReason::Replaced => self.forget(),
+        }
     }
 
-    fn on_alive(&self, load: LoadReport, _revision: Revision) {
-        self.with_handle(|handle| self.context.routing.on_report(handle, load));
+    fn forget(&self) {
+        if let Some(handle) = self.lock().handle.take() {
+            self.context.routing.remove_target(&handle);
+        }
     }
 
-    fn on_leaving(&self) {
-        self.with_handle(|handle| self.context.routing.stop_use(handle));
+    fn lock(&self) -> MutexGuard<'_, InUse> {
+        self.in_use.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn on_lost(&self) {
-        let mut handle = self.handle.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(handle) = handle.take() {
-            self.context.routing.remove_target(&handle);
-            self.context.metrics.links.dec();
+    fn tell(&self, event: Event) {
+        // The receiver is gone only while the process ends.
+        let _ = self.events.send(event);
+    }
+}
+
+impl LinkEvents for Arc<TargetLink> {
+    fn on_alive(&self, incarnation: Incarnation, load: LoadReport, _revision: Revision) {
+        let mut in_use = self.lock();
+        in_use.load = load;
+        if let Some(handle) = &in_use.handle {
+            self.context.routing.on_report(handle, load);
         }
+        drop(in_use);
+        self.tell(Event::Heard {
+            vm: self.link.vm.clone(),
+            incarnation,
+        });
+    }
+
+    fn on_leaving(&self, incarnation: Incarnation) {
+        self.tell(Event::SaidLeaving {
+            vm: self.link.vm.clone(),
+            incarnation,
+        });
+    }
+
+    fn on_lost(&self, incarnation: Option<Incarnation>, loss: Loss) {
+        let vm = self.link.vm.clone();
+        self.tell(match loss {
+            Loss::Silent => Event::LinkSilent { vm, incarnation },
+            Loss::Closed | Loss::Stopped => Event::LinkClosed { vm, incarnation },
+        });
     }
 
     fn wants_credits(&self) -> bool {
--- a/eel-entry/src/metrics.rs
+++ b/eel-entry/src/metrics.rs
@@ -29,7 +29,7 @@
     pub(crate) retries: Counter,
     pub(crate) cut_streams: Counter,
     pub(crate) open_requests: Gauge,
-    pub(crate) links: Gauge,
+    pub(crate) targets: Gauge,
     pub(crate) revision: Gauge,
     pub(crate) first_byte_seconds: Histogram,
 }
@@ -44,7 +44,7 @@
             retries: Counter::default(),
             cut_streams: Counter::default(),
             open_requests: Gauge::default(),
-            links: Gauge::default(),
+            targets: Gauge::default(),
             revision: Gauge::default(),
             first_byte_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 16)),
         };
@@ -84,11 +84,7 @@
             "Requests being served",
             self.open_requests.clone(),
         );
-        registry.register(
-            "entry_links",
-            "Open links to target nodes",
-            self.links.clone(),
-        );
+        registry.register("entry_targets", "Targets in use", self.targets.clone());
         registry.register(
             "entry_configuration_revision",
             "Revision of the configuration in force",
