feat(entry): answer GET /status, and print errors plainly

The status verb had nothing to ask: entry nodes now answer GET /status at the admin address with the records in force and the problems of the present

The targets of a node are not filled in yet.

Error reports printed source locations and, where the environment asks for backtraces, a page of frames for a missing file.

Two tests with the binaries: exit codes and texts of 11 commands; a record that is applied comes into force on two entry nodes, a version with a schema too new keeps it in force on both, and status says why.

--- a/eel-core/src/job/results.rs
+++ b/eel-core/src/job/results.rs
@@ -33,15 +33,18 @@
 
 /// Writes the results of job `id`, one JSON object a line in the order of the items, to `sink` as they come.
 ///
+/// With `wait` it reads on until every item has ended; otherwise it ends at the first item that has not.
+///
 /// # Errors
 ///
 /// Returns an error if no entry node answers, the answer ends early, or `sink` takes no more.
 pub async fn results(
     id: &str,
+    wait: bool,
     client: &JobClient,
     sink: &mut (impl AsyncWrite + Unpin),
 ) -> Result<ResultsOutcome, Report<Error>> {
-    let path = format!("/v1/batches/{id}/results");
+    let path = format!("/v1/batches/{id}/results?follow={wait}");
     let mut answer = client.send(&Method::GET, &path, |request| request).await?;
     let mut bytes = 0;
     while let Some(part) = answer.chunk().await.change_context(Error::Unreachable)? {
--- a/eel-core/src/lib.rs
+++ b/eel-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod keys;
 mod lock;
 pub mod plan;
+mod report_format;
 pub mod serve;
 pub mod settings_check;
 pub mod status;
@@ -18,4 +19,5 @@
 
 pub use exit::Exit;
 pub use lock::{LOCK_FILE, Lock};
+pub use report_format::install_report_format;
 pub use store_records::{StoredEntry, StoredRecords, config_prefix, read_records};
--- a/eel-core/src/status/mod.rs
+++ b/eel-core/src/status/mod.rs
@@ -1,11 +1,10 @@
 //! `status`: where each record is in force.
 
-mod node;
 mod outcome;
 
 use std::{collections::BTreeMap, time::Duration};
 
-use eel_record::RecordKey;
+use eel_record::{NodeStatus, RecordKey};
 use eel_store::KeyValue;
 use eel_types::{Name, Revision};
 use error_stack::{Report, ResultExt as _};
@@ -15,7 +14,6 @@
 
 use crate::read_records;
 
-pub use node::{NodeStatus, TargetStatus};
 pub use outcome::{Behind, Outcome, RecordStatus, Unreachable, evaluate};
 
 /// Whom to ask.
--- a/eel-core/src/status/outcome.rs
+++ b/eel-core/src/status/outcome.rs
@@ -2,11 +2,10 @@
 
 use std::{collections::BTreeMap, fmt};
 
-use eel_record::{Problem, RecordKey};
+use eel_record::{NodeStatus, Problem, RecordKey};
 use eel_types::{Name, Revision};
 use serde::Serialize;
 
-use super::NodeStatus;
 use crate::Exit;
 
 /// A node that does not have the accepted version of a record in force.
--- a/eel-core/tests/core/status_view.rs
+++ b/eel-core/tests/core/status_view.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use eel_core::status::{NodeStatus, Unreachable, evaluate};
-use eel_record::{Fault, Problem, RecordKey};
+use eel_core::status::{Unreachable, evaluate};
+use eel_record::{Fault, NodeStatus, Problem, RecordKey};
 use eel_types::Revision;
 
 fn key() -> RecordKey {
--- a/eel-entry/src/admin.rs
+++ b/eel-entry/src/admin.rs
@@ -2,19 +2,21 @@
 
 use std::sync::Arc;
 
+use eel_record::NodeStatus;
 use eel_telemetry::metrics;
 use http::StatusCode;
 use prometheus_client::registry::Registry;
-use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait, writing::Json};
 
 use crate::node::Context;
 
-/// Returns the routes `/metrics`, `/healthz` and `/readyz`.
+/// Returns the routes `/metrics`, `/healthz`, `/readyz` and `/status`.
 pub(crate) fn router(context: Arc<Context>, registry: Registry) -> Router {
     Router::new()
         .push(Router::with_path("metrics").get(MetricsPage(registry)))
         .push(Router::with_path("healthz").get(Healthz))
-        .push(Router::with_path("readyz").get(Readyz(context)))
+        .push(Router::with_path("readyz").get(Readyz(context.clone())))
+        .push(Router::with_path("status").get(StatusPage(context)))
 }
 
 struct MetricsPage(Registry);
@@ -78,3 +80,28 @@
         });
     }
 }
+
+/// Tells which records are in force here, for the `status` verb of the command line.
+struct StatusPage(Arc<Context>);
+
+#[async_trait]
+impl Handler for StatusPage {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let context = &self.0;
+        let live = context.in_force.live();
+        res.render(Json(NodeStatus {
+            name: context.identity.vm.clone(),
+            data_centre: context.data_centre.clone(),
+            revision: live.snapshot.revision,
+            in_force: live.snapshot.in_force.clone(),
+            problems: live.problems.clone(),
+            targets: Vec::new(),
+        }));
+    }
+}
--- a/eel-entry/src/config.rs
+++ b/eel-entry/src/config.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use eel_record::{Snapshot, StoredRecord};
+use eel_record::{Problem, Snapshot, SnapshotOutcome, StoredRecord};
 use eel_store::{KeyValue, RangeRequest, StoreResult, WatchEvent, WatchOptions};
 use eel_types::Revision;
 use eel_wire::message::Configuration;
@@ -18,6 +18,8 @@
 pub(crate) struct Live {
     pub(crate) snapshot: Snapshot,
     pub(crate) callers: CallerIndex,
+    /// Why records keep an earlier version in force, or are not in force.
+    pub(crate) problems: Vec<Problem>,
 }
 
 /// Holds the snapshot in force and tells the links about it.
@@ -49,10 +51,15 @@
         self.configuration.subscribe()
     }
 
-    fn put(&self, snapshot: Snapshot) {
+    fn put(&self, outcome: SnapshotOutcome) {
+        let SnapshotOutcome { snapshot, problems } = outcome;
         let message = Arc::new(to_message(&snapshot));
         let callers = CallerIndex::new(&snapshot);
-        self.live.store(Arc::new(Live { snapshot, callers }));
+        self.live.store(Arc::new(Live {
+            snapshot,
+            callers,
+            problems,
+        }));
         self.configuration.send_replace(message);
     }
 }
@@ -117,7 +124,7 @@
     if outcome.snapshot != previous.snapshot {
         on_change(&previous.snapshot, &outcome.snapshot);
         log::info!(target: "config", "Revision {} is in force.", outcome.snapshot.revision);
-        in_force.put(outcome.snapshot);
+        in_force.put(outcome);
     }
     Ok(revision)
 }
--- a/eel-record/src/lib.rs
+++ b/eel-record/src/lib.rs
@@ -17,6 +17,7 @@
 mod snapshot;
 mod snapshot_build;
 mod spec;
+mod status;
 mod validate;
 
 pub use decode::{Decoded, Spec, decode};
@@ -30,3 +31,4 @@
 pub use snapshot::Snapshot;
 pub use snapshot_build::{SnapshotOutcome, StoredRecord};
 pub use spec::{CallerSpec, ModelSpec, ModelVersion, Protocol, Route, ServiceSpec};
+pub use status::{NodeStatus, TargetStatus};
--- a/eel-core/src/status/node.rs
+++ b/eel-record/src/status.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use eel_record::{Problem, RecordKey, SnapshotOutcome};
 use eel_types::{Name, Revision};
 use serde::{Deserialize, Serialize};
 
+use crate::{Problem, RecordKey};
+
 /// The answer of an entry node to `GET /status` at its admin address, in JSON.
 ///
 /// `in_force` maps `kind/name` to the revision of the version in force; `problems` says why a record is not in force, or
@@ -41,23 +42,3 @@
     #[serde(default)]
     pub problem: Option<String>,
 }
-
-impl NodeStatus {
-    /// Describes an entry node by the outcome of its latest snapshot.
-    #[must_use]
-    pub fn new(
-        name: Name,
-        data_centre: Name,
-        outcome: &SnapshotOutcome,
-        targets: Vec<TargetStatus>,
-    ) -> Self {
-        Self {
-            name,
-            data_centre,
-            revision: outcome.snapshot.revision,
-            in_force: outcome.snapshot.in_force.clone(),
-            problems: outcome.problems.clone(),
-            targets,
-        }
-    }
-}
--- a/src/job.rs
+++ b/src/job.rs
@@ -89,12 +89,12 @@
     client: &JobClient,
 ) -> Result<ResultsOutcome, Report<Error>> {
     let Some(path) = &options.output else {
-        return results(&options.id, client, &mut io::stdout())
+        return results(&options.id, options.wait, client, &mut io::stdout())
             .await
             .change_context(Error::Verb);
     };
     let mut file = File::create(path).await.change_context(Error::File)?;
-    results(&options.id, client, &mut file)
+    results(&options.id, options.wait, client, &mut file)
         .await
         .change_context(Error::Verb)
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,6 +18,7 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
+    eel_core::install_report_format();
     let options: Options = argh::from_env();
     match run(options).await {
         Ok(exit) => ExitCode::from(exit.code()),
--- a/src/options/job.rs
+++ b/src/options/job.rs
@@ -68,6 +68,9 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "results")]
 pub struct JobResultsOptions {
+    /// wait until every item has ended, in place of ending at the first that has not
+    #[argh(switch)]
+    pub wait: bool,
     /// file to write to (default: standard output)
     #[argh(option)]
     pub output: Option<PathBuf>,
--- a/src/target.rs
+++ b/src/target.rs
@@ -9,6 +9,7 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
+    eel_core::install_report_format();
     let options: Options = argh::from_env();
     let ended = match &options.verb {
         Verb::Run(run) => eel_core::serve::target(&run.settings).await,
--- /dev/null
+++ b/tests/process/declared_intent.rs
@@ -0,0 +1,173 @@
+//! The operators' command line against a store and running entry nodes.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::Command,
+};
+
+use eel_store::{EtcdJson, EtcdOptions, KeyValue as _, Op, Txn};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use crate::fleet::{Platform, eventually};
+
+const SERVICE_KEY: &str = "/eelgrassgap/config/service/dispatch";
+
+struct Ran {
+    code: i32,
+    stdout: String,
+    stderr: String,
+}
+
+/// Runs the command line against the store at `store`, off the test's own thread.
+async fn run(store: &str, args: &[&str]) -> Ran {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_eelgrassgap"));
+    command.args(["--store", store]).args(args);
+    let output = tokio::task::spawn_blocking(move || command.output());
+    let output = output.await.unwrap().unwrap();
+    Ran {
+        code: output.status.code().unwrap(),
+        stdout: String::from_utf8(output.stdout).unwrap(),
+        stderr: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+fn declare(directory: &TempDir, slots: u32) -> PathBuf {
+    let spec = json!({ "pool": "dispatch-runners", "protocol": "plain", "slots": slots });
+    let record = json!({ "schema": 1, "kind": "service", "name": "dispatch", "spec": spec });
+    let path = directory.path().join("dispatch.json");
+    fs::write(&path, record.to_string()).unwrap();
+    directory.path().to_owned()
+}
+
+fn text(path: &Path) -> &str {
+    path.to_str().unwrap()
+}
+
+#[tokio::test]
+async fn exit_codes() {
+    let platform = Platform::start(&[]).await;
+    let store = platform.store.url();
+    let directories = [(); 3].map(|()| tempfile::tempdir().unwrap());
+    let first = declare(&directories[0], 1);
+    let other = declare(&directories[1], 2);
+    let invalid = declare(&directories[2], 0);
+    let nowhere = "http://127.0.0.1:1";
+    // The store, the arguments, the exit code and a part of what is printed.
+    let steps: [(&str, &[&str], i32, &str); 11] = [
+        (&store, &["check", text(&first)], 0, "1 records, valid"),
+        (
+            &store,
+            &["check", text(&invalid)],
+            2,
+            "dispatch.json:1: service/dispatch: spec.slots: 0 is not allowed",
+        ),
+        (&store, &["check", "/nowhere"], 1, "cannot read /nowhere"),
+        (
+            &store,
+            &["plan", text(&first)],
+            0,
+            "+ create service/dispatch",
+        ),
+        (
+            nowhere,
+            &["apply", text(&first)],
+            1,
+            "cannot read the store; nothing was written",
+        ),
+        (&store, &["apply", text(&invalid)], 2, "nothing was written"),
+        (
+            &store,
+            &["apply", text(&first)],
+            0,
+            "applied 1 records at revision 3",
+        ),
+        (&store, &["apply", text(&first)], 0, "nothing to change"),
+        (
+            &store,
+            &["apply", text(&other)],
+            3,
+            "spec.slots: 1 in the store, 2 here",
+        ),
+        (
+            &store,
+            &["get", "service/dispatch"],
+            0,
+            "\"pool\": \"dispatch-runners\"",
+        ),
+        (
+            &store,
+            &["get", "service/none"],
+            1,
+            "no record service/none exists",
+        ),
+    ];
+    for (store, args, code, part) in steps {
+        let ran = run(store, args).await;
+        let printed = format!("{}{}", ran.stdout, ran.stderr);
+        assert_eq!(ran.code, code, "{args:?}: {printed}");
+        assert!(printed.contains(part), "{args:?}: {printed}");
+    }
+}
+
+#[tokio::test]
+async fn accepted_comes_into_force_and_stays() {
+    let platform = Platform::start(&[]).await;
+    let store = platform.store.url();
+    let entries = [
+        platform.start_entry("e1").await,
+        platform.start_entry("e2").await,
+    ];
+    let status = [
+        "--format",
+        "json",
+        "status",
+        "--node",
+        &entries[0].admin_url,
+        "--node",
+        &entries[1].admin_url,
+    ];
+    let directory = tempfile::tempdir().unwrap();
+    let path = declare(&directory, 1);
+    assert_eq!(run(&store, &["apply", text(&path)]).await.code, 0);
+    eventually("the record is in force everywhere", async || {
+        run(&store, &status).await.code == 0
+    })
+    .await;
+
+    put_too_new(&store).await;
+    eventually("both nodes report the schema", async || {
+        let outcome: Value = serde_json::from_str(&run(&store, &status).await.stdout).unwrap();
+        let nodes = outcome["nodes"].as_array().unwrap();
+        nodes
+            .iter()
+            .filter(|node| node["problems"] != json!([]))
+            .count()
+            == 2
+    })
+    .await;
+    let ran = run(&store, &status).await;
+    let outcome: Value = serde_json::from_str(&ran.stdout).unwrap();
+    let records = outcome["records"].as_array().unwrap();
+    let record = records
+        .iter()
+        .find(|r| r["key"] == "service/dispatch")
+        .unwrap();
+    assert_eq!(
+        (ran.code, &record["accepted"], &record["lowest_in_force"]),
+        (6, &json!(4), &json!(3))
+    );
+    let why = record["behind"][0]["why"].as_str().unwrap();
+    assert!(why.contains("schema 3 is newer than 2"), "{why}");
+}
+
+async fn put_too_new(store: &str) {
+    let store = EtcdJson::new(&EtcdOptions::new(store)).unwrap();
+    let record = json!({ "schema": 3, "kind": "service", "name": "dispatch", "spec": {} });
+    let txn = Txn {
+        success: vec![Op::put(SERVICE_KEY, record.to_string())],
+        ..Txn::default()
+    };
+    store.commit(&txn).await.unwrap();
+}
