feat(batch): count failed items, and learn peers from the claims

The command line reads `state`, `items`, `completed` and `failed` from a job's status; the interface told other names and only the items that had ended. A done mark now holds the number of items that ended with an error, so that the status still costs one read.

The delay by rank needed the names of the other entry nodes, which stand in no list. A node now takes for a peer whoever claimed a chunk in the last ten minutes. A list in the settings was ruled out, as VMs are replaced at any time. A peer that is gone delays a chunk by at most 5 s.

A caller's "repeatable" is narrowed by the service's record.

--- a/eel-batch/src/board.rs
+++ b/eel-batch/src/board.rs
@@ -8,7 +8,7 @@
 use eel_types::Name;
 
 use crate::{
-    ChunkIndex, Claim, Head, JobId, RateMeter, Urgency,
+    Archive, ChunkIndex, Claim, Done, Head, JobId, RateMeter, Urgency,
     admission::Queued,
     rendezvous::{Place, rank, weight},
 };
@@ -17,6 +17,8 @@
 const RANK_STEP_MS: u64 = 100;
 /// The longest time that a node leaves a chunk to the nodes before it.
 const MAX_RANK_DELAY_MS: u64 = 5_000;
+/// How long a node counts as a peer after it claimed a chunk.
+const PEER_MS: u64 = 600_000;
 /// How long a chunk is left alone after a claim of it was refused.
 const REFUSED_PAUSE_MS: u64 = 1_000;
 
@@ -34,7 +36,7 @@
     /// A claim was given back or its lease lapsed.
     Unclaimed(JobId, ChunkIndex),
     /// Every item of a chunk has its result.
-    Done(JobId, ChunkIndex),
+    Done(JobId, ChunkIndex, Done),
 }
 
 /// A chunk that may be claimed.
@@ -59,13 +61,15 @@
     cancelled: bool,
     chunks: Vec<ChunkState>,
     left: u64,
+    failed: u32,
 }
 
 /// Follows the state of all live jobs.
 #[derive(Clone, Debug)]
 pub struct Board {
     me: Name,
-    peers: Vec<Name>,
+    /// The nodes that were seen to claim, with the time.
+    peers: BTreeMap<Name, u64>,
     jobs: BTreeMap<JobId, Job>,
     early_cancels: BTreeSet<JobId>,
     meters: HashMap<Name, RateMeter>,
@@ -77,16 +81,17 @@
     pub fn new(me: Name) -> Self {
         Self {
             me,
-            peers: Vec::new(),
+            peers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             early_cancels: BTreeSet::new(),
             meters: HashMap::new(),
         }
     }
 
-    /// Sets the entry nodes that claim chunks beside this one.
-    pub fn set_peers(&mut self, peers: Vec<Name>) {
-        self.peers = peers;
+    /// Notes that the entry node `peer` claims chunks; it counts as a peer for ten minutes.
+    pub fn note_peer(&mut self, now_ms: u64, peer: Name) {
+        self.peers.insert(peer, now_ms);
+        self.peers.retain(|_, seen_ms| *seen_ms + PEER_MS > now_ms);
     }
 
     /// Forgets all jobs, before a new snapshot is applied.
@@ -109,9 +114,12 @@
                     self.early_cancels.insert(job);
                 }
             },
-            Change::Claimed(job, chunk, _) => self.set(job, chunk, ChunkState::Claimed),
+            Change::Claimed(job, chunk, claim) => {
+                self.note_peer(now_ms, claim.holder);
+                self.set(job, chunk, ChunkState::Claimed);
+            }
             Change::Unclaimed(job, chunk) => self.set(job, chunk, open(now_ms)),
-            Change::Done(job, chunk) => self.finish(now_ms, job, chunk),
+            Change::Done(job, chunk, done) => self.finish(now_ms, job, chunk, done),
         }
     }
 
@@ -170,6 +178,17 @@
         self.jobs.get(&job).is_some_and(|job| job.cancelled)
     }
 
+    /// Returns what is to be kept of a live job once all of its items have results.
+    #[must_use]
+    pub fn to_archive(&self, job: JobId) -> Option<Archive> {
+        let job = self.jobs.get(&job).filter(|job| job.left == 0)?;
+        Some(Archive {
+            head: job.head.clone(),
+            cancelled: job.cancelled,
+            failed: job.failed,
+        })
+    }
+
     /// Returns the live jobs whose items all have results.
     pub fn finished(&self) -> impl Iterator<Item = JobId> {
         let finished = self.jobs.iter().filter(|(_, job)| job.left == 0);
@@ -221,6 +240,7 @@
             cancelled,
             chunks,
             left,
+            failed: 0,
         });
     }
 
@@ -234,7 +254,7 @@
         }
     }
 
-    fn finish(&mut self, now_ms: u64, id: JobId, chunk: ChunkIndex) {
+    fn finish(&mut self, now_ms: u64, id: JobId, chunk: ChunkIndex, done: Done) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -246,6 +266,7 @@
             return;
         }
         *slot = ChunkState::Done;
+        job.failed += done.failed;
         let items = job.head.chunk_items[place];
         job.left -= u64::from(items);
         let counted = if job.cancelled { 0 } else { items };
@@ -285,7 +306,7 @@
         });
         let mine = ready.filter(|(chunk, since_ms)| {
             let place = Place::Chunk(id, *chunk);
-            let delay_ms = rank(&self.me, &self.peers, place) * RANK_STEP_MS;
+            let delay_ms = rank(&self.me, self.peers.keys(), place) * RANK_STEP_MS;
             since_ms + delay_ms.min(MAX_RANK_DELAY_MS) <= now_ms
         });
         mine.map(|(chunk, _)| chunk)
@@ -294,7 +315,7 @@
     }
 
     fn is_first(&self, place: Place) -> bool {
-        rank(&self.me, &self.peers, place) == 0
+        rank(&self.me, self.peers.keys(), place) == 0
     }
 }
 
--- a/eel-batch/src/head.rs
+++ b/eel-batch/src/head.rs
@@ -59,6 +59,8 @@
     pub head: Head,
     /// Whether the job was cancelled before it was completed.
     pub cancelled: bool,
+    /// The items that ended with an error.
+    pub failed: u32,
 }
 
 /// The value of a claim: who holds the chunk.
@@ -70,6 +72,13 @@
     pub token: u64,
 }
 
+/// The value of a done mark.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Done {
+    /// The items of the chunk that ended with an error.
+    pub failed: u32,
+}
+
 /// What outlives the claims of a chunk.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct History {
--- a/eel-batch/src/lib.rs
+++ b/eel-batch/src/lib.rs
@@ -21,7 +21,7 @@
 mod urgency;
 
 pub use board::{Board, Change, OpenChunk};
-pub use head::{Archive, Claim, Head, History};
+pub use head::{Archive, Claim, Done, Head, History};
 pub use item::{Item, ItemError, ItemResult, Method, Outcome, Response};
 pub use key::{ChunkIndex, ItemIndex, JobId, Keys, PartIndex, StateKey, WindowIndex};
 pub use meter::RateMeter;
--- a/eel-batch/src/progress.rs
+++ b/eel-batch/src/progress.rs
@@ -1,10 +1,10 @@
 //! Progress of a job and the assembly of its results in item order.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
-use crate::{ChunkIndex, Head, ItemIndex, ItemResult};
+use crate::{Archive, ChunkIndex, Done, Head, ItemIndex, ItemResult};
 
 /// The state of a job as its caller sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,20 +27,33 @@
     pub state: State,
     /// The number of items.
     pub items: u32,
-    /// The items of chunks that are finished.
-    pub ended: u32,
+    /// The items of finished chunks that the service answered.
+    pub completed: u32,
+    /// The items of finished chunks that ended with an error.
+    pub failed: u32,
 }
 
 impl Progress {
     /// Works out the progress from the finished chunks.
     #[must_use]
-    pub fn new(head: &Head, done: &BTreeSet<ChunkIndex>, cancelled: bool) -> Self {
+    pub fn new(head: &Head, done: &BTreeMap<ChunkIndex, Done>, cancelled: bool) -> Self {
         let chunks = head.chunks().zip(&head.chunk_items);
-        let ended = chunks
-            .filter(|(chunk, _)| done.contains(chunk))
+        let ended: u32 = chunks
+            .filter(|(chunk, _)| done.contains_key(chunk))
             .map(|(_, items)| items)
             .sum();
-        let items = head.items();
+        let failed = done.values().map(|done| done.failed).sum();
+        Self::from_counts(head.items(), ended, failed, cancelled)
+    }
+
+    /// Returns the progress of a job whose items all have results.
+    #[must_use]
+    pub fn ended(archive: &Archive) -> Self {
+        let items = archive.head.items();
+        Self::from_counts(items, items, archive.failed, archive.cancelled)
+    }
+
+    fn from_counts(items: u32, ended: u32, failed: u32, cancelled: bool) -> Self {
         let state = match (ended == items, cancelled) {
             (true, true) => State::Cancelled,
             (true, false) => State::Completed,
@@ -50,7 +63,8 @@
         Self {
             state,
             items,
-            ended,
+            completed: ended - failed,
+            failed,
         }
     }
 }
--- a/eel-batch/src/rendezvous.rs
+++ b/eel-batch/src/rendezvous.rs
@@ -39,8 +39,8 @@
 }
 
 /// Returns how many of `peers` come before `me` for `place`.
-pub(crate) fn rank(me: &Name, peers: &[Name], place: Place) -> u64 {
+pub(crate) fn rank<'a>(me: &Name, peers: impl Iterator<Item = &'a Name>, place: Place) -> u64 {
     let own = weight(me, place);
-    let others = peers.iter().filter(|peer| *peer != me);
+    let others = peers.filter(|peer| *peer != me);
     others.filter(|peer| weight(peer, place) > own).count() as u64
 }
--- a/eel-batch/src/runner/commit.rs
+++ b/eel-batch/src/runner/commit.rs
@@ -1,6 +1,6 @@
 //! Started marks and commits of results.
 
-use super::{Action, Part, PartIndex, Phase, Runner, WindowIndex};
+use super::{Action, Done, Part, PartIndex, Phase, Runner, WindowIndex};
 
 impl Runner {
     /// Issues every mark, commit and hand-back that is due.
@@ -49,14 +49,16 @@
             return;
         }
         let results = self.take_part();
-        let last = is_ended && self.pending.is_empty();
+        let done = (is_ended && self.pending.is_empty()).then_some(Done {
+            failed: self.failed,
+        });
         let index = self.next_part;
         self.next_part = PartIndex(index.0 + 1);
-        self.committing = Some(last);
+        self.committing = Some(done.is_some());
         actions.push(Action::Commit(Part {
             index,
             results,
-            last,
+            done,
         }));
     }
 
--- a/eel-batch/src/runner/event.rs
+++ b/eel-batch/src/runner/event.rs
@@ -5,7 +5,7 @@
 use eel_types::Attempt;
 use eel_verdict::Refusal;
 
-use crate::{History, ItemIndex, ItemResult, PartIndex, Response, WindowIndex};
+use crate::{Done, History, ItemIndex, ItemResult, PartIndex, Response, WindowIndex};
 
 /// The bounds of attempts and the rhythm of commits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,6 +54,8 @@
     pub settled: BTreeSet<ItemIndex>,
     /// Items with a durable started mark.
     pub marked: BTreeSet<ItemIndex>,
+    /// How many of these ended with an error.
+    pub failed: u32,
     /// What earlier holders left behind.
     pub history: History,
     /// The first free part.
@@ -123,8 +125,8 @@
     pub index: PartIndex,
     /// The results, in the order in which the items ended.
     pub results: Vec<ItemResult>,
-    /// Whether every item of the chunk has its result now.
-    pub last: bool,
+    /// Set if every item of the chunk has its result now.
+    pub done: Option<Done>,
 }
 
 /// What the holder of a chunk has to do.
--- a/eel-batch/src/runner/mod.rs
+++ b/eel-batch/src/runner/mod.rs
@@ -13,7 +13,9 @@
 use eel_types::Attempt;
 use eel_verdict::{Reason, Refusal, Verdict};
 
-use crate::{History, ItemError, ItemIndex, ItemResult, Outcome, PartIndex, Response, WindowIndex};
+use crate::{
+    Done, History, ItemError, ItemIndex, ItemResult, Outcome, PartIndex, Response, WindowIndex,
+};
 pub use event::{Action, Claimed, Drain, Event, Part, Policy};
 use slot::{Next, Place, Slot};
 
@@ -37,11 +39,12 @@
     /// Results that are not committed yet, oldest first.
     pending: VecDeque<ItemResult>,
     pending_bytes: usize,
-    /// Results of the commit under way.
+    /// The commit under way, and whether it is the last one.
     committing: Option<bool>,
     next_part: PartIndex,
     last_commit_ms: u64,
     ended: usize,
+    failed: u32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -74,6 +77,7 @@
             next_part: claimed.next_part,
             last_commit_ms: now_ms,
             ended: 0,
+            failed: claimed.failed,
             claimed,
         };
         for item in (0..runner.claimed.items).map(ItemIndex) {
@@ -237,6 +241,7 @@
 
     fn give_up(&mut self, item: ItemIndex, reason: Reason, verdict: Verdict) {
         let attempts = self.slots[item.0 as usize].sends;
+        self.failed += 1;
         let error = ItemError {
             reason,
             verdict,
--- a/eel-batch/src/store/claim.rs
+++ b/eel-batch/src/store/claim.rs
@@ -11,8 +11,8 @@
 
 use super::{Error, Hold, JobStore, StoreResult, exactly, first, from_json, to_json};
 use crate::{
-    Claim, Claimed, Head, History, Item, ItemIndex, ItemResult, OpenChunk, PartIndex, StateKey,
-    WindowIndex, chunk,
+    Claim, Claimed, Head, History, Item, ItemIndex, ItemResult, OpenChunk, Outcome, PartIndex,
+    StateKey, WindowIndex, chunk,
 };
 
 /// Who claims.
@@ -128,11 +128,13 @@
         if !claim.kvs.is_empty() || !done.kvs.is_empty() {
             return Ok(None);
         }
+        let (settled, failed) = settled(&outputs)?;
         let known: History = first(&history)?.unwrap_or_default();
         let claimed = Claimed {
             items: head.chunk_items.get(chunk.0 as usize).copied().unwrap_or(0),
             repeatable: head.repeatable,
-            settled: settled(&outputs)?,
+            settled,
+            failed,
             marked: marked(&marks)?,
             history: known,
             next_part: PartIndex(count(&outputs)),
@@ -207,13 +209,18 @@
     u32::try_from(range.kvs.len()).unwrap_or(u32::MAX)
 }
 
-fn settled(outputs: &RangeOutcome) -> StoreResult<BTreeSet<ItemIndex>> {
+/// Returns the items with a committed result, and how many of these ended with an error.
+fn settled(outputs: &RangeOutcome) -> StoreResult<(BTreeSet<ItemIndex>, u32)> {
     let mut items = BTreeSet::new();
+    let mut failed = 0;
     for pair in &outputs.kvs {
         let results: Vec<ItemResult> = chunk::unpack(&pair.value).change_context(Error::Damaged)?;
-        items.extend(results.iter().map(|result| result.item));
+        for result in &results {
+            failed += u32::from(matches!(result.outcome, Outcome::Error(_)));
+            items.insert(result.item);
+        }
     }
-    Ok(items)
+    Ok((items, failed))
 }
 
 fn marked(marks: &RangeOutcome) -> StoreResult<BTreeSet<ItemIndex>> {
--- a/eel-batch/src/store/follow.rs
+++ b/eel-batch/src/store/follow.rs
@@ -108,7 +108,7 @@
                 let claim: Claim = from_json(&pair.value).ok()?;
                 Change::Claimed(job, chunk, claim)
             }
-            StateKey::Done(job, chunk) => Change::Done(job, chunk),
+            StateKey::Done(job, chunk) => Change::Done(job, chunk, from_json(&pair.value).ok()?),
         };
         Some(change)
     }
--- a/eel-batch/src/store/hold.rs
+++ b/eel-batch/src/store/hold.rs
@@ -90,9 +90,9 @@
         let packed = chunk::pack(&part.results).change_context(Error::Damaged)?;
         let value = bytes::Bytes::from(packed.bytes);
         let mut ops = vec![Op::put(key.as_str(), value.clone())];
-        if part.last {
-            let done = self.keys.state(StateKey::Done(job, chunk));
-            ops.push(Op::put(done, bytes::Bytes::from_static(b"{}")));
+        if let Some(done) = part.done {
+            let key = self.keys.state(StateKey::Done(job, chunk));
+            ops.push(Op::put(key, to_json(&done)?));
             ops.push(Op::Delete {
                 key: hold.claim_key.clone(),
             });
--- a/eel-batch/src/store/lookup.rs
+++ b/eel-batch/src/store/lookup.rs
@@ -1,16 +1,16 @@
 //! Reading a job: its progress and its results.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
-use eel_store::{KeyValue, Op, RangeRequest, Txn};
+use eel_store::{KeyValue, Op, RangeOutcome, RangeRequest, Txn};
 use eel_types::Name;
 use error_stack::ResultExt as _;
 use serde::Serialize;
 
-use super::{Error, JobStore, StoreResult, exactly, first};
+use super::{Error, JobStore, StoreResult, exactly, first, from_json};
 use crate::{
-    Assembler, ChunkIndex, Head, Item, ItemError, ItemResult, JobId, Outcome, Progress, Response,
-    StateKey, chunk, head::Archive,
+    Assembler, ChunkIndex, Done, Head, Item, ItemError, ItemResult, JobId, Outcome, Progress,
+    Response, StateKey, chunk, head::Archive,
 };
 
 /// A job as the store holds it.
@@ -20,8 +20,6 @@
     pub head: Head,
     /// How far the job has come.
     pub progress: Progress,
-    /// The chunks whose items all have results.
-    pub done: BTreeSet<ChunkIndex>,
 }
 
 /// One line of a job's results.
@@ -54,35 +52,38 @@
     /// [`Error::Store`] if the store gave no answer, [`Error::Damaged`] if a value can't be read.
     pub async fn get(&self, job: JobId) -> StoreResult<Option<JobView>> {
         let key = |key: String| Op::Range(RangeRequest::key(key));
-        let dones = RangeRequest {
-            keys_only: true,
-            ..RangeRequest::prefix(self.keys.dones(job))
-        };
         let txn = Txn {
             success: vec![
                 key(self.keys.state(StateKey::Head(job))),
                 key(self.keys.archive(job)),
                 key(self.keys.state(StateKey::Cancel(job))),
-                Op::Range(dones),
+                Op::Range(RangeRequest::prefix(self.keys.dones(job))),
             ],
             ..Txn::default()
         };
         let [live, archived, cancel, dones] = exactly(self.read(&txn).await?)?;
         if let Some(head) = first::<Head>(&live)? {
-            let keys = dones.kvs.iter();
-            let done = keys.filter_map(|pair| match self.keys.parse_state(&pair.key) {
-                Some(StateKey::Done(_, chunk)) => Some(chunk),
-                _ => None,
-            });
-            return Ok(Some(view(head, done.collect(), !cancel.kvs.is_empty())));
+            let done = self.dones(&dones)?;
+            let progress = Progress::new(&head, &done, !cancel.kvs.is_empty());
+            return Ok(Some(JobView { head, progress }));
         }
         let archive = first::<Archive>(&archived)?;
-        Ok(archive.map(|Archive { head, cancelled }| {
-            let done = head.chunks().collect();
-            view(head, done, cancelled)
+        Ok(archive.map(|archive| JobView {
+            progress: Progress::ended(&archive),
+            head: archive.head,
         }))
     }
 
+    fn dones(&self, range: &RangeOutcome) -> StoreResult<BTreeMap<ChunkIndex, Done>> {
+        let mut dones = BTreeMap::new();
+        for pair in &range.kvs {
+            if let Some(StateKey::Done(_, chunk)) = self.keys.parse_state(&pair.key) {
+                dones.insert(chunk, from_json(&pair.value)?);
+            }
+        }
+        Ok(dones)
+    }
+
     /// Reads the results of a chunk in item order, without the first `skip` items.
     ///
     /// # Errors
@@ -128,15 +129,6 @@
     }
 }
 
-fn view(head: Head, done: BTreeSet<ChunkIndex>, cancelled: bool) -> JobView {
-    let progress = Progress::new(&head, &done, cancelled);
-    JobView {
-        head,
-        progress,
-        done,
-    }
-}
-
 fn line(item: Item, result: ItemResult) -> ResultLine {
     let (response, error) = match result.outcome {
         Outcome::Response(response) => (Some(response), None),
--- a/eel-batch/src/store/sweep.rs
+++ b/eel-batch/src/store/sweep.rs
@@ -19,13 +19,9 @@
     /// # Errors
     ///
     /// [`Error::Store`] if the store gave no answer.
-    pub async fn archive(&self, job: JobId, head: &Head, cancelled: bool) -> StoreResult<()> {
+    pub async fn archive(&self, job: JobId, archive: &Archive) -> StoreResult<()> {
         let live = self.keys.state(StateKey::Head(job));
-        let archive = Archive {
-            head: head.clone(),
-            cancelled,
-        };
-        let mut success = vec![Op::put(self.keys.archive(job), to_json(&archive)?)];
+        let mut success = vec![Op::put(self.keys.archive(job), to_json(archive)?)];
         success.extend(self.state_deletes(job));
         let txn = Txn {
             compares: vec![Compare::Exists { key: live }],
--- a/eel-jobs/src/api/answer.rs
+++ b/eel-jobs/src/api/answer.rs
@@ -116,39 +116,35 @@
 struct StatusBody {
     id: String,
     object: &'static str,
-    status: State,
+    state: State,
     service: Name,
     created_at_unix_ms: u64,
     deadline_unix_ms: u64,
     results_kept_until_unix_ms: u64,
-    request_counts: Counts,
-}
-
-#[derive(Serialize)]
-struct Counts {
-    total: u32,
-    ended: u32,
+    items: u32,
+    completed: u32,
+    failed: u32,
 }
 
 pub(super) fn write_status(res: &mut Response, job: JobId, view: &JobView) {
-    let JobView { head, progress, .. } = view;
+    let JobView { head, progress } = view;
     let Progress {
         state,
         items,
-        ended,
+        completed,
+        failed,
     } = *progress;
     let body = StatusBody {
         id: job.to_string(),
         object: "batch",
-        status: state,
+        state,
         service: head.service.clone(),
         created_at_unix_ms: head.accepted_unix_ms,
         deadline_unix_ms: head.deadline_unix_ms,
         results_kept_until_unix_ms: head.remove_unix_ms(),
-        request_counts: Counts {
-            total: items,
-            ended,
-        },
+        items,
+        completed,
+        failed,
     };
     write_json(res, StatusCode::OK, &body);
 }
--- a/eel-jobs/src/api/submit.rs
+++ b/eel-jobs/src/api/submit.rs
@@ -1,6 +1,6 @@
 //! Submission of a job.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc};
 
 use eel_batch::{
     Head, JobPlan, PlanError, Progress, Terms,
@@ -30,8 +30,9 @@
     res: &mut Response,
 ) -> Result<(), Problem> {
     let caller = node.host.caller(req.headers())?;
-    let terms = terms(req.headers(), caller, node.options.retention_ms)?;
-    node.host.check_service(&terms.caller, &terms.service)?;
+    let mut terms = terms(req.headers(), caller, node.options.retention_ms)?;
+    let service = node.host.check_service(&terms.caller, &terms.service)?;
+    terms.repeatable &= service.repeatable;
     if node.leaving.is_cancelled() {
         let refusal = Refusal::not_run(Reason::Leaving);
         return Err(refusal.retry_after(BUSY_RETRY_AFTER_MS).into());
@@ -62,8 +63,7 @@
 
 fn new_view(head: Head) -> JobView {
     JobView {
-        progress: Progress::new(&head, &BTreeSet::new(), false),
-        done: BTreeSet::new(),
+        progress: Progress::new(&head, &BTreeMap::new(), false),
         head,
     }
 }
--- a/eel-jobs/src/host.rs
+++ b/eel-jobs/src/host.rs
@@ -9,6 +9,13 @@
 use http::HeaderMap;
 use tokio_util::sync::CancellationToken;
 
+/// What a service's record says about batch items.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServiceTerms {
+    /// Whether every call may run more than once; a caller can only narrow this.
+    pub repeatable: bool,
+}
+
 /// One item on its way to a target.
 #[derive(Clone, Debug)]
 pub struct ItemRequest {
@@ -41,12 +48,12 @@
     /// Refuses an unknown key as not run.
     fn caller(&self, headers: &HeaderMap) -> Result<Name, Refusal>;
 
-    /// Checks that `caller` may use `service`.
+    /// Checks that `caller` may use `service` and returns what the service's record says.
     ///
     /// # Errors
     ///
     /// Refuses an unknown or forbidden service as not run.
-    fn check_service(&self, caller: &Name, service: &Name) -> Result<(), Refusal>;
+    fn check_service(&self, caller: &Name, service: &Name) -> Result<ServiceTerms, Refusal>;
 
     /// Returns how many batch items may be sent to `service` now.
     fn credits(&self, service: &Name) -> u32;
--- a/eel-jobs/src/lib.rs
+++ b/eel-jobs/src/lib.rs
@@ -14,6 +14,6 @@
 mod work;
 
 pub use api::router;
-pub use host::{Host, ItemRequest};
+pub use host::{Host, ItemRequest, ServiceTerms};
 pub use node::JobNode;
 pub use options::Options;
--- a/eel-jobs/src/node.rs
+++ b/eel-jobs/src/node.rs
@@ -11,7 +11,6 @@
 
 use eel_batch::{Board, Keys, OpenChunk, store::JobStore};
 use eel_store::KeyValue;
-use eel_types::Name;
 use tokio::sync::{Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -54,11 +53,6 @@
         })
     }
 
-    /// Names the entry nodes that claim chunks too, this one included or not.
-    pub fn set_peers(&self, peers: Vec<Name>) {
-        self.board().set_peers(peers);
-    }
-
     /// Works until [`JobNode::leave`] is called and every claimed chunk is handed back or done.
     pub async fn run(self: &Arc<Self>) {
         let claims = async {
--- a/eel-jobs/src/sweep.rs
+++ b/eel-jobs/src/sweep.rs
@@ -51,17 +51,15 @@
 }
 
 async fn archive<S: KeyValue, H: Host>(node: &Arc<JobNode<S, H>>, job: JobId) {
-    let (head, cancelled, mine) = {
+    let archive = {
         let board = node.board();
-        let Some(head) = board.head(job).cloned() else {
-            return;
-        };
-        (head, board.is_cancelled(job), board.is_archiver(job))
+        let archive = board.to_archive(job);
+        archive.filter(|_| board.is_archiver(job))
     };
-    if !mine {
+    let Some(archive) = archive else {
         return;
-    }
-    if let Err(error) = node.jobs.archive(job, &head, cancelled).await {
+    };
+    if let Err(error) = node.jobs.archive(job, &archive).await {
         log::warn!(target: "jobs", "Job {job} can't be archived yet: {error}.");
     }
 }
