feat(bench): verbs bench and load

Cause: the comparison needs something to compare, and operators a load.

Behind the feature `bench`, `eelgrassgap bench` does all of it or compares given paths, and `eelgrassgap load` sends a load.

--- a/eel-bench/src/compare.rs
+++ b/eel-bench/src/compare.rs
@@ -1,6 +1,6 @@
 //! Compares a path with the endpoint behind it, and with a reference path, in one run.
 
-use std::fmt;
+use std::{fmt, str::FromStr};
 
 use bytes::Bytes;
 use error_stack::Report;
@@ -25,6 +25,41 @@
     pub pids: Vec<u32>,
 }
 
+impl FromStr for Pair {
+    type Err = String;
+
+    /// Reads `NAME,DIRECT_URL,PATH_URL[,key=KEY][,pid=PID]...`.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut fields = text.split(',');
+        let mut field = |what: &str| {
+            let field = fields.next().filter(|field| !field.is_empty());
+            field
+                .map(str::to_owned)
+                .ok_or(format!("{what} is missing in '{text}'"))
+        };
+        let mut pair = Self {
+            name: field("the name")?,
+            direct_url: field("the direct URL")?,
+            path_url: field("the URL of the path")?,
+            key: None,
+            pids: Vec::new(),
+        };
+        for field in fields {
+            match field.split_once('=') {
+                Some(("key", key)) => pair.key = Some(key.to_owned()),
+                Some(("pid", pid)) => pair.pids.push(parse_pid(pid)?),
+                _ => return Err(format!("'{field}' is neither key=KEY nor pid=PID")),
+            }
+        }
+        Ok(pair)
+    }
+}
+
+fn parse_pid(text: &str) -> Result<u32, String> {
+    text.parse()
+        .map_err(|_| format!("'{text}' is no process number"))
+}
+
 /// What to compare.
 #[derive(Clone, Debug)]
 pub struct Options {
--- a/eel-bench/src/lib.rs
+++ b/eel-bench/src/lib.rs
@@ -5,3 +5,5 @@
 pub mod compare;
 pub mod load;
 pub mod memory;
+pub mod nodes;
+pub mod stage;
--- /dev/null
+++ b/eel-bench/src/stage.rs
@@ -0,0 +1,216 @@
+//! Stand-ins and settings files for one entry node and its target nodes, all on loopback addresses.
+
+use std::{
+    fmt::Write as _,
+    fs, io,
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    path::{Path, PathBuf},
+};
+
+use eel_standin::{
+    engine::{Engine, EngineOptions},
+    kv::KvServer,
+    vm_list::{ListedVm, VmListServer},
+};
+use eel_store::{EtcdJson, EtcdOptions, KeyValue as _, Op, Txn};
+use eel_wire::credentials::{PemPair, create_authority, issue_node};
+use error_stack::{Report, ResultExt as _};
+use serde_json::{Value, json};
+
+/// The key of the only caller.
+pub const CALLER_KEY: &str = "bench-key";
+const CALLER_KEY_SHA256: &str = "b0962662e937d44c699c8305d90cbf190b3150c59b13863d1380b5cc3c711bb7";
+
+const POOL: &str = "bench-runners";
+const SERVICE_PATH: &str = "/services/bench/";
+
+/// What to stage.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The directory that receives certificates and settings files.
+    pub directory: PathBuf,
+    /// The target nodes to write settings for.
+    pub targets: u32,
+    /// The base URL of the target; a stand-in engine is started if there is none.
+    pub engine_url: Option<String>,
+}
+
+/// Running stand-ins.
+pub struct Stage {
+    /// The key-value service.
+    pub store: KvServer,
+    /// The VM list.
+    pub vm_list: VmListServer,
+    /// The stand-in engine, unless another target was named.
+    pub engine: Option<Engine>,
+    /// The settings file of the entry node.
+    pub entry_settings: PathBuf,
+    /// The settings files of the target nodes.
+    pub target_settings: Vec<PathBuf>,
+    /// Where the service answers through the entry node.
+    pub path_url: String,
+    /// Where the target answers directly.
+    pub direct_url: String,
+}
+
+/// Why nothing could be staged.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+pub enum Error {
+    /// A stand-in cannot start.
+    #[error("a stand-in cannot start")]
+    StandIn,
+    /// The records cannot be written to the stand-in of the key-value service.
+    #[error("the records cannot be written")]
+    Records,
+    /// A certificate or settings file cannot be written.
+    #[error("a file cannot be written")]
+    File,
+}
+
+/// Starts the stand-ins, declares one service and writes the settings files.
+///
+/// # Errors
+///
+/// [`Error`] if a stand-in cannot start or a file cannot be written.
+pub async fn start(options: &Options) -> Result<Stage, Report<Error>> {
+    let store = KvServer::start().await.change_context(Error::StandIn)?;
+    let vm_list = VmListServer::start().await.change_context(Error::StandIn)?;
+    let engine = match options.engine_url {
+        Some(_) => None,
+        None => Some(Engine::start(EngineOptions::default()).await),
+    };
+    let engine_url = options.engine_url.clone();
+    let engine_url = engine_url
+        .or_else(|| engine.as_ref().map(Engine::url))
+        .unwrap_or_default();
+    put_records(&store.url()).await?;
+    let files = Files::new(&options.directory)?;
+    let mut target_settings = Vec::new();
+    let mut listed = Vec::new();
+    for index in 0..options.targets {
+        let name = format!("target-{index}");
+        let quic = free_udp().change_context(Error::StandIn)?;
+        target_settings.push(files.target(&name, quic, &engine_url)?);
+        listed.push(listed_vm(&name, quic));
+    }
+    vm_list.set_vms(listed);
+    let http = free_tcp().change_context(Error::StandIn)?;
+    let entry_settings = files.entry(http, &store.url(), &vm_list.url())?;
+    Ok(Stage {
+        store,
+        vm_list,
+        engine,
+        entry_settings,
+        target_settings,
+        path_url: format!("http://{http}{SERVICE_PATH}"),
+        direct_url: format!("{engine_url}/"),
+    })
+}
+
+fn listed_vm(name: &str, address: SocketAddr) -> ListedVm {
+    ListedVm {
+        name: name.to_owned(),
+        address,
+        data_centre: "dc-a".to_owned(),
+        pool: POOL.to_owned(),
+        state: "live",
+    }
+}
+
+fn free_udp() -> io::Result<SocketAddr> {
+    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
+
+fn free_tcp() -> io::Result<SocketAddr> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
+
+fn records() -> [Value; 2] {
+    let service = json!({
+        "schema": 2, "kind": "service", "name": "bench",
+        "spec": {
+            "pool": POOL, "protocol": "plain", "class": "urgent", "repeatable": true,
+            "latency": { "first_token_ms": 1_000 },
+            "limits": { "slots": 1_024, "queue": 4_096, "max_body_bytes": 65_536, "timeout_ms": 10_000 },
+        },
+    });
+    let caller = json!({
+        "schema": 2, "kind": "caller", "name": "bench",
+        "spec": {
+            "keys_sha256": [CALLER_KEY_SHA256],
+            "services": ["*"],
+            "limits": { "rate_per_s": 1_000_000, "burst": 1_000_000, "concurrency": 10_000 },
+        },
+    });
+    [service, caller]
+}
+
+async fn put_records(store_url: &str) -> Result<(), Report<Error>> {
+    let store = EtcdJson::new(&EtcdOptions::new(store_url)).change_context(Error::Records)?;
+    let success = records().map(|record| {
+        let kind = record["kind"].as_str().unwrap_or_default();
+        let name = record["name"].as_str().unwrap_or_default();
+        Op::put(
+            format!("/eelgrassgap/config/{kind}/{name}"),
+            record.to_string(),
+        )
+    });
+    let txn = Txn {
+        success: success.to_vec(),
+        ..Txn::default()
+    };
+    store.commit(&txn).await.change_context(Error::Records)?;
+    Ok(())
+}
+
+/// The files of the fleet.
+struct Files<'a> {
+    directory: &'a Path,
+    authority: PemPair,
+}
+
+impl<'a> Files<'a> {
+    fn new(directory: &'a Path) -> Result<Self, Report<Error>> {
+        let authority = create_authority().change_context(Error::File)?;
+        fs::create_dir_all(directory).change_context(Error::File)?;
+        let files = Self {
+            directory,
+            authority,
+        };
+        files.write("ca.pem", &files.authority.certificate)?;
+        Ok(files)
+    }
+
+    fn target(&self, name: &str, quic: SocketAddr, url: &str) -> Result<PathBuf, Report<Error>> {
+        let settings = format!(
+            "[node]\nname = {name}\ndata_centre = dc-a\npool = {POOL}\n\
+             [listen]\nquic = {quic}\nadmin = 127.0.0.1:0\n[target]\nurl = {url}\n"
+        );
+        self.settings(name, settings)
+    }
+
+    fn entry(&self, http: SocketAddr, store: &str, vms: &str) -> Result<PathBuf, Report<Error>> {
+        let settings = format!(
+            "[node]\nname = entry\ndata_centre = dc-a\nregion = here\n\
+             [listen]\nhttp = {http}\nadmin = 127.0.0.1:0\nquic_bind = 127.0.0.1:0\n\
+             [store]\nendpoints = {store}\n[vm_list]\nurl = {vms}\npoll_ms = 500\n"
+        );
+        self.settings("entry", settings)
+    }
+
+    /// Writes a node's certificate and settings; relative paths start from the settings file.
+    fn settings(&self, name: &str, mut settings: String) -> Result<PathBuf, Report<Error>> {
+        let pair = issue_node(&self.authority, name).change_context(Error::File)?;
+        self.write(&format!("{name}.pem"), &pair.certificate)?;
+        self.write(&format!("{name}.key"), &pair.key)?;
+        let tls = format!("[tls]\nca = ca.pem\ncertificate = {name}.pem\nkey = {name}.key\n");
+        let _ = settings.write_str(&tls);
+        self.write(&format!("{name}.ini"), &settings)
+    }
+
+    fn write(&self, file: &str, content: &str) -> Result<PathBuf, Report<Error>> {
+        let path = self.directory.join(file);
+        fs::write(&path, content).change_context(Error::File)?;
+        Ok(path)
+    }
+}
--- /dev/null
+++ b/src/bench.rs
@@ -0,0 +1,120 @@
+//! `bench` and `load`: measure the path from an entry node to a target.
+
+use bytes::Bytes;
+use eel_bench::{
+    compare::{self, Pair},
+    load::{self, Arrivals},
+    nodes, stage,
+};
+use eel_core::Exit;
+use error_stack::{Report, ResultExt as _};
+
+use crate::{
+    error::Error,
+    options::{BenchOptions, LoadOptions},
+};
+
+const BODY_BYTES: usize = 512;
+const CLOSED_CLIENTS: u32 = 64;
+const DEFAULT_RATES_PER_S: [u32; 2] = [1_000, 5_000];
+
+/// Runs the comparison, or only the stand-ins for it.
+///
+/// # Errors
+///
+/// [`Error::Verb`] if the stand-ins or nodes cannot start or a load cannot be run.
+pub async fn run(options: &BenchOptions) -> Result<Exit, Report<Error>> {
+    if options.stage.is_some() {
+        return run_stage(options).await;
+    }
+    if !options.pair.is_empty() {
+        return compare_pairs(options, options.pair.clone()).await;
+    }
+    let directory = tempfile::tempdir().change_context(Error::File)?;
+    let stage = start_stage(options, directory.path()).await?;
+    let nodes = nodes::start(&stage).await.change_context(Error::Verb)?;
+    let exit = compare_pairs(options, vec![pair_of(&stage)]).await;
+    drop(nodes);
+    exit
+}
+
+/// Sends a load and prints what was measured.
+///
+/// # Errors
+///
+/// [`Error::Verb`] if the load cannot be run.
+pub async fn load(options: &LoadOptions) -> Result<Exit, Report<Error>> {
+    let arrivals = match options.rate {
+        0 => Arrivals::Closed {
+            clients: CLOSED_CLIENTS,
+        },
+        rate_per_s => Arrivals::Open { rate_per_s },
+    };
+    let options = load::Options {
+        url: options.url.clone(),
+        key: options.key.clone(),
+        body: body(options.body_bytes),
+        arrivals,
+        seconds: options.seconds,
+    };
+    let outcome = load::run(&options).await.change_context(Error::Verb)?;
+    println!("{outcome}");
+    Ok(Exit::Success)
+}
+
+async fn run_stage(options: &BenchOptions) -> Result<Exit, Report<Error>> {
+    let directory = options.stage.clone().unwrap_or_default();
+    let stage = start_stage(options, &directory).await?;
+    println!(
+        "{},{},key={}",
+        stage.direct_url,
+        stage.path_url,
+        stage::CALLER_KEY
+    );
+    tokio::signal::ctrl_c().await.change_context(Error::Verb)?;
+    Ok(Exit::Success)
+}
+
+async fn start_stage(
+    options: &BenchOptions,
+    directory: &std::path::Path,
+) -> Result<stage::Stage, Report<Error>> {
+    let options = stage::Options {
+        directory: directory.to_owned(),
+        targets: options.targets,
+        engine_url: options.engine_url.clone(),
+    };
+    stage::start(&options).await.change_context(Error::Verb)
+}
+
+fn pair_of(stage: &stage::Stage) -> Pair {
+    Pair {
+        name: "eelgrassgap".to_owned(),
+        direct_url: stage.direct_url.clone(),
+        path_url: stage.path_url.clone(),
+        key: Some(stage::CALLER_KEY.to_owned()),
+        pids: vec![std::process::id()],
+    }
+}
+
+async fn compare_pairs(options: &BenchOptions, pairs: Vec<Pair>) -> Result<Exit, Report<Error>> {
+    let rates_per_s = match options.rate.as_slice() {
+        [] => DEFAULT_RATES_PER_S.to_vec(),
+        rates => rates.to_vec(),
+    };
+    let options = compare::Options {
+        pairs,
+        rates_per_s,
+        clients: options.clients,
+        seconds: options.seconds,
+        rounds: options.rounds,
+        body: body(BODY_BYTES),
+    };
+    let outcome = compare::run(&options).await.change_context(Error::Verb)?;
+    print!("{outcome}");
+    Ok(Exit::Success)
+}
+
+fn body(length: usize) -> Bytes {
+    vec![b'y'; length].into()
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,7 @@
 //! The entry node and the command line of operators and callers.
 
+#[cfg(feature = "bench")]
+mod bench;
 mod error;
 mod job;
 mod options;
@@ -46,5 +48,9 @@
         Verb::Job(job) => job::run(job, options.timeout_ms, options.format).await,
         Verb::Keys(keys) => setup::keys(keys, options.format),
         Verb::Settings(settings) => setup::settings(settings, options.format),
+        #[cfg(feature = "bench")]
+        Verb::Bench(bench) => bench::run(bench).await,
+        #[cfg(feature = "bench")]
+        Verb::Load(load) => bench::load(load).await,
     }
 }
--- a/src/options/mod.rs
+++ b/src/options/mod.rs
@@ -1,5 +1,7 @@
 //! Arguments of `eelgrassgap`.
 
+#[cfg(feature = "bench")]
+mod bench;
 mod job;
 mod keys;
 mod records;
@@ -8,6 +10,8 @@
 
 use argh::FromArgs;
 
+#[cfg(feature = "bench")]
+pub use bench::{BenchOptions, LoadOptions};
 pub use job::{JobOptions, JobResultsOptions, JobSubmitOptions, JobVerb};
 pub use keys::{KeysOptions, KeysVerb};
 pub use records::{ApplyOptions, CheckOptions, GetOptions, PlanOptions, StatusOptions, parse_what};
@@ -64,6 +68,10 @@
     Job(JobOptions),
     Keys(KeysOptions),
     Settings(SettingsOptions),
+    #[cfg(feature = "bench")]
+    Bench(BenchOptions),
+    #[cfg(feature = "bench")]
+    Load(LoadOptions),
 }
 
 /// Run an entry node.
