fix(bench): leave out added latency where both ends are saturated

Cause: at 64 clients the added p50 came out at -700 us: the endpoint called directly has all 64 requests in service, through the path it has fewer.

Change: closed loads print the rates of both and no added latency.

--- a/eel-bench/src/compare.rs
+++ b/eel-bench/src/compare.rs
@@ -86,6 +86,8 @@
     pub arrivals: Arrivals,
     /// Requests a second that the path answered.
     pub rate_per_s: f64,
+    /// Requests a second that the endpoint answered directly.
+    pub direct_rate_per_s: f64,
     /// Latency added by the path at p50, p99 and p99.9, in microseconds.
     pub added_us: [f64; 3],
     /// Processor time of the path's processes for each request, in microseconds.
@@ -108,6 +110,7 @@
 
 struct Sample {
     rate_per_s: f64,
+    direct_rate_per_s: f64,
     added_us: [f64; 3],
     cpu_us: f64,
     lost: u64,
@@ -169,6 +172,7 @@
         .map(|quantile| to_f64(path.quantile_us(quantile)) - to_f64(direct.quantile_us(quantile)));
     Ok(Sample {
         rate_per_s: path.rate_per_s(),
+        direct_rate_per_s: direct.rate_per_s(),
         added_us,
         cpu_us: to_f64((after.cpu_ms - before.cpu_ms) * 1_000) / to_f64(path.answered.max(1)),
         lost: path.failed + path.unsent,
@@ -189,6 +193,7 @@
         name: name.to_owned(),
         arrivals,
         rate_per_s: over(&|sample| sample.rate_per_s),
+        direct_rate_per_s: over(&|sample| sample.direct_rate_per_s),
         added_us: [0, 1, 2].map(|index| over(&move |sample| sample.added_us[index])),
         cpu_us: over(&|sample| sample.cpu_us),
         lost: samples.iter().map(|sample| sample.lost).sum(),
@@ -209,9 +214,12 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "| load | path | requests/s | added p50, p99, p99.9 us | CPU us a request | lost | ratios: rate, p50, p99, p99.9, CPU |"
+            "| load | path | requests/s | direct | added p50, p99, p99.9 us | ratios | CPU us a request | lost | ratios: rate, CPU |"
+        )?;
+        writeln!(
+            f,
+            "| --- | --- | ---: | ---: | --- | --- | ---: | ---: | --- |"
         )?;
-        writeln!(f, "| --- | --- | ---: | --- | ---: | ---: | --- |")?;
         for load in self.rows.chunks(self.pairs.max(1)) {
             let reference = &load[0];
             for row in load {
@@ -226,23 +234,27 @@
 }
 
 fn write_row(f: &mut fmt::Formatter<'_>, row: &Row, reference: &Row) -> fmt::Result {
-    let [p50, p99, p999] = row.added_us;
-    let [base_p50, base_p99, base_p999] = reference.added_us;
-    let load = match row.arrivals {
-        Arrivals::Open { rate_per_s } => format!("{rate_per_s}/s"),
-        Arrivals::Closed { clients } => format!("{clients} clients"),
-    };
+    let name = &row.name;
+    let rates = format!("{:.0} | {:.0}", row.rate_per_s, row.direct_rate_per_s);
+    let rate_ratio = row.rate_per_s / reference.rate_per_s;
+    let cpu_ratio = row.cpu_us / reference.cpu_us;
+    match row.arrivals {
+        Arrivals::Open { rate_per_s } => {
+            let [p50, p99, p999] = row.added_us;
+            let [base_p50, base_p99, base_p999] = reference.added_us;
+            write!(
+                f,
+                "| {rate_per_s}/s | {name} | {rates} | {p50:.0}, {p99:.0}, {p999:.0} "
+            )?;
+            let (p50, p99, p999) = (p50 / base_p50, p99 / base_p99, p999 / base_p999);
+            write!(f, "| {p50:.2}, {p99:.2}, {p999:.2} ")?;
+        }
+        // Two saturated paths have different numbers of requests in service, so their latencies cannot be subtracted.
+        Arrivals::Closed { clients } => write!(f, "| {clients} clients | {name} | {rates} | | ")?,
+    }
+    let (cpu_us, lost) = (row.cpu_us, row.lost);
     writeln!(
         f,
-        "| {load} | {} | {:.0} | {p50:.0}, {p99:.0}, {p999:.0} | {:.0} | {} | {:.2}, {:.2}, {:.2}, {:.2}, {:.2} |",
-        row.name,
-        row.rate_per_s,
-        row.cpu_us,
-        row.lost,
-        row.rate_per_s / reference.rate_per_s,
-        p50 / base_p50,
-        p99 / base_p99,
-        p999 / base_p999,
-        row.cpu_us / reference.cpu_us,
+        "| {cpu_us:.0} | {lost} | {rate_ratio:.2}, {cpu_ratio:.2} |"
     )
 }
