feat(config): keep a node on the newest configuration, never back

Cause: a change that was accepted has to be in force on every node within seconds and must never revert, whatever order or path it takes; a node that starts while the store is down still needs a configuration.

Ruled out: reading all records again at each change, which costs a read a node and change and grows with the records; applying single events, because a transaction's records would then appear one by one.

Change: crate eel-config. `Publisher` shares the one in force within a process, whoever offers it; entry and target nodes can both use it. `follow` reads the records once, page by page at one revision, then applies what the watch brings, a revision at a time; after a compaction it reads again; until the store answers, a node without configuration asks its peers through `SnapshotSource`. A store that was restored from an old copy is reported and changes nothing until it has passed the revision in force.

Conclusion: the wiring into the entry and target nodes is not part of this commit.

--- /dev/null
+++ b/eel-config/src/follow.rs
@@ -0,0 +1,163 @@
+//! Follows the records in the key-value service.
+
+use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
+
+use eel_record::Snapshot;
+use eel_store::{
+    KeyValue, KeyValuePair, RangeRequest, StoreResult, WatchOptions as StoreWatchOptions,
+};
+use eel_types::Revision;
+use futures_util::StreamExt as _;
+use tokio::{sync::watch as channel, task::JoinHandle};
+
+use crate::{Applied, Offered, Publisher, Records};
+
+const PAGE_KEYS: u32 = 256;
+
+/// What to follow, and how often to try when the service is down.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// The prefix of the records' keys, up to and including `config/`.
+    pub prefix: String,
+    /// The time between the first two attempts to read; it doubles with each failure.
+    pub retry_first_ms: u64,
+    /// The longest time between attempts to read.
+    pub retry_max_ms: u64,
+}
+
+impl Options {
+    /// The default times.
+    #[must_use]
+    pub fn new(prefix: impl Into<String>) -> Self {
+        Self {
+            prefix: prefix.into(),
+            retry_first_ms: 100,
+            retry_max_ms: 2_000,
+        }
+    }
+}
+
+/// Where a node that starts while the service is down gets its first snapshot.
+pub trait SnapshotSource: Send + Sync + 'static {
+    /// Asks peers for the newest snapshot that they have in force.
+    fn fetch(&self) -> impl Future<Output = Option<Snapshot>> + Send;
+}
+
+/// A node without peers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoPeers;
+
+impl SnapshotSource for NoPeers {
+    async fn fetch(&self) -> Option<Snapshot> {
+        None
+    }
+}
+
+/// Follows the records in a task of its own, which ends when it is aborted.
+pub fn watch<S: KeyValue, P: SnapshotSource>(
+    options: Options,
+    store: Arc<S>,
+    peers: P,
+) -> (channel::Receiver<Arc<Snapshot>>, JoinHandle<Infallible>) {
+    let publisher = Publisher::new();
+    let receiver = publisher.subscribe();
+    let task = tokio::spawn(async move { follow(&options, &*store, &peers, &publisher).await });
+    (receiver, task)
+}
+
+/// Keeps `publisher` on the newest records: reads all of them, then applies each change that the watch brings. Outages
+/// leave the snapshot in force.
+pub async fn follow<S: KeyValue, P: SnapshotSource>(
+    options: &Options,
+    store: &S,
+    peers: &P,
+    publisher: &Publisher,
+) -> Infallible {
+    loop {
+        let mut records = read_until_answered(options, store, peers, publisher).await;
+        publish(&records, publisher);
+        let mut events = store.watch(StoreWatchOptions {
+            prefix: options.prefix.clone(),
+            from_revision: Some(Revision(records.revision().0 + 1)),
+        });
+        while let Some(event) = events.next().await {
+            match records.on_event(event) {
+                Applied::Pending => {}
+                Applied::Complete => publish(&records, publisher),
+                Applied::Lost => break,
+            }
+        }
+        log::warn!(target: "config", "The watch has ended; the records are read afresh.");
+    }
+}
+
+/// Reads all records. Until the store answers, a node without any configuration asks its peers for theirs.
+async fn read_until_answered<S: KeyValue, P: SnapshotSource>(
+    options: &Options,
+    store: &S,
+    peers: &P,
+    publisher: &Publisher,
+) -> Records {
+    let mut retry_ms = options.retry_first_ms;
+    loop {
+        match read(&options.prefix, store).await {
+            Ok(records) => return records,
+            Err(error) => log::warn!(target: "config", "The records cannot be read: {error}."),
+        }
+        if publisher.snapshot().revision == Revision::default() {
+            ask_peers(peers, publisher).await;
+        }
+        tokio::time::sleep(Duration::from_millis(retry_ms)).await;
+        retry_ms = (retry_ms * 2).min(options.retry_max_ms);
+    }
+}
+
+async fn ask_peers<P: SnapshotSource>(peers: &P, publisher: &Publisher) {
+    let Some(snapshot) = peers.fetch().await else {
+        return;
+    };
+    let revision = snapshot.revision;
+    if publisher.offer(Arc::new(snapshot)) == Offered::Taken {
+        log::info!(target: "config", "Revision {revision} is in force, from a peer.");
+    }
+}
+
+/// Reads the records page by page, all at the revision of the first page.
+async fn read<S: KeyValue>(prefix: &str, store: &S) -> StoreResult<Records> {
+    let mut request = RangeRequest {
+        limit: PAGE_KEYS,
+        ..RangeRequest::prefix(prefix)
+    };
+    let mut pairs: Vec<KeyValuePair> = Vec::new();
+    loop {
+        let page = store.range(&request).await?;
+        let revision = *request.revision.get_or_insert(page.revision);
+        pairs.extend(page.kvs);
+        if !page.more {
+            return Ok(Records::new(prefix, revision, pairs));
+        }
+        request.after = pairs.last().map(|pair| pair.key.clone());
+    }
+}
+
+fn publish(records: &Records, publisher: &Publisher) {
+    let previous = publisher.snapshot();
+    let outcome = records.snapshot(&previous);
+    for problem in &outcome.problems {
+        log::warn!(target: "config", "A record is not in force: {problem}.");
+    }
+    publisher.report(outcome.problems);
+    if records.revision() < previous.revision {
+        log::error!(
+            target: "config",
+            "The store is at revision {}, behind revision {} in force, which stays.",
+            records.revision(),
+            previous.revision
+        );
+        return;
+    }
+    let revision = outcome.snapshot.revision;
+    if publisher.offer(Arc::new(outcome.snapshot)) == Offered::Taken {
+        log::info!(target: "config", "Revision {revision} is in force.");
+    }
+}
--- /dev/null
+++ b/eel-config/src/publisher.rs
@@ -0,0 +1,88 @@
+//! Shares the snapshot in force within a process.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use eel_record::{Problem, Snapshot};
+use tokio::sync::watch;
+
+use crate::{InForce, Offered};
+
+/// Takes snapshots from several sides and passes the one in force on. Clones share their state.
+#[derive(Clone, Debug)]
+pub struct Publisher {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    in_force: Mutex<InForce>,
+    snapshots: watch::Sender<Arc<Snapshot>>,
+    problems: watch::Sender<Arc<[Problem]>>,
+}
+
+impl Default for Publisher {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Publisher {
+    /// Starts with an empty snapshot at revision 0.
+    #[must_use]
+    pub fn new() -> Self {
+        let in_force = InForce::default();
+        let snapshots = watch::Sender::new(Arc::clone(in_force.snapshot()));
+        let shared = Shared {
+            in_force: Mutex::new(in_force),
+            snapshots,
+            problems: watch::Sender::new(Arc::from([])),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Offers a snapshot; everyone who subscribed sees it if it is newer than the one in force.
+    pub fn offer(&self, snapshot: Arc<Snapshot>) -> Offered {
+        let mut in_force = self
+            .shared
+            .in_force
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let offered = in_force.offer(Arc::clone(&snapshot));
+        if offered == Offered::Taken {
+            // Sent under the lock, so that subscribers see revisions in order.
+            self.shared.snapshots.send_replace(snapshot);
+        }
+        offered
+    }
+
+    /// Replaces the list of what keeps records from being in force.
+    pub fn report(&self, problems: Vec<Problem>) {
+        self.shared.problems.send_if_modified(|known| {
+            let is_new = **known != *problems;
+            if is_new {
+                *known = problems.into();
+            }
+            is_new
+        });
+    }
+
+    /// Returns the snapshot in force.
+    #[must_use]
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        Arc::clone(&self.shared.snapshots.borrow())
+    }
+
+    /// Returns what keeps records from being in force.
+    #[must_use]
+    pub fn problems(&self) -> Arc<[Problem]> {
+        Arc::clone(&self.shared.problems.borrow())
+    }
+
+    /// Follows the snapshot in force; its revision only grows.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<Arc<Snapshot>> {
+        self.shared.snapshots.subscribe()
+    }
+}
--- /dev/null
+++ b/eel-config/tests/config/accept_latency.rs
@@ -0,0 +1,99 @@
+//! Measures the time from a change's acceptance until every node has it in force, and the store's work for it.
+//!
+//! `cargo test --release -p eel-config --test config accept_latency -- --ignored --nocapture`
+
+use std::time::{Duration, Instant};
+
+use eel_config::{NoPeers, Options};
+use eel_standin::kv::{Counts, KvServer};
+use eel_store::{EtcdJson, EtcdOptions};
+use hdrhistogram::Histogram;
+
+use crate::fixture::{Node, PREFIX, write};
+
+const CHANGES: u32 = 100;
+const IDLE_S: u64 = 12;
+
+fn start(server: &KvServer) -> Node {
+    let store = EtcdJson::new(&EtcdOptions::new(server.url())).expect("an HTTP client");
+    Node::start_opts(Options::new(PREFIX), store, NoPeers)
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// Makes changes one after the other and records how long each node takes to have each in force.
+async fn change(server: &KvServer, nodes: &mut [Node], latency_us: &mut Histogram<u64>) {
+    for slots in 1..=CHANGES {
+        let revision = write(server, &[("s", slots)]).await;
+        let accepted = Instant::now();
+        let waits = nodes.iter_mut().map(|node| async move {
+            node.wait_for_revision(revision).await;
+            accepted.elapsed()
+        });
+        for elapsed in futures_util::future::join_all(waits).await {
+            latency_us.saturating_record(micros(elapsed));
+        }
+    }
+}
+
+fn per(total: u64, count: u64) -> f64 {
+    let total = u32::try_from(total).unwrap_or(u32::MAX);
+    let count = u32::try_from(count).unwrap_or(u32::MAX);
+    f64::from(total) / f64::from(count)
+}
+
+fn calls(before: Counts, after: Counts) -> u64 {
+    let total = |c: Counts| c.reads + c.writes + c.keep_alives + c.watch_opens;
+    total(after) - total(before)
+}
+
+async fn measure(nodes: usize) {
+    let server = KvServer::start().await.expect("a free port");
+    write(&server, &[("s", 1)]).await;
+    let before = server.counts();
+    let mut nodes: Vec<_> = (0..nodes).map(|_| start(&server)).collect();
+    for node in &mut nodes {
+        node.wait_for_slots("s", 1).await;
+    }
+    let count = nodes.len() as u64;
+    let started = server.counts();
+    let mut latency_us = Histogram::<u64>::new(3).expect("three digits");
+    let begun = Instant::now();
+    change(&server, &mut nodes, &mut latency_us).await;
+    let duration_s = begun.elapsed().as_secs_f64();
+    let changed = server.counts();
+    tokio::time::sleep(Duration::from_secs(IDLE_S)).await;
+    let idle = server.counts();
+    let bytes = |before: Counts, after: Counts| {
+        after.bytes_in + after.bytes_out - before.bytes_in - before.bytes_out
+    };
+    println!(
+        "{count:5} {:6} {:6} {:6} | {:10.2} {:12} | {:14.2} {:11.0} | {:12.3} {:10.0} {:7}",
+        latency_us.value_at_quantile(0.5),
+        latency_us.value_at_quantile(0.99),
+        latency_us.max(),
+        per(calls(before, started), count),
+        changed.waiting_watches,
+        (per(calls(started, changed), u64::from(CHANGES)) - 1.0) / per(count, 1),
+        per(bytes(started, changed), u64::from(CHANGES) * count),
+        per(calls(changed, idle), count * IDLE_S),
+        per(bytes(changed, idle), count * IDLE_S),
+        format!("{duration_s:.1} s"),
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+#[ignore = "a measurement"]
+async fn accept_latency() {
+    println!(
+        "      in force, in µs        | starting a node          | a change and node          | an idle node"
+    );
+    println!(
+        "nodes    p50    p99    max | store calls  watches | calls besides watch  bytes | calls/s bytes/s  changes took"
+    );
+    for nodes in [1, 10, 30, 90, 360] {
+        measure(nodes).await;
+    }
+}
