feat(admit): undo slot decreases that don't help, and measure the yield to online requests

Cause: with additive increase and multiplicative decrease alone, a service whose first token is late for reasons other than load (long prompts) loses all slots but one, because a backlog always fills the slots that are left. In a trial of the example, counting the queue as latency of the target led to the same collapse: fewer slots, longer queue, later answers. Latency is counted from the start of a request, requests that started before the latest change say nothing, and a decrease after which the mean latency isn't at least a thirty-second lower is undone and not tried again for 30 s.

Grants say how many items had come when they were decided: without that, an entry node takes the items on their way for not yet sent, and sends too many.

--- /dev/null
+++ b/eel-admit/examples/yield/figures.rs
@@ -0,0 +1,79 @@
+//! Figures of one policy, and their line in the table.
+
+/// What was counted in runs of [`RUN_US`](crate::model::RUN_US) each.
+#[derive(Debug, Default)]
+pub struct Figures {
+    /// From arrival to first token, online.
+    pub first_token_us: Vec<u64>,
+    /// The mean time between tokens of each online request.
+    pub between_tokens_us: Vec<u64>,
+    /// From arrival to the engine's step that takes the request in, less the length of one step; online.
+    pub slot_wait_over_step_us: Vec<u64>,
+    /// Online requests refused.
+    pub refused: u64,
+    /// Batch items completed.
+    pub items: u64,
+    /// Tokens of batch items that were not generated in vain.
+    pub kept_tokens: u64,
+    /// Slots that online requests left, summed over the engine's steps.
+    pub idle_slot_steps: u64,
+    /// Batch items cancelled.
+    pub preempted: u64,
+    /// Batch items refused.
+    pub bounced: u64,
+}
+
+impl Figures {
+    /// Adds the figures of another run.
+    pub fn add(&mut self, other: Self) {
+        self.first_token_us.extend(other.first_token_us);
+        self.between_tokens_us.extend(other.between_tokens_us);
+        self.slot_wait_over_step_us
+            .extend(other.slot_wait_over_step_us);
+        self.refused += other.refused;
+        self.items += other.items;
+        self.kept_tokens += other.kept_tokens;
+        self.idle_slot_steps += other.idle_slot_steps;
+        self.preempted += other.preempted;
+        self.bounced += other.bounced;
+    }
+
+    /// Prints the table's head.
+    pub fn print_head() {
+        println!(
+            "| policy | first token p50 ms | p99 ms | p99 to no batch | p99.9 ms | between tokens p99 ms | slot wait over a step, max ms \
+             | batch items/s | of idle slots | preempted/s | bounced/s | refused |"
+        );
+        println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
+    }
+
+    /// Returns the 99th percentile of the time to the first token.
+    pub fn first_token_p99_ms(&mut self) -> f64 {
+        quantile_ms(&mut self.first_token_us, 990)
+    }
+
+    /// Prints the policy's line; the runs took `seconds` together, and `base_ms` is the 99th percentile without batch.
+    pub fn print(&mut self, policy: &str, seconds: f64, base_ms: f64) {
+        let p99_ms = self.first_token_p99_ms();
+        println!(
+            "| {policy} | {:.1} | {:.1} | {:.3} | {:.1} | {:.1} | {:.1} | {:.2} | {:.1}% | {:.1} | {:.1} | {} |",
+            quantile_ms(&mut self.first_token_us, 500),
+            p99_ms,
+            p99_ms / base_ms,
+            quantile_ms(&mut self.first_token_us, 999),
+            quantile_ms(&mut self.between_tokens_us, 990),
+            quantile_ms(&mut self.slot_wait_over_step_us, 1_000),
+            self.items as f64 / seconds,
+            self.kept_tokens as f64 * 100.0 / self.idle_slot_steps as f64,
+            self.preempted as f64 / seconds,
+            self.bounced as f64 / seconds,
+            self.refused,
+        );
+    }
+}
+
+fn quantile_ms(values: &mut [u64], per_mille: usize) -> f64 {
+    values.sort_unstable();
+    let index = (values.len() * per_mille / 1_000).min(values.len() - 1);
+    values[index] as f64 / 1_000.0
+}
--- /dev/null
+++ b/eel-admit/examples/yield/model.rs
@@ -0,0 +1,404 @@
+//! One engine that works in steps, the entry nodes that send to it, and what decides between them.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap},
+};
+
+use eel_admit::{
+    Action, Admission, Arrival, Event, Finish, LinkHello, LinkKey, Options, RequestKey, Targets,
+};
+use eel_types::{Attempt, Class, Incarnation, Name, RequestId};
+use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
+
+use crate::{figures::Figures, plain::Plain};
+
+/// Streams that the engine runs at the same time.
+pub const SLOTS: u32 = 32;
+/// The length of a run.
+pub const RUN_US: u64 = 600_000_000;
+const STEP_BASE_US: u64 = 10_000;
+const STEP_PROMPT_US: u64 = 4_000;
+const LINK_DELAY_US: u64 = 1_500;
+/// Entry nodes.
+pub const LINKS: usize = 3;
+const ASK_EVERY_US: u64 = 1_000_000;
+const FIXED_RESERVE: usize = 8;
+
+/// The engine's cost and the online load.
+#[derive(Clone, Copy, Debug)]
+pub struct Setting {
+    /// What each stream adds to a step.
+    pub step_stream_us: u64,
+    /// The longest time between two single arrivals.
+    pub gap_us: u64,
+    /// The size of the largest burst.
+    pub burst: u64,
+}
+
+/// How batch runs beside online requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Policy {
+    /// No batch at all.
+    NoBatch,
+    /// Batch fills the slots, first come first served.
+    NoYield,
+    /// Batch leaves a fixed number of slots free.
+    FixedReserve,
+    /// The state machine of this crate.
+    Credits {
+        /// Whether the engine resumes a preempted stream where it ended.
+        resumes: bool,
+    },
+}
+
+/// What happens at a point in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Happening {
+    Online { tokens: u32 },
+    Item { link: usize, tokens: u32 },
+    Granted { link: usize, limit: u64 },
+    Ask { link: usize },
+    Tick,
+    StepEnd,
+}
+
+/// A request, from its arrival to its end.
+#[derive(Clone, Copy, Debug)]
+pub struct Stream {
+    /// The priority class.
+    pub class: Class,
+    link: usize,
+    tokens: u32,
+    tokens_left: u32,
+    arrived_us: u64,
+    started_us: u64,
+    /// Whether it is online and fewer online requests than slots were there when it came.
+    found_slot: bool,
+    first_token_us: Option<u64>,
+    cancelled: bool,
+}
+
+/// The state of a run.
+pub struct Model {
+    setting: Setting,
+    policy: Policy,
+    now_us: u64,
+    happenings: BinaryHeap<Reverse<(u64, u64, Happening)>>,
+    sequence: u64,
+    admission: Admission,
+    plain: Plain,
+    links: Vec<LinkKey>,
+    /// Items that each entry node has sent.
+    sent: Vec<u64>,
+    /// The tokens left of the items that came back to each entry node.
+    returned: Vec<Vec<u32>>,
+    streams: HashMap<RequestKey, Stream>,
+    incoming: Vec<RequestKey>,
+    active: Vec<RequestKey>,
+    tick_us: u64,
+    step_us: u64,
+    stepping: bool,
+    next_id: u128,
+    rng: StdRng,
+    figures: Figures,
+}
+
+impl Model {
+    /// Prepares a run.
+    pub fn new(setting: Setting, policy: Policy, seed: u64) -> Self {
+        let targets = Targets {
+            slots: SLOTS,
+            queue: 256,
+            ..Targets::default()
+        };
+        let mut admission = Admission::new(Options {
+            targets,
+            ..Options::default()
+        });
+        let links = (0..LINKS).map(|link| open(&mut admission, link)).collect();
+        let mut model = Self {
+            setting,
+            policy,
+            now_us: 0,
+            happenings: BinaryHeap::new(),
+            sequence: 0,
+            admission,
+            plain: Plain::default(),
+            links,
+            sent: vec![0; LINKS],
+            returned: vec![Vec::new(); LINKS],
+            streams: HashMap::new(),
+            incoming: Vec::new(),
+            active: Vec::new(),
+            tick_us: u64::MAX,
+            step_us: STEP_BASE_US,
+            stepping: false,
+            next_id: 0,
+            rng: StdRng::seed_from_u64(seed + 1_000),
+            figures: Figures::default(),
+        };
+        model.plan_online(&mut StdRng::seed_from_u64(seed));
+        match policy {
+            Policy::Credits { .. } => {
+                (0..LINKS).for_each(|link| model.plan(0, Happening::Ask { link }))
+            }
+            Policy::NoYield | Policy::FixedReserve => (0..SLOTS).for_each(|_| model.plan_item(0)),
+            Policy::NoBatch => {}
+        }
+        model
+    }
+
+    fn plan(&mut self, at_us: u64, happening: Happening) {
+        self.sequence += 1;
+        self.happenings
+            .push(Reverse((at_us, self.sequence, happening)));
+    }
+
+    fn plan_tick(&mut self) {
+        if self.tick_us <= self.now_us {
+            self.tick_us = u64::MAX;
+        }
+        let due_us = self.admission.next_deadline_ms().map(|at_ms| at_ms * 1_000);
+        if let Some(due_us) = due_us.filter(|due_us| *due_us < self.tick_us) {
+            self.tick_us = due_us.max(self.now_us + 1);
+            self.plan(self.tick_us, Happening::Tick);
+        }
+    }
+
+    /// Plans single arrivals, and every few seconds a burst within 30 ms.
+    fn plan_online(&mut self, rng: &mut StdRng) {
+        let mut at_us = 0;
+        while at_us < RUN_US {
+            at_us += rng.random_range(1_000..self.setting.gap_us);
+            let tokens = rng.random_range(20..140);
+            self.plan(at_us, Happening::Online { tokens });
+        }
+        let mut burst_us = 0;
+        while burst_us < RUN_US {
+            burst_us += rng.random_range(1_000_000..5_000_000);
+            for _ in 0..rng.random_range(self.setting.burst / 3..self.setting.burst) {
+                let at_us = burst_us + rng.random_range(0..30_000);
+                let tokens = rng.random_range(20..140);
+                self.plan(at_us, Happening::Online { tokens });
+            }
+        }
+    }
+
+    fn plan_item(&mut self, link: usize) {
+        self.sent[link] += 1;
+        let fresh = self.rng.random_range(64..256);
+        let tokens = self.returned[link].pop().unwrap_or(fresh);
+        let delay_us = if matches!(self.policy, Policy::Credits { .. }) {
+            LINK_DELAY_US
+        } else {
+            0
+        };
+        self.plan(self.now_us + delay_us, Happening::Item { link, tokens });
+    }
+
+    /// Runs to the end.
+    pub fn run(mut self) -> Figures {
+        while let Some(Reverse((at_us, _, happening))) = self.happenings.pop() {
+            if at_us > RUN_US {
+                break;
+            }
+            self.now_us = at_us;
+            match happening {
+                Happening::Online { tokens } => self.arrive(Class::Interactive, 0, tokens),
+                Happening::Item { link, tokens } => self.arrive(Class::Batch, link, tokens),
+                Happening::Granted { link, limit } => {
+                    while self.sent[link] < limit {
+                        self.plan_item(link);
+                    }
+                }
+                Happening::Ask { link } => {
+                    self.plan(self.now_us + ASK_EVERY_US, Happening::Ask { link });
+                    self.decide(Event::CreditsAsked(self.links[link]));
+                }
+                Happening::Tick => self.decide(Event::Tick),
+                Happening::StepEnd => self.end_step(),
+            }
+            self.begin_step();
+        }
+        self.figures
+    }
+
+    fn arrive(&mut self, class: Class, link: usize, tokens: u32) {
+        self.next_id += 1;
+        let key = RequestKey {
+            id: RequestId(self.next_id),
+            attempt: Attempt(1),
+        };
+        let (arrived_us, tokens_left) = (self.now_us, tokens);
+        let stream = Stream {
+            class,
+            link,
+            tokens,
+            tokens_left,
+            arrived_us,
+            started_us: arrived_us,
+            found_slot: class.is_online() && self.online() < SLOTS as usize,
+            first_token_us: None,
+            cancelled: false,
+        };
+        self.streams.insert(key, stream);
+        self.decide(Event::Arrived(Arrival {
+            key,
+            link: self.links[link],
+            caller: Name::from("caller"),
+            class,
+            deadline_ms: self.now_us / 1_000 + 30_000,
+            repeatable: true,
+        }));
+    }
+
+    fn decide(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        match self.policy {
+            Policy::NoYield => self.plain.on_event(&event, &self.streams, 0, &mut actions),
+            Policy::FixedReserve => {
+                self.plain
+                    .on_event(&event, &self.streams, FIXED_RESERVE, &mut actions)
+            }
+            Policy::NoBatch | Policy::Credits { .. } => {
+                self.admission
+                    .on_event(self.now_us / 1_000, event, &mut actions)
+            }
+        }
+        for action in actions {
+            self.apply(&action);
+        }
+        self.plan_tick();
+    }
+
+    fn apply(&mut self, action: &Action) {
+        match action {
+            Action::Start(key) => {
+                self.streams.get_mut(key).expect("waits").started_us = self.now_us;
+                self.incoming.push(*key);
+            }
+            Action::Preempt(key) | Action::Cancel(key) => {
+                self.figures.preempted += 1;
+                self.streams.get_mut(key).expect("runs").cancelled = true;
+            }
+            Action::Refuse(key, _) => {
+                let stream = self.streams.remove(key).expect("waits");
+                match stream.class {
+                    Class::Batch => {
+                        self.figures.bounced += 1;
+                        self.returned[stream.link].push(stream.tokens_left);
+                    }
+                    Class::Urgent | Class::Interactive => self.figures.refused += 1,
+                }
+            }
+            Action::Grant {
+                link,
+                received,
+                credits,
+                ..
+            } => {
+                let link = self
+                    .links
+                    .iter()
+                    .position(|other| other == link)
+                    .expect("open");
+                let limit = received + u64::from(*credits);
+                self.plan(
+                    self.now_us + LINK_DELAY_US,
+                    Happening::Granted { link, limit },
+                );
+            }
+            Action::RefuseDuplicate(..) | Action::Settled(..) | Action::DrainDone => {}
+        }
+    }
+
+    /// Returns how many online requests wait or run.
+    fn online(&self) -> usize {
+        let streams = self.streams.values();
+        streams.filter(|stream| stream.class.is_online()).count()
+    }
+
+    fn begin_step(&mut self) {
+        if self.stepping || (self.incoming.is_empty() && self.active.is_empty()) {
+            return;
+        }
+        let running = self.active.iter().chain(&self.incoming);
+        let online = running.filter(|key| self.streams[key].class.is_online());
+        self.figures.idle_slot_steps += u64::from(SLOTS).saturating_sub(online.count() as u64);
+        for key in &self.incoming {
+            let stream = &self.streams[key];
+            if stream.found_slot {
+                let wait_us = self.now_us - stream.arrived_us;
+                self.figures
+                    .slot_wait_over_step_us
+                    .push(wait_us.saturating_sub(self.step_us));
+            }
+        }
+        let prompts = self.incoming.len() as u64;
+        self.active.append(&mut self.incoming);
+        self.step_us = STEP_BASE_US
+            + self.setting.step_stream_us * self.active.len() as u64
+            + STEP_PROMPT_US * prompts;
+        self.stepping = true;
+        self.plan(self.now_us + self.step_us, Happening::StepEnd);
+    }
+
+    fn end_step(&mut self) {
+        self.stepping = false;
+        let mut ended = Vec::new();
+        for key in &self.active {
+            let stream = self.streams.get_mut(key).expect("runs");
+            stream.tokens_left -= 1;
+            stream.first_token_us.get_or_insert(self.now_us);
+            if stream.cancelled || stream.tokens_left == 0 {
+                ended.push(*key);
+            }
+        }
+        self.active.retain(|key| !ended.contains(key));
+        for key in ended {
+            self.end_stream(key);
+        }
+    }
+
+    fn end_stream(&mut self, key: RequestKey) {
+        let stream = self.streams.remove(&key).expect("runs");
+        let first_us = stream.first_token_us.expect("has a token");
+        let between_us =
+            (self.now_us - first_us) / u64::from(stream.tokens - stream.tokens_left).max(2);
+        if stream.class.is_online() {
+            self.figures
+                .first_token_us
+                .push(first_us - stream.arrived_us);
+            self.figures.between_tokens_us.push(between_us);
+        } else if stream.tokens_left == 0 {
+            self.figures.items += 1;
+            self.figures.kept_tokens += u64::from(stream.tokens);
+        } else if self.policy == (Policy::Credits { resumes: true }) {
+            self.figures.kept_tokens += u64::from(stream.tokens - stream.tokens_left);
+            self.returned[stream.link].push(stream.tokens_left);
+        } else {
+            self.returned[stream.link].push(stream.tokens);
+        }
+        let is_plain = matches!(self.policy, Policy::NoYield | Policy::FixedReserve);
+        if is_plain && stream.class == Class::Batch {
+            self.plan_item(0);
+        }
+        self.decide(Event::Finished(Finish {
+            key,
+            first_byte_ms: Some((first_us - stream.started_us) / 1_000),
+            between_tokens_ms: Some(between_us / 1_000),
+        }));
+    }
+}
+
+/// Opens the link of an entry node.
+pub fn open(admission: &mut Admission, link: usize) -> LinkKey {
+    let hello = LinkHello {
+        entry: Name::from(link.to_string()),
+        incarnation: Incarnation(1),
+        generation: 1,
+        supersedes: true,
+    };
+    admission.open_link(0, hello, &mut Vec::new())
+}
--- a/eel-admit/src/admission/credits.rs
+++ b/eel-admit/src/admission/credits.rs
@@ -20,11 +20,13 @@
     /// Uses one credit of `link`, if it has a valid one.
     pub(super) fn use_credit(&mut self, now_ms: u64, link: LinkKey) -> bool {
         let has_credit = self.links.credits(now_ms, link) > 0;
-        if has_credit && let Some(open) = self.links.usable(link) {
-            open.credits -= 1;
-            if open.credits == 0 {
-                self.ask_credits(now_ms, link);
-            }
+        let Some(open) = self.links.usable(link) else {
+            return false;
+        };
+        open.received += 1;
+        open.credits -= u32::from(has_credit);
+        if open.credits == 0 {
+            self.ask_credits(now_ms, link);
         }
         has_credit
     }
@@ -109,6 +111,7 @@
             open.credits_until_ms = now_ms.saturating_add(valid_ms);
             actions.push(Action::Grant {
                 link,
+                received: open.received,
                 credits,
                 valid_ms,
             });
--- a/eel-admit/src/admission/end.rs
+++ b/eel-admit/src/admission/end.rs
@@ -23,7 +23,7 @@
             Class::Urgent | Class::Interactive => {
                 self.running_online = self.running_online.saturating_sub(1);
                 self.online_hold.sample(held_ms);
-                self.limits.sample(finish);
+                self.limits.sample(since_ms, finish);
             }
             Class::Batch if matches!(request.phase, Phase::Preempting { .. }) => {
                 self.preempting = self.preempting.saturating_sub(1);
--- a/eel-admit/src/event.rs
+++ b/eel-admit/src/event.rs
@@ -110,10 +110,12 @@
     Cancel(RequestKey),
     /// Answer [`Event::Settle`].
     Settled(RequestKey, Settlement),
-    /// Tell the entry node how many batch items it may send from now on; replaces what it was told before.
+    /// Tell the entry node how many batch items it may send; replaces what it was told before.
     Grant {
         /// The link to the entry node.
         link: LinkKey,
+        /// Batch items that had come over the link when this was decided; those sent since use credits up.
+        received: u64,
         /// Batch items that it may send.
         credits: u32,
         /// How long they are good for.
--- a/eel-admit/src/limits.rs
+++ b/eel-admit/src/limits.rs
@@ -9,16 +9,30 @@
 /// Late samples after which a window is judged at once.
 const WINDOW_LATE: u32 = 2;
 
+/// How long slots stay as they are after fewer of them have not helped.
+const FUTILE_HOLD_MS: u64 = 30_000;
+
 /// Additive increase and multiplicative decrease of the slots, judged window by window.
 ///
 /// Only load that this process controls is blamed for late answers: batch first, then a concurrency at its limit. A slow
-/// answer from a target that is not full changes nothing.
+/// answer from a target that is not full changes nothing, and a decrease that makes answers no faster is undone.
 #[derive(Debug)]
 pub(crate) struct Limits {
     targets: Targets,
     slots: u32,
     batch: u32,
     window: Window,
+    /// When the limits last changed; requests that started earlier say nothing about them.
+    changed_at_ms: u64,
+    decrease: Option<Decrease>,
+    hold_until_ms: u64,
+}
+
+/// A decrease of the slots whose effect is not yet known.
+#[derive(Clone, Copy, Debug)]
+struct Decrease {
+    slots_before: u32,
+    latency_before_permille: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -26,10 +40,22 @@
     start_ms: u64,
     samples: u32,
     late: u32,
+    /// The sum of all latencies, each in thousandths of its target.
+    latency_permille: u64,
     peak_running: u32,
     peak_batch: u32,
 }
 
+impl Window {
+    fn is_late(&self) -> bool {
+        self.late * 20 > self.samples
+    }
+
+    fn mean_latency_permille(&self) -> u64 {
+        self.latency_permille / u64::from(self.samples.max(1))
+    }
+}
+
 impl Limits {
     pub(crate) fn new(targets: Targets) -> Self {
         let slots = targets.slots.max(1);
@@ -38,6 +64,9 @@
             slots,
             batch: slots,
             window: Window::default(),
+            changed_at_ms: 0,
+            decrease: None,
+            hold_until_ms: 0,
         }
     }
 
@@ -48,6 +77,7 @@
         self.slots = if was_full { max } else { self.slots.min(max) };
         self.batch = if was_full { max } else { self.batch.min(max) };
         self.targets = targets;
+        self.decrease = None;
     }
 
     /// Returns how many requests may run.
@@ -71,14 +101,20 @@
     }
 
     /// Takes the latency of a finished online request that was answered.
-    pub(crate) fn sample(&mut self, finish: &Finish) {
-        if finish.first_byte_ms.is_none() {
+    pub(crate) fn sample(&mut self, started_at_ms: u64, finish: &Finish) {
+        let Some(first_byte_ms) = finish.first_byte_ms else {
+            return;
+        };
+        if started_at_ms < self.changed_at_ms {
             return;
         }
-        let late_start = finish.first_byte_ms > Some(self.targets.first_token_ms);
-        let late_tokens = finish.between_tokens_ms > Some(self.targets.between_tokens_ms);
+        let first = permille(first_byte_ms, self.targets.first_token_ms);
+        let between_ms = finish.between_tokens_ms.unwrap_or(0);
+        let between = permille(between_ms, self.targets.between_tokens_ms);
+        let latency = first.max(between);
         self.window.samples += 1;
-        self.window.late += u32::from(late_start || late_tokens);
+        self.window.late += u32::from(latency > 1_000);
+        self.window.latency_permille += latency;
     }
 
     /// Judges the window if it is complete.
@@ -88,8 +124,8 @@
         if !elapsed && window.samples < WINDOW_SAMPLES && window.late < WINDOW_LATE {
             return;
         }
-        if window.late * 20 > window.samples {
-            self.decrease(window);
+        if window.is_late() {
+            self.decrease(now_ms, window);
         } else {
             self.increase(window);
         }
@@ -99,16 +135,36 @@
         };
     }
 
-    fn decrease(&mut self, window: Window) {
+    fn decrease(&mut self, now_ms: u64, window: Window) {
         if window.peak_batch > 0 {
             self.batch = window.peak_batch.min(self.batch) / 2;
-        } else if window.peak_running >= self.slots {
-            self.slots = (self.slots * 7 / 8).max(1);
+            self.changed_at_ms = now_ms;
+            return;
         }
+        if window.peak_running < self.slots || now_ms < self.hold_until_ms {
+            return;
+        }
+        let latency_permille = window.mean_latency_permille();
+        self.changed_at_ms = now_ms;
+        if let Some(last) = self.decrease.take()
+            && latency_permille * 32 > last.latency_before_permille * 31
+        {
+            self.slots = last.slots_before.min(self.targets.slots.max(1));
+            self.hold_until_ms = now_ms + FUTILE_HOLD_MS;
+            return;
+        }
+        self.decrease = Some(Decrease {
+            slots_before: self.slots,
+            latency_before_permille: latency_permille,
+        });
+        self.slots = (self.slots * 7 / 8).max(1);
     }
 
     fn increase(&mut self, window: Window) {
         let max = self.targets.slots.max(1);
+        if window.samples > 0 {
+            self.decrease = None;
+        }
         if window.peak_batch >= self.batch {
             self.batch = (self.batch + 1 + self.batch / 16).min(max);
         }
@@ -117,3 +173,7 @@
         }
     }
 }
+
+fn permille(value_ms: u64, target_ms: u64) -> u64 {
+    value_ms.saturating_mul(1_000) / target_ms.max(1)
+}
--- a/eel-admit/src/link.rs
+++ b/eel-admit/src/link.rs
@@ -42,6 +42,8 @@
     process: EntryProcess,
     generation: u64,
     fenced: bool,
+    /// Batch items that have come over the link.
+    pub(crate) received: u64,
     pub(crate) credits: u32,
     pub(crate) credits_until_ms: u64,
     pub(crate) asked_at_ms: Option<u64>,
@@ -76,6 +78,7 @@
             process,
             generation: hello.generation,
             fenced: hello.generation < floor,
+            received: 0,
             credits: 0,
             credits_until_ms: 0,
             asked_at_ms: None,
