--- a/eel-admit/src/admission/arrive.rs
+++ b/eel-admit/src/admission/arrive.rs
@@ -6,8 +6,6 @@
 use super::{Admission, Deadline, Phase, Request};
 use crate::{Action, Arrival, RequestKey, history::Ending, queue::Ticket};
 
-/// The number of online arrivals in a window that makes a burst.
-const BURST: u32 = 4;
 /// The shortest time after which a refused caller is asked to come back.
 const MIN_RETRY_AFTER_MS: u64 = 50;
 /// The longest time after which a refused caller is asked to come back.
@@ -29,11 +27,7 @@
             actions.push(Action::Refuse(arrival.key, refusal));
             return;
         }
-        let is_burst = arrival.class.is_online() && self.bursts.in_window() == BURST;
         self.enqueue(now_ms, arrival);
-        if is_burst {
-            self.shed_batch(actions);
-        }
     }
 
     /// Refuses a copy of an attempt that is known already.
--- a/eel-admit/src/admission/start.rs
+++ b/eel-admit/src/admission/start.rs
@@ -86,17 +86,6 @@
         }
     }
 
-    /// Cancels the younger half of the batch items, so that the engine's next steps are shorter.
-    pub(super) fn shed_batch(&mut self, actions: &mut Vec<Action>) {
-        for _ in 0..self.running_batch.len() / 2 {
-            let Some(index) = self.youngest_preemptible() else {
-                return;
-            };
-            let ticket = self.running_batch.remove(index);
-            self.preempt(ticket, actions);
-        }
-    }
-
     fn youngest_preemptible(&self) -> Option<usize> {
         self.running_batch.iter().rposition(|ticket| {
             let request = self.requests.get(*ticket);
--- a/eel-admit/src/burst.rs
+++ b/eel-admit/src/burst.rs
@@ -23,11 +23,6 @@
         }
     }
 
-    /// Returns how many online requests have come in the present window.
-    pub(crate) fn in_window(&self) -> u32 {
-        self.in_window
-    }
-
     /// Returns the size of the largest recent burst, halved for each half-life that has passed since.
     pub(crate) fn size(&self, now_ms: u64, half_life_ms: u64) -> u32 {
         let halvings = now_ms.saturating_sub(self.peak_at_ms) / half_life_ms.max(1);
