--- a/eel-admit/examples/yield/figures.rs
+++ b/eel-admit/examples/yield/figures.rs
@@ -63,17 +63,23 @@
             quantile_ms(&mut self.first_token_us, 999),
             quantile_ms(&mut self.between_tokens_us, 990),
             quantile_ms(&mut self.slot_wait_over_step_us, 1_000),
-            self.items as f64 / seconds,
-            self.kept_tokens as f64 * 100.0 / self.idle_slot_steps as f64,
-            self.preempted as f64 / seconds,
-            self.bounced as f64 / seconds,
+            float(self.items) / seconds,
+            float(self.kept_tokens) * 100.0 / float(self.idle_slot_steps),
+            float(self.preempted) / seconds,
+            float(self.bounced) / seconds,
             self.refused,
         );
     }
 }
 
+/// Converts a count for division.
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+pub fn float(count: u64) -> f64 {
+    count as f64
+}
+
 fn quantile_ms(values: &mut [u64], per_mille: usize) -> f64 {
     values.sort_unstable();
     let index = (values.len() * per_mille / 1_000).min(values.len() - 1);
-    values[index] as f64 / 1_000.0
+    float(values[index]) / 1_000.0
 }
--- a/eel-admit/examples/yield/main.rs
+++ b/eel-admit/examples/yield/main.rs
@@ -13,7 +13,7 @@
 use eel_types::{Attempt, Class, Name, RequestId};
 
 use crate::{
-    figures::Figures,
+    figures::{Figures, float},
     model::{LINKS, Model, Policy, RUN_US, Setting, open},
 };
 
@@ -29,7 +29,7 @@
 
 /// Times arrivals and ends of online requests on one core while batch runs on credits.
 fn time_decisions() {
-    const REQUESTS: u128 = 1_000_000;
+    const REQUESTS: u64 = 1_000_000;
     let mut admission = Admission::new(Options::default());
     let links: Vec<LinkKey> = (0..LINKS).map(|link| open(&mut admission, link)).collect();
     let caller = Name::from("caller");
@@ -37,12 +37,12 @@
     let mut events = 0_u64;
     let start = Instant::now();
     for id in 0..REQUESTS {
-        let now_ms = (id / 20) as u64;
+        let now_ms = id / 20;
         let key = RequestKey {
-            id: RequestId(id),
+            id: RequestId(id.into()),
             attempt: Attempt(1),
         };
-        let link = links[id as usize % links.len()];
+        let link = links[usize::try_from(id).unwrap_or(0) % links.len()];
         let class = if id % 4 == 0 {
             Class::Batch
         } else {
@@ -62,7 +62,7 @@
         admission.on_event(now_ms, Event::Arrived(arrival), &mut actions);
         if let Some(ended) = id.checked_sub(12) {
             let key = RequestKey {
-                id: RequestId(ended),
+                id: RequestId(ended.into()),
                 attempt: Attempt(1),
             };
             let finish = Finish {
@@ -78,8 +78,8 @@
     let seconds = start.elapsed().as_secs_f64();
     println!(
         "{:.0} events a second on one core, {:.2} us each",
-        events as f64 / seconds,
-        seconds * 1e6 / events as f64
+        float(events) / seconds,
+        seconds * 1e6 / float(events)
     );
 }
 
@@ -87,7 +87,7 @@
     println!("\n{setting:?}\n");
     Figures::print_head();
     let base_ms = measure(setting, Policy::NoBatch).first_token_p99_ms();
-    let seconds = RUN_US as f64 / 1e6 * SEEDS.len() as f64;
+    let seconds = float(RUN_US / 1_000_000 * SEEDS.len() as u64);
     for (name, policy) in [
         ("no batch", Policy::NoBatch),
         ("no yield", Policy::NoYield),
--- a/eel-admit/examples/yield/model.rs
+++ b/eel-admit/examples/yield/model/mod.rs
@@ -1,12 +1,14 @@
 //! One engine that works in steps, the entry nodes that send to it, and what decides between them.
 
+mod steps;
+
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap},
 };
 
 use eel_admit::{
-    Action, Admission, Arrival, Event, Finish, LinkHello, LinkKey, Options, RequestKey, Targets,
+    Action, Admission, Arrival, Event, LinkHello, LinkKey, Options, RequestKey, Targets,
 };
 use eel_types::{Attempt, Class, Incarnation, Name, RequestId};
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
@@ -141,7 +143,7 @@
         model.plan_online(&mut StdRng::seed_from_u64(seed));
         match policy {
             Policy::Credits { .. } => {
-                (0..LINKS).for_each(|link| model.plan(0, Happening::Ask { link }))
+                (0..LINKS).for_each(|link| model.plan(0, Happening::Ask { link }));
             }
             Policy::NoYield | Policy::FixedReserve => (0..SLOTS).for_each(|_| model.plan_item(0)),
             Policy::NoBatch => {}
@@ -259,11 +261,11 @@
             Policy::NoYield => self.plain.on_event(&event, &self.streams, 0, &mut actions),
             Policy::FixedReserve => {
                 self.plain
-                    .on_event(&event, &self.streams, FIXED_RESERVE, &mut actions)
+                    .on_event(&event, &self.streams, FIXED_RESERVE, &mut actions);
             }
             Policy::NoBatch | Policy::Credits { .. } => {
                 self.admission
-                    .on_event(self.now_us / 1_000, event, &mut actions)
+                    .on_event(self.now_us / 1_000, event, &mut actions);
             }
         }
         for action in actions {
@@ -318,78 +320,6 @@
         let streams = self.streams.values();
         streams.filter(|stream| stream.class.is_online()).count()
     }
-
-    fn begin_step(&mut self) {
-        if self.stepping || (self.incoming.is_empty() && self.active.is_empty()) {
-            return;
-        }
-        let running = self.active.iter().chain(&self.incoming);
-        let online = running.filter(|key| self.streams[key].class.is_online());
-        self.figures.idle_slot_steps += u64::from(SLOTS).saturating_sub(online.count() as u64);
-        for key in &self.incoming {
-            let stream = &self.streams[key];
-            if stream.found_slot {
-                let wait_us = self.now_us - stream.arrived_us;
-                self.figures
-                    .slot_wait_over_step_us
-                    .push(wait_us.saturating_sub(self.step_us));
-            }
-        }
-        let prompts = self.incoming.len() as u64;
-        self.active.append(&mut self.incoming);
-        self.step_us = STEP_BASE_US
-            + self.setting.step_stream_us * self.active.len() as u64
-            + STEP_PROMPT_US * prompts;
-        self.stepping = true;
-        self.plan(self.now_us + self.step_us, Happening::StepEnd);
-    }
-
-    fn end_step(&mut self) {
-        self.stepping = false;
-        let mut ended = Vec::new();
-        for key in &self.active {
-            let stream = self.streams.get_mut(key).expect("runs");
-            stream.tokens_left -= 1;
-            stream.first_token_us.get_or_insert(self.now_us);
-            if stream.cancelled || stream.tokens_left == 0 {
-                ended.push(*key);
-            }
-        }
-        self.active.retain(|key| !ended.contains(key));
-        for key in ended {
-            self.end_stream(key);
-        }
-    }
-
-    fn end_stream(&mut self, key: RequestKey) {
-        let stream = self.streams.remove(&key).expect("runs");
-        let first_us = stream.first_token_us.expect("has a token");
-        let between_us =
-            (self.now_us - first_us) / u64::from(stream.tokens - stream.tokens_left).max(2);
-        if stream.class.is_online() {
-            self.figures
-                .first_token_us
-                .push(first_us - stream.arrived_us);
-            self.figures.between_tokens_us.push(between_us);
-        } else if stream.tokens_left == 0 {
-            self.figures.items += 1;
-            self.figures.kept_tokens += u64::from(stream.tokens);
-        } else if self.policy == (Policy::Credits { resumes: true }) {
-            self.figures.kept_tokens += u64::from(stream.tokens - stream.tokens_left);
-            self.returned[stream.link].push(stream.tokens_left);
-        } else {
-            self.returned[stream.link].push(stream.tokens);
-        }
-        let is_plain = matches!(self.policy, Policy::NoYield | Policy::FixedReserve);
-        if is_plain && stream.class == Class::Batch {
-            self.plan_item(0);
-        }
-        self.decide(Event::Finished(Finish {
-            key,
-            first_byte_ms: Some((first_us - stream.started_us) / 1_000),
-            between_tokens_ms: Some(between_us / 1_000),
-        }));
-    }
 }
 
 /// Opens the link of an entry node.
