test(core): the client of batch jobs against scripted entry nodes

The client had no test. A dead entry node, one that cannot serve for a while and one that refuses for good are told apart: the first two are passed over, the last one's answer is final.

--- /dev/null
+++ b/eel-core/tests/core/job_client.rs
@@ -0,0 +1,105 @@
+//! The client of batch jobs finds an entry node that answers, and takes a refusal for what it is.
+
+use std::sync::{Arc, Mutex};
+
+use eel_core::job::{Error, JobClient, JobStatus, SubmitOptions, submit_items};
+use eel_standin::serve::RunningServer;
+use error_stack::Report;
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait, http::StatusCode};
+
+const ACCEPTED: &str = r#"{"id":"1f","object":"batch","status":"in_progress","service":"scribe",
+    "created_at_unix_ms":1,"deadline_unix_ms":2,"results_kept_until_unix_ms":3,
+    "request_counts":{"total":2,"ended":0}}"#;
+
+/// Answers with each status in turn, and with the last one from then on; notes the headers that came.
+struct Script {
+    statuses: Vec<u16>,
+    seen: Arc<Mutex<Vec<String>>>,
+}
+
+#[async_trait]
+impl Handler for Script {
+    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        let header = |name| req.header::<String>(name).unwrap_or_default();
+        let names = [
+            "authorization",
+            "idempotency-key",
+            "x-eel-service",
+            "x-eel-deadline-ms",
+            "x-eel-repeatable",
+        ];
+        let mut seen = self.seen.lock().unwrap();
+        let status = self.statuses[seen.len().min(self.statuses.len() - 1)];
+        seen.push(names.map(header).join(" "));
+        res.status_code(StatusCode::from_u16(status).unwrap());
+        let _ = res.write_body(if status == 200 { ACCEPTED } else { "no" });
+    }
+}
+
+async fn start(statuses: &[u16]) -> (RunningServer, Arc<Mutex<Vec<String>>>) {
+    let seen = Arc::default();
+    let script = Script {
+        statuses: statuses.to_vec(),
+        seen: Arc::clone(&seen),
+    };
+    let router = Router::with_path("v1/batches").post(script);
+    (RunningServer::start(router).await, seen)
+}
+
+async fn submit(entries: &[String]) -> Result<JobStatus, Report<Error>> {
+    let entries = entries.iter().map(|url| url.as_str().into()).collect();
+    let client = JobClient::new(entries, "secret".into(), 1_000).unwrap();
+    let options = SubmitOptions {
+        service: "scribe".into(),
+        deadline_ms: 60_000,
+        repeatable: false,
+        idempotency_key: "k".into(),
+    };
+    submit_items(&options, "{}".into(), &client).await
+}
+
+#[tokio::test]
+async fn answers() {
+    // What the node answers in turn, the calls that it takes, and the status of a refusal.
+    let cases: [(&[u16], usize, Option<u16>); 6] = [
+        (&[200], 1, None),
+        (&[503, 200], 2, None),
+        (&[502, 504, 200], 3, None),
+        (&[409], 1, Some(409)),
+        (&[503, 404], 2, Some(404)),
+        (&[503], 3, Some(503)),
+    ];
+    for (statuses, calls, refused) in cases {
+        let (server, seen) = start(statuses).await;
+        let dead = "http://127.0.0.1:1".to_owned();
+        let outcome = submit(&[dead, format!("http://{}/", server.address())]).await;
+        let seen = seen.lock().unwrap();
+        assert_eq!(seen.len(), calls, "{statuses:?}");
+        assert!(
+            seen.iter()
+                .all(|s| s == "Bearer secret k scribe 60000 false"),
+            "{seen:?}"
+        );
+        match (outcome, refused) {
+            (Ok(status), None) => {
+                assert_eq!(status.to_string(), "1f in progress: 0 of 2 items ended");
+            }
+            (Err(report), Some(expected)) => match report.current_context() {
+                Error::Refused { status, .. } => assert_eq!(*status, expected),
+                error => panic!("{statuses:?}: {error}"),
+            },
+            (outcome, _) => panic!("{statuses:?}: {outcome:?}"),
+        }
+    }
+}
+
+#[tokio::test]
+async fn nobody_answers() {
+    let report = submit(&["http://127.0.0.1:1".to_owned()])
+        .await
+        .unwrap_err();
+    assert!(
+        matches!(report.current_context(), Error::Unreachable),
+        "{report:?}"
+    );
+}
