feat(core): accept references to records that only the store holds

A directory had to declare everything that its records refer to, so that two teams could not keep callers and services apart. plan and apply now accept a reference into the store, unless this apply deletes its target, and the transaction holds a compare that the target still exists. check reads no store and reports it as before. One test, with the service going away between the read and the write of the other directory.

--- a/eel-core/src/plan/mod.rs
+++ b/eel-core/src/plan/mod.rs
@@ -5,7 +5,7 @@
 
 use std::path::PathBuf;
 
-use eel_record::{Declarations, load_directory};
+use eel_record::{Declarations, Fault, RecordKey, load_directory};
 use eel_store::KeyValue;
 use error_stack::{Report, ResultExt as _};
 use thiserror::Error as ThisError;
@@ -25,7 +25,7 @@
     /// The directory of record files.
     pub directory: PathBuf,
     /// Records whose present version in the store may be overwritten, whatever the directory is based on.
-    pub overwrite: Vec<eel_record::RecordKey>,
+    pub overwrite: Vec<RecordKey>,
     /// Whether records that the directory no longer declares are deleted.
     pub prune: bool,
 }
@@ -81,6 +81,10 @@
     let stored = read_records(context.store, context.prefix)
         .await
         .change_context(Error::Store)?;
+    declared.problems.retain(|problem| match &problem.fault {
+        Fault::MissingReference(key) => !stays_stored(key, &stored, &lock, options.prune),
+        _ => true,
+    });
     Ok(Inputs {
         declared,
         jobs,
@@ -89,6 +93,12 @@
     })
 }
 
+/// Returns `true` for a record that the directory may refer to, though it stands in another directory.
+fn stays_stored(key: &RecordKey, stored: &StoredRecords, lock: &Lock, prune: bool) -> bool {
+    let is_deleted = prune && lock.records.contains_key(key);
+    stored.records.contains_key(key) && !is_deleted
+}
+
 impl Inputs {
     pub(crate) fn outcome(&self, options: &Options) -> Outcome {
         let base = Base {
--- a/eel-core/tests/core/apply_faults.rs
+++ b/eel-core/tests/core/apply_faults.rs
@@ -169,3 +169,33 @@
     assert_eq!(entry.content(), record);
     assert_eq!(entry.record.as_ref().unwrap().token(), Some("t"));
 }
+
+#[tokio::test]
+async fn references_into_the_store() {
+    let server = KvServer::start().await.unwrap();
+    let store = connect(&server);
+    let [services, callers] = ["s", "c"].map(Operator::new);
+    let spec = json!({ "key_sha256": "0".repeat(64), "services": ["a"] });
+    let caller = json!({ "schema": 1, "kind": "caller", "name": "club", "spec": spec });
+    callers.write("club", &caller);
+    assert_eq!(callers.apply(&store).await.verdict, Verdict::Invalid);
+    services.declare("a", 1);
+    assert_eq!(services.apply(&store).await.verdict, Verdict::Applied);
+    let ready = callers.prepare(&store).await;
+
+    services.remove("a");
+    services.declare("b", 1);
+    let prune = apply::Options {
+        prune: true,
+        ..services.options()
+    };
+    let outcome = services.apply_with(&prune, &store).await;
+    assert_eq!(outcome.verdict, Verdict::Applied, "{outcome}");
+    let outcome = callers.commit(ready, &store).await;
+    assert_eq!(
+        outcome.verdict,
+        Verdict::Conflict,
+        "the service went away meanwhile: {outcome}"
+    );
+    assert_eq!(callers.apply(&store).await.verdict, Verdict::Invalid);
+}
