feat(entry): run batch jobs in the entry node

Joins the batch part to the entry node: callers' keys and services from the records in force, credits from the load reports, one attempt of class batch a send over the links. `Pool::batch_credits` tells what may be sent to a pool now. The batch part is a child of the supervisor; a leaving node stops claiming at once, lets its items finish, commits and hands its chunks back before it ends.

Each item carries an `idempotency-key` to the target, the same at each attempt, so that a plain service that knows the header can recognise a resend; the stand-in engine counts by it where there is no `x-tag`.

Process tests bring about, over real entries and targets with 300 items: the holder of the chunk killed, stopped past its lease and woken after another has finished, both targets lost together with the holder, the holder leaving, a cancel, each for repeatable items and, where it matters, for items that are not. Counted at the engines by item: one result each, at most one execution where not repeatable.

--- a/eel-batch/tests/batch/store_calls.rs
+++ b/eel-batch/tests/batch/store_calls.rs
@@ -1,54 +1,81 @@
-//! What 1,000 items cost in store calls, from submission to the removal of the results.
+//! What 1,000 items cost in store calls, from submission to the removal of the results, and what a
+//! node that watches hears of it.
 
 use eel_batch::{Archive, OpenChunk};
-use eel_standin::kv::KvServer;
+use eel_standin::kv::{Counts, KvServer};
+use eel_types::Revision;
+use futures_util::StreamExt as _;
 
 use crate::store_world::{Until, drive, lease, must_claim, open, plan, token};
 
-const ITEMS: usize = 18_000;
+const ITEMS: u32 = 18_000;
 /// The budget that is stated for repeatable items in steady state.
 const MAX_WRITES: f64 = 4.0;
 const MAX_READS: f64 = 6.0;
 /// The design size: items a day over seconds a day.
 const ITEMS_PER_S: f64 = 910e6 / 86_400.0;
 
+/// Runs one job from submission to removal and returns what the store counted.
+async fn run_job(repeatable: bool, watched: bool) -> Counts {
+    let server = KvServer::start().await.unwrap();
+    let store = open(&server);
+    let lease = lease(&store).await;
+    let watch = watched.then(|| {
+        let mut events = store.watch(Revision(server.revision()));
+        tokio::spawn(async move { while events.next().await.is_some() {} })
+    });
+    while watched && server.counts().waiting_watches == 0 {
+        tokio::task::yield_now().await;
+    }
+    let plan = plan("k", ITEMS as usize, repeatable);
+    store.find_resend(&plan).await.unwrap();
+    store.submit(&plan, 1, token()).await.unwrap();
+    for chunk in plan.head.chunks() {
+        let open = OpenChunk {
+            job: plan.job,
+            chunk,
+        };
+        let work = must_claim(&store, open, &plan.head, lease).await;
+        drive(&store, &work, Until::Done).await;
+        let read = store.results(plan.job, &plan.head, chunk, 0).await.unwrap();
+        assert!(read.complete);
+    }
+    store.get(plan.job).await.unwrap();
+    let archive = Archive {
+        head: plan.head.clone(),
+        cancelled: false,
+        failed: 0,
+    };
+    store.archive(plan.job, &archive).await.unwrap();
+    store.sweep(plan.head.remove_unix_ms() * 2).await.unwrap();
+    let counts = server.counts();
+    if let Some(watch) = watch {
+        watch.abort();
+    }
+    counts
+}
+
+fn per_thousand(calls: u64) -> f64 {
+    let calls = u32::try_from(calls).unwrap();
+    f64::from(calls) * 1_000.0 / f64::from(ITEMS)
+}
+
 #[tokio::test]
 async fn calls_per_thousand_items() {
     for repeatable in [true, false] {
-        let server = KvServer::start().await.unwrap();
-        let store = open(&server);
-        let lease = lease(&store).await;
-        let before = server.counts();
-        let plan = plan("k", ITEMS, repeatable);
-        store.find_resend(&plan).await.unwrap();
-        store.submit(&plan, 1, token()).await.unwrap();
-        for chunk in plan.head.chunks() {
-            let open = OpenChunk {
-                job: plan.job,
-                chunk,
-            };
-            let work = must_claim(&store, open, &plan.head, lease).await;
-            drive(&store, &work, Until::Done).await;
-            store.results(plan.job, &plan.head, chunk, 0).await.unwrap();
-        }
-        store.get(plan.job).await.unwrap();
-        let archive = Archive {
-            head: plan.head.clone(),
-            cancelled: false,
-            failed: 0,
-        };
-        store.archive(plan.job, &archive).await.unwrap();
-        store.sweep(plan.head.remove_unix_ms() * 2).await.unwrap();
-        let after = server.counts();
-        #[expect(clippy::cast_precision_loss, reason = "small counts")]
-        let per_thousand = |calls: u64| calls as f64 * 1_000.0 / ITEMS as f64;
-        let writes = per_thousand(after.writes - before.writes);
-        let reads = per_thousand(after.reads - before.reads);
+        let counts = run_job(repeatable, false).await;
+        let watched = run_job(repeatable, true).await;
+        // The lease is the node's, not the job's.
+        let writes = per_thousand(counts.writes - 1);
+        let reads = per_thousand(counts.reads);
+        let heard = per_thousand(watched.bytes_out - counts.bytes_out);
         println!(
-            "repeatable {repeatable}: {writes:.2} writes and {reads:.2} reads per 1,000 items; \
-             {:.0} writes/s and {:.0} reads/s at 910 million items a day",
+            "repeatable {repeatable}: {writes:.2} writes and {reads:.2} reads per 1,000 items, \
+             {heard:.0} bytes to each watching node; at 910 million items a day {:.0} writes/s, \
+             {:.0} reads/s, {:.0} bytes/s to each",
             writes * ITEMS_PER_S / 1_000.0,
             reads * ITEMS_PER_S / 1_000.0,
+            heard * ITEMS_PER_S / 1_000.0,
         );
         if repeatable {
             assert!(writes <= MAX_WRITES && reads <= MAX_READS);
--- a/eel-entry/src/lib.rs
+++ b/eel-entry/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod authenticate;
+mod batch;
 mod config;
 mod error;
 mod link;
--- a/eel-entry/src/node.rs
+++ b/eel-entry/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use eel_jobs::JobNode;
 use eel_record::Snapshot;
 use eel_settings::EntrySettings;
 use eel_store::{EtcdJson, EtcdOptions, HttpVmList};
@@ -20,6 +21,7 @@
 
 use crate::{
     Error, admin,
+    batch::BatchHost,
     config::{self, InForce},
     link::Identity,
     membership,
@@ -135,11 +137,14 @@
         let poll = Duration::from_millis(self.settings.vm_list.poll_ms);
         spawn_membership(&mut supervisor, &context, vms, poll, &stop);
         let admin = start(self.admin, admin::router(context.clone(), self.registry))?;
-        let callers = start(self.http, serve::router(context.clone()))?;
+        let jobs = new_jobs(&self.settings, &context)?;
+        spawn_jobs(&mut supervisor, &jobs, &stop);
+        let routes = serve::router(context.clone(), eel_jobs::router(&jobs));
+        let callers = start(self.http, routes)?;
         let timeout = Duration::from_millis(self.settings.drain.timeout_ms);
         let outcome = tokio::select! {
             ended = supervisor.join() => ended.change_context(Error::Supervisor),
-            () = drain(&context, shutdown, callers, timeout) => Ok(()),
+            () = drain(&context, &jobs, shutdown, callers, timeout) => Ok(()),
         };
         stop.cancel();
         admin.handle.stop_forceful();
@@ -254,18 +259,55 @@
     });
 }
 
+/// The batch part of the node.
+type Jobs = JobNode<EtcdJson, BatchHost>;
+
+fn new_jobs(settings: &EntrySettings, context: &Arc<Context>) -> Result<Arc<Jobs>, Report<Error>> {
+    let options = eel_jobs::Options {
+        claims: settings.batch.enabled,
+        parallel_chunks: settings.batch.parallel_chunks as usize,
+        lease_ttl_ms: settings.store.lease_ttl_ms,
+        ..eel_jobs::Options::new(settings.node.name.clone(), &settings.store.prefix)
+    };
+    let host = Arc::new(BatchHost::new(context.clone()));
+    Ok(JobNode::new(options, open_store(settings)?, host))
+}
+
+fn spawn_jobs(supervisor: &mut Supervisor, jobs: &Arc<Jobs>, stop: &CancellationToken) {
+    let jobs = jobs.clone();
+    let stop = stop.clone();
+    supervisor.spawn("jobs", move || {
+        let jobs = jobs.clone();
+        let stop = stop.clone();
+        async move {
+            tokio::select! {
+                () = jobs.run() => Ok(()),
+                () = stop.cancelled() => Ok(()),
+            }
+        }
+    });
+}
+
 /// Waits for the order to end, then for the balancer to move away, then for open requests.
-async fn drain(context: &Context, shutdown: Shutdown, callers: HttpServer, timeout: Duration) {
+async fn drain(
+    context: &Context,
+    jobs: &Jobs,
+    shutdown: Shutdown,
+    callers: HttpServer,
+    timeout: Duration,
+) {
     tokio::select! {
         () = shutdown.drain.cancelled() => {}
         () = shutdown.now.cancelled() => return,
     }
     log::info!(target: "node", "Leaving.");
     context.leaving.cancel();
+    jobs.leave();
     let finished = async {
         tokio::time::sleep(LEAVE_NOTICE).await;
         callers.handle.stop_graceful(timeout);
         let _ = callers.task.await;
+        let _ = tokio::time::timeout(timeout, jobs.stopped()).await;
     };
     tokio::select! {
         () = finished => log::info!(target: "node", "Drained."),
--- a/eel-entry/src/routing.rs
+++ b/eel-entry/src/routing.rs
@@ -162,6 +162,13 @@
         })
     }
 
+    /// Returns how many batch items may be sent to `pool` now.
+    pub(crate) fn batch_credits(&self, pool: &Name) -> u32 {
+        let inner = self.lock();
+        let linked = inner.pools.get(pool);
+        linked.map_or(0, |linked| linked.pool.batch_credits(self.clock.now_ms()))
+    }
+
     /// Admits one request of a caller.
     ///
     /// # Errors
--- a/eel-entry/src/serve/handler.rs
+++ b/eel-entry/src/serve/handler.rs
@@ -15,9 +15,10 @@
 };
 use crate::node::Context;
 
-/// Returns the routes of callers.
-pub(crate) fn router(context: Arc<Context>) -> Router {
-    Router::with_path("{**rest}").goal(Serve(context))
+/// Returns the routes of callers; those of `jobs` go first.
+pub(crate) fn router(context: Arc<Context>, jobs: Router) -> Router {
+    let requests = Router::with_path("{**rest}").goal(Serve(context));
+    Router::new().push(jobs).push(requests)
 }
 
 struct Serve(Arc<Context>);
--- a/eel-entry/src/serve/intake.rs
+++ b/eel-entry/src/serve/intake.rs
@@ -140,7 +140,16 @@
     found.filter(|(_, spec)| spec.protocol == address.protocol)
 }
 
-fn check_access(snapshot: &Snapshot, caller: &Name, service: &Name) -> Result<(), Refusal> {
+/// Checks that the record of `caller` names `service`.
+///
+/// # Errors
+///
+/// Refuses the request as not run.
+pub(crate) fn check_access(
+    snapshot: &Snapshot,
+    caller: &Name,
+    service: &Name,
+) -> Result<(), Refusal> {
     let allowed = snapshot.callers.get(caller).is_some_and(|caller| {
         let mut services = caller.services.iter();
         services.any(|name| name == service || name.as_str() == "*")
--- a/eel-entry/src/serve/mod.rs
+++ b/eel-entry/src/serve/mod.rs
@@ -8,4 +8,8 @@
 mod request;
 mod run;
 
+pub(crate) use completion::Completion;
 pub(crate) use handler::router;
+pub(crate) use intake::check_access;
+pub(crate) use request::Request;
+pub(crate) use run::run_once;
--- a/eel-entry/src/serve/run.rs
+++ b/eel-entry/src/serve/run.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use eel_route::{AttemptEnd, Attempts, Next, Outcome, Query, RetryOptions, TargetKey};
 use eel_telemetry::trace;
-use eel_types::{LoadReport, RequestKey};
+use eel_types::{Attempt as AttemptNumber, LoadReport, RequestKey};
 use eel_verdict::{Reason, Refusal};
 use eel_wire::message::{ReplyHead, ServeRequest};
 use fastrace::Span;
@@ -133,6 +133,51 @@
     }
 }
 
+/// Sends `request` to one target, once, and collects the status and the body of its answer as a whole.
+///
+/// # Errors
+///
+/// The refusal of the one attempt.
+pub(crate) async fn run_once(
+    context: &Arc<Context>,
+    request: &Request,
+    number: AttemptNumber,
+    span: &Span,
+) -> Result<(u16, Bytes), Refusal> {
+    let query = Query {
+        class: request.class,
+        prefix_hash: request.prefix_hash,
+        repeatable: request.repeatable,
+        excluded: &[],
+    };
+    let chosen = context.routing.choose(&request.pool, &query)?;
+    let key = RequestKey {
+        id: request.id,
+        attempt: number,
+    };
+    match attempt(context, request, key, chosen, span).await? {
+        Answer::Whole { head, body } => Ok((head.status, body)),
+        Answer::Stream(streaming) => collect_stream(*streaming).await,
+    }
+}
+
+async fn collect_stream(mut streaming: Streaming) -> Result<(u16, Bytes), Refusal> {
+    let mut parts = std::mem::take(&mut streaming.begun);
+    loop {
+        match streaming.reply.next().await {
+            Ok(ReplyPart::Data(data)) => parts.push(data),
+            Ok(ReplyPart::End(load)) => {
+                streaming.end.whole(load);
+                return Ok((streaming.head.status, join(parts)));
+            }
+            Err(refusal) => {
+                streaming.end.broken(&refusal);
+                return Err(refusal);
+            }
+        }
+    }
+}
+
 async fn attempt(
     context: &Arc<Context>,
     request: &Request,
--- a/eel-jobs/src/host.rs
+++ b/eel-jobs/src/host.rs
@@ -25,6 +25,8 @@
     pub service: Name,
     /// Whether the item may run more than once.
     pub repeatable: bool,
+    /// Names the item the same at each attempt, for a service that recognises resends.
+    pub idempotency_key: Name,
     /// Counts the sends by this holder.
     pub attempt: Attempt,
     /// The HTTP method.
--- a/eel-jobs/src/node.rs
+++ b/eel-jobs/src/node.rs
@@ -33,6 +33,7 @@
     pub(crate) submissions: Semaphore,
     /// Cancelled once the node leaves: it claims nothing more and hands its chunks back.
     pub(crate) leaving: CancellationToken,
+    stopped: CancellationToken,
 }
 
 impl<S: KeyValue, H: Host> JobNode<S, H> {
@@ -49,6 +50,7 @@
             lease: watch::Sender::new(None),
             submissions: Semaphore::new(PARALLEL_SUBMISSIONS),
             leaving: CancellationToken::new(),
+            stopped: CancellationToken::new(),
             options,
         })
     }
@@ -79,6 +81,7 @@
             // A lease that can't be revoked lapses.
             let _ = self.jobs.store().revoke(held.id).await;
         }
+        self.stopped.cancel();
         log::info!(target: "jobs", "The batch part has stopped.");
     }
 
@@ -87,6 +90,11 @@
         self.leaving.cancel();
     }
 
+    /// Waits until [`JobNode::run`] has ended after [`JobNode::leave`].
+    pub async fn stopped(&self) {
+        self.stopped.cancelled().await;
+    }
+
     pub(crate) fn now_ms(&self) -> u64 {
         self.host.now_ms()
     }
--- a/eel-jobs/src/work.rs
+++ b/eel-jobs/src/work.rs
@@ -12,7 +12,8 @@
 
 use bytes::Bytes;
 use eel_batch::{
-    Action, Claimed, Drain, Event, Head, Item, ItemIndex, Part, Response, Runner, WindowIndex,
+    Action, Claimed, Drain, Event, Head, Item, ItemIndex, OpenChunk, Part, Response, Runner,
+    WindowIndex,
     store::{Fenced, Hold, StoreResult, Work},
 };
 use eel_store::{KeyValue, LeaseId};
@@ -198,12 +199,14 @@
     }
 
     fn request(&self, item: ItemIndex, attempt: Attempt) -> ItemRequest {
+        let OpenChunk { job, chunk } = self.hold.chunk();
         let content = &self.items[item.0 as usize];
         let body = content.body.as_ref();
         ItemRequest {
             caller: self.head.caller.clone(),
             service: self.head.service.clone(),
             repeatable: self.head.repeatable,
+            idempotency_key: format!("{job}-{chunk}-{item}").into(),
             attempt,
             method: content.method,
             url: content.url.clone(),
--- a/eel-route/src/pool.rs
+++ b/eel-route/src/pool.rs
@@ -227,6 +227,14 @@
         load
     }
 
+    /// Returns how many batch items this entry node may send now.
+    #[must_use]
+    pub fn batch_credits(&self, now_ms: u64) -> u32 {
+        let targets = self.targets.values();
+        let usable = targets.filter(|target| target.is_usable(now_ms));
+        usable.map(|target| target.batch_credits(now_ms)).sum()
+    }
+
     #[allow(clippy::cast_precision_loss)]
     fn on_answered(
         &mut self,
--- a/eel-standin/src/engine/server.rs
+++ b/eel-standin/src/engine/server.rs
@@ -171,7 +171,11 @@
 
 impl Endpoint {
     async fn execute(&self, req: &Request, res: &mut Response, body: &[u8], fault: Fault) {
-        let tag = req.header::<String>("x-tag").unwrap_or_default();
+        let key = || req.header::<String>("idempotency-key");
+        let tag = req
+            .header::<String>("x-tag")
+            .or_else(key)
+            .unwrap_or_default();
         let path = req.uri().path();
         let mut execution = Execution::start(self.0.clone(), &tag);
         let completion = path.starts_with("/v1/") && path.ends_with("completions");
--- /dev/null
+++ b/tests/process/batch_jobs.rs
@@ -0,0 +1,186 @@
+//! Batch jobs over real processes: entries that are killed or stopped, a target that is lost.
+
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use serde_json::Value;
+
+use crate::fleet::{Entry, Platform, Service, Target, eventually};
+
+const ITEMS: u32 = 300;
+const POOL: &str = "scribe-runners";
+
+fn lines() -> String {
+    let line = |item| {
+        format!(
+            r#"{{"custom_id":"i{item}","method":"POST","url":"/v1/completions","body":{{"model":"scribe","prompt":"{item}","max_tokens":100}}}}"#
+        )
+    };
+    (0..ITEMS).map(line).collect::<Vec<_>>().join("\n")
+}
+
+async fn submit(entry: &Entry, repeatable: bool) -> String {
+    let request = entry.post("/v1/batches", "", lines());
+    let request = request.header("idempotency-key", "k");
+    let request = request.header("x-eel-service", "scribe");
+    let request = request.header("x-eel-deadline-ms", "600000");
+    let request = request.header("x-eel-repeatable", repeatable.to_string());
+    let answer = request.send().await.expect("an answer");
+    assert_eq!(answer.status(), 200, "{}", entry.node.log());
+    let status: Value = answer.json().await.expect("a JSON body");
+    status["id"].as_str().expect("a job").to_owned()
+}
+
+/// Reads the results to the end, through cut connections.
+async fn results(entry: &Entry, job: &str) -> Vec<Value> {
+    let path = format!("/v1/batches/{job}/results?follow=true");
+    let mut lines = Vec::new();
+    eventually("the job ends", async || {
+        let answer = entry.get(&path).await;
+        let Ok(text) = answer.text().await else {
+            return false;
+        };
+        let parsed = text
+            .lines()
+            .map(|line| serde_json::from_str(line).expect("a line"));
+        lines = parsed.collect();
+        lines.len() == ITEMS as usize
+    })
+    .await;
+    lines
+}
+
+fn executions(targets: &[Target]) -> u32 {
+    let totals = targets.iter().map(|target| target.engine.counts().total());
+    totals.map(|total| total.started).sum()
+}
+
+/// Checks one result an item, and at most one execution of each that is not repeatable.
+fn check(repeatable: bool, id: &str, lines: &[Value], targets: &[Target]) {
+    for (item, line) in lines.iter().enumerate() {
+        assert_eq!(line["custom_id"], format!("i{item}"));
+        let tag = format!("{id}-000000-{item:06}");
+        let started: u32 = targets
+            .iter()
+            .map(|target| target.engine.counts().of(&tag).started)
+            .sum();
+        if line["error"].is_null() {
+            assert_eq!(line["response"]["status_code"], 200, "{line}");
+            assert!(started >= 1);
+        }
+        if repeatable {
+            assert!(line["error"].is_null(), "{line}");
+        } else {
+            assert!(started <= 1, "{line} ran {started} times");
+        }
+        if line["error"]["verdict"] == "not-run" {
+            assert_eq!(started, 0, "{line}");
+        }
+    }
+}
+
+struct World {
+    platform: Platform,
+    targets: Vec<Target>,
+    /// Holds the job's only chunk.
+    holder: Entry,
+    other: Entry,
+    id: String,
+}
+
+impl World {
+    /// Starts two targets and two entries with a job, a third of whose items have begun.
+    async fn start(repeatable: bool) -> Self {
+        let mut platform = Platform::start(&[Service::Scribe]).await;
+        let mut targets = Vec::new();
+        for name in ["t1", "t2"] {
+            targets.push(platform.target(name, POOL).await);
+        }
+        let first = platform.entry("e1").await;
+        let second = platform.entry("e2").await;
+        let id = submit(&first, repeatable).await;
+        eventually("a third of the items have begun", async || {
+            executions(&targets) >= ITEMS / 3
+        })
+        .await;
+        assert!(executions(&targets) < ITEMS);
+        let (holder, other) = if first.node.log().contains("Claimed chunk") {
+            (first, second)
+        } else {
+            (second, first)
+        };
+        Self {
+            platform,
+            targets,
+            holder,
+            other,
+            id,
+        }
+    }
+}
+
+#[tokio::test]
+async fn entry_killed_with_claims() {
+    for repeatable in [true, false] {
+        let world = World::start(repeatable).await;
+        world.holder.node.signal(Signal::SIGKILL);
+        let lines = results(&world.other, &world.id).await;
+        check(repeatable, &world.id, &lines, &world.targets);
+    }
+}
+
+#[tokio::test]
+async fn entry_stopped_past_its_lease() {
+    for repeatable in [true, false] {
+        let world = World::start(repeatable).await;
+        world.holder.node.signal(Signal::SIGSTOP);
+        let lines = results(&world.other, &world.id).await;
+        world.holder.node.signal(Signal::SIGCONT);
+        // It finds its lease lost, and what it had under way changes nothing.
+        world.holder.node.value_after("was lost").await;
+        assert_eq!(results(&world.other, &world.id).await, lines);
+        check(repeatable, &world.id, &lines, &world.targets);
+    }
+}
+
+#[tokio::test]
+async fn target_lost_twice_then_an_entry() {
+    for repeatable in [true, false] {
+        let mut world = World::start(repeatable).await;
+        world.targets[0].node.signal(Signal::SIGKILL);
+        world.targets.push(world.platform.target("t3", POOL).await);
+        world.targets[1].node.signal(Signal::SIGKILL);
+        world.holder.node.signal(Signal::SIGKILL);
+        let lines = results(&world.other, &world.id).await;
+        check(repeatable, &world.id, &lines, &world.targets);
+    }
+}
+
+#[tokio::test]
+async fn entry_leaves_and_hands_back() {
+    let world = World::start(false).await;
+    world.holder.node.signal(Signal::SIGTERM);
+    assert!(world.holder.node.ended().await.success());
+    let lines = results(&world.other, &world.id).await;
+    check(false, &world.id, &lines, &world.targets);
+    assert!(lines.iter().all(|line| line["error"].is_null()));
+}
+
+#[tokio::test]
+async fn cancelled_job_stops() {
+    let world = World::start(true).await;
+    let path = format!("/v1/batches/{}/cancel", world.id);
+    let answer = world.other.post(&path, "", "").send().await;
+    assert_eq!(answer.expect("an answer").status(), 200);
+    let lines = results(&world.other, &world.id).await;
+    let begun = executions(&world.targets);
+    let path = format!("/v1/batches/{}", world.id);
+    let status = world.holder.get(&path).await;
+    let status: Value = status.json().await.expect("a JSON body");
+    assert_eq!(status["state"], "cancelled");
+    let answered = lines.iter().filter(|line| line["error"].is_null()).count();
+    assert_eq!(status["completed"], answered);
+    assert!(answered < ITEMS as usize);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(executions(&world.targets), begun);
+}
--- a/tests/process/fleet/mod.rs
+++ b/tests/process/fleet/mod.rs
@@ -107,7 +107,7 @@
         let settings = format!(
             "[node]\nname = {name}\ndata_centre = dc-a\nregion = here\n\
              [listen]\nhttp = 127.0.0.1:0\nadmin = 127.0.0.1:0\nquic_bind = 127.0.0.1:0\n\
-             [store]\nendpoints = {store}\n[vm_list]\nurl = {list}\npoll_ms = 100\n{tls}"
+             [store]\nendpoints = {store}\nlease_ttl_ms = 2000\n[vm_list]\nurl = {list}\npoll_ms = 100\n{tls}"
         );
         let path = self.write_settings(name, &settings);
         let node = Node::start(env!("CARGO_BIN_EXE_eelgrassgap"), "serve", &path);
@@ -187,6 +187,13 @@
             .body(body)
     }
 
+    /// Sends a GET with the caller's key.
+    pub async fn get(&self, path: &str) -> Response {
+        let request = self.client.get(format!("{}{path}", self.url));
+        let answer = request.bearer_auth(CALLER_KEY).send().await;
+        answer.expect("an answer")
+    }
+
     /// Sends a completion request.
     pub async fn complete(&self, tag: &str, body: &str) -> reqwest::Result<Response> {
         self.post("/v1/completions", tag, body.to_owned())
