test: bring about faults of targets through the processes

Tables of fault, moment, repeatable, expected verdict and executions counted at the stand-in, over the two binaries:

- the target closes before or after it ran, cuts its answer before or after the first byte, or goes silent for good before or after it;
- a stream is cut after any number of its parts: never whole;
- the target node is killed before, during (also with another target to take over) and after an execution, and between first byte and end;
- the target node is stopped with a request in its socket buffer and goes on past the deadline, once the link counts as silent, and once the caller has heard;
- SIGTERM to the entry or the target node while twelve streams fill eight slots and the queue: all end whole, once.

In every case "not run" is told only where nothing ran, and what must not run twice runs at most once.

Several faults in one fleet opened the breaker, and the fourth row then measured the breaker: each row has its own fleet. SIGSTOP takes effect late on a busy machine, so a request could still be served before the stop: the test waits until all threads are stopped.

--- /dev/null
+++ b/tests/process/engine_faults.rs
@@ -0,0 +1,96 @@
+//! Faults of the target itself: what the caller hears, and what ran.
+
+use eel_standin::engine::Fault;
+
+use crate::{
+    fleet::{Platform, Service},
+    outcome::{Heard, SHORT_DEADLINE_MS, call, check, hear},
+};
+
+struct Case {
+    name: &'static str,
+    fault: Fault,
+    repeatable: bool,
+    verdict: &'static str,
+    executions: u32,
+}
+
+const fn case(name: &'static str, fault: Fault, verdict: &'static str, executions: u32) -> Case {
+    Case {
+        name,
+        fault,
+        repeatable: false,
+        verdict,
+        executions,
+    }
+}
+
+const CASES: [Case; 7] = [
+    case(
+        "closed before it ran",
+        Fault::CloseBefore,
+        "may-have-run",
+        0,
+    ),
+    case("closed after it ran", Fault::CloseAfter, "may-have-run", 1),
+    case(
+        "cut before the first byte",
+        Fault::CutAfter { parts: 0 },
+        "may-have-run",
+        1,
+    ),
+    case(
+        "cut between first byte and end",
+        Fault::CutAfter { parts: 1 },
+        "may-have-run",
+        1,
+    ),
+    case("silent for good", Fault::Silent, "may-have-run", 1),
+    case(
+        "silent after the first byte",
+        Fault::SilentAfter { parts: 1 },
+        "may-have-run",
+        1,
+    ),
+    Case {
+        repeatable: true,
+        ..case("silent for good", Fault::Silent, "may-have-run", 1)
+    },
+];
+
+#[tokio::test]
+async fn verdicts_match_executions() {
+    for case in &CASES {
+        let mut platform = Platform::start(&[Service::Dispatch]).await;
+        let target = platform.target("t1", "dispatch-runners").await;
+        let entry = platform.entry("e1").await;
+        let name = format!("{}, repeatable: {}", case.name, case.repeatable);
+        target.engine.set_fault(case.fault);
+        let heard = hear(call(&entry, case.repeatable, "a", SHORT_DEADLINE_MS)).await;
+        let executions = target.engine.counts().of("a").started;
+        assert_eq!(heard, Heard::Verdict(case.verdict.to_owned()), "{name}");
+        assert_eq!(executions, case.executions, "{name}");
+        check(&name, &heard, case.repeatable, "a", &[&target.engine]);
+        target.engine.set_fault(Fault::None);
+        let heard = hear(call(&entry, false, "after", SHORT_DEADLINE_MS)).await;
+        assert_eq!(heard, Heard::Answer, "the target works again after {name}");
+    }
+}
+
+#[tokio::test]
+async fn a_cut_stream_is_never_whole() {
+    const STREAM: &str = r#"{"model":"scribe","prompt":"x","max_tokens":5,"stream":true}"#;
+    for parts in 0..=5 {
+        let mut platform = Platform::start(&[Service::Scribe]).await;
+        let target = platform.target("t1", "scribe-runners").await;
+        let entry = platform.entry("e1").await;
+        target.engine.set_fault(Fault::CutAfter { parts });
+        let heard = hear(entry.post("/v1/completions", "a", STREAM)).await;
+        let told = Heard::Verdict("may-have-run".to_owned());
+        assert!(
+            heard == Heard::BrokenOff || heard == told,
+            "{parts} parts and no end mark: {heard:?}"
+        );
+        assert_eq!(target.engine.counts().of("a").started, 1, "{parts}");
+    }
+}
--- a/tests/process/fleet/node.rs
+++ b/tests/process/fleet/node.rs
@@ -81,6 +81,21 @@
         kill(self.pid, signal).expect("a running process");
     }
 
+    /// Stops the process and waits until none of its threads runs.
+    pub async fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+        eventually("all threads are stopped", async || self.is_frozen()).await;
+    }
+
+    fn is_frozen(&self) -> bool {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.pid)).expect("a process");
+        tasks.flatten().all(|task| {
+            let stat = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+            let state = stat.rsplit_once(") ").map(|(_, rest)| rest);
+            state.is_some_and(|rest| rest.starts_with('T'))
+        })
+    }
+
     /// Waits for the end of the process.
     pub async fn ended(&self) -> ExitStatus {
         let mut status = None;
--- /dev/null
+++ b/tests/process/frozen_target.rs
@@ -0,0 +1,80 @@
+//! A target node that is stopped with a request in its socket buffer, and goes on later.
+
+use nix::sys::signal::Signal;
+
+use crate::{
+    fleet::{Entry, Platform, Service, Target, eventually},
+    outcome::{Heard, SHORT_DEADLINE_MS, call, check, hear},
+};
+
+/// Sends requests until one is answered, so that the target has taken in whatever lay in its buffers.
+async fn wait_working(entry: &Entry) {
+    eventually("the target works again", async || {
+        hear(call(entry, true, "probe", 5_000)).await == Heard::Answer
+    })
+    .await;
+}
+
+async fn start() -> (Platform, Target, Entry) {
+    let mut platform = Platform::start(&[Service::Dispatch]).await;
+    let target = platform.target("t1", "dispatch-runners").await;
+    let entry = platform.entry("e1").await;
+    wait_working(&entry).await;
+    (platform, target, entry)
+}
+
+#[tokio::test]
+async fn past_the_deadline() {
+    for repeatable in [false, true] {
+        let (_platform, target, entry) = start().await;
+        target.node.freeze().await;
+        let heard = hear(call(&entry, repeatable, "a", SHORT_DEADLINE_MS)).await;
+        assert!(matches!(heard, Heard::Verdict(_)), "{heard:?}");
+        target.node.signal(Signal::SIGCONT);
+        wait_working(&entry).await;
+        let started = target.engine.counts().of("a").started;
+        let log = target.node.log();
+        assert_eq!(
+            started, 0,
+            "the copy started after its deadline, {heard:?}:\n{log}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn until_the_link_is_silent() {
+    for repeatable in [false, true] {
+        let (_platform, target, entry) = start().await;
+        target.node.freeze().await;
+        let resumed = async {
+            entry.node.value_after("The link to t1 ended: ").await;
+            target.node.signal(Signal::SIGCONT);
+        };
+        let (heard, ()) = tokio::join!(hear(call(&entry, repeatable, "a", 20_000)), resumed);
+        wait_working(&entry).await;
+        check(
+            "resumed after silence",
+            &heard,
+            repeatable,
+            "a",
+            &[&target.engine],
+        );
+    }
+}
+
+#[tokio::test]
+async fn until_the_caller_has_heard() {
+    let (_platform, target, entry) = start().await;
+    target.node.freeze().await;
+    let heard = hear(call(&entry, false, "a", 20_000)).await;
+    target.node.signal(Signal::SIGCONT);
+    wait_working(&entry).await;
+    check(
+        "resumed after the answer",
+        &heard,
+        false,
+        "a",
+        &[&target.engine],
+    );
+    assert_ne!(heard, Heard::Answer);
+}
--- /dev/null
+++ b/tests/process/graceful_stop.rs
@@ -0,0 +1,54 @@
+//! SIGTERM under load cuts off no request.
+
+use std::sync::Arc;
+
+use nix::sys::signal::Signal;
+
+use crate::{
+    fleet::{Platform, Service, eventually},
+    outcome::{Heard, hear},
+};
+
+const LONG: &str = r#"{"model":"scribe","prompt":"x","max_tokens":300,"stream":true}"#;
+/// More than the slots of the service's record, so that some wait.
+const REQUESTS: usize = 12;
+const SLOTS: usize = 8;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stopped {
+    Entry,
+    Target,
+}
+
+#[tokio::test]
+async fn no_request_is_cut() {
+    for stopped in [Stopped::Entry, Stopped::Target] {
+        let mut platform = Platform::start(&[Service::Scribe]).await;
+        let target = platform.target("t1", "scribe-runners").await;
+        let entry = Arc::new(platform.entry("e1").await);
+        let requests: Vec<_> = (0..REQUESTS)
+            .map(|index| {
+                let entry = entry.clone();
+                let tag = format!("r-{index}");
+                tokio::spawn(async move { hear(entry.post("/v1/completions", &tag, LONG)).await })
+            })
+            .collect();
+        eventually("all slots are taken and the rest waits", async || {
+            let page = entry.metrics().await;
+            target.engine.running() == SLOTS && page.contains("eelgrassgap_entry_open_requests 12")
+        })
+        .await;
+        let node = match stopped {
+            Stopped::Entry => &entry.node,
+            Stopped::Target => &target.node,
+        };
+        node.signal(Signal::SIGTERM);
+        for request in requests {
+            let heard = request.await.expect("a finished task");
+            assert_eq!(heard, Heard::Answer, "{stopped:?}: {}", node.log());
+        }
+        assert!(node.ended().await.success(), "{stopped:?}");
+        assert_eq!(target.engine.counts().total().finished, 12, "{stopped:?}");
+        assert_eq!(target.engine.counts().repeated_tags(), 0, "{stopped:?}");
+    }
+}
--- /dev/null
+++ b/tests/process/killed_target.rs
@@ -0,0 +1,115 @@
+//! A target node that is killed before, during and after an execution.
+
+use eel_standin::engine::Fault;
+use nix::sys::signal::Signal;
+
+use crate::{
+    fleet::{Platform, Service},
+    outcome::{Heard, call, check, hear, read},
+};
+
+const STREAM: &str = r#"{"model":"scribe","prompt":"x","max_tokens":4000,"stream":true}"#;
+const DEADLINE_MS: u64 = 10_000;
+
+#[tokio::test]
+async fn before() {
+    for repeatable in [false, true] {
+        let mut platform = Platform::start(&[Service::Dispatch]).await;
+        let target = platform.target("t1", "dispatch-runners").await;
+        let entry = platform.entry("e1").await;
+        target.node.signal(Signal::SIGKILL);
+        target.node.ended().await;
+        let heard = hear(call(&entry, repeatable, "a", DEADLINE_MS)).await;
+        assert!(matches!(heard, Heard::Verdict(_)), "{heard:?}");
+        assert_eq!(target.engine.counts().of("a").started, 0);
+        entry.wait_targets(0).await;
+        let heard = hear(call(&entry, repeatable, "b", DEADLINE_MS)).await;
+        assert_eq!(
+            heard,
+            Heard::Verdict("not-run".to_owned()),
+            "no target is left"
+        );
+        assert_eq!(target.engine.counts().of("b").started, 0);
+    }
+}
+
+#[tokio::test]
+async fn during() {
+    for repeatable in [false, true] {
+        let mut platform = Platform::start(&[Service::Dispatch]).await;
+        let target = platform.target("t1", "dispatch-runners").await;
+        let entry = platform.entry("e1").await;
+        target.engine.set_fault(Fault::Silent);
+        let killed = async {
+            target
+                .engine
+                .counts()
+                .wait_for("a", |one| one.started == 1)
+                .await;
+            target.node.signal(Signal::SIGKILL);
+        };
+        let (heard, ()) = tokio::join!(hear(call(&entry, repeatable, "a", DEADLINE_MS)), killed);
+        assert_eq!(heard, Heard::Verdict("may-have-run".to_owned()));
+        check(
+            "killed while it ran",
+            &heard,
+            repeatable,
+            "a",
+            &[&target.engine],
+        );
+    }
+}
+
+#[tokio::test]
+async fn between_first_byte_and_end() {
+    let mut platform = Platform::start(&[Service::Scribe]).await;
+    let target = platform.target("t1", "scribe-runners").await;
+    let entry = platform.entry("e1").await;
+    let answer = entry.complete("a", STREAM).await.expect("a head");
+    target.node.signal(Signal::SIGKILL);
+    assert_eq!(read(answer).await, Heard::BrokenOff);
+    assert_eq!(target.engine.counts().of("a").started, 1);
+}
+
+#[tokio::test]
+async fn after() {
+    let mut platform = Platform::start(&[Service::Dispatch]).await;
+    let target = platform.target("t1", "dispatch-runners").await;
+    let entry = platform.entry("e1").await;
+    let heard = hear(call(&entry, false, "a", DEADLINE_MS)).await;
+    target.node.signal(Signal::SIGKILL);
+    target.node.ended().await;
+    assert_eq!(heard, Heard::Answer);
+    assert_eq!(target.engine.counts().of("a").finished, 1);
+}
+
+#[tokio::test]
+async fn another_target_takes_over_what_may_repeat() {
+    let mut platform = Platform::start(&[Service::Dispatch]).await;
+    let a = platform.target("t1", "dispatch-runners").await;
+    let b = platform.target("t2", "dispatch-runners").await;
+    let entry = platform.entry("e1").await;
+    a.engine.set_fault(Fault::Silent);
+    b.engine.set_fault(Fault::Silent);
+    let killed = async {
+        tokio::select! {
+            () = a.engine.counts().wait_for("a", |one| one.started == 1) => {
+                b.engine.set_fault(Fault::None);
+                a.node.signal(Signal::SIGKILL);
+            }
+            () = b.engine.counts().wait_for("a", |one| one.started == 1) => {
+                a.engine.set_fault(Fault::None);
+                b.node.signal(Signal::SIGKILL);
+            }
+        }
+    };
+    let (heard, ()) = tokio::join!(hear(call(&entry, true, "a", DEADLINE_MS)), killed);
+    assert_eq!(heard, Heard::Answer, "{}", entry.node.log());
+    check(
+        "killed while it ran",
+        &heard,
+        true,
+        "a",
+        &[&a.engine, &b.engine],
+    );
+}
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -2,6 +2,11 @@
 
 mod batch_jobs;
 mod declared_intent;
+mod engine_faults;
 mod fleet;
+mod frozen_target;
+mod graceful_stop;
+mod killed_target;
 mod leaving_target;
+mod outcome;
 mod whole_path;
