fix(core): say when a job call may have taken effect

A submission whose answers were all lost ended with exit code 1, which promises that nothing happened. The client now keeps in mind whether any call of a round may have arrived: a connection that was never opened, or an answer that says not-run, rules it out; a lost answer or a gateway's 502 does not, also when a later node refuses. Submissions and cancels in doubt end with code 4, and the message says how to repeat them. Reads keep code 1.

--- a/eel-core/src/job/client.rs
+++ b/eel-core/src/job/client.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use eel_types::Name;
+use eel_verdict::Verdict;
 use error_stack::{Report, ResultExt as _};
 use reqwest::{Client, Method, RequestBuilder, Response, StatusCode};
 
@@ -10,6 +11,7 @@
 
 const ROUNDS: u32 = 3;
 const BACKOFF_MS: u64 = 250;
+const VERDICT: &str = "x-eel-verdict";
 
 /// A client of entry nodes, tried in turn.
 #[derive(Clone, Debug)]
@@ -66,6 +68,7 @@
         path: &str,
         build: impl Fn(RequestBuilder) -> RequestBuilder,
     ) -> Result<Response, Report<Error>> {
+        let mut in_doubt = false;
         let mut last = Report::new(Error::Unreachable);
         for round in 0..ROUNDS {
             if round > 0 {
@@ -75,10 +78,17 @@
                 let url = format!("{}{path}", entry.trim_end_matches('/'));
                 let request = self.http.request(method.clone(), url);
                 match build(request.bearer_auth(&self.key)).send().await {
-                    Ok(answer) if is_final(answer.status()) => return check(answer).await,
-                    Ok(answer) => last = Report::new(refused(answer).await),
-                    Err(err) => last = Report::new(err).change_context(Error::Unreachable),
+                    Ok(answer) if answer.status().is_success() => return Ok(answer),
+                    Ok(answer) if is_final(answer.status()) => {
+                        return Err(Report::new(refused(answer, in_doubt).await));
+                    }
+                    Ok(answer) => last = Report::new(refused(answer, in_doubt).await),
+                    Err(err) => {
+                        in_doubt |= !err.is_connect();
+                        last = Report::new(err).change_context(Error::unanswered(in_doubt));
+                    }
                 }
+                in_doubt |= last.current_context().may_have_taken_effect();
             }
         }
         Err(last)
@@ -93,16 +103,12 @@
     )
 }
 
-async fn check(answer: Response) -> Result<Response, Report<Error>> {
-    if answer.status().is_success() {
-        return Ok(answer);
-    }
-    Err(Report::new(refused(answer).await))
-}
-
-async fn refused(answer: Response) -> Error {
+async fn refused(answer: Response, in_doubt: bool) -> Error {
+    let verdict = answer.headers().get(VERDICT);
+    let is_not_run = verdict.is_some_and(|verdict| verdict == Verdict::NotRun.as_str());
     Error::Refused {
         status: answer.status().as_u16(),
+        is_certain: !in_doubt && (is_not_run || answer.status().is_client_error()),
         body: answer.text().await.unwrap_or_default(),
     }
 }
--- a/eel-core/src/job/mod.rs
+++ b/eel-core/src/job/mod.rs
@@ -48,14 +48,19 @@
     /// The items cannot be read, or the results cannot be written.
     #[error("cannot read or write the file")]
     File,
-    /// No entry node gave an answer. Submitting again with the same idempotency key is safe.
-    #[error("no entry node answered")]
+    /// No entry node could be connected to.
+    #[error("no entry node can be reached")]
     Unreachable,
+    /// An entry node took the call and gave no whole answer.
+    #[error("no entry node answered")]
+    NoAnswer,
     /// The entry node refused.
     #[error("refused with status {status}: {body}")]
     Refused {
         /// The HTTP status.
         status: u16,
+        /// Whether the answer rules out that the call took effect.
+        is_certain: bool,
         /// The answer's body.
         body: String,
     },
@@ -64,6 +69,27 @@
     Answer,
 }
 
+impl Error {
+    /// Nobody answered; `in_doubt` if the call may have arrived.
+    fn unanswered(in_doubt: bool) -> Self {
+        if in_doubt {
+            Self::NoAnswer
+        } else {
+            Self::Unreachable
+        }
+    }
+
+    /// Returns `true` if a submission or a cancel that ended so may have taken effect.
+    #[must_use]
+    pub fn may_have_taken_effect(&self) -> bool {
+        match self {
+            Self::File | Self::Unreachable => false,
+            Self::NoAnswer | Self::Answer => true,
+            Self::Refused { is_certain, .. } => !is_certain,
+        }
+    }
+}
+
 impl JobStatus {
     /// Returns what the status means to a script.
     #[must_use]
--- a/eel-core/tests/core/job_client.rs
+++ b/eel-core/tests/core/job_client.rs
@@ -58,16 +58,18 @@
     submit_items(&options, "{}".into(), &client).await
 }
 
+type Case = (&'static [u16], usize, Option<(u16, bool)>);
+
 #[tokio::test]
 async fn answers() {
-    // What the node answers in turn, the calls that it takes, and the status of a refusal.
-    let cases: [(&[u16], usize, Option<u16>); 6] = [
+    // What the node answers in turn, the calls that it takes, the status of a refusal, and whether the job may be accepted.
+    let cases: [Case; 6] = [
         (&[200], 1, None),
         (&[503, 200], 2, None),
         (&[502, 504, 200], 3, None),
-        (&[409], 1, Some(409)),
-        (&[503, 404], 2, Some(404)),
-        (&[503], 3, Some(503)),
+        (&[409], 1, Some((409, false))),
+        (&[503, 404], 2, Some((404, true))),
+        (&[503], 3, Some((503, true))),
     ];
     for (statuses, calls, refused) in cases {
         let (server, seen) = start(statuses).await;
@@ -84,8 +86,10 @@
             (Ok(status), None) => {
                 assert_eq!(status.to_string(), "1f in progress: 0 of 2 items ended");
             }
-            (Err(report), Some(expected)) => match report.current_context() {
-                Error::Refused { status, .. } => assert_eq!(*status, expected),
+            (Err(report), Some((code, may_have))) => match report.current_context() {
+                error @ Error::Refused { status, .. } => {
+                    assert_eq!((*status, error.may_have_taken_effect()), (code, may_have));
+                }
                 error => panic!("{statuses:?}: {error}"),
             },
             (outcome, _) => panic!("{statuses:?}: {outcome:?}"),
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,5 +1,6 @@
 //! What the command line fails with.
 
+use eel_core::Exit;
 use thiserror::Error as ThisError;
 
 /// Why a command could not be carried out.
@@ -14,7 +15,22 @@
     /// The verb failed, and had no effect.
     #[error("the command failed")]
     Verb,
+    /// No certain answer came; the command may have taken effect.
+    #[error(
+        "the command may have taken effect; it is safe to repeat with the same idempotency key"
+    )]
+    Unsettled,
     /// The process could not be started, or ended early.
     #[error("the node stopped")]
     Node,
 }
+
+impl Error {
+    /// Returns what the error means to a script.
+    pub fn exit(&self) -> Exit {
+        match self {
+            Self::Arguments(_) | Self::File | Self::Verb | Self::Node => Exit::Failure,
+            Self::Unsettled => Exit::Unknown,
+        }
+    }
+}
--- a/src/job.rs
+++ b/src/job.rs
@@ -4,7 +4,7 @@
 
 use eel_core::{
     Exit,
-    job::{JobClient, JobStatus, ResultsOutcome, SubmitOptions, follow, results, submit},
+    job::{self, JobClient, JobStatus, ResultsOutcome, SubmitOptions, follow, results, submit},
 };
 use eel_types::Name;
 use error_stack::{Report, ResultExt as _};
@@ -31,10 +31,7 @@
             .await
             .change_context(Error::Verb)?,
         JobVerb::Get(options) => client.get(&options.id).await.change_context(Error::Verb)?,
-        JobVerb::Cancel(options) => client
-            .cancel(&options.id)
-            .await
-            .change_context(Error::Verb)?,
+        JobVerb::Cancel(options) => client.cancel(&options.id).await.map_err(failed)?,
         JobVerb::Results(options) => {
             let outcome = run_results(options, &client).await?;
             return Ok(outcome.exit());
@@ -56,6 +53,15 @@
     JobClient::new(options.entry.clone(), key, connect_timeout_ms).change_context(Error::Verb)
 }
 
+/// Tells a call that certainly had no effect from one that may have had.
+fn failed(report: Report<job::Error>) -> Report<Error> {
+    if report.current_context().may_have_taken_effect() {
+        report.change_context(Error::Unsettled)
+    } else {
+        report.change_context(Error::Verb)
+    }
+}
+
 async fn run_submit(
     options: &JobSubmitOptions,
     client: &JobClient,
@@ -67,9 +73,7 @@
         repeatable: options.repeatable,
         idempotency_key,
     };
-    let status = submit(&job, &options.items, client)
-        .await
-        .change_context(Error::Verb)?;
+    let status = submit(&job, &options.items, client).await.map_err(failed)?;
     if !options.wait {
         return Ok(status);
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -26,7 +26,7 @@
         Ok(exit) => ExitCode::from(exit.code()),
         Err(report) => {
             eprintln!("{report:?}");
-            ExitCode::from(Exit::Failure.code())
+            ExitCode::from(report.current_context().exit().code())
         }
     }
 }
