feat(entry): keep nodes on the configuration through outages of the store

Cause: the entry node read all records again on each change, with a gate of its own beside the one of `eel-config`, and a node that started while the store was down served nothing until it came back.

Change: `eel-config` follows the records and gates them on both kinds of node; an entry node without any configuration asks up to eight linked target nodes for theirs while the store does not answer, and takes the newest.

--- a/eel-entry/src/admin.rs
+++ b/eel-entry/src/admin.rs
@@ -100,7 +100,7 @@
             data_centre: context.data_centre.clone(),
             revision: live.snapshot.revision,
             in_force: live.snapshot.in_force.clone(),
-            problems: live.problems.clone(),
+            problems: context.in_force.problems().to_vec(),
             targets: Vec::new(),
         }));
     }
--- a/eel-entry/src/lib.rs
+++ b/eel-entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod membership;
 mod metrics;
 mod node;
+mod peers;
 mod routing;
 mod serve;
 
--- a/eel-entry/src/membership.rs
+++ b/eel-entry/src/membership.rs
@@ -132,6 +132,7 @@
                 self.count_targets();
             }
             Action::Disconnect { vm } => {
+                self.context.peers.remove(&vm);
                 if let Some(target) = self.targets.remove(&vm) {
                     target.shared.forget();
                     target.stop.cancel();
@@ -150,14 +151,19 @@
     }
 
     fn target(&mut self, vm: Name) -> &Target {
-        self.targets.entry(vm).or_insert_with_key(|vm| Target {
-            shared: Arc::new(TargetLink {
-                link: Arc::new(Link::new(vm.clone())),
-                context: self.context.clone(),
-                events: self.sender.clone(),
-                in_use: Mutex::default(),
-            }),
-            stop: self.stop.child_token(),
+        let context = &self.context;
+        self.targets.entry(vm).or_insert_with_key(|vm| {
+            let link = Arc::new(Link::new(vm.clone()));
+            context.peers.insert(link.clone());
+            Target {
+                shared: Arc::new(TargetLink {
+                    link,
+                    context: context.clone(),
+                    events: self.sender.clone(),
+                    in_use: Mutex::default(),
+                }),
+                stop: self.stop.child_token(),
+            }
         })
     }
 }
--- a/eel-entry/src/node.rs
+++ b/eel-entry/src/node.rs
@@ -20,20 +20,12 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Error, admin,
-    batch::BatchHost,
-    config::{self, InForce},
-    link::Identity,
-    membership,
-    metrics::Metrics,
-    routing::Routing,
-    serve,
+    Error, admin, batch::BatchHost, config::InForce, link::Identity, membership, metrics::Metrics,
+    peers::Peers, routing::Routing, serve,
 };
 
 /// How long the node still takes requests after it has stopped being ready, so that the balancer can move away.
 const LEAVE_NOTICE: Duration = Duration::from_secs(2);
-/// The pause before the configuration is read again after an error.
-const CONFIG_RETRY: Duration = Duration::from_millis(200);
 
 /// What the parts of the process share.
 pub struct Context {
@@ -43,6 +35,7 @@
     pub(crate) endpoint: Endpoint,
     pub(crate) routing: Arc<Routing>,
     pub(crate) in_force: InForce,
+    pub(crate) peers: Peers,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) trace_sample_percent: u8,
     /// Cancelled once the node is not ready any more.
@@ -167,6 +160,7 @@
         endpoint,
         routing: Arc::new(Routing::new(clock)),
         in_force: InForce::new(),
+        peers: Peers::default(),
         metrics,
         trace_sample_percent: settings.telemetry.trace_sample_percent,
         leaving: CancellationToken::new(),
@@ -224,18 +218,17 @@
     });
 }
 
-/// Follows the configuration through outages of the store.
+/// Keeps the newest configuration in force, through outages of the store.
 async fn follow_config(context: &Context, store: &EtcdJson, prefix: &str) {
     let on_change = |previous: &Snapshot, next: &Snapshot| {
         context.routing.configure(previous, next);
         let revision = i64::try_from(next.revision.0).unwrap_or(i64::MAX);
         context.metrics.revision.set(revision);
     };
-    loop {
-        if let Err(error) = config::follow(store, prefix, &context.in_force, on_change).await {
-            log::warn!(target: "config", "The store cannot be read: {error}.");
-        }
-        tokio::time::sleep(CONFIG_RETRY).await;
+    let in_force = &context.in_force;
+    tokio::select! {
+        never = in_force.follow(prefix, store, &context.peers) => match never {},
+        () = in_force.derive(on_change) => {}
     }
 }
 
--- /dev/null
+++ b/eel-entry/src/peers.rs
@@ -0,0 +1,81 @@
+//! The configuration as target nodes hold it, for an entry node that starts during an outage of the store.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use eel_config::SnapshotSource;
+use eel_record::Snapshot;
+use eel_types::Name;
+use eel_wire::{
+    codec,
+    message::{Configuration, Opening},
+};
+use error_stack::{Report, ResultExt as _};
+use futures_util::{StreamExt as _, stream};
+
+use crate::link::{Link, Session};
+
+/// The target nodes asked in one go; the newest answer counts.
+const PEERS_ASKED: usize = 8;
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The links of this node, which lead to its peers.
+#[derive(Default)]
+pub(crate) struct Peers(Mutex<HashMap<Name, Arc<Link>>>);
+
+impl Peers {
+    pub(crate) fn insert(&self, link: Arc<Link>) {
+        self.lock().insert(link.vm.clone(), link);
+    }
+
+    pub(crate) fn remove(&self, vm: &Name) {
+        self.lock().remove(vm);
+    }
+
+    fn sessions(&self) -> Vec<Arc<Session>> {
+        let links = self.lock();
+        let open = links.values().filter_map(|link| link.session());
+        open.take(PEERS_ASKED).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Name, Arc<Link>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl SnapshotSource for Peers {
+    async fn fetch(&self) -> Option<Snapshot> {
+        let asked = stream::iter(self.sessions()).map(ask_in_time);
+        let answers = asked.buffer_unordered(PEERS_ASKED).collect::<Vec<_>>();
+        let answers = answers.await;
+        answers
+            .into_iter()
+            .flatten()
+            .max_by_key(|snapshot| snapshot.revision)
+    }
+}
+
+async fn ask_in_time(session: Arc<Session>) -> Option<Snapshot> {
+    let answer = tokio::time::timeout(ANSWER_TIMEOUT, ask(&session)).await;
+    match answer.ok()? {
+        Ok(configuration) => serde_json::from_slice(&configuration?.snapshot_json).ok(),
+        Err(error) => {
+            log::debug!(target: "config", "A peer cannot be asked: {error}.");
+            None
+        }
+    }
+}
+
+async fn ask(session: &Session) -> Result<Option<Configuration>, Report<eel_wire::Error>> {
+    let (mut send, mut recv) = session
+        .connection
+        .open_bi()
+        .await
+        .change_context(eel_wire::Error::Closed)?;
+    codec::write(&mut send, &Opening::FetchConfiguration).await?;
+    let _ = send.finish();
+    codec::read(&mut recv).await
+}
--- a/eel-target/src/config.rs
+++ b/eel-target/src/config.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use arc_swap::ArcSwap;
 use bytes::Bytes;
 use eel_admit::Targets;
+use eel_config::{Offered, Publisher};
 use eel_record::{Protocol, Snapshot};
 use eel_types::{Name, Revision};
 use eel_wire::message::Configuration;
@@ -12,19 +12,19 @@
 /// Holds the newest snapshot that any entry node has sent; an older one never replaces it.
 pub(crate) struct InForce {
     pool: Name,
-    snapshot: ArcSwap<Snapshot>,
+    publisher: Publisher,
 }
 
 impl InForce {
     pub(crate) fn new(pool: Name) -> Self {
         Self {
             pool,
-            snapshot: ArcSwap::default(),
+            publisher: Publisher::new(),
         }
     }
 
     pub(crate) fn revision(&self) -> Revision {
-        self.snapshot.load().revision
+        self.publisher.snapshot().revision
     }
 
     /// Puts `configuration` in force if it is newer, and returns what it states for this pool.
@@ -40,14 +40,7 @@
             }
         };
         let offered = Arc::new(snapshot);
-        let before = self.snapshot.rcu(|current| {
-            if offered.revision > current.revision {
-                offered.clone()
-            } else {
-                current.clone()
-            }
-        });
-        if offered.revision <= before.revision {
+        if self.publisher.offer(offered.clone()) != Offered::Taken {
             return None;
         }
         log::info!(target: "config", "Revision {} is in force.", offered.revision);
@@ -56,14 +49,14 @@
 
     /// Returns whether the targets of `service` are model engines.
     pub(crate) fn is_engine(&self, service: &Name) -> bool {
-        let snapshot = self.snapshot.load();
+        let snapshot = self.publisher.snapshot();
         let service = snapshot.services.get(service);
         service.is_some_and(|service| service.protocol == Protocol::Openai)
     }
 
     /// Returns the configuration in force, for a node that cannot reach the key-value service.
     pub(crate) fn to_message(&self) -> Configuration {
-        let snapshot = self.snapshot.load();
+        let snapshot = self.publisher.snapshot();
         let snapshot_json = serde_json::to_vec(snapshot.as_ref()).unwrap_or_default();
         Configuration {
             revision: snapshot.revision,
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -9,4 +9,5 @@
 mod killed_target;
 mod leaving_target;
 mod outcome;
+mod store_outage;
 mod whole_path;
--- /dev/null
+++ b/tests/process/store_outage.rs
@@ -0,0 +1,40 @@
+//! Online serving while the key-value service is down.
+
+use eel_standin::kv::Faults;
+use nix::sys::signal::Signal;
+
+use crate::fleet::{Platform, Service};
+
+const SHORT: &str = r#"{"model":"scribe","prompt":"x","max_tokens":1}"#;
+
+#[tokio::test]
+async fn serving_goes_on() {
+    let mut platform = Platform::start(&[Service::Scribe]).await;
+    let _target = platform.target("t1", "scribe-runners").await;
+    let entry = platform.entry("e1").await;
+    platform.store.set_faults(Faults {
+        unavailable: true,
+        ..Faults::default()
+    });
+    for _ in 0..20 {
+        let answer = entry.complete("a", SHORT).await.expect("an answer");
+        assert_eq!(answer.status(), 200);
+    }
+}
+
+#[tokio::test]
+async fn started_in_outage() {
+    let mut platform = Platform::start(&[Service::Scribe]).await;
+    let _target = platform.target("t1", "scribe-runners").await;
+    let first = platform.entry("e1").await;
+    let configured = first.complete("a", SHORT).await.expect("an answer");
+    assert_eq!(configured.status(), 200);
+    platform.store.set_faults(Faults {
+        unavailable: true,
+        ..Faults::default()
+    });
+    first.node.signal(Signal::SIGKILL);
+    let second = platform.entry("e2").await;
+    let answer = second.complete("b", SHORT).await.expect("an answer");
+    assert_eq!(answer.status(), 200, "{}", second.node.log());
+}
