fix(bench): bound latencies by the request timeout, not by 2 ms

Cause: a histogram without bounds starts with a range of about 2 ms, and a clamping record never widens it. Latencies beyond that were cut off: a load on a slow path showed p50 2 us.

Ruled out: slow clocks or lost samples; the counts were right.

Change: the histogram reaches to the request timeout.

--- a/eel-bench/src/load.rs
+++ b/eel-bench/src/load.rs
@@ -32,6 +32,9 @@
 /// The time after which a request counts as failed.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The precision of latencies.
+const SIGNIFICANT_DIGITS: u8 = 3;
+
 /// How requests are released.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Arrivals {
@@ -152,7 +155,8 @@
 }
 
 fn new_histogram() -> Result<Histogram<u64>, Report<Error>> {
-    Histogram::new(3).change_context(Error::Setup)
+    let longest_us = u64::try_from(REQUEST_TIMEOUT.as_micros()).unwrap_or(u64::MAX);
+    Histogram::new_with_bounds(1, longest_us, SIGNIFICANT_DIGITS).change_context(Error::Setup)
 }
 
 struct Sender {
--- a/eel-bench/tests/bench/load_generator.rs
+++ b/eel-bench/tests/bench/load_generator.rs
@@ -35,6 +35,23 @@
     }
 }
 
+#[tokio::test]
+async fn slow_answers_are_measured() {
+    const STEP_US: u64 = 20_000;
+    let engine = Engine::start(EngineOptions {
+        step_us: STEP_US,
+        ..EngineOptions::default()
+    })
+    .await;
+    let url = format!("{}/v1/completions", engine.url());
+    let options = Options {
+        body: Bytes::from_static(br#"{"max_tokens": 1}"#),
+        ..options(&url, Arrivals::Open { rate_per_s: 50 })
+    };
+    let outcome = load::run(&options).await.expect("loopback");
+    assert!(outcome.quantile_us(0.001) >= STEP_US, "{outcome}");
+}
+
 #[tokio::test]
 async fn failures_are_counted() {
     let engine = Engine::start(EngineOptions::default()).await;
