perf(entry): write the digest of a key without the formatter

Cause: callgrind at 300 requests/s puts 10.4 % of the entry node's instructions into finding the caller, 6.5 % of them in formatting 32 bytes as hexadecimal one by one; the hash itself takes 2.9 %.

Change: digits come from a table.

--- a/eel-entry/src/authenticate.rs
+++ b/eel-entry/src/authenticate.rs
@@ -48,11 +48,11 @@
 }
 
 fn digest(key: &str) -> String {
-    use std::fmt::Write as _;
+    const DIGITS: &[u8; 16] = b"0123456789abcdef";
 
-    let mut text = String::with_capacity(64);
-    for byte in Sha256::digest(key.as_bytes()) {
-        let _ = write!(text, "{byte:02x}");
-    }
-    text
+    let digest = Sha256::digest(key.as_bytes());
+    let nibbles = digest.iter().flat_map(|byte| [byte >> 4, byte & 0xf]);
+    nibbles
+        .map(|nibble| char::from(DIGITS[usize::from(nibble)]))
+        .collect()
 }
