fix(store): pause before a cut watch is opened again

Cause: reading the code again showed that a watch which opens and ends at once, because the service cancels it or something between sends what is not a watch, was opened again without a pause, as fast as the connection allowed.

Ruled out: a fixed pause, which would delay the ordinary cut or hammer a service that is in trouble.

Change: a pause of 50 ms doubling to 1 s, half of it random so that nodes do not come back together; it starts anew when the watch brings something. Log lines carry the part's prefix. The stand-in can cancel watches.

Before: canceled_watch_backs_off failed, five watches opened at once. After: it passes.

--- a/eel-standin/src/kv/fault.rs
+++ b/eel-standin/src/kv/fault.rs
@@ -15,6 +15,8 @@
     pub lost_answers: u32,
     /// Open watches but never send anything on them.
     pub mute_new_watches: bool,
+    /// Cancel this many more watches as soon as they are open.
+    pub canceled_watches: u32,
 }
 
 /// What the service has been asked since it started.
--- a/eel-standin/src/kv/shared.rs
+++ b/eel-standin/src/kv/shared.rs
@@ -161,6 +161,11 @@
         if !silent {
             let _ = sender.send(line(revision, Report::Created));
         }
+        if inner.faults.canceled_watches > 0 {
+            inner.faults.canceled_watches -= 1;
+            let _ = sender.send(line(revision, Report::Canceled));
+            return WatchBody::new(0, lines, self);
+        }
         if start > 0 && start <= compacted {
             let _ = sender.send(line(revision, Report::Compacted(compacted)));
             return WatchBody::new(0, lines, self);
--- a/eel-standin/src/kv/watcher.rs
+++ b/eel-standin/src/kv/watcher.rs
@@ -91,6 +91,7 @@
 /// What one line of a watch reports.
 pub enum Report {
     Created,
+    Canceled,
     Events(Vec<Event>),
     Compacted(u64),
 }
@@ -107,6 +108,7 @@
     };
     match report {
         Report::Created => answer.created = true,
+        Report::Canceled => answer.canceled = true,
         Report::Events(events) => answer.events = events,
         Report::Compacted(compacted) => {
             answer.canceled = true;
--- a/eel-store/src/etcd/watch.rs
+++ b/eel-store/src/etcd/watch.rs
@@ -92,28 +92,32 @@
     async fn follow(&mut self) -> Result<std::convert::Infallible, End> {
         let mut lines: Option<Lines> = None;
         let mut failures = 0;
-        let mut backoff_ms = FIRST_BACKOFF_MS;
+        let mut backoff = Backoff::default();
         loop {
             match self.open(failures).await {
                 Ok(opened) => {
                     failures = 0;
-                    backoff_ms = FIRST_BACKOFF_MS;
                     lines = Some(opened);
                 }
                 Err(error) => {
-                    log::warn!(
-                        "store: watch of {} not opened: {error}",
-                        self.options.prefix
-                    );
+                    let prefix = &self.options.prefix;
+                    log::warn!(target: "store", "The watch of {prefix} cannot be opened: {error}.");
                     failures += 1;
-                    tokio::time::sleep(Duration::from_millis(backoff_ms)).await;
-                    backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
+                    backoff.pause().await;
                 }
             }
-            if let Some(current) = &mut lines
-                && self.read(current).await?.is_cut()
-            {
-                lines = None;
+            let Some(current) = &mut lines else { continue };
+            let before = self.seen;
+            let reading = self.read(current).await?;
+            if self.seen != before {
+                backoff = Backoff::default();
+            }
+            match reading {
+                Reading::Silent => {}
+                Reading::Cut => {
+                    lines = None;
+                    backoff.pause().await;
+                }
             }
         }
     }
@@ -198,15 +202,32 @@
     }
 }
 
+/// Why reading one connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Reading {
     Cut,
     Silent,
 }
 
-impl Reading {
-    fn is_cut(self) -> bool {
-        matches!(self, Self::Cut)
+/// Pauses between attempts, doubling up to a limit.
+struct Backoff {
+    pause_ms: u64,
+}
+
+impl Default for Backoff {
+    fn default() -> Self {
+        Self {
+            pause_ms: FIRST_BACKOFF_MS,
+        }
+    }
+}
+
+impl Backoff {
+    /// Waits for half of the pause and a random part of the rest, so that nodes do not come back all at once.
+    async fn pause(&mut self) {
+        let pause_ms = rand::random_range(self.pause_ms / 2..=self.pause_ms);
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        self.pause_ms = (self.pause_ms * 2).min(MAX_BACKOFF_MS);
     }
 }
 
--- a/eel-store/tests/store/watch_contract.rs
+++ b/eel-store/tests/store/watch_contract.rs
@@ -4,6 +4,7 @@
 use eel_store::{EtcdJson, KeyValue as _, Op, Txn, WatchEvent, WatchOptions};
 use eel_types::Revision;
 use futures_util::StreamExt as _;
+use tokio::time::Instant;
 
 use crate::fixture::{put, service};
 
@@ -103,6 +104,29 @@
     assert!(read_to(&mut watch, 3).await.is_empty());
 }
 
+/// A service that cancels each watch is not flooded with new ones.
+#[tokio::test]
+async fn canceled_watch_backs_off() {
+    let (server, client) = service().await;
+    server.set_faults(Faults {
+        canceled_watches: 5,
+        ..Faults::default()
+    });
+    let begun = Instant::now();
+    let mut watch = client.watch(options(Some(1)));
+    while server.counts().watch_opens < 5 {
+        tokio::task::yield_now().await;
+    }
+    let least_ms = (50 + 100 + 200 + 400) / 2; // four pauses, half of each at random
+    assert!(
+        begun.elapsed().as_millis() >= least_ms,
+        "five watches opened at once"
+    );
+    server.set_faults(Faults::default());
+    client.commit(&put("config/0", "0")).await.expect("a write");
+    assert_eq!(read_to(&mut watch, 2).await, ["config/0"]);
+}
+
 #[tokio::test]
 async fn compaction_ends_watch() {
     let (server, client) = service().await;
