fix(core): read the job status that entry nodes give

The new test with the binaries failed: entry nodes give state, items, completed and failed, while the client still read status and request_counts of an earlier draft; its scripted entry nodes had the same shape, so its own test passed.

--- a/eel-core/src/job/follow.rs
+++ b/eel-core/src/job/follow.rs
@@ -8,7 +8,7 @@
 use super::{Error, JobClient, JobStatus};
 
 const POLL_MS: u64 = 1_000;
-const TEMPLATE: &str = "{bar:40} {pos}/{len} items, {eta} left";
+const TEMPLATE: &str = "{bar:40} {pos}/{len} items, {msg} failed, {eta} left";
 
 /// Reads the status of job `id` until no item will change any more.
 ///
@@ -22,8 +22,9 @@
     }
     loop {
         let status = client.get(id).await?;
-        bar.set_length(status.request_counts.total);
-        bar.set_position(status.request_counts.ended);
+        bar.set_length(status.items);
+        bar.set_position(status.completed + status.failed);
+        bar.set_message(status.failed.to_string());
         if status.is_final() {
             bar.finish_and_clear();
             return Ok(status);
--- a/eel-core/src/job/mod.rs
+++ b/eel-core/src/job/mod.rs
@@ -26,20 +26,15 @@
     /// The job's identifier.
     pub id: String,
     /// The job's state.
-    pub status: State,
+    pub state: State,
     /// When the job is due, in Unix time.
     pub deadline_unix_ms: u64,
-    /// How far the job has come.
-    pub request_counts: Counts,
-}
-
-/// How many items a job has.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Counts {
-    /// All items.
-    pub total: u64,
-    /// Items with a final result or error.
-    pub ended: u64,
+    /// The number of items.
+    pub items: u64,
+    /// Items with a whole answer.
+    pub completed: u64,
+    /// Items with a final error.
+    pub failed: u64,
 }
 
 /// Why a job's call failed.
@@ -100,7 +95,7 @@
     /// Returns `true` if no item will change any more.
     #[must_use]
     pub fn is_final(&self) -> bool {
-        match self.status {
+        match self.state {
             State::Completed | State::Cancelled => true,
             State::InProgress | State::Cancelling => false,
         }
@@ -109,13 +104,16 @@
 
 impl fmt::Display for JobStatus {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let status = match self.status {
+        let state = match self.state {
             State::InProgress => "in progress",
             State::Cancelling => "cancelling",
             State::Cancelled => "cancelled",
             State::Completed => "completed",
         };
-        let Counts { total, ended } = self.request_counts;
-        write!(f, "{} {status}: {ended} of {total} items ended", self.id)
+        write!(
+            f,
+            "{} {state}: {} of {} items completed, {} failed",
+            self.id, self.completed, self.items, self.failed
+        )
     }
 }
--- a/eel-core/tests/core/job_client.rs
+++ b/eel-core/tests/core/job_client.rs
@@ -7,9 +7,9 @@
 use error_stack::Report;
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait, http::StatusCode};
 
-const ACCEPTED: &str = r#"{"id":"1f","object":"batch","status":"in_progress","service":"scribe",
+const ACCEPTED: &str = r#"{"id":"1f","object":"batch","state":"in_progress","service":"scribe",
     "created_at_unix_ms":1,"deadline_unix_ms":2,"results_kept_until_unix_ms":3,
-    "request_counts":{"total":2,"ended":0}}"#;
+    "items":2,"completed":0,"failed":0}"#;
 
 /// Answers with each status in turn, and with the last one from then on; notes the headers that came.
 struct Script {
@@ -84,7 +84,10 @@
         );
         match (outcome, refused) {
             (Ok(status), None) => {
-                assert_eq!(status.to_string(), "1f in progress: 0 of 2 items ended");
+                assert_eq!(
+                    status.to_string(),
+                    "1f in progress: 0 of 2 items completed, 0 failed"
+                );
             }
             (Err(report), Some((code, may_have))) => match report.current_context() {
                 error @ Error::Refused { status, .. } => {
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod frozen_target;
 mod graceful_stop;
+mod job_commands;
 mod killed_target;
 mod leaving_target;
 mod outcome;
