feat(entry): run a request that is not repeatable once across resends

Cause: a caller that resends a billing entry to another entry node, because it never heard the answer, ran it twice: nothing was remembered beyond the entry node that had served the first copy.

Ruled out: a table beside the target, which is lost with its VM and misses a resend that another target gets; a claim for each request, which the store's several hundred writes a second cannot carry at 15,000 requests a second.

Change: a request that is not repeatable and carries an `idempotency-key` is sent only under a claim that its entry node creates in the key-value service. A resend gets the kept answer, or hears that the first copy may have run; other content under the same key is refused as not run. A refusal that says "not run" releases the claim. Each node writes at most 50 claims a second.

--- a/eel-entry/src/authenticate.rs
+++ b/eel-entry/src/authenticate.rs
@@ -8,6 +8,8 @@
 use http::{HeaderMap, header::AUTHORIZATION};
 use sha2::{Digest as _, Sha256};
 
+use crate::hex;
+
 const SCHEME: &str = "Bearer ";
 
 /// Callers by the SHA-256 digests of their keys, in lower-case hexadecimal.
@@ -41,18 +43,8 @@
             .and_then(|value| value.to_str().ok())
             .and_then(|text| text.strip_prefix(SCHEME))
             .ok_or(unauthorized)?;
-        let digest = digest(key);
+        let digest = hex::encode(&Sha256::digest(key.as_bytes()));
         let caller = self.by_digest.get(digest.as_str());
         caller.cloned().ok_or(unauthorized)
     }
 }
-
-fn digest(key: &str) -> String {
-    const DIGITS: &[u8; 16] = b"0123456789abcdef";
-
-    let digest = Sha256::digest(key.as_bytes());
-    let nibbles = digest.iter().flat_map(|byte| [byte >> 4, byte & 0xf]);
-    nibbles
-        .map(|nibble| char::from(DIGITS[usize::from(nibble)]))
-        .collect()
-}
--- /dev/null
+++ b/eel-entry/src/idempotency/claim.rs
@@ -0,0 +1,202 @@
+//! Claims on idempotency keys.
+
+use std::sync::{Mutex, PoisonError};
+
+use bytes::Bytes;
+use eel_route::TokenBucket;
+use eel_store::{
+    Compare, EtcdJson, KeyValue as _, Op, Settled, StoreError, Token, Txn, commit_settled,
+};
+use eel_types::Clock;
+use eel_verdict::{Reason, Refusal};
+
+use super::{
+    entry::{Entry, KeptAnswer, LARGEST_KEPT_BYTES, Resend, digest},
+    lease::ClaimLease,
+};
+use crate::serve::Request;
+
+/// Claims a second that this node may write, and how many after a pause; the store serves the whole fleet.
+const CLAIMS_PER_S: u32 = 50;
+const CLAIM_BURST: u32 = 200;
+/// When to come back while the store does not answer.
+const STORE_RETRY_AFTER_MS: u64 = 1_000;
+
+/// Creates and ends claims.
+pub(crate) struct Claims {
+    store: EtcdJson,
+    prefix: String,
+    clock: Clock,
+    lease: ClaimLease,
+    budget: Mutex<TokenBucket>,
+}
+
+/// A claim that this request holds.
+#[derive(Debug)]
+pub(crate) struct Claim {
+    key: String,
+    entry: Entry,
+}
+
+/// What became of the wish to claim a key.
+#[derive(Debug)]
+pub(crate) enum Outcome {
+    /// The request may be sent.
+    Claimed(Claim),
+    /// An earlier request was answered like this.
+    Answered(KeptAnswer),
+}
+
+impl Claims {
+    pub(crate) fn new(store: EtcdJson, prefix: &str, clock: Clock) -> Self {
+        let budget = TokenBucket::new(clock.now_ms(), CLAIMS_PER_S, CLAIM_BURST);
+        Self {
+            store,
+            prefix: format!("{prefix}/idempotent/1/"),
+            clock,
+            lease: ClaimLease::default(),
+            budget: Mutex::new(budget),
+        }
+    }
+
+    /// Claims `idempotency_key` for `request`, which must not be sent without the claim.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request as not run if the store does not answer, or if another request with other content holds the
+    /// key; as one that may have run if an earlier copy of it holds the key and has no answer yet.
+    pub(crate) async fn claim(
+        &self,
+        request: &Request,
+        idempotency_key: &[u8],
+    ) -> Result<Outcome, Refusal> {
+        self.spend()?;
+        let claim = self.new_claim(request, idempotency_key);
+        let unavailable =
+            Refusal::not_run(Reason::StoreUnavailable).retry_after(STORE_RETRY_AFTER_MS);
+        let lease = self.lease.get(self.clock.now_ms(), &self.store).await;
+        let lease = lease.map_err(|_| unavailable)?;
+        let value = claim.entry.to_value();
+        let txn = Txn {
+            compares: vec![Compare::Absent {
+                key: claim.key.clone(),
+            }],
+            success: vec![Op::Put {
+                key: claim.key.clone(),
+                value: value.clone(),
+                lease: Some(lease),
+            }],
+            failure: Vec::new(),
+        };
+        let token = Token {
+            key: claim.key.clone(),
+            value,
+        };
+        match commit_settled(&self.store, &txn, &token).await {
+            Ok(Settled::Applied { .. }) => Ok(Outcome::Claimed(claim)),
+            Ok(Settled::NotApplied { current }) => match current {
+                Some(pair) => on_taken(&pair.value, &claim.entry.digest),
+                None => Err(unavailable),
+            },
+            Ok(Settled::Unknown) => {
+                self.release(claim).await;
+                Err(unavailable)
+            }
+            Err(error) => {
+                if matches!(error.current_context(), StoreError::Rejected(_)) {
+                    self.lease.forget().await;
+                }
+                Err(unavailable)
+            }
+        }
+    }
+
+    /// Gives a claim up, since its request did not run and never will.
+    pub(crate) async fn release(&self, claim: Claim) {
+        let txn = Txn {
+            compares: vec![claim.is_ours()],
+            success: vec![Op::Delete {
+                key: claim.key.clone(),
+            }],
+            failure: Vec::new(),
+        };
+        if let Err(error) = self.store.commit(&txn).await {
+            log::warn!(target: "idempotency", "A claim cannot be released: {error}.");
+        }
+    }
+
+    /// Keeps the answer of a claimed request for resends, if it is short.
+    pub(crate) async fn keep(&self, claim: Claim, answer: KeptAnswer) {
+        if answer.body.len() > LARGEST_KEPT_BYTES {
+            return;
+        }
+        let Ok(lease) = self.lease.get(self.clock.now_ms(), &self.store).await else {
+            return;
+        };
+        let compares = vec![claim.is_ours()];
+        let answered = Entry {
+            answer: Some(answer),
+            ..claim.entry
+        };
+        let txn = Txn {
+            compares,
+            success: vec![Op::Put {
+                key: claim.key,
+                value: answered.to_value(),
+                lease: Some(lease),
+            }],
+            failure: Vec::new(),
+        };
+        if let Err(error) = self.store.commit(&txn).await {
+            log::warn!(target: "idempotency", "An answer cannot be kept: {error}.");
+        }
+    }
+
+    fn spend(&self) -> Result<(), Refusal> {
+        let now_ms = self.clock.now_ms();
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget
+            .try_take(now_ms)
+            .map_err(|wait_ms| Refusal::not_run(Reason::Overloaded).retry_after(wait_ms))
+    }
+
+    fn new_claim(&self, request: &Request, idempotency_key: &[u8]) -> Claim {
+        let name = digest(&[
+            request.caller.as_bytes(),
+            request.service.as_bytes(),
+            idempotency_key,
+        ]);
+        let content = digest(&[
+            request.method.as_bytes(),
+            request.path.as_bytes(),
+            &request.body,
+        ]);
+        Claim {
+            key: format!("{}{name}", self.prefix),
+            entry: Entry {
+                token: rand::random(),
+                digest: content.into(),
+                answer: None,
+            },
+        }
+    }
+}
+
+impl Claim {
+    fn is_ours(&self) -> Compare {
+        Compare::Value {
+            key: self.key.clone(),
+            value: self.entry.to_value(),
+        }
+    }
+}
+
+fn on_taken(value: &Bytes, digest: &str) -> Result<Outcome, Refusal> {
+    let Some(entry) = Entry::from_value(value) else {
+        return Err(Refusal::may_have_run(Reason::Conflict));
+    };
+    match entry.on_resend(digest) {
+        Resend::Answer(answer) => Ok(Outcome::Answered(answer)),
+        Resend::Refuse(refusal) => Err(refusal),
+    }
+}
--- /dev/null
+++ b/eel-entry/src/idempotency/entry.rs
@@ -0,0 +1,78 @@
+//! What the key-value service holds under an idempotency key.
+
+use bytes::Bytes;
+use eel_types::Name;
+use eel_verdict::{Reason, Refusal};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+use crate::hex;
+
+/// The longest answer that is kept for resends, in bytes.
+pub(super) const LARGEST_KEPT_BYTES: usize = 16 * 1024;
+/// When the caller of a resend should ask again while the first request still runs.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// A claim and, once the request has been answered, its answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Entry {
+    /// Tells this claim from every other.
+    pub(super) token: u128,
+    /// The digest of the request's method, path and body.
+    pub(super) digest: Name,
+    /// The answer, where one has come that is short enough.
+    pub(super) answer: Option<KeptAnswer>,
+}
+
+/// An answer kept for resends.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct KeptAnswer {
+    /// The HTTP status.
+    pub(crate) status: u16,
+    /// The media type.
+    pub(crate) content_type: Option<Name>,
+    /// The body.
+    pub(crate) body: Bytes,
+}
+
+/// What a resend gets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Resend {
+    /// The answer of the first request.
+    Answer(KeptAnswer),
+    /// A refusal.
+    Refuse(Refusal),
+}
+
+impl Entry {
+    pub(super) fn to_value(&self) -> Bytes {
+        Bytes::from(postcard::to_allocvec(self).unwrap_or_default())
+    }
+
+    pub(super) fn from_value(value: &[u8]) -> Option<Self> {
+        postcard::from_bytes(value).ok()
+    }
+
+    /// Decides on a request that found this entry.
+    pub(super) fn on_resend(self, digest: &str) -> Resend {
+        if self.digest.as_str() != digest {
+            return Resend::Refuse(Refusal::not_run(Reason::Conflict));
+        }
+        match self.answer {
+            Some(answer) => Resend::Answer(answer),
+            None => {
+                Resend::Refuse(Refusal::may_have_run(Reason::Conflict).retry_after(RETRY_AFTER_MS))
+            }
+        }
+    }
+}
+
+/// Returns the hexadecimal SHA-256 digest of `parts`, each taken with its length.
+pub(super) fn digest(parts: &[&[u8]]) -> String {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hex::encode(&hasher.finalize())
+}
--- a/eel-entry/src/lib.rs
+++ b/eel-entry/src/lib.rs
@@ -5,6 +5,8 @@
 mod batch;
 mod config;
 mod error;
+mod hex;
+mod idempotency;
 mod link;
 mod membership;
 mod metrics;
--- a/eel-entry/src/node.rs
+++ b/eel-entry/src/node.rs
@@ -20,8 +20,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Error, admin, batch::BatchHost, config::InForce, link::Identity, membership, metrics::Metrics,
-    peers::Peers, routing::Routing, serve,
+    Error, admin, batch::BatchHost, config::InForce, idempotency::Claims, link::Identity,
+    membership, metrics::Metrics, peers::Peers, routing::Routing, serve,
 };
 
 /// How long the node still takes requests after it has stopped being ready, so that the balancer can move away.
@@ -36,6 +36,7 @@
     pub(crate) routing: Arc<Routing>,
     pub(crate) in_force: InForce,
     pub(crate) peers: Peers,
+    pub(crate) claims: Claims,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) trace_sample_percent: u8,
     /// Cancelled once the node is not ready any more.
@@ -55,6 +56,7 @@
 /// An entry node whose listeners are bound.
 pub struct EntryNode {
     context: Arc<Context>,
+    store: EtcdJson,
     http: TcpListener,
     admin: TcpListener,
     registry: Registry,
@@ -87,8 +89,11 @@
             .await
             .change_context(Error::Bind)?;
         let (metrics, registry) = Metrics::register();
+        let store = open_store(settings)?;
+        let context = new_context(settings, store.clone(), endpoint, metrics);
         Ok(Self {
-            context: Arc::new(new_context(settings, endpoint, metrics)),
+            context: Arc::new(context),
+            store,
             http,
             admin,
             registry,
@@ -122,15 +127,14 @@
     pub async fn run(self, shutdown: Shutdown) -> Result<(), Report<Error>> {
         let stop = CancellationToken::new();
         let context = self.context;
-        let store = Arc::new(open_store(&self.settings)?);
         let vms = open_vm_list(&self.settings)?;
         let mut supervisor = Supervisor::new(stop.clone(), RestartPolicy::default());
         let prefix = format!("{}/config/", self.settings.store.prefix);
-        spawn_config(&mut supervisor, &context, store, prefix, &stop);
+        spawn_config(&mut supervisor, &context, self.store.clone(), prefix, &stop);
         let poll = Duration::from_millis(self.settings.vm_list.poll_ms);
         spawn_membership(&mut supervisor, &context, vms, poll, &stop);
         let admin = start(self.admin, admin::router(context.clone(), self.registry))?;
-        let jobs = new_jobs(&self.settings, &context)?;
+        let jobs = new_jobs(&self.settings, self.store, &context);
         spawn_jobs(&mut supervisor, &jobs, &stop);
         let routes = serve::router(context.clone(), eel_jobs::router(&jobs));
         let callers = start(self.http, routes)?;
@@ -147,7 +151,12 @@
     }
 }
 
-fn new_context(settings: &EntrySettings, endpoint: Endpoint, metrics: Arc<Metrics>) -> Context {
+fn new_context(
+    settings: &EntrySettings,
+    store: EtcdJson,
+    endpoint: Endpoint,
+    metrics: Arc<Metrics>,
+) -> Context {
     let clock = Clock::start();
     Context {
         data_centre: settings.node.data_centre.clone(),
@@ -161,6 +170,7 @@
         routing: Arc::new(Routing::new(clock)),
         in_force: InForce::new(),
         peers: Peers::default(),
+        claims: Claims::new(store, &settings.store.prefix, clock),
         metrics,
         trace_sample_percent: settings.telemetry.trace_sample_percent,
         leaving: CancellationToken::new(),
@@ -198,7 +208,7 @@
 fn spawn_config(
     supervisor: &mut Supervisor,
     context: &Arc<Context>,
-    store: Arc<EtcdJson>,
+    store: EtcdJson,
     prefix: String,
     stop: &CancellationToken,
 ) {
@@ -255,7 +265,7 @@
 /// The batch part of the node.
 type Jobs = JobNode<EtcdJson, BatchHost>;
 
-fn new_jobs(settings: &EntrySettings, context: &Arc<Context>) -> Result<Arc<Jobs>, Report<Error>> {
+fn new_jobs(settings: &EntrySettings, store: EtcdJson, context: &Arc<Context>) -> Arc<Jobs> {
     let options = eel_jobs::Options {
         claims: settings.batch.enabled,
         parallel_chunks: settings.batch.parallel_chunks as usize,
@@ -263,7 +273,7 @@
         ..eel_jobs::Options::new(settings.node.name.clone(), &settings.store.prefix)
     };
     let host = Arc::new(BatchHost::new(context.clone()));
-    Ok(JobNode::new(options, open_store(settings)?, host))
+    JobNode::new(options, store, host)
 }
 
 fn spawn_jobs(supervisor: &mut Supervisor, jobs: &Arc<Jobs>, stop: &CancellationToken) {
--- a/eel-entry/src/serve/handler.rs
+++ b/eel-entry/src/serve/handler.rs
@@ -9,6 +9,7 @@
 
 use super::{
     answer,
+    claimed::run_claimed,
     guard::OpenRequest,
     intake::take_in,
     run::{Answer, run},
@@ -63,7 +64,11 @@
         let request = take_in(context, id, req).await?;
         let permit = context.routing.admit(&request.caller)?;
         let open = OpenRequest::new(context.metrics.clone(), permit);
-        let answer = run(context, &request, &span).await?;
+        let answer = if request.needs_claim() {
+            run_claimed(context.clone(), request, span).await?
+        } else {
+            run(context, &request, &span).await?
+        };
         Ok((answer, open))
     }
 }
--- a/eel-entry/src/serve/mod.rs
+++ b/eel-entry/src/serve/mod.rs
@@ -1,6 +1,7 @@
 //! Callers' requests: taken in, sent to a target, answered.
 
 mod answer;
+mod claimed;
 mod completion;
 mod guard;
 mod handler;
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -10,5 +10,6 @@
 mod killed_target;
 mod leaving_target;
 mod outcome;
+mod resent_request;
 mod store_outage;
 mod whole_path;
