fix(entry): open the link that replaces a silent one from a port of its own

Cause: all links of an entry node shared one local port. Whatever stands between the two ends and has lost track of the flow between two ports goes on dropping its datagrams, so the link that was to replace the silent one was silent too. A new test with a relay that loses track of the flows it knows showed it: no link came back within its minute.

Ruled out: a port for each link from the start (a socket and its buffers for each of many links), and moving the whole endpoint to a new port (healthy links would have to migrate).

Change: after a silence or a failure to open, the next connection is opened from a port of its own, freed with the connection; after a connection that was closed, from the shared one again.

The test holds a request back in each direction, settles it over the new link, releases it and counts: nothing starts after its settlement, "not run" is told only where nothing ran.

--- a/eel-entry/src/link/keeper.rs
+++ b/eel-entry/src/link/keeper.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -19,7 +19,11 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use super::session::{Opened, Session, hello, open};
+use super::{
+    endpoints::Endpoints,
+    session::{Opened, Session, hello, open},
+};
+use crate::node::Context;
 
 /// The time between two pings.
 const PING_INTERVAL: Duration = Duration::from_millis(500);
@@ -43,6 +47,8 @@
 pub(crate) struct Link {
     pub(crate) vm: Name,
     generation: AtomicU64,
+    /// Whether the next connection needs a local port of its own.
+    needs_port: AtomicBool,
     current: watch::Sender<Option<Arc<Session>>>,
 }
 
@@ -51,6 +57,7 @@
         Self {
             vm,
             generation: AtomicU64::new(0),
+            needs_port: AtomicBool::new(false),
             current: watch::Sender::new(None),
         }
     }
@@ -60,6 +67,22 @@
         self.current.borrow().clone()
     }
 
+    /// Returns the endpoint to open the next connection from.
+    fn endpoint(&self, endpoints: &Endpoints) -> Endpoint {
+        if !self.needs_port.load(Ordering::Relaxed) {
+            return endpoints.shared();
+        }
+        endpoints.fresh().unwrap_or_else(|error| {
+            log::warn!(target: "link", "No port is left for the link to {}: {error}.", self.vm);
+            endpoints.shared()
+        })
+    }
+
+    /// Takes a new port after a silence or a failure to open, and the shared one after a connection that was closed.
+    fn note_end(&self, needs_port: bool) {
+        self.needs_port.store(needs_port, Ordering::Relaxed);
+    }
+
     fn next_generation(&self) -> u64 {
         self.generation.fetch_add(1, Ordering::Relaxed) + 1
     }
@@ -107,11 +130,12 @@
 pub(crate) async fn run(
     link: Arc<Link>,
     address: SocketAddr,
-    endpoint: Endpoint,
-    identity: Identity,
+    context: Arc<Context>,
     events: impl LinkEvents,
     stop: CancellationToken,
 ) {
+    let identity = &context.identity;
+    let endpoint = link.endpoint(&context.endpoints);
     let hello = hello(&identity.vm, identity.incarnation, link.next_generation());
     let opened = tokio::select! {
         opened = open(&endpoint, address, hello) => opened,
@@ -121,10 +145,12 @@
         Ok(opened) => {
             let incarnation = opened.session.incarnation;
             let loss = keep(&link, opened, identity.clock, &events, &stop).await;
+            link.note_end(loss == Loss::Silent);
             log::info!(target: "link", "The link to {} ended: {loss}.", link.vm);
             events.on_lost(Some(incarnation), loss);
         }
         Err(error) => {
+            link.note_end(true);
             log::debug!(target: "link", "The link to {} cannot be opened: {error}.", link.vm);
             events.on_lost(None, Loss::Closed);
         }
--- a/eel-entry/src/link/mod.rs
+++ b/eel-entry/src/link/mod.rs
@@ -1,10 +1,12 @@
 //! Links to target nodes: kept alive, replaced when silent, and the attempts that travel on them.
 
 mod attempt;
+mod endpoints;
 mod keeper;
 mod session;
 mod settle;
 
 pub(crate) use attempt::{Attempt, Reply, ReplyPart};
+pub(crate) use endpoints::Endpoints;
 pub(crate) use keeper::{Identity, Link, LinkEvents, Loss, run};
 pub(crate) use session::Session;
--- a/eel-entry/src/membership.rs
+++ b/eel-entry/src/membership.rs
@@ -102,8 +102,7 @@
                 let keeper = run(
                     target.shared.link.clone(),
                     address,
-                    context.endpoint.clone(),
-                    context.identity.clone(),
+                    context.clone(),
                     target.shared.clone(),
                     target.stop.clone(),
                 );
--- a/eel-entry/src/node.rs
+++ b/eel-entry/src/node.rs
@@ -8,20 +8,24 @@
 use eel_store::{EtcdJson, EtcdOptions, HttpVmList};
 use eel_supervise::{ChildError, RestartPolicy, Shutdown, Supervisor};
 use eel_types::{Clock, Incarnation, Name};
-use eel_wire::{
-    EndpointOptions, bind_client,
-    credentials::{CredentialPaths, Credentials},
-};
+use eel_wire::credentials::{CredentialPaths, Credentials};
 use error_stack::{Report, ResultExt as _};
 use prometheus_client::registry::Registry;
-use quinn::Endpoint;
 use salvo::{Server, conn::tcp::TcpAcceptor, server::ServerHandle};
 use tokio::{net::TcpListener, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Error, admin, batch::BatchHost, config::InForce, idempotency::Claims, link::Identity,
-    membership, metrics::Metrics, peers::Peers, routing::Routing, serve,
+    Error, admin,
+    batch::BatchHost,
+    config::InForce,
+    idempotency::Claims,
+    link::{Endpoints, Identity},
+    membership,
+    metrics::Metrics,
+    peers::Peers,
+    routing::Routing,
+    serve,
 };
 
 /// How long the node still takes requests after it has stopped being ready, so that the balancer can move away.
@@ -32,7 +36,7 @@
     pub(crate) data_centre: Name,
     pub(crate) clock: Clock,
     pub(crate) identity: Identity,
-    pub(crate) endpoint: Endpoint,
+    pub(crate) endpoints: Endpoints,
     pub(crate) routing: Arc<Routing>,
     pub(crate) in_force: InForce,
     pub(crate) peers: Peers,
@@ -76,12 +80,8 @@
             key: settings.tls.key.clone(),
         })
         .change_context(Error::Credentials)?;
-        let endpoint = bind_client(
-            settings.listen.quic_bind,
-            &credentials,
-            EndpointOptions::default(),
-        )
-        .change_context(Error::Bind)?;
+        let endpoints =
+            Endpoints::bind(settings.listen.quic_bind, credentials).change_context(Error::Bind)?;
         let http = TcpListener::bind(settings.listen.http)
             .await
             .change_context(Error::Bind)?;
@@ -90,7 +90,7 @@
             .change_context(Error::Bind)?;
         let (metrics, registry) = Metrics::register();
         let store = open_store(settings)?;
-        let context = new_context(settings, store.clone(), endpoint, metrics);
+        let context = new_context(settings, store.clone(), endpoints, metrics);
         Ok(Self {
             context: Arc::new(context),
             store,
@@ -145,8 +145,7 @@
         };
         stop.cancel();
         admin.handle.stop_forceful();
-        context.endpoint.close(0u32.into(), b"");
-        context.endpoint.wait_idle().await;
+        context.endpoints.close().await;
         outcome
     }
 }
@@ -154,7 +153,7 @@
 fn new_context(
     settings: &EntrySettings,
     store: EtcdJson,
-    endpoint: Endpoint,
+    endpoints: Endpoints,
     metrics: Arc<Metrics>,
 ) -> Context {
     let clock = Clock::start();
@@ -166,7 +165,7 @@
             incarnation: Incarnation::random(&mut rand::rng()),
             clock,
         },
-        endpoint,
+        endpoints,
         routing: Arc::new(Routing::new(clock)),
         in_force: InForce::new(),
         peers: Peers::default(),
--- a/tests/process/fleet/mod.rs
+++ b/tests/process/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod node;
 mod records;
+mod relay;
 
 use std::path::PathBuf;
 
@@ -13,6 +14,7 @@
 use eel_wire::credentials::{PemPair, create_authority, issue_node};
 pub use node::{Node, eventually};
 pub use records::{CALLER_KEY, Service};
+pub use relay::{Relay, Silence};
 use reqwest::{Client, RequestBuilder, Response};
 use tempfile::TempDir;
 
@@ -121,6 +123,18 @@
         }
     }
 
+    /// Puts a relay before `target`, and lists it under the relay's address.
+    pub async fn relay(&mut self, target: &Target) -> Relay {
+        let relay = Relay::start(target.vm.address).await;
+        for vm in &mut self.listed {
+            if vm.name == target.vm.name {
+                vm.address = relay.address;
+            }
+        }
+        self.vm_list.set_vms(self.listed.clone());
+        relay
+    }
+
     /// Lists `target` as leaving.
     pub fn list_leaving(&mut self, target: &Target) {
         for vm in &mut self.listed {
--- /dev/null
+++ b/tests/process/fleet/relay.rs
@@ -0,0 +1,139 @@
+//! A datagram relay that can lose track of the flows that pass it.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use tokio::{net::UdpSocket, task::JoinHandle};
+
+/// The longest datagram.
+const DATAGRAM_BYTES: usize = 65_536;
+
+/// Which way the flows that are known go silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Silence {
+    ToTarget,
+    ToEntry,
+    Both,
+}
+
+/// A relay before one target node; it stops when dropped.
+pub struct Relay {
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
+struct Shared {
+    socket: UdpSocket,
+    target: SocketAddr,
+    flows: Mutex<HashMap<SocketAddr, Flow>>,
+}
+
+struct Flow {
+    outward: Arc<UdpSocket>,
+    silence: Option<Silence>,
+    held: Vec<Vec<u8>>,
+}
+
+impl Relay {
+    /// Starts a relay to `target`.
+    pub async fn start(target: SocketAddr) -> Self {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+        let address = socket.local_addr().expect("an address");
+        let flows = Mutex::default();
+        let shared = Arc::new(Shared {
+            socket,
+            target,
+            flows,
+        });
+        let task = tokio::spawn(shared.clone().run());
+        Self {
+            address,
+            shared,
+            task,
+        }
+    }
+
+    /// Silences all flows that are known now; flows from other ports pass.
+    pub fn silence(&self, silence: Silence) {
+        for flow in self.shared.lock().values_mut() {
+            flow.silence = Some(silence);
+        }
+    }
+
+    /// Delivers what was held back on the way to the target.
+    pub async fn release(&self) {
+        let released: Vec<_> = self
+            .shared
+            .lock()
+            .values_mut()
+            .map(|flow| {
+                flow.silence = None;
+                (flow.outward.clone(), std::mem::take(&mut flow.held))
+            })
+            .collect();
+        for (outward, datagrams) in released {
+            for datagram in datagrams {
+                outward.send(&datagram).await.expect("a sent datagram");
+            }
+        }
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Flow>> {
+        self.flows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn run(self: Arc<Self>) {
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        loop {
+            let received = self.socket.recv_from(&mut buffer).await;
+            let (length, source) = received.expect("a datagram");
+            if let Some(outward) = self.outward(source, &buffer[..length]).await {
+                let _ = outward.send(&buffer[..length]).await;
+            }
+        }
+    }
+
+    /// Returns the socket on which a datagram from `source` goes on, unless it is held back.
+    async fn outward(self: &Arc<Self>, source: SocketAddr, data: &[u8]) -> Option<Arc<UdpSocket>> {
+        if let Some(flow) = self.lock().get_mut(&source) {
+            if matches!(flow.silence, Some(Silence::ToTarget | Silence::Both)) {
+                flow.held.push(data.to_vec());
+                return None;
+            }
+            return Some(flow.outward.clone());
+        }
+        let outward = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+        outward.connect(self.target).await.expect("an address");
+        let outward = Arc::new(outward);
+        let flow = Flow {
+            outward: outward.clone(),
+            silence: None,
+            held: Vec::new(),
+        };
+        self.lock().insert(source, flow);
+        tokio::spawn(self.clone().run_back(source, outward.clone()));
+        Some(outward)
+    }
+
+    async fn run_back(self: Arc<Self>, source: SocketAddr, outward: Arc<UdpSocket>) {
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        while let Ok(length) = outward.recv(&mut buffer).await {
+            let silence = self.lock().get(&source).and_then(|flow| flow.silence);
+            if !matches!(silence, Some(Silence::ToEntry | Silence::Both)) {
+                let _ = self.socket.send_to(&buffer[..length], source).await;
+            }
+        }
+    }
+}
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -11,5 +11,6 @@
 mod leaving_target;
 mod outcome;
 mod resent_request;
+mod silent_link;
 mod store_outage;
 mod whole_path;
