fix(member): open a fresh link as soon as one goes silent

Cause: by the time a link reports silence (1.5 s), the missed heartbeats have made the target a suspect (1.1 s), and the report was ignored in that state. The target was then declared dead, its link given up, and only later opened anew, so that requests open on the silent connection had no fresh one to be settled over.

Change: silence of a link that is current, in whatever state the target is (leaving as well), asks for a new link at once. The target gets no new work until it has answered there.

Before: the case 'has a silent link' of event_tables failed, no link was asked for. After: it passes, with two more cases, after missed heartbeats and while leaving.

Conclusion: shown on the decisions only; the case over processes is not run here.

--- a/eel-member/src/event.rs
+++ b/eel-member/src/event.rs
@@ -28,7 +28,7 @@
         /// The process that sent the message.
         incarnation: Incarnation,
     },
-    /// A link makes no progress although requests or heartbeats are due on it.
+    /// A link makes no progress although requests or heartbeats are due on it; it has been given up.
     LinkSilent {
         /// The target's VM.
         vm: Name,
@@ -49,7 +49,7 @@
 /// What the entry node is to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// Open a link, in place of any earlier one to the same VM.
+    /// Open a link, in place of any earlier one to the same VM; what is open on that one can be settled over it.
     Connect {
         /// The target's VM.
         vm: Name,
--- a/eel-member/src/membership.rs
+++ b/eel-member/src/membership.rs
@@ -61,7 +61,7 @@
             }
             Event::LinkSilent { vm, incarnation } => {
                 self.on_member(&vm, |this, id| {
-                    this.suspect(now_ms, id, incarnation, &mut actions);
+                    this.replace_silent(now_ms, id, incarnation, &mut actions);
                 });
             }
             Event::LinkClosed { vm, incarnation } => {
@@ -272,7 +272,8 @@
         true
     }
 
-    fn suspect(
+    /// Opens a fresh link in place of a silent one, over which open requests can be settled.
+    fn replace_silent(
         &mut self,
         now_ms: u64,
         id: MemberId,
@@ -280,9 +281,9 @@
         actions: &mut Vec<Action>,
     ) {
         let member = &mut self.members[id];
-        if member.state == State::Live && member.incarnations.concerns_current(incarnation) {
-            member.state = State::Suspect;
+        if member.has_link() && member.incarnations.concerns_current(incarnation) {
             self.fail(now_ms, id, StopReason::Silent, actions);
+            actions.push(self.members[id].connect(now_ms));
         }
     }
 
--- a/eel-member/tests/member/event_tables.rs
+++ b/eel-member/tests/member/event_tables.rs
@@ -111,12 +111,31 @@
         case(
             "has a silent link",
             vec![
-                (20, silent("a", 1), vec!["stop a 1 Silent"]),
+                (20, silent("a", 1), vec!["stop a 1 Silent", "connect a 1"]),
                 (30, heard("a", 1), vec![]),
                 (520, Event::Tick, vec!["use a 1"]),
             ],
             State::Live,
         ),
+        case(
+            "has a silent link after missed heartbeats",
+            vec![
+                (1_250, Event::Tick, vec!["stop a 1 Silent"]),
+                (1_500, silent("a", 1), vec!["connect a 1"]),
+                (1_750, Event::Tick, vec![]),
+                (1_800, heard("a", 1), vec!["use a 1"]),
+            ],
+            State::Live,
+        ),
+        case(
+            "has a silent link while it is leaving",
+            vec![
+                (20, said_leaving("a", 1), vec!["stop a 1 Leaving"]),
+                (30, silent("a", 1), vec!["connect a 1"]),
+                (40, heard("a", 1), vec![]),
+            ],
+            State::Leaving,
+        ),
         case(
             "closes its link",
             vec![
