fix(entry): let a replaced link finish what runs on it

Cause: when another target took a link's place in the subset, the membership asked to disconnect, and the driver closed the connection at once, with requests open on it. It concerns pools larger than an entry's share of links. Also, a link that this node itself had ended was reported as closed by the target, which a later link to the same target would have suffered for.

Found by reading, not by a run. No test brings it about: the driver has no tests of its own yet, and over processes it needs a pool of more than 64 targets.

Change: `Disconnect` says why. A dead target's link is closed at once, as before; a replaced one stays, without new work, until no attempt of this node runs there. The end of a link that this node asked for is not reported back.

Measured: the decisions' tests pass with the reason; the drain itself was not run.

--- a/eel-entry/src/membership.rs
+++ b/eel-entry/src/membership.rs
@@ -86,6 +86,22 @@
     stop: CancellationToken,
 }
 
+impl Target {
+    /// Ends the link once nothing runs on it.
+    async fn drain(self) {
+        tokio::select! {
+            () = self.shared.idle() => {}
+            () = self.stop.cancelled() => {}
+        }
+        self.end();
+    }
+
+    fn end(&self) {
+        self.shared.forget();
+        self.stop.cancel();
+    }
+}
+
 impl Driver {
     fn on_event(&mut self, event: Event) {
         let now_ms = self.context.clock.now_ms();
@@ -130,11 +146,13 @@
                 }
                 self.count_targets();
             }
-            Action::Disconnect { vm } => {
+            Action::Disconnect { vm, reason } => {
                 self.context.peers.remove(&vm);
                 if let Some(target) = self.targets.remove(&vm) {
-                    target.shared.forget();
-                    target.stop.cancel();
+                    match reason {
+                        StopReason::Replaced => drop(tokio::spawn(target.drain())),
+                        _ => target.end(),
+                    }
                 }
             }
         }
@@ -193,16 +211,21 @@
 
     fn stop_use(&self, reason: StopReason) {
         match reason {
-            // What a leaving target runs still counts as its load until it is forgotten.
-            StopReason::Leaving => {
+            // What the target runs still counts as its load until it is forgotten.
+            StopReason::Leaving | StopReason::Replaced => {
                 if let Some(handle) = &self.lock().handle {
                     self.context.routing.stop_use(handle);
                 }
             }
-            StopReason::Silent
-            | StopReason::Closed
-            | StopReason::Restarted
-            | StopReason::Replaced => self.forget(),
+            StopReason::Silent | StopReason::Closed | StopReason::Restarted => self.forget(),
+        }
+    }
+
+    /// Returns once no attempt of this node runs at the target.
+    async fn idle(&self) {
+        let is_busy = |handle: &TargetHandle| self.context.routing.is_busy(handle);
+        while self.lock().handle.as_ref().is_some_and(is_busy) {
+            tokio::time::sleep(TICK).await;
         }
     }
 
@@ -245,10 +268,11 @@
 
     fn on_lost(&self, incarnation: Option<Incarnation>, loss: Loss) {
         let vm = self.link.vm.clone();
-        self.tell(match loss {
-            Loss::Silent => Event::LinkSilent { vm, incarnation },
-            Loss::Closed | Loss::Stopped => Event::LinkClosed { vm, incarnation },
-        });
+        match loss {
+            Loss::Silent => self.tell(Event::LinkSilent { vm, incarnation }),
+            Loss::Closed => self.tell(Event::LinkClosed { vm, incarnation }),
+            Loss::Stopped => {} // this node's own decision, which a later link must not suffer for
+        }
     }
 
     fn wants_credits(&self) -> bool {
--- a/eel-entry/src/routing.rs
+++ b/eel-entry/src/routing.rs
@@ -134,6 +134,14 @@
         }
     }
 
+    /// Returns `true` while attempts of this node run at `target`.
+    pub(crate) fn is_busy(&self, target: &TargetHandle) -> bool {
+        let inner = self.lock();
+        let linked = inner.pools.get(&target.pool);
+        let status = linked.and_then(|it| it.pool.status(self.clock.now_ms(), target.key));
+        status.is_some_and(|status| status.in_flight > 0)
+    }
+
     pub(crate) fn on_report(&self, target: &TargetHandle, load: LoadReport) {
         self.report(&target.pool, target.key, load);
     }
--- a/eel-member/src/event.rs
+++ b/eel-member/src/event.rs
@@ -76,10 +76,12 @@
         /// Why.
         reason: StopReason,
     },
-    /// Close the link as soon as nothing runs on it.
+    /// Close the link: at once if the target is dead, or as soon as nothing runs on it if it was replaced.
     Disconnect {
         /// The target's VM.
         vm: Name,
+        /// Why: [`StopReason::Silent`] or [`StopReason::Replaced`].
+        reason: StopReason,
     },
 }
 
--- a/eel-member/src/membership.rs
+++ b/eel-member/src/membership.rs
@@ -333,7 +333,8 @@
             let vm = member.vm.clone();
             member.lose_link(&self.options, now_ms);
             self.fail(now_ms, id, StopReason::Silent, actions);
-            actions.push(Action::Disconnect { vm });
+            let reason = StopReason::Silent;
+            actions.push(Action::Disconnect { vm, reason });
         } else if silent_ms >= self.options.suspect_after_ms && member.state == State::Live {
             member.state = State::Suspect;
             self.fail(now_ms, id, StopReason::Silent, actions);
@@ -432,9 +433,10 @@
             let member = &mut self.members[*id];
             if member.has_link() && member.state != State::Leaving {
                 member.state = State::Known;
-                member.stop_use(StopReason::Replaced, actions);
                 let vm = member.vm.clone();
-                actions.push(Action::Disconnect { vm });
+                let reason = StopReason::Replaced;
+                member.stop_use(reason, actions);
+                actions.push(Action::Disconnect { vm, reason });
             }
         }
     }
--- a/eel-member/tests/member/event_properties.rs
+++ b/eel-member/tests/member/event_properties.rs
@@ -113,7 +113,7 @@
                 _ => return true,
             };
             actions.iter().all(|action| match action {
-                Action::StopUse { vm, .. } | Action::Disconnect { vm } => marked.contains(vm),
+                Action::StopUse { vm, .. } | Action::Disconnect { vm, .. } => marked.contains(vm),
                 Action::Connect { .. } | Action::Use { .. } => true,
             })
         })
@@ -132,7 +132,7 @@
                 Action::StopUse {
                     vm, incarnation, ..
                 } => used.remove(vm) == Some(*incarnation),
-                Action::Disconnect { vm } => !used.contains_key(vm),
+                Action::Disconnect { vm, .. } => !used.contains_key(vm),
                 Action::Connect { .. } => true,
             })
         })
--- a/eel-member/tests/member/event_tables.rs
+++ b/eel-member/tests/member/event_tables.rs
@@ -100,7 +100,7 @@
             vec![
                 (1_000, Event::Tick, vec![]),
                 (1_250, Event::Tick, vec!["stop a 1 Silent"]),
-                (1_750, Event::Tick, vec!["disconnect a"]),
+                (1_750, Event::Tick, vec!["disconnect a Silent"]),
                 (2_000, Event::Tick, vec!["connect a 1"]),
                 (2_010, closed("a", None), vec![]),
                 (2_250, Event::Tick, vec![]),
@@ -176,7 +176,7 @@
                 (30, closed("b", None), vec![]),
                 (40, closed("a", Some(1)), vec!["stop a 1 Closed"]),
                 (1_000, Event::Tick, vec!["connect b 1"]),
-                (700_000, Event::Tick, vec!["disconnect b"]),
+                (700_000, Event::Tick, vec!["disconnect b Silent"]),
             ],
             None,
         ),
--- a/eel-member/tests/member/fixture.rs
+++ b/eel-member/tests/member/fixture.rs
@@ -75,7 +75,7 @@
             incarnation,
             reason,
         } => format!("stop {vm} {} {reason:?}", incarnation.0),
-        Action::Disconnect { vm } => format!("disconnect {vm}"),
+        Action::Disconnect { vm, reason } => format!("disconnect {vm} {reason:?}"),
     }
 }
 
--- a/eel-member/tests/member/subset_spread.rs
+++ b/eel-member/tests/member/subset_spread.rs
@@ -279,7 +279,7 @@
     let expected = [
         format!("use {} 1", names[0]),
         format!("stop {successor} 1 Replaced"),
-        format!("disconnect {successor}"),
+        format!("disconnect {successor} Replaced"),
     ];
     assert_eq!(back, expected);
 }
