feat(bench): measure the slopes of the capacity page

The size to design for is far above one machine, so each role's needs have to be worked out from slopes.

Ruled out: processes of their own for each node, as nothing of the project starts a process; both ends of a link share this one, and a load is compared with the same load on the target alone.

--- /dev/null
+++ b/eel-bench/examples/capacity/main.rs
@@ -0,0 +1,73 @@
+//! Measures the slopes that `docs/CAPACITY.md` is worked out from, and prints them as one table.
+//!
+//! Everything runs in this process on loopback addresses and ends by itself, in about a minute and a half. With the
+//! argument `spread` it prints how the links of 360 entry nodes spread over 3,800 targets instead.
+
+mod config;
+mod links;
+mod members;
+mod path;
+mod point;
+mod store;
+
+use std::error::Error;
+
+use eel_bench::{
+    nodes,
+    stage::{self, Stage},
+};
+use eel_standin::engine::{Engine, EngineOptions};
+use point::print_head;
+
+/// The time between two tokens of the stand-in engine.
+const STEP_US: u64 = 5_000;
+
+fn main() -> Result<(), Box<dyn Error>> {
+    if std::env::args()
+        .nth(1)
+        .is_some_and(|argument| argument == "spread")
+    {
+        members::print_spread();
+        return Ok(());
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build()?;
+    print_head();
+    config::measure()?;
+    members::measure()?;
+    runtime.block_on(links::measure())?;
+    runtime.block_on(nodes())
+}
+
+/// Measures on a whole entry node with one target node.
+async fn nodes() -> Result<(), Box<dyn Error>> {
+    let directory = std::env::temp_dir().join(format!("eel-capacity-{}", std::process::id()));
+    let engine = Engine::start(EngineOptions {
+        step_us: STEP_US,
+        ..EngineOptions::default()
+    })
+    .await;
+    let stage = stage::start(&stage::Options {
+        directory: directory.clone(),
+        targets: 1,
+        engine_url: Some(engine.url()),
+    })
+    .await
+    .map_err(|report| report.to_string())?;
+    let measured = on_stage(&stage).await;
+    std::fs::remove_dir_all(&directory)?;
+    measured
+}
+
+async fn on_stage(stage: &Stage) -> Result<(), Box<dyn Error>> {
+    let nodes = nodes::start(stage)
+        .await
+        .map_err(|report| report.to_string())?;
+    store::measure(stage).await?;
+    path::measure(stage).await?;
+    // The nodes' threads are joined away from the runtime's workers.
+    tokio::task::spawn_blocking(move || drop(nodes)).await?;
+    Ok(())
+}
--- /dev/null
+++ b/eel-bench/examples/capacity/path.rs
@@ -0,0 +1,101 @@
+//! Processor time for each request on the path, over that of the target alone.
+
+use std::error::Error;
+
+use bytes::Bytes;
+use eel_bench::{
+    load::{self, Arrivals},
+    stage::{CALLER_KEY, Stage},
+};
+
+use crate::point::{Point, cpu_ms, print_row, resident_kb, to_f64};
+
+const RATES_PER_S: [u32; 3] = [250, 500, 1_000];
+const TOKENS: [u32; 3] = [10, 40, 80];
+const STREAMS_PER_S: u32 = 50;
+const SECONDS: u64 = 2;
+const BODY: Bytes = Bytes::from_static(&[b'x'; 1_024]);
+
+/// Measures loads through the nodes and past them; the clients and the target are in this process as well.
+pub async fn measure(stage: &Stage) -> Result<(), Box<dyn Error>> {
+    let mut through = Vec::new();
+    let mut past = Vec::new();
+    for rate in RATES_PER_S {
+        let key = Some(CALLER_KEY.to_owned());
+        through.push(cpu_ms_per_s(&stage.path_url, key, rate, BODY).await?);
+        past.push(cpu_ms_per_s(&stage.direct_url, None, rate, BODY).await?);
+    }
+    print_row(
+        "requests through entry and target node, processor ms/s",
+        "requests/s",
+        &through,
+    );
+    print_row(
+        "requests to the target alone, processor ms/s",
+        "requests/s",
+        &past,
+    );
+    tokens(stage).await?;
+    println!("\nResident at the end: {:.0} kB, all parts.", resident_kb());
+    Ok(())
+}
+
+/// Measures streamed answers of several lengths, one event a token.
+async fn tokens(stage: &Stage) -> Result<(), Box<dyn Error>> {
+    let mut through = Vec::new();
+    let mut past = Vec::new();
+    for tokens in TOKENS {
+        let body = format!(r#"{{"stream":true,"max_tokens":{tokens}}}"#);
+        let runs = [
+            (&stage.path_url, Some(CALLER_KEY.to_owned()), &mut through),
+            (&stage.direct_url, None, &mut past),
+        ];
+        for (url, key, points) in runs {
+            let url = format!("{url}v1/completions");
+            let point = cpu_ms_per_s(&url, key, STREAMS_PER_S, body.clone().into()).await?;
+            points.push(Point {
+                x: point.x * f64::from(tokens),
+                y: point.y,
+            });
+        }
+    }
+    print_row(
+        "streams through both nodes, processor ms/s",
+        "tokens/s",
+        &through,
+    );
+    print_row(
+        "streams from the target alone, processor ms/s",
+        "tokens/s",
+        &past,
+    );
+    Ok(())
+}
+
+async fn cpu_ms_per_s(
+    url: &str,
+    key: Option<String>,
+    rate: u32,
+    body: Bytes,
+) -> Result<Point, Box<dyn Error>> {
+    let options = load::Options {
+        url: url.to_owned(),
+        key,
+        body,
+        arrivals: Arrivals::Open { rate_per_s: rate },
+        seconds: SECONDS,
+    };
+    let before_ms = cpu_ms();
+    let outcome = load::run(&options)
+        .await
+        .map_err(|report| report.to_string())?;
+    let used_ms = cpu_ms() - before_ms;
+    if outcome.failed + outcome.unsent > 0 {
+        println!("| at {rate}/s: {outcome} | | | |");
+    }
+    let seconds = to_f64(SECONDS);
+    Ok(Point {
+        x: to_f64(outcome.answered) / seconds,
+        y: used_ms / seconds,
+    })
+}
--- a/eel-bench/src/memory.rs
+++ b/eel-bench/src/memory.rs
@@ -32,3 +32,13 @@
         cpu_ms: ticks * 1_000 / TICKS_PER_S,
     })
 }
+
+/// Reads the present resident set of this process, in kB; `None` if there is no `/proc`.
+#[must_use]
+pub fn resident_kb() -> Option<u64> {
+    let status = fs::read_to_string("/proc/self/status").ok()?;
+    let resident = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))?;
+    resident.split_whitespace().next()?.parse().ok()
+}
