perf(entry): ask for batch credits only while there is work for them

Cause: every entry node asked every target for batch credits with every ping. A target shares its idle slots among those that ask, so that the nodes without a job held credits that they could not spend.

Ruled out: handing unspent credits back, which costs a message and is late by a link's delay.

Change: a node asks on the links to a pool only while it holds a chunk of one of the pool's services, or one is open to be claimed.

The gain in items a second over several entry nodes is not measured yet.

--- a/eel-entry/src/membership.rs
+++ b/eel-entry/src/membership.rs
@@ -196,6 +196,7 @@
 #[derive(Default)]
 struct InUse {
     handle: Option<TargetHandle>,
+    pool: Option<Name>,
     load: LoadReport,
 }
 
@@ -207,6 +208,7 @@
         let handle = routing.add_target(pool, info, self.link.clone());
         routing.on_report(&handle, in_use.load);
         in_use.handle = Some(handle);
+        in_use.pool = Some(pool.clone());
     }
 
     fn stop_use(&self, reason: StopReason) {
@@ -276,7 +278,8 @@
     }
 
     fn wants_credits(&self) -> bool {
-        true
+        let pool = self.lock().pool.clone();
+        pool.is_some_and(|pool| self.context.wants_credits(&pool))
     }
 
     fn configuration(&self) -> watch::Receiver<Arc<Configuration>> {
--- a/eel-entry/src/node.rs
+++ b/eel-entry/src/node.rs
@@ -1,6 +1,10 @@
 //! The process as a whole: what its parts share, its supervisor tree and its shutdown.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use eel_jobs::JobNode;
 use eel_record::Snapshot;
@@ -41,6 +45,8 @@
     pub(crate) in_force: InForce,
     pub(crate) peers: Peers,
     pub(crate) claims: Claims,
+    /// The batch part, set once the node runs.
+    pub(crate) jobs: OnceLock<Arc<Jobs>>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) trace_sample_percent: u8,
     /// Cancelled once the node is not ready any more.
@@ -50,6 +56,16 @@
 }
 
 impl Context {
+    /// Returns whether there are batch items for the targets of `pool`.
+    pub(crate) fn wants_credits(&self, pool: &Name) -> bool {
+        let Some(jobs) = self.jobs.get() else {
+            return false;
+        };
+        let live = self.in_force.live();
+        let mut services = live.snapshot.services.iter();
+        services.any(|(name, service)| service.pool == *pool && jobs.wants_credits(name))
+    }
+
     /// Draws whether a request that brings no trace is traced.
     pub(crate) fn is_sampled(&self) -> bool {
         self.trace_sample_percent > 0
@@ -137,6 +153,7 @@
         let mut registry = self.registry;
         jobs.metrics().register(&mut registry);
         let admin = start(self.admin, admin::router(context.clone(), registry))?;
+        let _ = context.jobs.set(jobs.clone());
         spawn_jobs(&mut supervisor, &jobs, &stop);
         let routes = serve::router(context.clone(), eel_jobs::router(&jobs));
         let callers = start(self.http, routes)?;
@@ -171,6 +188,7 @@
         routing: Arc::new(Routing::new(clock)),
         in_force: InForce::new(),
         peers: Peers::default(),
+        jobs: OnceLock::new(),
         claims: Claims::new(store, &settings.store.prefix, clock),
         metrics,
         trace_sample_percent: settings.telemetry.trace_sample_percent,
@@ -264,7 +282,7 @@
 }
 
 /// The batch part of the node.
-type Jobs = JobNode<EtcdJson, BatchHost>;
+pub(crate) type Jobs = JobNode<EtcdJson, BatchHost>;
 
 fn new_jobs(settings: &EntrySettings, store: EtcdJson, context: &Arc<Context>) -> Arc<Jobs> {
     let options = eel_jobs::Options {
--- a/eel-jobs/src/node.rs
+++ b/eel-jobs/src/node.rs
@@ -11,6 +11,7 @@
 
 use eel_batch::{Board, Keys, OpenChunk, store::JobStore};
 use eel_store::KeyValue;
+use eel_types::Name;
 use tokio::sync::{Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -93,6 +94,16 @@
         &self.metrics
     }
 
+    /// Returns whether credits for `service` would be spent: a chunk of it is held here or open to be claimed.
+    pub fn wants_credits(&self, service: &Name) -> bool {
+        let held = |chunk: &Arc<Active>| chunk.service == *service;
+        if self.active().values().any(held) {
+            return true;
+        }
+        let open = self.board().next_claim(self.now_ms(), service);
+        self.options.claims && !self.leaving.is_cancelled() && open.is_some()
+    }
+
     /// Asks the batch part to leave: no further claims, what runs may finish.
     pub fn leave(&self) {
         self.leaving.cancel();
--- /dev/null
+++ b/eel-jobs/tests/jobs/credit_demand.rs
@@ -0,0 +1,23 @@
+//! An entry node asks for batch credits only while it has something to spend them on.
+
+use eel_standin::kv::KvServer;
+use eel_types::Name;
+
+use crate::world::{Entry, Executions, FakeHost, job_of, lines, until};
+
+const ITEMS: usize = 30;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn follows_the_work() {
+    let server = KvServer::start().await.unwrap();
+    let executions = Executions::default();
+    let entry = Entry::start(&server, "entry-a", FakeHost::new(&executions)).await;
+    let service = Name::from("scribe");
+    assert!(!entry.node.wants_credits(&service), "nothing was submitted");
+    entry.node_credits(0);
+    job_of(entry.submit("k", lines(ITEMS), true).await).await;
+    until(|| entry.node.wants_credits(&service)).await;
+    entry.node_credits(8);
+    until(|| !entry.node.wants_credits(&service)).await;
+    assert!(!entry.node.wants_credits(&Name::from("other")));
+}
--- a/eel-jobs/tests/jobs/main.rs
+++ b/eel-jobs/tests/jobs/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the batch part with real tasks, sockets and a stand-in store.
 
 mod callers_api;
+mod credit_demand;
 mod entry_killed;
 mod entry_paused;
 mod store_outage;
