refactor(admin): serve the admin pages of both nodes from one crate

Cause: metrics, health and readiness stood in the entry node and again in the target node, with a handler type for each page, and each node started its HTTP servers in its own way.

Change: `eel-admin` holds the pages and a server that ends when dropped; the entry node adds its status page. Behaviour stays as it is.

--- /dev/null
+++ b/eel-admin/src/lib.rs
@@ -0,0 +1,7 @@
+//! The admin listener of a process: metrics, health and readiness.
+
+mod pages;
+mod server;
+
+pub use pages::router;
+pub use server::HttpServer;
--- a/eel-entry/src/node.rs
+++ b/eel-entry/src/node.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use eel_admin::HttpServer;
 use eel_jobs::JobNode;
 use eel_record::Snapshot;
 use eel_settings::EntrySettings;
@@ -15,8 +16,8 @@
 use eel_wire::credentials::{CredentialPaths, Credentials};
 use error_stack::{Report, ResultExt as _};
 use prometheus_client::registry::Registry;
-use salvo::{Server, conn::tcp::TcpAcceptor, server::ServerHandle};
-use tokio::{net::TcpListener, task::JoinHandle};
+use salvo::Router;
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -163,7 +164,7 @@
             () = drain(&context, &jobs, shutdown, callers, timeout) => Ok(()),
         };
         stop.cancel();
-        admin.handle.stop_forceful();
+        drop(admin);
         context.endpoints.close().await;
         outcome
     }
@@ -210,18 +211,8 @@
     HttpVmList::new(url, settings.store.timeout_ms).change_context(Error::Client)
 }
 
-/// A running HTTP server.
-struct HttpServer {
-    handle: ServerHandle,
-    task: JoinHandle<()>,
-}
-
-fn start(listener: TcpListener, router: salvo::Router) -> Result<HttpServer, Report<Error>> {
-    let acceptor = TcpAcceptor::try_from(listener).change_context(Error::Bind)?;
-    let server = Server::new(acceptor);
-    let handle = server.handle();
-    let task = tokio::spawn(server.serve(router));
-    Ok(HttpServer { handle, task })
+fn start(listener: TcpListener, router: Router) -> Result<HttpServer, Report<Error>> {
+    HttpServer::start(listener, router).change_context(Error::Bind)
 }
 
 fn spawn_config(
@@ -327,8 +318,7 @@
     jobs.leave();
     let finished = async {
         tokio::time::sleep(LEAVE_NOTICE).await;
-        callers.handle.stop_graceful(timeout);
-        let _ = callers.task.await;
+        callers.drain(timeout).await;
         let _ = tokio::time::timeout(timeout, jobs.stopped()).await;
     };
     tokio::select! {
--- a/eel-target/src/lib.rs
+++ b/eel-target/src/lib.rs
@@ -3,7 +3,6 @@
 //! Every request to the target passes the [`Admission`](eel_admit::Admission) state machine of this process, so slots,
 //! priorities and cancellation are decided in one place without any coordination service.
 
-mod admin;
 mod config;
 mod engine;
 mod error;
--- a/eel-target/src/node.rs
+++ b/eel-target/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use eel_admin::HttpServer;
 use eel_admit::Options;
 use eel_settings::TargetSettings;
 use eel_supervise::{RestartPolicy, Shutdown, Supervisor};
@@ -12,11 +13,10 @@
 };
 use error_stack::{Report, ResultExt as _};
 use quinn::Endpoint;
-use salvo::{Server, conn::tcp::TcpAcceptor};
 use tokio::net::TcpListener;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{Error, admin, config::InForce, engine::Engine, gate::Gate, link, metrics::Metrics};
+use crate::{Error, config::InForce, engine::Engine, gate::Gate, link, metrics::Metrics};
 
 /// What the parts of the process share.
 pub struct Context {
@@ -38,7 +38,7 @@
 pub struct TargetNode {
     context: Arc<Context>,
     endpoint: Endpoint,
-    admin: TcpAcceptor,
+    admin: TcpListener,
     admin_address: SocketAddr,
     registry: prometheus_client::registry::Registry,
     drain_timeout: Duration,
@@ -72,7 +72,7 @@
         Ok(Self {
             context,
             endpoint,
-            admin: TcpAcceptor::try_from(admin).change_context(Error::Bind)?,
+            admin,
             admin_address,
             registry,
             drain_timeout: Duration::from_millis(settings.drain.timeout_ms),
@@ -101,10 +101,9 @@
     /// [`Error::Supervisor`] if a part of the process failed too often.
     pub async fn run(self, shutdown: Shutdown) -> Result<(), Report<Error>> {
         let stop = CancellationToken::new();
-        let admin = admin::router(self.context.clone(), self.registry);
-        let admin_server = Server::new(self.admin);
-        let admin_handle = admin_server.handle();
-        let admin_task = tokio::spawn(admin_server.serve(admin));
+        let leaving = self.context.leaving.clone();
+        let pages = eel_admin::router(self.registry, move || !leaving.is_cancelled());
+        let _admin = HttpServer::start(self.admin, pages).change_context(Error::Bind)?;
         let mut supervisor = Supervisor::new(stop.clone(), RestartPolicy::default());
         spawn_timer(&mut supervisor, &self.context, &stop);
         spawn_links(&mut supervisor, &self.context, &self.endpoint, &stop);
@@ -116,8 +115,6 @@
         stop.cancel();
         self.endpoint.close(0u32.into(), b"");
         self.endpoint.wait_idle().await;
-        admin_handle.stop_forceful();
-        admin_task.abort();
         outcome
     }
 }
