feat: run a whole fleet in one process with the verb quickstart

A newcomer had no command that shows the product at work: a fleet needs a key-value service, a VM list, certificates and a target. The verb, behind the feature `quickstart`, starts the stand-ins, two target nodes and an entry node in one process, applies records through the code that operators use, sends a whole and a streamed completion and a plain call, runs a batch job of 50 items and drains the nodes. It prints the answers and the spans of each hop; `--format json` gives the same to scripts.

Certificates, settings files and threads of nodes were already made by eel-bench. They move to the new crate eel-local, which both use; a second copy was ruled out.

--- a/eel-bench/src/stage.rs
+++ b/eel-bench/src/stage.rs
@@ -1,19 +1,14 @@
 //! Stand-ins and settings files for one entry node and its target nodes, all on loopback addresses.
 
-use std::{
-    fmt::Write as _,
-    fs, io,
-    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
-    path::{Path, PathBuf},
-};
+use std::{net::SocketAddr, path::PathBuf};
 
+use eel_local::{FleetFiles, free_tcp, free_udp};
 use eel_standin::{
     engine::{Engine, EngineOptions},
     kv::KvServer,
     vm_list::{ListedVm, VmListServer},
 };
 use eel_store::{EtcdJson, EtcdOptions, KeyValue as _, Op, Txn};
-use eel_wire::credentials::{PemPair, create_authority, issue_node};
 use error_stack::{Report, ResultExt as _};
 use serde_json::{Value, json};
 
@@ -84,18 +79,20 @@
         .or_else(|| engine.as_ref().map(Engine::url))
         .unwrap_or_default();
     put_records(&store.url()).await?;
-    let files = Files::new(&options.directory)?;
+    let files = FleetFiles::new(&options.directory).change_context(Error::File)?;
     let mut target_settings = Vec::new();
     let mut listed = Vec::new();
     for index in 0..options.targets {
         let name = format!("target-{index}");
         let quic = free_udp().change_context(Error::StandIn)?;
-        target_settings.push(files.target(&name, quic, &engine_url)?);
+        let settings = files.target(&name, POOL, quic, &engine_url);
+        target_settings.push(settings.change_context(Error::File)?);
         listed.push(listed_vm(&name, quic));
     }
     vm_list.set_vms(listed);
     let http = free_tcp().change_context(Error::StandIn)?;
-    let entry_settings = files.entry(http, &store.url(), &vm_list.url())?;
+    let entry_settings = files.entry("entry", http, &store.url(), &vm_list.url());
+    let entry_settings = entry_settings.change_context(Error::File)?;
     Ok(Stage {
         store,
         vm_list,
@@ -117,14 +114,6 @@
     }
 }
 
-fn free_udp() -> io::Result<SocketAddr> {
-    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
-}
-
-fn free_tcp() -> io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
-}
-
 fn records() -> [Value; 2] {
     let service = json!({
         "schema": 2, "kind": "service", "name": "bench",
@@ -162,55 +151,3 @@
     store.commit(&txn).await.change_context(Error::Records)?;
     Ok(())
 }
-
-/// The files of the fleet.
-struct Files<'a> {
-    directory: &'a Path,
-    authority: PemPair,
-}
-
-impl<'a> Files<'a> {
-    fn new(directory: &'a Path) -> Result<Self, Report<Error>> {
-        let authority = create_authority().change_context(Error::File)?;
-        fs::create_dir_all(directory).change_context(Error::File)?;
-        let files = Self {
-            directory,
-            authority,
-        };
-        files.write("ca.pem", &files.authority.certificate)?;
-        Ok(files)
-    }
-
-    fn target(&self, name: &str, quic: SocketAddr, url: &str) -> Result<PathBuf, Report<Error>> {
-        let settings = format!(
-            "[node]\nname = {name}\ndata_centre = dc-a\npool = {POOL}\n\
-             [listen]\nquic = {quic}\nadmin = 127.0.0.1:0\n[target]\nurl = {url}\n"
-        );
-        self.settings(name, settings)
-    }
-
-    fn entry(&self, http: SocketAddr, store: &str, vms: &str) -> Result<PathBuf, Report<Error>> {
-        let settings = format!(
-            "[node]\nname = entry\ndata_centre = dc-a\nregion = here\n\
-             [listen]\nhttp = {http}\nadmin = 127.0.0.1:0\nquic_bind = 127.0.0.1:0\n\
-             [store]\nendpoints = {store}\n[vm_list]\nurl = {vms}\npoll_ms = 500\n"
-        );
-        self.settings("entry", settings)
-    }
-
-    /// Writes a node's certificate and settings; relative paths start from the settings file.
-    fn settings(&self, name: &str, mut settings: String) -> Result<PathBuf, Report<Error>> {
-        let pair = issue_node(&self.authority, name).change_context(Error::File)?;
-        self.write(&format!("{name}.pem"), &pair.certificate)?;
-        self.write(&format!("{name}.key"), &pair.key)?;
-        let tls = format!("[tls]\nca = ca.pem\ncertificate = {name}.pem\nkey = {name}.key\n");
-        let _ = settings.write_str(&tls);
-        self.write(&format!("{name}.ini"), &settings)
-    }
-
-    fn write(&self, file: &str, content: &str) -> Result<PathBuf, Report<Error>> {
-        let path = self.directory.join(file);
-        fs::write(&path, content).change_context(Error::File)?;
-        Ok(path)
-    }
-}
--- /dev/null
+++ b/eel-local/src/lib.rs
@@ -0,0 +1,8 @@
+//! A small fleet on loopback addresses, with its nodes and the platform's stand-ins in one process.
+
+mod files;
+mod nodes;
+pub mod quickstart;
+
+pub use files::{FileError, FleetFiles, free_tcp, free_udp};
+pub use nodes::{NodeError, Nodes, WORKERS, wait_ready};
--- /dev/null
+++ b/eel-local/src/nodes.rs
@@ -0,0 +1,148 @@
+//! Runs nodes in this process, each on worker threads of its own.
+
+use std::{path::Path, thread::JoinHandle, time::Duration};
+
+use eel_entry::EntryNode;
+use eel_settings::{EntrySettings, TargetSettings};
+use eel_supervise::Shutdown;
+use eel_target::TargetNode;
+use error_stack::{Report, ResultExt as _};
+use reqwest::{RequestBuilder, StatusCode};
+use tokio::runtime::Runtime;
+
+/// Worker threads of each node.
+pub const WORKERS: usize = 2;
+
+/// How long the nodes may take until a request is answered.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+const READY_POLL: Duration = Duration::from_millis(50);
+
+/// Nodes that run until they are drained or this is dropped.
+#[derive(Default)]
+pub struct Nodes {
+    shutdown: Shutdown,
+    threads: Vec<JoinHandle<bool>>,
+}
+
+/// Why the nodes are not there.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+pub enum NodeError {
+    /// The settings of a node cannot be used.
+    #[error("the settings of a node cannot be used")]
+    Settings,
+    /// A node cannot start.
+    #[error("a node cannot start")]
+    Start,
+    /// No request was answered in time.
+    #[error("no request was answered within {} s", READY_TIMEOUT.as_secs())]
+    NotReady,
+    /// A node ended with an error.
+    #[error("a node ended with an error")]
+    Ended,
+}
+
+impl Drop for Nodes {
+    fn drop(&mut self) {
+        self.shutdown.now.cancel();
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Nodes {
+    /// Starts a target node with the settings at `path`.
+    ///
+    /// # Errors
+    ///
+    /// [`NodeError`] if the settings cannot be read or the node's threads cannot start.
+    pub fn start_target(&mut self, path: &Path) -> Result<(), Report<NodeError>> {
+        let settings = TargetSettings::load(path).change_context(NodeError::Settings)?;
+        self.spawn(async move |shutdown| {
+            let node = TargetNode::bind(&settings)
+                .await
+                .map_err(|report| report.to_string())?;
+            node.run(shutdown)
+                .await
+                .map_err(|report| report.to_string())
+        })
+    }
+
+    /// Starts an entry node with the settings at `path`.
+    ///
+    /// # Errors
+    ///
+    /// [`NodeError`] if the settings cannot be read or the node's threads cannot start.
+    pub fn start_entry(&mut self, path: &Path) -> Result<(), Report<NodeError>> {
+        let settings = EntrySettings::load(path).change_context(NodeError::Settings)?;
+        self.spawn(async move |shutdown| {
+            let node = EntryNode::bind(&settings)
+                .await
+                .map_err(|report| report.to_string())?;
+            node.run(shutdown)
+                .await
+                .map_err(|report| report.to_string())
+        })
+    }
+
+    /// Lets the nodes finish what they run, and waits for their end.
+    ///
+    /// # Errors
+    ///
+    /// [`NodeError::Ended`] if a node ended with an error.
+    pub async fn drain(mut self) -> Result<(), Report<NodeError>> {
+        self.shutdown.drain.cancel();
+        let threads = std::mem::take(&mut self.threads);
+        let joined = tokio::task::spawn_blocking(|| {
+            let ended = threads.into_iter().map(JoinHandle::join);
+            let ended: Vec<bool> = ended.map(|ended| ended.unwrap_or(false)).collect();
+            ended.into_iter().all(|succeeded| succeeded)
+        });
+        match joined.await {
+            Ok(true) => Ok(()),
+            Ok(false) | Err(_) => Err(Report::new(NodeError::Ended)),
+        }
+    }
+
+    fn spawn(
+        &mut self,
+        node: impl AsyncFnOnce(Shutdown) -> Result<(), String> + Send + 'static,
+    ) -> Result<(), Report<NodeError>> {
+        let runtime = new_runtime()?;
+        let shutdown = self.shutdown.clone();
+        let thread = std::thread::spawn(move || {
+            let ended = runtime.block_on(node(shutdown));
+            if let Err(error) = &ended {
+                log::error!(target: "local", "A node ended: {error}.");
+            }
+            ended.is_ok()
+        });
+        self.threads.push(thread);
+        Ok(())
+    }
+}
+
+fn new_runtime() -> Result<Runtime, Report<NodeError>> {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    let builder = builder.worker_threads(WORKERS).enable_all();
+    builder.build().change_context(NodeError::Start)
+}
+
+/// Repeats `request` until it is answered with 200.
+///
+/// # Errors
+///
+/// [`NodeError::NotReady`] if it is not in time.
+pub async fn wait_ready(request: &RequestBuilder) -> Result<(), Report<NodeError>> {
+    let answered = async {
+        while let Some(request) = request.try_clone() {
+            let answer = request.send().await;
+            if answer.is_ok_and(|answer| answer.status() == StatusCode::OK) {
+                return;
+            }
+            tokio::time::sleep(READY_POLL).await;
+        }
+    };
+    let answered = tokio::time::timeout(READY_TIMEOUT, answered).await;
+    answered.change_context(NodeError::NotReady)
+}
--- /dev/null
+++ b/eel-local/src/quickstart/outcome.rs
@@ -0,0 +1,77 @@
+//! What the quickstart prints.
+
+use std::fmt;
+
+use serde::Serialize;
+
+use super::{Answer, Hop, JobOutcome};
+
+const NS_PER_MS: f64 = 1e6;
+
+/// What the quickstart did.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    /// What `apply` said of the records.
+    pub records: String,
+    /// The answers, in the order of the requests.
+    pub answers: Vec<Answer>,
+    /// The batch job.
+    pub job: JobOutcome,
+    /// The spans of every traced request, in the order of their beginnings.
+    pub hops: Vec<Hop>,
+}
+
+impl Outcome {
+    /// Returns the hops of one trace, in the order of their beginnings.
+    pub fn hops_of(&self, trace_id: &str) -> impl Iterator<Item = &Hop> {
+        self.hops.iter().filter(move |hop| hop.trace_id == trace_id)
+    }
+
+    fn write_answer(&self, answer: &Answer, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Answer { step, status, .. } = answer;
+        writeln!(f, "{step}: POST {} answered {status}", step.path())?;
+        for line in answer.body.lines().filter(|line| !line.is_empty()) {
+            writeln!(f, "    {line}")?;
+        }
+        self.write_trace(&answer.trace_id, f)
+    }
+
+    /// Writes one line a hop: its name, its beginning after that of the first hop, and its duration.
+    fn write_trace(&self, trace_id: &str, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "  trace {trace_id}")?;
+        let first = self.hops_of(trace_id).next();
+        let begin_unix_ns = first.map_or(0, |hop| hop.begin_unix_ns);
+        for hop in self.hops_of(trace_id) {
+            let after_ms = ms(hop.begin_unix_ns - begin_unix_ns);
+            let duration_ms = ms(hop.duration_ns);
+            writeln!(
+                f,
+                "    {:<8} at {after_ms:>6.2} ms took {duration_ms:>6.2} ms",
+                hop.name
+            )?;
+        }
+        writeln!(f)
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "the figure is printed with two decimals"
+)]
+fn ms(duration_ns: u64) -> f64 {
+    duration_ns as f64 / NS_PER_MS
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{}\n", self.records.trim_end())?;
+        for answer in &self.answers {
+            self.write_answer(answer, f)?;
+        }
+        writeln!(f, "batch job {}", self.job.status)?;
+        let first = self.job.results.lines().next().unwrap_or_default();
+        writeln!(f, "    {first}")?;
+        writeln!(f, "  {} items were answered\n", self.job.answered())?;
+        write!(f, "drained the entry node, then the target nodes")
+    }
+}
--- /dev/null
+++ b/eel-local/src/quickstart/requests.rs
@@ -0,0 +1,98 @@
+//! The requests of the quickstart.
+
+use std::fmt;
+
+use eel_telemetry::trace::TRACEPARENT;
+use error_stack::{Report, ResultExt as _};
+use rand::RngExt as _;
+use serde::Serialize;
+
+use super::{Error, fleet::Fleet};
+
+/// A request of the quickstart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Step {
+    /// A completion that comes as one document.
+    WholeCompletion,
+    /// A completion that comes as events.
+    StreamedCompletion,
+    /// A call of a plain service.
+    PlainCall,
+}
+
+/// The answer to one request.
+#[derive(Clone, Debug, Serialize)]
+pub struct Answer {
+    /// The request.
+    pub step: Step,
+    /// The trace that the request belongs to, 32 hexadecimal digits.
+    pub trace_id: String,
+    /// The HTTP status.
+    pub status: u16,
+    /// The whole body.
+    pub body: String,
+}
+
+impl Step {
+    const ALL: [Self; 3] = [
+        Self::WholeCompletion,
+        Self::StreamedCompletion,
+        Self::PlainCall,
+    ];
+
+    /// Returns the path of the request.
+    #[must_use]
+    pub fn path(self) -> &'static str {
+        match self {
+            Self::WholeCompletion | Self::StreamedCompletion => "/v1/completions",
+            Self::PlainCall => "/services/dispatch/alerts",
+        }
+    }
+
+    fn body(self) -> &'static str {
+        match self {
+            Self::WholeCompletion => r#"{"model":"scribe","prompt":"Tow 3 is up.","max_tokens":3}"#,
+            Self::StreamedCompletion => {
+                r#"{"model":"scribe","prompt":"Tow 3 is down.","max_tokens":3,"stream":true}"#
+            }
+            Self::PlainCall => "tow plane ready",
+        }
+    }
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::WholeCompletion => "whole completion",
+            Self::StreamedCompletion => "streamed completion",
+            Self::PlainCall => "plain call",
+        })
+    }
+}
+
+/// Sends each request and waits for its whole answer.
+pub(super) async fn send_all(fleet: &Fleet) -> Result<Vec<Answer>, Report<Error>> {
+    let mut answers = Vec::new();
+    for step in Step::ALL {
+        answers.push(send(step, fleet).await.change_context(Error::Request)?);
+    }
+    Ok(answers)
+}
+
+async fn send(step: Step, fleet: &Fleet) -> reqwest::Result<Answer> {
+    let trace_id = format!("{:032x}", rand::rng().random::<u128>());
+    let span_id: u64 = rand::rng().random();
+    let request = fleet
+        .post(step.path())
+        .header(TRACEPARENT, format!("00-{trace_id}-{span_id:016x}-01"))
+        .header("x-tag", "quickstart")
+        .body(step.body());
+    let answer = request.send().await?;
+    Ok(Answer {
+        step,
+        trace_id,
+        status: answer.status().as_u16(),
+        body: answer.text().await?,
+    })
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,8 @@
 mod job;
 mod options;
 mod print;
+#[cfg(feature = "quickstart")]
+mod quickstart;
 mod records;
 mod serve;
 mod setup;
@@ -52,5 +54,7 @@
         Verb::Bench(bench) => bench::run(bench).await,
         #[cfg(feature = "bench")]
         Verb::Load(load) => bench::load(load).await,
+        #[cfg(feature = "quickstart")]
+        Verb::Quickstart(_) => quickstart::run(options.format).await,
     }
 }
--- a/src/options/mod.rs
+++ b/src/options/mod.rs
@@ -4,6 +4,8 @@
 mod bench;
 mod job;
 mod keys;
+#[cfg(feature = "quickstart")]
+mod quickstart;
 mod records;
 
 use std::{path::PathBuf, str::FromStr};
@@ -14,6 +16,8 @@
 pub use bench::{BenchOptions, LoadOptions};
 pub use job::{JobOptions, JobResultsOptions, JobSubmitOptions, JobVerb};
 pub use keys::{KeysOptions, KeysVerb};
+#[cfg(feature = "quickstart")]
+pub use quickstart::QuickstartOptions;
 pub use records::{ApplyOptions, CheckOptions, GetOptions, PlanOptions, StatusOptions, parse_what};
 
 /// Serves online and batch inference on one fleet, and drives it from declared records.
@@ -72,6 +76,8 @@
     Bench(BenchOptions),
     #[cfg(feature = "bench")]
     Load(LoadOptions),
+    #[cfg(feature = "quickstart")]
+    Quickstart(QuickstartOptions),
 }
 
 /// Run an entry node.
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -10,6 +10,8 @@
 mod killed_target;
 mod leaving_target;
 mod outcome;
+#[cfg(feature = "quickstart")]
+mod quickstart;
 mod resent_request;
 mod silent_link;
 mod store_outage;
