--- /dev/null
+++ b/tests/docs/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the pages.
+
+mod page_links;
--- /dev/null
+++ b/tests/docs/page_links.rs
@@ -0,0 +1,125 @@
+//! Links between pages lead to files that exist.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
+
+/// Returns every Markdown page of the root and below `docs`.
+fn pages() -> Vec<PathBuf> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let mut pages = Vec::new();
+    let mut directories = vec![root.join("docs")];
+    add(root, &mut pages, &mut Vec::new());
+    while let Some(directory) = directories.pop() {
+        add(&directory, &mut pages, &mut directories);
+    }
+    pages
+}
+
+fn add(directory: &Path, pages: &mut Vec<PathBuf>, directories: &mut Vec<PathBuf>) {
+    for entry in fs::read_dir(directory).expect("a directory") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            directories.push(path);
+        } else if path.extension().is_some_and(|extension| extension == "md") {
+            pages.push(path);
+        }
+    }
+}
+
+/// Returns the targets of `[text](target)` outside of code blocks.
+fn targets(text: &str) -> Vec<&str> {
+    let blocks = text.split("```").step_by(2);
+    let links = blocks.flat_map(|block| block.split("](").skip(1));
+    links
+        .filter_map(|rest| Some(rest.split_once(')')?.0))
+        .collect()
+}
+
+/// Returns the anchor that a heading gets: lower case, hyphens for spaces, no punctuation.
+fn anchor(heading: &str) -> String {
+    let lower = heading.trim().to_lowercase().replace(' ', "-");
+    lower
+        .chars()
+        .filter(|letter| letter.is_alphanumeric() || matches!(letter, '-' | '_'))
+        .collect()
+}
+
+fn has_anchor(page: &Path, wanted: &str) -> bool {
+    let text = fs::read_to_string(page).expect("a page");
+    let headings = text.lines().filter_map(|line| line.strip_prefix('#'));
+    let mut anchors = headings.map(|heading| anchor(heading.trim_start_matches('#')));
+    anchors.any(|found| found == wanted)
+}
+
+fn problem(page: &Path, target: &str) -> Option<String> {
+    if target.contains("://") {
+        return None;
+    }
+    let (file, wanted) = target.split_once('#').unwrap_or((target, ""));
+    let path = match file {
+        "" => page.to_owned(),
+        file => page.parent().expect("a directory").join(file),
+    };
+    let resolves = path.exists() && (wanted.is_empty() || has_anchor(&path, wanted));
+    (!resolves).then(|| format!("{}: {target}", page.display()))
+}
+
+#[test]
+fn links_resolve() {
+    let pages = pages();
+    assert!(pages.len() > 3, "{pages:?}");
+    let mut problems = Vec::new();
+    for page in pages {
+        let text = fs::read_to_string(&page).expect("a page");
+        problems.extend(
+            targets(&text)
+                .into_iter()
+                .filter_map(|target| problem(&page, target)),
+        );
+    }
+    assert!(problems.is_empty(), "{}", problems.join("\n"));
+}
+
+/// Returns the test functions that a page names after a link to their file and a colon.
+fn named_tests(text: &str) -> Vec<(&str, Vec<&str>)> {
+    let links = text
+        .split("](")
+        .skip(1)
+        .filter_map(|rest| rest.split_once(')'));
+    let files = links.filter(|(target, _)| is_source(target));
+    files
+        .map(|(target, rest)| (target, names_after(rest)))
+        .collect()
+}
+
+fn is_source(target: &str) -> bool {
+    Path::new(target).extension() == Some("rs".as_ref())
+}
+
+fn names_after(rest: &str) -> Vec<&str> {
+    let Some(mut rest) = rest.strip_prefix(": ") else {
+        return Vec::new();
+    };
+    let mut names = Vec::new();
+    while let Some((name, after)) = rest.strip_prefix('`').and_then(|rest| rest.split_once('`')) {
+        names.push(name);
+        rest = after.strip_prefix(", ").unwrap_or("");
+    }
+    names
+}
+
+#[test]
+fn named_tests_exist() {
+    let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs");
+    let text = fs::read_to_string(docs.join("PROOFS.md")).expect("a page");
+    let named = named_tests(&text);
+    assert!(named.iter().any(|(_, names)| !names.is_empty()));
+    for (file, names) in named {
+        let source = fs::read_to_string(docs.join(file)).expect("a test file");
+        for name in names {
+            assert!(source.contains(&format!("fn {name}(")), "{file}: {name}");
+        }
+    }
+}
