--- a/tests/process/declared_intent.rs
+++ b/tests/process/declared_intent.rs
@@ -3,34 +3,22 @@
 use std::{
     fs,
     path::{Path, PathBuf},
-    process::Command,
 };
 
 use eel_store::{EtcdJson, EtcdOptions, KeyValue as _, Op, Txn};
-use serde_json::{Value, json};
+use serde_json::json;
 use tempfile::TempDir;
 
-use crate::fleet::{Platform, eventually};
+use crate::{
+    command_line::{Ran, run},
+    fleet::{Platform, eventually},
+};
 
 const SERVICE_KEY: &str = "/eelgrassgap/config/service/dispatch";
 
-struct Ran {
-    code: i32,
-    stdout: String,
-    stderr: String,
-}
-
-/// Runs the command line against the store at `store`, off the test's own thread.
-async fn run(store: &str, args: &[&str]) -> Ran {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_eelgrassgap"));
-    command.args(["--store", store]).args(args);
-    let output = tokio::task::spawn_blocking(move || command.output());
-    let output = output.await.unwrap().unwrap();
-    Ran {
-        code: output.status.code().unwrap(),
-        stdout: String::from_utf8(output.stdout).unwrap(),
-        stderr: String::from_utf8(output.stderr).unwrap(),
-    }
+/// Runs the command line against the store at `store`.
+async fn run_at(store: &str, args: &[&str]) -> Ran {
+    run(&[&["--store", store], args].concat()).await
 }
 
 fn declare(directory: &TempDir, slots: u32) -> PathBuf {
@@ -104,7 +92,7 @@
         ),
     ];
     for (store, args, code, part) in steps {
-        let ran = run(store, args).await;
+        let ran = run_at(store, args).await;
         let printed = format!("{}{}", ran.stdout, ran.stderr);
         assert_eq!(ran.code, code, "{args:?}: {printed}");
         assert!(printed.contains(part), "{args:?}: {printed}");
@@ -130,15 +118,15 @@
     ];
     let directory = tempfile::tempdir().unwrap();
     let path = declare(&directory, 1);
-    assert_eq!(run(&store, &["apply", text(&path)]).await.code, 0);
+    assert_eq!(run_at(&store, &["apply", text(&path)]).await.code, 0);
     eventually("the record is in force everywhere", async || {
-        run(&store, &status).await.code == 0
+        run_at(&store, &status).await.code == 0
     })
     .await;
 
     put_too_new(&store).await;
     eventually("both nodes report the schema", async || {
-        let outcome: Value = serde_json::from_str(&run(&store, &status).await.stdout).unwrap();
+        let outcome = run_at(&store, &status).await.json();
         let nodes = outcome["nodes"].as_array().unwrap();
         nodes
             .iter()
@@ -147,8 +135,8 @@
             == 2
     })
     .await;
-    let ran = run(&store, &status).await;
-    let outcome: Value = serde_json::from_str(&ran.stdout).unwrap();
+    let ran = run_at(&store, &status).await;
+    let outcome = ran.json();
     let records = outcome["records"].as_array().unwrap();
     let record = records
         .iter()
--- a/tests/process/job_commands.rs
+++ b/tests/process/job_commands.rs
@@ -1,35 +1,13 @@
 //! Batch jobs by the command line, declared and submitted, through a running fleet.
 
-use std::{fs, path::Path, process::Command};
+use std::{fs, path::Path};
 
 use serde_json::{Value, json};
 
-use crate::fleet::{CALLER_KEY, Entry, Platform, Service};
-
-struct Ran {
-    code: i32,
-    stdout: String,
-    stderr: String,
-}
-
-impl Ran {
-    fn json(&self) -> Value {
-        let parsed = serde_json::from_str(&self.stdout);
-        parsed.unwrap_or_else(|err| panic!("{err}: {} {}", self.stdout, self.stderr))
-    }
-}
-
-async fn run(args: &[&str]) -> Ran {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_eelgrassgap"));
-    command.args(args);
-    let output = tokio::task::spawn_blocking(move || command.output());
-    let output = output.await.unwrap().unwrap();
-    Ran {
-        code: output.status.code().unwrap(),
-        stdout: String::from_utf8(output.stdout).unwrap(),
-        stderr: String::from_utf8(output.stderr).unwrap(),
-    }
-}
+use crate::{
+    command_line::{Ran, run},
+    fleet::{CALLER_KEY, Entry, Platform, Service},
+};
 
 async fn run_job(entry: &Entry, key_file: &Path, args: &[&str]) -> Ran {
     let key_file = key_file.to_str().unwrap();
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the two binaries as processes of their own, with the stand-ins in the test's process.
 
 mod batch_jobs;
+mod command_line;
 mod declared_intent;
 mod engine_faults;
 mod fleet;
