fix(route): name the failure that a caller has to look into

Cause: when an attempt had run and broke off and no further target could be chosen, the caller heard "no-target (may-have-run)", which hid the attempt that may have run.

Change: the reason of the latest attempt that may have run is kept and given with the verdict; the time to come back is still that of the last refusal.

--- a/eel-route/src/attempts.rs
+++ b/eel-route/src/attempts.rs
@@ -63,6 +63,8 @@
     repeatable: bool,
     deadline_ms: u64,
     verdict: Verdict,
+    /// Why the latest attempt that may have run ended.
+    cause: Option<Reason>,
     tried: Vec<TargetKey>,
 }
 
@@ -75,6 +77,7 @@
             repeatable,
             deadline_ms,
             verdict: Verdict::NotRun,
+            cause: None,
             tried: Vec::new(),
         }
     }
@@ -100,6 +103,9 @@
     /// Decides what follows an attempt that ended without a whole answer.
     pub fn on_end(&mut self, now_ms: u64, end: AttemptEnd, budget: &mut RetryBudget) -> Next {
         self.verdict = self.verdict.and(end.verdict);
+        if end.verdict != Verdict::NotRun {
+            self.cause = Some(end.reason);
+        }
         if self.may_retry(now_ms, end) && budget.try_spend(now_ms) {
             return Next::Retry;
         }
@@ -110,11 +116,13 @@
         })
     }
 
-    /// Ends the request because no further target can be chosen; the verdict covers the attempts before.
+    /// Ends the request because no further target can be chosen. The verdict covers the attempts before, and an attempt
+    /// that may have run gives the reason, since its failure is what the caller has to look into.
     #[must_use]
     pub fn finish(&self, refusal: Refusal) -> Refusal {
         Refusal {
             verdict: self.verdict.and(refusal.verdict),
+            reason: self.cause.unwrap_or(refusal.reason),
             ..refusal
         }
     }
--- a/eel-route/tests/route/attempt_end.rs
+++ b/eel-route/tests/route/attempt_end.rs
@@ -56,6 +56,27 @@
     }
 }
 
+#[test]
+fn no_further_target() {
+    use Reason::{NoTarget, Overloaded, TargetFailed, Truncated};
+    let cases = [
+        (NotRun, Overloaded, NotRun, NoTarget),
+        (MayHaveRun, TargetFailed, MayHaveRun, TargetFailed),
+        (Ran, Truncated, Ran, Truncated),
+    ];
+    for (verdict, reason, final_verdict, final_reason) in cases {
+        let mut budget = RetryBudget::new(0, RetryBudgetOptions::default());
+        let mut attempts = Attempts::new(RetryOptions::default(), true, DEADLINE_MS);
+        attempts.on_start(target());
+        let next = attempts.on_end(0, end(verdict, reason), &mut budget);
+        assert_eq!(next, Next::Retry, "{verdict} {reason}");
+        let refusal = attempts.finish(Refusal::not_run(NoTarget).retry_after(500));
+        assert_eq!(refusal.verdict, final_verdict, "{verdict} {reason}");
+        assert_eq!(refusal.reason, final_reason, "{verdict} {reason}");
+        assert_eq!(refusal.retry_after_ms, Some(500), "{verdict} {reason}");
+    }
+}
+
 #[test]
 fn begun_answer_is_final() {
     let mut budget = RetryBudget::new(0, RetryBudgetOptions::default());
