--- /dev/null
+++ b/eel-wire/tests/wire/main.rs
@@ -0,0 +1,4 @@
+//! Tests of `eel-wire`.
+
+mod foreign_nodes;
+mod frame_limits;
--- /dev/null
+++ b/tests/process/crossed_answers.rs
@@ -0,0 +1,167 @@
+//! Answers of a target node that are crossed, doubled or truncated on the link.
+
+use bytes::Bytes;
+use eel_types::{Attempt, Incarnation, LoadReport, RequestId, RequestKey, Revision};
+use eel_wire::{
+    codec,
+    message::{
+        EntryControl, Opening, Pong, ReplyEnd, ReplyHead, ServeReply, TargetControl, Welcome,
+    },
+};
+use quinn::{Connection, Endpoint, RecvStream, SendStream};
+
+use crate::fleet::{Platform, Service};
+
+const BODY: &[u8] = b"the answer";
+
+/// What the fake target node sends in answer to a request.
+#[derive(Clone, Copy, Debug)]
+enum Answer {
+    Whole,
+    OtherKeyAtHead,
+    OtherKeyAtEnd,
+    OtherAttempt,
+    ShortOfItsLength,
+    DoubledHead,
+    DoubledPart,
+    NoEnd,
+}
+
+const LOAD: LoadReport = LoadReport {
+    slots: 8,
+    running_online: 0,
+    queued_online: 0,
+    running_batch: 0,
+    batch_credits: 0,
+    credit_valid_ms: 0,
+};
+
+impl Answer {
+    fn replies(self, key: RequestKey) -> Vec<ServeReply> {
+        let other = RequestKey {
+            id: RequestId(key.id.0 ^ 1),
+            ..key
+        };
+        let earlier = RequestKey {
+            attempt: Attempt(key.attempt.0 + 1),
+            ..key
+        };
+        let head = |key| {
+            ServeReply::Head(ReplyHead {
+                key,
+                status: 200,
+                headers: Vec::new(),
+            })
+        };
+        let data = || ServeReply::Data(Bytes::from_static(BODY));
+        let end = |key, body_bytes| {
+            ServeReply::End(ReplyEnd {
+                key,
+                body_bytes,
+                load: LOAD,
+            })
+        };
+        let length = BODY.len() as u64;
+        match self {
+            Self::Whole => vec![head(key), data(), end(key, length)],
+            Self::OtherKeyAtHead => vec![head(other), data(), end(other, length)],
+            Self::OtherKeyAtEnd => vec![head(key), data(), end(other, length)],
+            Self::OtherAttempt => vec![head(earlier), data(), end(earlier, length)],
+            Self::ShortOfItsLength => vec![head(key), data(), end(key, length + 1)],
+            Self::DoubledHead => vec![head(key), head(key), data(), end(key, length)],
+            Self::DoubledPart => vec![head(key), data(), data(), end(key, length)],
+            Self::NoEnd => vec![head(key), data()],
+        }
+    }
+}
+
+async fn serve(endpoint: Endpoint, answer: Answer) {
+    while let Some(incoming) = endpoint.accept().await {
+        if let Ok(connection) = incoming.await {
+            tokio::spawn(serve_link(connection, answer));
+        }
+    }
+}
+
+async fn serve_link(connection: Connection, answer: Answer) {
+    let Ok((send, recv)) = connection.accept_bi().await else {
+        return;
+    };
+    tokio::spawn(control(send, recv));
+    while let Ok((send, recv)) = connection.accept_bi().await {
+        tokio::spawn(reply(send, recv, answer));
+    }
+}
+
+async fn control(mut send: SendStream, mut recv: RecvStream) {
+    while let Ok(Some(message)) = codec::read::<EntryControl>(&mut recv).await {
+        let answer = match message {
+            EntryControl::Hello(_) => TargetControl::Welcome(Welcome {
+                vm: "fake".into(),
+                incarnation: Incarnation(1),
+                pool: "dispatch-runners".into(),
+                load: LOAD,
+                revision: Revision(0),
+            }),
+            EntryControl::Ping(ping) => TargetControl::Pong(Pong {
+                sequence: ping.sequence,
+                load: LOAD,
+                revision: Revision(0),
+                leaving: false,
+            }),
+            EntryControl::Configure(_) => continue,
+        };
+        if codec::write(&mut send, &answer).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn reply(mut send: SendStream, mut recv: RecvStream, answer: Answer) {
+    let Ok(Some(Opening::Serve(request))) = codec::read(&mut recv).await else {
+        return;
+    };
+    for reply in answer.replies(request.key) {
+        if codec::write(&mut send, &reply).await.is_err() {
+            return;
+        }
+    }
+    let _ = send.finish();
+    let _ = send.stopped().await;
+}
+
+#[tokio::test]
+async fn only_whole_answers_pass() {
+    let cases = [
+        (Answer::Whole, true),
+        (Answer::OtherKeyAtHead, false),
+        (Answer::OtherKeyAtEnd, false),
+        (Answer::OtherAttempt, false),
+        (Answer::ShortOfItsLength, false),
+        (Answer::DoubledHead, false),
+        (Answer::DoubledPart, false),
+        (Answer::NoEnd, false),
+    ];
+    for (answer, is_whole) in cases {
+        let mut platform = Platform::start(&[Service::Dispatch]).await;
+        let endpoint = platform.fake_target("fake", "dispatch-runners");
+        let serving = tokio::spawn(serve(endpoint, answer));
+        let entry = platform.entry("e1").await;
+        let response = entry
+            .post("/services/dispatch/billing", "a", "x")
+            .send()
+            .await;
+        let response = response.expect("an answer");
+        if is_whole {
+            assert_eq!(response.status(), 200, "{answer:?}");
+            assert_eq!(response.bytes().await.expect("a body"), BODY, "{answer:?}");
+        } else {
+            assert_eq!(response.status(), 502, "{answer:?}");
+            let verdict = response.headers()["x-eel-verdict"].to_str().expect("text");
+            assert_eq!(verdict, "may-have-run", "{answer:?}");
+            let body = response.text().await.expect("a body");
+            assert!(!body.contains("the answer"), "{answer:?}: {body}");
+        }
+        serving.abort();
+    }
+}
--- a/tests/process/fleet/mod.rs
+++ b/tests/process/fleet/mod.rs
@@ -4,15 +4,19 @@
 mod records;
 mod relay;
 
-use std::path::PathBuf;
+use std::{net::SocketAddr, path::PathBuf};
 
 use eel_standin::{
     engine::{Engine, EngineOptions},
     kv::KvServer,
     vm_list::{ListedVm, VmListServer},
 };
-use eel_wire::credentials::{PemPair, create_authority, issue_node};
+use eel_wire::{
+    EndpointOptions, bind_server,
+    credentials::{Credentials, PemPair, create_authority, issue_node},
+};
 pub use node::{Node, eventually};
+use quinn::Endpoint;
 pub use records::{CALLER_KEY, Service};
 pub use relay::{Relay, Silence};
 use reqwest::{Client, RequestBuilder, Response};
@@ -93,6 +97,25 @@
         Target { node, engine, vm }
     }
 
+    /// Binds the listener of a target node that the test itself plays, and lists it.
+    pub fn fake_target(&mut self, name: &str, pool: &str) -> Endpoint {
+        let pair = issue_node(&self.authority, name).expect("a certificate");
+        let credentials = Credentials::from_pem(&self.authority.certificate, &pair);
+        let credentials = credentials.expect("usable credentials");
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let endpoint = bind_server(any_port, &credentials, EndpointOptions::default());
+        let endpoint = endpoint.expect("a free port");
+        self.listed.push(ListedVm {
+            name: name.to_owned(),
+            address: endpoint.local_addr().expect("a bound socket"),
+            data_centre: "dc-a".to_owned(),
+            pool: pool.to_owned(),
+            state: "live",
+        });
+        self.vm_list.set_vms(self.listed.clone());
+        endpoint
+    }
+
     /// Starts an entry node and waits until it is ready and uses each listed target.
     pub async fn entry(&self, name: &str) -> Entry {
         let entry = self.start_entry(name).await;
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -2,6 +2,7 @@
 
 mod batch_jobs;
 mod command_line;
+mod crossed_answers;
 mod declared_intent;
 mod engine_faults;
 mod fleet;
