--- a/eel-entry/src/lib.rs
+++ b/eel-entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod peers;
 mod routing;
 mod serve;
+mod tasks;
 
 pub use error::Error;
 pub use node::{Context, EntryNode};
--- a/eel-entry/src/node.rs
+++ b/eel-entry/src/node.rs
@@ -1,4 +1,4 @@
-//! The process as a whole: what its parts share, its supervisor tree and its shutdown.
+//! The process as a whole: what its parts share, its start and its shutdown.
 
 use std::{
     net::SocketAddr,
@@ -8,10 +8,9 @@
 
 use eel_admin::HttpServer;
 use eel_jobs::JobNode;
-use eel_record::Snapshot;
 use eel_settings::EntrySettings;
 use eel_store::{EtcdJson, EtcdOptions, HttpVmList};
-use eel_supervise::{ChildError, RestartPolicy, Shutdown, Supervisor};
+use eel_supervise::{RestartPolicy, Shutdown, Supervisor};
 use eel_types::{Clock, Incarnation, Name};
 use eel_wire::credentials::{CredentialPaths, Credentials};
 use error_stack::{Report, ResultExt as _};
@@ -26,11 +25,11 @@
     config::InForce,
     idempotency::Claims,
     link::{Endpoints, Identity},
-    membership,
     metrics::Metrics,
     peers::Peers,
     routing::Routing,
     serve,
+    tasks::{spawn_config, spawn_jobs, spawn_membership},
 };
 
 /// How long the node still takes requests after it has stopped being ready, so that the balancer can move away.
@@ -215,63 +214,6 @@
     HttpServer::start(listener, router).change_context(Error::Bind)
 }
 
-fn spawn_config(
-    supervisor: &mut Supervisor,
-    context: &Arc<Context>,
-    store: EtcdJson,
-    prefix: String,
-    stop: &CancellationToken,
-) {
-    let context = context.clone();
-    let stop = stop.clone();
-    supervisor.spawn("configuration", move || {
-        let context = context.clone();
-        let store = store.clone();
-        let prefix = prefix.clone();
-        let stop = stop.clone();
-        async move {
-            tokio::select! {
-                () = follow_config(&context, &store, &prefix) => Err(Report::new(ChildError)),
-                () = stop.cancelled() => Ok(()),
-            }
-        }
-    });
-}
-
-/// Keeps the newest configuration in force, through outages of the store.
-async fn follow_config(context: &Context, store: &EtcdJson, prefix: &str) {
-    let on_change = |previous: &Snapshot, next: &Snapshot| {
-        context.routing.configure(previous, next);
-        let revision = i64::try_from(next.revision.0).unwrap_or(i64::MAX);
-        context.metrics.revision.set(revision);
-    };
-    let in_force = &context.in_force;
-    tokio::select! {
-        never = in_force.follow(prefix, store, &context.peers) => match never {},
-        () = in_force.derive(on_change) => {}
-    }
-}
-
-fn spawn_membership(
-    supervisor: &mut Supervisor,
-    context: &Arc<Context>,
-    vms: HttpVmList,
-    poll: Duration,
-    stop: &CancellationToken,
-) {
-    let context = context.clone();
-    let stop = stop.clone();
-    supervisor.spawn("membership", move || {
-        let context = context.clone();
-        let vms = vms.clone();
-        let stop = stop.clone();
-        async move {
-            membership::follow(&vms, poll, context, stop).await;
-            Ok(())
-        }
-    });
-}
-
 /// The batch part of the node.
 pub(crate) type Jobs = JobNode<EtcdJson, BatchHost>;
 
@@ -286,21 +228,6 @@
     JobNode::new(options, store, host)
 }
 
-fn spawn_jobs(supervisor: &mut Supervisor, jobs: &Arc<Jobs>, stop: &CancellationToken) {
-    let jobs = jobs.clone();
-    let stop = stop.clone();
-    supervisor.spawn("jobs", move || {
-        let jobs = jobs.clone();
-        let stop = stop.clone();
-        async move {
-            tokio::select! {
-                () = jobs.run() => Ok(()),
-                () = stop.cancelled() => Ok(()),
-            }
-        }
-    });
-}
-
 /// Waits for the order to end, then for the balancer to move away, then for open requests.
 async fn drain(
     context: &Context,
--- /dev/null
+++ b/eel-entry/src/tasks.rs
@@ -0,0 +1,89 @@
+//! The children of the supervisor: each follows one thing until the process ends.
+
+use std::{sync::Arc, time::Duration};
+
+use eel_record::Snapshot;
+use eel_store::{EtcdJson, HttpVmList};
+use eel_supervise::{ChildError, Supervisor};
+use error_stack::Report;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    membership,
+    node::{Context, Jobs},
+};
+
+/// Keeps the node on the configuration that the store holds under `prefix`.
+pub(crate) fn spawn_config(
+    supervisor: &mut Supervisor,
+    context: &Arc<Context>,
+    store: EtcdJson,
+    prefix: String,
+    stop: &CancellationToken,
+) {
+    let context = context.clone();
+    let stop = stop.clone();
+    supervisor.spawn("configuration", move || {
+        let context = context.clone();
+        let store = store.clone();
+        let prefix = prefix.clone();
+        let stop = stop.clone();
+        async move {
+            tokio::select! {
+                () = follow_config(&context, &store, &prefix) => Err(Report::new(ChildError)),
+                () = stop.cancelled() => Ok(()),
+            }
+        }
+    });
+}
+
+/// Keeps the newest configuration in force, through outages of the store.
+async fn follow_config(context: &Context, store: &EtcdJson, prefix: &str) {
+    let on_change = |previous: &Snapshot, next: &Snapshot| {
+        context.routing.configure(previous, next);
+        let revision = i64::try_from(next.revision.0).unwrap_or(i64::MAX);
+        context.metrics.revision.set(revision);
+    };
+    let in_force = &context.in_force;
+    tokio::select! {
+        never = in_force.follow(prefix, store, &context.peers) => match never {},
+        () = in_force.derive(on_change) => {}
+    }
+}
+
+/// Keeps links to targets, as the VM list read every `poll` and the links themselves have it.
+pub(crate) fn spawn_membership(
+    supervisor: &mut Supervisor,
+    context: &Arc<Context>,
+    vms: HttpVmList,
+    poll: Duration,
+    stop: &CancellationToken,
+) {
+    let context = context.clone();
+    let stop = stop.clone();
+    supervisor.spawn("membership", move || {
+        let context = context.clone();
+        let vms = vms.clone();
+        let stop = stop.clone();
+        async move {
+            membership::follow(&vms, poll, context, stop).await;
+            Ok(())
+        }
+    });
+}
+
+/// Runs the batch part.
+pub(crate) fn spawn_jobs(supervisor: &mut Supervisor, jobs: &Arc<Jobs>, stop: &CancellationToken) {
+    let jobs = jobs.clone();
+    let stop = stop.clone();
+    supervisor.spawn("jobs", move || {
+        let jobs = jobs.clone();
+        let stop = stop.clone();
+        async move {
+            tokio::select! {
+                () = jobs.run() => Ok(()),
+                () = stop.cancelled() => Ok(()),
+            }
+        }
+    });
+}
