refactor(types): write digests as text in one place

Cause: bytes became hexadecimal text in three crates, by three loops: the entry node's, the batch plan's and the command line's.

Change: `eel_types::to_hex` serves all three. The text is the same.

--- a/eel-batch/src/plan.rs
+++ b/eel-batch/src/plan.rs
@@ -1,8 +1,8 @@
 //! Reads and checks a submitted job.
 
-use std::{collections::HashSet, fmt::Write as _};
+use std::collections::HashSet;
 
-use eel_types::Name;
+use eel_types::{Name, to_hex};
 use error_stack::Report;
 use sha2::{Digest as _, Sha256};
 
@@ -207,10 +207,5 @@
     hasher.update(terms.service.as_bytes());
     hasher.update([u8::from(terms.repeatable)]);
     hasher.update(lines);
-    let mut hex = String::with_capacity(64);
-    for byte in hasher.finalize() {
-        // Writing to a string can't fail.
-        let _ = write!(hex, "{byte:02x}");
-    }
-    Name::from(hex)
+    Name::from(to_hex(&hasher.finalize()))
 }
--- a/eel-core/src/keys.rs
+++ b/eel-core/src/keys.rs
@@ -1,14 +1,14 @@
 //! `keys`: the fleet's certificate authority, node certificates and callers' keys.
 
 use std::{
-    fmt::{self, Write as _},
+    fmt,
     fs::{self, OpenOptions},
     io::Write as _,
     os::unix::fs::OpenOptionsExt as _,
     path::{Path, PathBuf},
 };
 
-use eel_types::Name;
+use eel_types::{Name, to_hex};
 use eel_wire::credentials::{PemPair, create_authority, issue_node};
 use error_stack::{Report, ResultExt as _};
 use serde::Serialize;
@@ -136,18 +136,11 @@
 }
 
 fn make_caller(secret: &[u8]) -> Outcome {
-    let key = format!("{CALLER_KEY_PREFIX}{}", hex(secret));
-    let sha256 = hex(&Sha256::digest(key.as_bytes()));
+    let key = format!("{CALLER_KEY_PREFIX}{}", to_hex(secret));
+    let sha256 = to_hex(&Sha256::digest(key.as_bytes()));
     Outcome::Caller { key, sha256 }
 }
 
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().fold(String::new(), |mut text, byte| {
-        let _ = write!(text, "{byte:02x}"); // writing to a string cannot fail
-        text
-    })
-}
-
 fn read(path: &Path) -> Result<String, Report<Error>> {
     fs::read_to_string(path).change_context_lazy(|| Error::Read(path.to_owned()))
 }
--- a/eel-entry/src/authenticate.rs
+++ b/eel-entry/src/authenticate.rs
@@ -3,13 +3,11 @@
 use std::collections::HashMap;
 
 use eel_record::Snapshot;
-use eel_types::Name;
+use eel_types::{Name, to_hex};
 use eel_verdict::{Reason, Refusal};
 use http::{HeaderMap, header::AUTHORIZATION};
 use sha2::{Digest as _, Sha256};
 
-use crate::hex;
-
 const SCHEME: &str = "Bearer ";
 
 /// Callers by the SHA-256 digests of their keys, in lower-case hexadecimal.
@@ -43,7 +41,7 @@
             .and_then(|value| value.to_str().ok())
             .and_then(|text| text.strip_prefix(SCHEME))
             .ok_or(unauthorized)?;
-        let digest = hex::encode(&Sha256::digest(key.as_bytes()));
+        let digest = to_hex(&Sha256::digest(key.as_bytes()));
         let caller = self.by_digest.get(digest.as_str());
         caller.cloned().ok_or(unauthorized)
     }
--- a/eel-entry/src/idempotency/entry.rs
+++ b/eel-entry/src/idempotency/entry.rs
@@ -1,13 +1,11 @@
 //! What the key-value service holds under an idempotency key.
 
 use bytes::Bytes;
-use eel_types::Name;
+use eel_types::{Name, to_hex};
 use eel_verdict::{Reason, Refusal};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
 
-use crate::hex;
-
 /// The longest answer that is kept for resends, in bytes.
 pub(super) const LARGEST_KEPT_BYTES: usize = 16 * 1024;
 /// When the caller of a resend should ask again while the first request still runs.
@@ -74,5 +72,5 @@
         hasher.update((part.len() as u64).to_le_bytes());
         hasher.update(part);
     }
-    hex::encode(&hasher.finalize())
+    to_hex(&hasher.finalize())
 }
--- a/eel-entry/src/lib.rs
+++ b/eel-entry/src/lib.rs
@@ -5,7 +5,6 @@
 mod batch;
 mod config;
 mod error;
-mod hex;
 mod idempotency;
 mod link;
 mod membership;
--- a/eel-entry/src/hex.rs
+++ b/eel-types/src/hex.rs
@@ -1,7 +1,8 @@
 //! Digests as text.
 
 /// Returns `bytes` in lower-case hexadecimal.
-pub(crate) fn encode(bytes: &[u8]) -> String {
+#[must_use]
+pub fn to_hex(bytes: &[u8]) -> String {
     const DIGITS: &[u8; 16] = b"0123456789abcdef";
 
     let nibbles = bytes.iter().flat_map(|byte| [byte >> 4, byte & 0xf]);
--- a/eel-types/src/lib.rs
+++ b/eel-types/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod class;
 mod clock;
+mod hex;
 mod id;
 mod listed_vm;
 mod load;
@@ -9,6 +10,7 @@
 
 pub use class::Class;
 pub use clock::Clock;
+pub use hex::to_hex;
 pub use id::{Attempt, Incarnation, RequestId, RequestKey, Revision};
 pub use listed_vm::{ListedState, ListedVm};
 pub use load::LoadReport;
