perf(entry): keep only what the end of an answer needs

Cause: each attempt that was answered copied the whole request, its list of headers included, to record three fields of it once the answer had ended.

Change: the record of an answer's end holds service, pool and prefix hash. Behaviour stays as it is; the gain was not measured.

--- a/eel-entry/src/serve/run.rs
+++ b/eel-entry/src/serve/run.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use eel_route::{AttemptEnd, Attempts, Next, Outcome, Query, RetryOptions, TargetKey};
 use eel_telemetry::trace;
-use eel_types::{Attempt as AttemptNumber, LoadReport, RequestKey};
+use eel_types::{Attempt as AttemptNumber, LoadReport, Name, RequestKey};
 use eel_verdict::{Reason, Refusal};
 use eel_wire::message::{ReplyHead, ServeRequest};
 use fastrace::Span;
@@ -50,7 +50,9 @@
 /// What is recorded once an answer has ended.
 pub(crate) struct AnswerEnd {
     context: Arc<Context>,
-    request: Request,
+    service: Name,
+    pool: Name,
+    prefix_hash: Option<u64>,
     target: TargetKey,
     in_flight: InFlight,
     first_byte_us: u64,
@@ -63,10 +65,10 @@
         self.in_flight.end(Outcome::Answered {
             first_byte_us: self.first_byte_us,
         });
-        routing.report(&self.request.pool, self.target, load);
-        routing.on_answered(&self.request.service);
-        if let Some(prefix_hash) = self.request.prefix_hash {
-            routing.on_prefix_cached(&self.request.pool, prefix_hash, self.target);
+        routing.report(&self.pool, self.target, load);
+        routing.on_answered(&self.service);
+        if let Some(prefix_hash) = self.prefix_hash {
+            routing.on_prefix_cached(&self.pool, prefix_hash, self.target);
         }
     }
 
@@ -213,7 +215,9 @@
         .observe(first_byte.as_secs_f64());
     let end = AnswerEnd {
         context: context.clone(),
-        request: request.clone(),
+        service: request.service.clone(),
+        pool: request.pool.clone(),
+        prefix_hash: request.prefix_hash,
         target,
         in_flight,
         first_byte_us: u64::try_from(first_byte.as_micros()).unwrap_or(u64::MAX),
