--- a/eel-core/src/serve.rs
+++ b/eel-core/src/serve.rs
@@ -1,9 +1,10 @@
 //! Runs the two kinds of node until they are told to end.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use eel_entry::EntryNode;
-use eel_settings::{EntrySettings, TargetSettings, TelemetrySettings};
+use eel_gateway::GatewayNode;
+use eel_settings::{EntrySettings, GatewaySettings, LogFormat, TargetSettings, TelemetrySettings};
 use eel_supervise::Shutdown;
 use eel_target::TargetNode;
 use eel_telemetry::{logs, trace};
@@ -67,11 +68,50 @@
     ended.change_context(Error::Node)
 }
 
+/// Runs a gateway node with the settings at `path`, and reads them again on SIGHUP.
+///
+/// # Errors
+///
+/// [`Error`] if the node cannot start or go on.
+pub async fn gateway(path: &Path) -> Result<(), Report<Error>> {
+    let settings = GatewaySettings::load(path).change_context(Error::Settings)?;
+    install_telemetry(&settings.telemetry)?;
+    let node = GatewayNode::bind(&settings)
+        .await
+        .change_context(Error::Node)?;
+    let hangups = signal(SignalKind::hangup()).change_context(Error::Signals)?;
+    tokio::spawn(reload_on(hangups, path.to_owned(), settings));
+    let ended = node.run(shutdown_by_signals()?).await;
+    trace::flush();
+    ended.change_context(Error::Node)
+}
+
+/// Reads the settings again on each signal. The log level follows at once, all else with the next start.
+async fn reload_on(mut signals: Signal, path: PathBuf, mut in_force: GatewaySettings) {
+    while signals.recv().await.is_some() {
+        match GatewaySettings::load(&path) {
+            Ok(settings) => {
+                let level = settings.telemetry.log_level;
+                let changed = settings != in_force;
+                log::set_max_level(level);
+                log::info!(target: "node", changed, level:% = level; "The settings were read again.");
+                in_force = settings;
+            }
+            Err(error) => {
+                log::error!(target: "node", error:% = error; "The new settings cannot be used; the old ones stay.");
+            }
+        }
+    }
+}
+
 fn install_telemetry(settings: &TelemetrySettings) -> Result<(), Report<Error>> {
-    logs::install(&logs::Options {
-        level: settings.log_level,
-        file: settings.log_file.clone(),
-    })
+    match settings.log_format {
+        LogFormat::Json => logs::install_json(settings.log_level),
+        LogFormat::Text => logs::install(&logs::Options {
+            level: settings.log_level,
+            file: settings.log_file.clone(),
+        }),
+    }
     .change_context(Error::Telemetry)?;
     if let Some(path) = &settings.trace_file {
         trace::install_file(path).change_context(Error::Telemetry)?;
--- a/eel-core/src/settings_check.rs
+++ b/eel-core/src/settings_check.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, path::PathBuf};
 
-use eel_settings::{EntrySettings, Error as SettingsError, TargetSettings};
+use eel_settings::{EntrySettings, Error as SettingsError, GatewaySettings, TargetSettings};
 use error_stack::{Report, ResultExt as _};
 use serde::Serialize;
 use thiserror::Error as ThisError;
@@ -16,6 +16,8 @@
     Entry,
     /// A target node.
     Target,
+    /// A gateway node.
+    Gateway,
 }
 
 /// What to check.
@@ -72,6 +74,7 @@
     let checked = match options.process {
         Process::Entry => EntrySettings::load(&options.file).map(drop),
         Process::Target => TargetSettings::load(&options.file).map(drop),
+        Process::Gateway => GatewaySettings::load(&options.file).map(drop),
     };
     let Err(report) = checked else {
         let problems = Vec::new();
--- a/eel-entry/src/serve/claimed.rs
+++ b/eel-entry/src/serve/claimed.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use eel_telemetry::trace::Span;
 use eel_types::{Attempt, RequestId, RequestKey};
 use eel_verdict::{Reason, Refusal, Verdict};
 use eel_wire::message::{Header, ReplyHead};
-use fastrace::Span;
+
 use http::header::CONTENT_TYPE;
 
 use super::{
--- a/eel-entry/src/serve/run.rs
+++ b/eel-entry/src/serve/run.rs
@@ -7,11 +7,10 @@
 
 use bytes::Bytes;
 use eel_route::{AttemptEnd, Attempts, Next, Outcome, Query, RetryOptions, TargetKey};
-use eel_telemetry::trace;
+use eel_telemetry::trace::{self, Span};
 use eel_types::{Attempt as AttemptNumber, LoadReport, Name, RequestKey};
 use eel_verdict::{Reason, Refusal};
 use eel_wire::message::{ReplyHead, ServeRequest};
-use fastrace::Span;
 
 use super::{answer::is_event_stream, request::Request};
 use crate::{
@@ -121,7 +120,7 @@
             id: request.id,
             attempt: number,
         };
-        let hop = Span::enter_with_parent("attempt", span);
+        let hop = trace::child("attempt", span);
         let refusal = match attempt(context, request, key, chosen, &hop).await {
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
--- /dev/null
+++ b/eel-fleet/src/board.rs
@@ -0,0 +1,321 @@
+//! The targets with their load, as this node and its peers count it, and the choice among them.
+//!
+//! The load that this answers: steps of online requests of five to one within seconds, with batch filling what they
+//! leave. Targets admit in order of arrival, so a request is sent only where a slot is free by all counts. An online
+//! request counts a slot under a batch item as free.
+
+use std::collections::HashMap;
+
+use eel_types::Name;
+use slotmap::SlotMap;
+
+use crate::{
+    TargetEntry, TargetKey,
+    health::Health,
+    report::{PeerReport, TargetLoad, stable_hash},
+};
+
+/// How long a peer's report counts without a newer one, in ms: five of the usual intervals.
+const REPORT_LIFE_MS: u64 = 1_000;
+
+/// The two kinds of work that share a target's slots.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Work {
+    /// A caller waits for the answer.
+    Online,
+    /// An item of a batch job, which can be broken off and resumed.
+    Batch,
+}
+
+/// What an attempt asks of its target.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// The kind of work.
+    pub work: Work,
+    /// The data centre to prefer.
+    pub data_centre: &'a str,
+    /// Targets that the request has met already.
+    pub excluded: &'a [TargetKey],
+    /// Spreads equal choices.
+    pub spread: u64,
+}
+
+/// How an attempt ended, by what it says of the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The target answered, whatever it said.
+    Answered,
+    /// The target refused because it is full.
+    Full,
+    /// No connection, a broken answer, or silence.
+    Failed,
+    /// This node broke the attempt off; says nothing of the target.
+    BrokenOff,
+}
+
+struct Target {
+    entry: TargetEntry,
+    hash: u64,
+    own: Load,
+    peers: Vec<PeerLoad>,
+    health: Health,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    online: u32,
+    batch: u32,
+}
+
+struct PeerLoad {
+    peer: u64,
+    load: Load,
+    at_ms: u64,
+}
+
+/// The targets with their load.
+#[derive(Default)]
+pub struct Board {
+    targets: SlotMap<TargetKey, Target>,
+    by_id: HashMap<Name, TargetKey>,
+    services: HashMap<Name, Vec<TargetKey>>,
+    sequences: HashMap<u64, u64>,
+}
+
+impl Board {
+    /// Adds or updates a target. Another incarnation under the same id starts without load.
+    pub fn set_target(&mut self, entry: TargetEntry) {
+        if let Some(&key) = self.by_id.get(&entry.id) {
+            if let Some(target) = self.targets.get_mut(key)
+                && target.entry.is_same_incarnation(&entry)
+            {
+                target.entry = entry;
+                return;
+            }
+            self.remove_target(&entry.id.clone());
+        }
+        let (id, service) = (entry.id.clone(), entry.service.clone());
+        let key = self.targets.insert(Target {
+            hash: stable_hash(&entry.id),
+            entry,
+            own: Load::default(),
+            peers: Vec::new(),
+            health: Health::default(),
+        });
+        self.by_id.insert(id, key);
+        self.services.entry(service).or_default().push(key);
+    }
+
+    /// Removes a target.
+    pub fn remove_target(&mut self, id: &str) {
+        let Some(key) = self.by_id.remove(id) else {
+            return;
+        };
+        if let Some(target) = self.targets.remove(key)
+            && let Some(keys) = self.services.get_mut(&target.entry.service)
+        {
+            keys.retain(|&it| it != key);
+        }
+    }
+
+    /// Returns what a target announced.
+    #[must_use]
+    pub fn entry(&self, key: TargetKey) -> Option<&TargetEntry> {
+        self.targets.get(key).map(|target| &target.entry)
+    }
+
+    /// Returns whether a target exists and takes new work.
+    #[must_use]
+    pub fn is_open(&self, key: TargetKey) -> bool {
+        self.targets
+            .get(key)
+            .is_some_and(|target| !target.entry.is_draining)
+    }
+
+    /// Chooses a target with a slot for `wish`, if there is one.
+    #[must_use]
+    pub fn choose(&self, now_ms: u64, service: &str, wish: &Wish<'_>) -> Option<TargetKey> {
+        let keys = self.services.get(service)?;
+        let open = keys
+            .iter()
+            .copied()
+            .filter(|key| !wish.excluded.contains(key));
+        let ranked = open.filter_map(|key| {
+            let target = self.targets.get(key)?;
+            Some((target.rank(now_ms, wish)?, key))
+        });
+        ranked.min_by_key(|&(rank, _)| rank).map(|(_, key)| key)
+    }
+
+    /// Returns whether the service has a target that is usable, full or not.
+    #[must_use]
+    pub fn has_usable(&self, now_ms: u64, service: &str, excluded: &[TargetKey]) -> bool {
+        let keys = self.services.get(service).into_iter().flatten();
+        let mut targets = keys
+            .filter(|key| !excluded.contains(key))
+            .filter_map(|&key| self.targets.get(key));
+        targets.any(|target| target.is_usable(now_ms))
+    }
+
+    /// Returns the slots of a service's usable targets.
+    #[must_use]
+    pub fn slots(&self, now_ms: u64, service: &str) -> u32 {
+        let keys = self.services.get(service).into_iter().flatten();
+        let targets = keys.filter_map(|&key| self.targets.get(key));
+        targets
+            .filter(|it| it.is_usable(now_ms))
+            .map(|it| it.entry.slots)
+            .sum()
+    }
+
+    /// Counts an attempt in flight.
+    pub fn start(&mut self, now_ms: u64, key: TargetKey, work: Work) {
+        if let Some(target) = self.targets.get_mut(key) {
+            *target.own.of(work) += 1;
+            target.health.on_start(now_ms);
+        }
+    }
+
+    /// Takes in that an attempt in flight has met silence, without ending it.
+    pub fn on_silence(&mut self, now_ms: u64, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.health.on_failure(now_ms);
+        }
+    }
+
+    /// Takes in a sign of life of an attempt in flight.
+    pub fn on_answer(&mut self, key: TargetKey) {
+        if let Some(target) = self.targets.get_mut(key) {
+            target.health.on_answer();
+        }
+    }
+
+    /// Ends an attempt.
+    pub fn end(&mut self, now_ms: u64, key: TargetKey, work: Work, end: AttemptEnd) {
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        let count = target.own.of(work);
+        *count = count.saturating_sub(1);
+        match end {
+            AttemptEnd::Answered => target.health.on_answer(),
+            AttemptEnd::Full => target.health.on_full(now_ms),
+            AttemptEnd::Failed => target.health.on_failure(now_ms),
+            AttemptEnd::BrokenOff => {}
+        }
+    }
+
+    /// Returns how many of this node's batch items at `key` have to make room, of `own` that it runs there.
+    ///
+    /// Nodes that hold batch items at the same target yield in the order of their incarnations, so that only as many
+    /// items as needed are broken off.
+    #[must_use]
+    pub fn excess_batch(&self, now_ms: u64, key: TargetKey, incarnation: u64) -> u32 {
+        let Some(target) = self.targets.get(key) else {
+            return 0;
+        };
+        let total = target.total(now_ms);
+        let excess = (total.online + total.batch).saturating_sub(target.entry.slots);
+        let live = target
+            .live_peers(now_ms)
+            .filter(|peer| peer.peer < incarnation);
+        let yielded_by_others: u32 = live.map(|peer| peer.load.batch).sum();
+        excess
+            .saturating_sub(yielded_by_others)
+            .min(target.own.batch)
+    }
+
+    /// Takes in a peer's report. Returns `false` if a newer one came before.
+    pub fn on_report(&mut self, now_ms: u64, report: &PeerReport) -> bool {
+        let last = self.sequences.entry(report.sender).or_default();
+        if report.sequence <= *last {
+            return false;
+        }
+        *last = report.sequence;
+        for target in self.targets.values_mut() {
+            target
+                .peers
+                .retain(|peer| peer.peer != report.sender && peer.is_live(now_ms));
+            let Some(load) = report.targets.iter().find(|it| it.target == target.hash) else {
+                continue;
+            };
+            target.peers.push(PeerLoad {
+                peer: report.sender,
+                load: Load {
+                    online: load.online.into(),
+                    batch: load.batch.into(),
+                },
+                at_ms: now_ms,
+            });
+        }
+        true
+    }
+
+    /// Returns what this node has in flight.
+    #[must_use]
+    pub fn own_loads(&self) -> Vec<TargetLoad> {
+        let busy = self
+            .targets
+            .values()
+            .filter(|it| it.own.online + it.own.batch > 0);
+        busy.map(|target| TargetLoad {
+            target: target.hash,
+            online: u16::try_from(target.own.online).unwrap_or(u16::MAX),
+            batch: u16::try_from(target.own.batch).unwrap_or(u16::MAX),
+        })
+        .collect()
+    }
+}
+
+/// Orders targets: a free slot before one under a batch item, near before far, little load before much.
+type Rank = (bool, bool, u32, u64);
+
+impl Target {
+    fn rank(&self, now_ms: u64, wish: &Wish<'_>) -> Option<Rank> {
+        if !self.is_usable(now_ms) {
+            return None;
+        }
+        let total = self.total(now_ms);
+        let load = total.online + total.batch;
+        let takes_batch_slot = load >= self.entry.slots;
+        let has_room = match wish.work {
+            Work::Online => total.online < self.entry.slots,
+            Work::Batch => !takes_batch_slot,
+        };
+        let is_far = *self.entry.data_centre != *wish.data_centre;
+        let tie = self.hash.rotate_left(17) ^ wish.spread.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        has_room.then_some((takes_batch_slot, is_far, load, tie))
+    }
+
+    fn is_usable(&self, now_ms: u64) -> bool {
+        !self.entry.is_draining && self.health.is_usable(now_ms)
+    }
+
+    fn total(&self, now_ms: u64) -> Load {
+        let mut total = self.own;
+        for peer in self.live_peers(now_ms) {
+            total.online += peer.load.online;
+            total.batch += peer.load.batch;
+        }
+        total
+    }
+
+    fn live_peers(&self, now_ms: u64) -> impl Iterator<Item = &PeerLoad> {
+        self.peers.iter().filter(move |peer| peer.is_live(now_ms))
+    }
+}
+
+impl PeerLoad {
+    fn is_live(&self, now_ms: u64) -> bool {
+        now_ms < self.at_ms + REPORT_LIFE_MS
+    }
+}
+
+impl Load {
+    fn of(&mut self, work: Work) -> &mut u32 {
+        match work {
+            Work::Online => &mut self.online,
+            Work::Batch => &mut self.batch,
+        }
+    }
+}
--- /dev/null
+++ b/eel-fleet/src/dispatch.rs
@@ -0,0 +1,301 @@
+//! Starts, holds or rejects online requests.
+//!
+//! The load that this answers: bursts in which more online requests arrive than all slots can run. A request that can
+//! start in time for its goal waits here, where the order can still be chosen, and not in a target's queue. One that
+//! cannot is rejected when it arrives, with the time after which the backlog is expected to be gone.
+
+use std::collections::HashMap;
+
+use eel_types::Name;
+
+use crate::{
+    AttemptEnd, Board, TargetKey, TicketKey, Wish, Work,
+    queue::{Queue, Waiting},
+    report::{PeerReport, WaitingCount, stable_hash},
+};
+
+/// The share of a measurement in the moving average of run times, as a divisor.
+const AVERAGE_OVER: u64 = 16;
+/// The run time that is assumed before any was measured, in ms.
+const FIRST_RUN_TIME_MS: u64 = 300;
+/// The shortest and longest times to come back that are given, in ms. Callers honour a third of what they have left.
+const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 100..=1_500;
+/// How long a peer's count of waiting requests holds without a newer one, in ms.
+const REPORT_LIFE_MS: u64 = 1_000;
+
+/// A request that wants to start.
+#[derive(Clone, Debug)]
+pub struct Arrival<'a> {
+    /// The service.
+    pub service: &'a Name,
+    /// The rank; 0 is the most urgent.
+    pub priority: u8,
+    /// The last moment at which a start is in time for the goal.
+    pub start_by_ms: u64,
+    /// The last moment at which a start is of use.
+    pub give_up_ms: u64,
+    /// Targets that it has met already.
+    pub excluded: Vec<TargetKey>,
+    /// Spreads equal choices.
+    pub spread: u64,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Send it to this target; it counts as in flight there.
+    Start(TargetKey),
+    /// Hold it until [`Dispatcher::due`] names the ticket.
+    Wait(TicketKey),
+    /// Reject it as not run.
+    Reject {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+}
+
+/// A request whose wait is over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Due {
+    /// The service; tickets are unique within it.
+    pub service: Name,
+    /// The request.
+    pub ticket: TicketKey,
+    /// Where to send it; `None` rejects it.
+    pub target: Option<TargetKey>,
+    /// When a rejected request should come back.
+    pub retry_after_ms: u64,
+}
+
+#[derive(Default)]
+struct ServiceState {
+    queue: Queue,
+    run_time_ms: Option<u64>,
+}
+
+/// The board, and the queue of each service.
+pub struct Dispatcher {
+    board: Board,
+    data_centre: Name,
+    services: HashMap<Name, ServiceState>,
+    peers_waiting: HashMap<u64, (u64, Vec<WaitingCount>)>,
+}
+
+impl Dispatcher {
+    /// Creates an empty dispatcher for a node in `data_centre`.
+    #[must_use]
+    pub fn new(data_centre: Name) -> Self {
+        Self {
+            board: Board::default(),
+            data_centre,
+            services: HashMap::new(),
+            peers_waiting: HashMap::new(),
+        }
+    }
+
+    /// Returns the board.
+    #[must_use]
+    pub fn board(&self) -> &Board {
+        &self.board
+    }
+
+    /// Returns the board, to change what is known of targets.
+    pub fn board_mut(&mut self) -> &mut Board {
+        &mut self.board
+    }
+
+    /// Decides on a request that has just arrived or that another target did not run.
+    pub fn arrive(&mut self, now_ms: u64, arrival: Arrival<'_>) -> Decision {
+        let service = arrival.service.clone();
+        let waiting = Waiting {
+            priority: arrival.priority,
+            start_by_ms: arrival.start_by_ms,
+            give_up_ms: arrival.give_up_ms,
+            excluded: arrival.excluded,
+            spread: arrival.spread,
+        };
+        let state = self.services.entry(service.clone()).or_default();
+        let ahead = state
+            .queue
+            .ahead_of(now_ms, waiting.priority, waiting.start_by_ms);
+        if ahead == 0
+            && let Some(target) = self.start_now(now_ms, &service, &waiting)
+        {
+            return Decision::Start(target);
+        }
+        let wait_ms = self.expected_wait_ms(now_ms, &service, ahead);
+        let starts_at_ms = now_ms.saturating_add(wait_ms);
+        if starts_at_ms > waiting.start_by_ms.min(waiting.give_up_ms) {
+            return Decision::Reject {
+                retry_after_ms: clamp(wait_ms),
+            };
+        }
+        let state = self.services.entry(service).or_default();
+        Decision::Wait(state.queue.push(waiting))
+    }
+
+    /// Starts or rejects requests that have waited; called after every change.
+    pub fn due(&mut self, now_ms: u64) -> Vec<Due> {
+        let mut due = Vec::new();
+        let names: Vec<Name> = self
+            .services
+            .iter()
+            .filter(|(_, it)| it.queue.len() > 0)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for service in names {
+            self.due_of(now_ms, &service, &mut due);
+        }
+        due
+    }
+
+    /// Gives up a request that waits, because its caller left.
+    pub fn cancel(&mut self, service: &str, ticket: TicketKey) {
+        if let Some(state) = self.services.get_mut(service) {
+            state.queue.remove(ticket);
+        }
+    }
+
+    /// Ends an attempt that started `run_time_ms` ago.
+    pub fn end(
+        &mut self,
+        now_ms: u64,
+        service: &str,
+        key: TargetKey,
+        work: Work,
+        end: AttemptEnd,
+        run_time_ms: u64,
+    ) {
+        self.board.end(now_ms, key, work, end);
+        let is_sample = work == Work::Online && end == AttemptEnd::Answered;
+        if is_sample && let Some(state) = self.services.get_mut(service) {
+            let average_ms = state.run_time_ms.unwrap_or(run_time_ms);
+            state.run_time_ms =
+                Some((average_ms * (AVERAGE_OVER - 1) + run_time_ms) / AVERAGE_OVER);
+        }
+    }
+
+    /// Takes in a peer's report.
+    pub fn on_report(&mut self, now_ms: u64, report: &PeerReport) {
+        if self.board.on_report(now_ms, report) {
+            self.peers_waiting
+                .retain(|_, (at_ms, _)| now_ms < *at_ms + REPORT_LIFE_MS);
+            self.peers_waiting
+                .insert(report.sender, (now_ms, report.waiting.clone()));
+        }
+    }
+
+    /// Returns how many of this node's requests wait, by service.
+    #[must_use]
+    pub fn own_waiting(&self) -> Vec<WaitingCount> {
+        let waiting = self
+            .services
+            .iter()
+            .filter(|(_, state)| state.queue.len() > 0);
+        waiting
+            .map(|(name, state)| WaitingCount {
+                service: stable_hash(name),
+                waiting: u16::try_from(state.queue.len()).unwrap_or(u16::MAX),
+            })
+            .collect()
+    }
+
+    /// Returns whether online requests of a service wait at any node.
+    #[must_use]
+    pub fn is_online_waiting(&self, now_ms: u64, service: &str) -> bool {
+        let own = self
+            .services
+            .get(service)
+            .is_some_and(|state| state.queue.len() > 0);
+        own || self.waiting_at_peers(now_ms, service) > 0
+    }
+
+    /// Returns the average run time of a service's online requests.
+    #[must_use]
+    pub fn run_time_ms(&self, service: &str) -> u64 {
+        let measured = self
+            .services
+            .get(service)
+            .and_then(|state| state.run_time_ms);
+        measured.unwrap_or(FIRST_RUN_TIME_MS)
+    }
+
+    fn due_of(&mut self, now_ms: u64, service: &Name, due: &mut Vec<Due>) {
+        let Some(state) = self.services.get(service) else {
+            return;
+        };
+        for (ahead, ticket) in state.queue.in_order(now_ms).into_iter().enumerate() {
+            let Some(waiting) = self
+                .services
+                .get(service)
+                .and_then(|it| it.queue.get(ticket))
+                .cloned()
+            else {
+                continue;
+            };
+            let is_over =
+                now_ms >= waiting.give_up_ms || self.is_hopeless(now_ms, service, &waiting);
+            let target = if is_over {
+                None
+            } else {
+                self.start_now(now_ms, service, &waiting)
+            };
+            if target.is_none() && !is_over {
+                continue;
+            }
+            let retry_after_ms = clamp(self.expected_wait_ms(now_ms, service, ahead));
+            due.push(Due {
+                service: service.clone(),
+                ticket,
+                target,
+                retry_after_ms,
+            });
+            self.cancel(service, ticket);
+        }
+    }
+
+    fn start_now(&mut self, now_ms: u64, service: &Name, waiting: &Waiting) -> Option<TargetKey> {
+        let wish = Wish {
+            work: Work::Online,
+            data_centre: &self.data_centre,
+            excluded: &waiting.excluded,
+            spread: waiting.spread,
+        };
+        let target = self.board.choose(now_ms, service, &wish)?;
+        self.board.start(now_ms, target, Work::Online);
+        Some(target)
+    }
+
+    /// Returns whether a late request waits for a service none of whose targets can be used.
+    fn is_hopeless(&self, now_ms: u64, service: &Name, waiting: &Waiting) -> bool {
+        now_ms > waiting.start_by_ms && self.board.slots(now_ms, service) == 0
+    }
+
+    /// Expects slots to become free evenly: each `run_time / slots`.
+    fn expected_wait_ms(&self, now_ms: u64, service: &Name, ahead: usize) -> u64 {
+        let slots = u64::from(self.board.slots(now_ms, service));
+        let run_time_ms = self.run_time_ms(service);
+        if slots == 0 {
+            return run_time_ms;
+        }
+        let ahead = u64::try_from(ahead).unwrap_or(u64::MAX);
+        let ahead = ahead.saturating_add(self.waiting_at_peers(now_ms, service) + 1);
+        ahead.saturating_mul(run_time_ms) / slots
+    }
+
+    fn waiting_at_peers(&self, now_ms: u64, service: &str) -> u64 {
+        let hash = stable_hash(service);
+        let live = self
+            .peers_waiting
+            .values()
+            .filter(|(at_ms, _)| now_ms < at_ms + REPORT_LIFE_MS);
+        let counts = live
+            .flat_map(|(_, counts)| counts)
+            .filter(|count| count.service == hash);
+        counts.map(|count| u64::from(count.waiting)).sum()
+    }
+}
+
+fn clamp(retry_after_ms: u64) -> u64 {
+    retry_after_ms.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end())
+}
--- /dev/null
+++ b/eel-fleet/src/lib.rs
@@ -0,0 +1,30 @@
+//! Decides where requests and batch items run, over targets that several nodes share without a coordinator.
+//!
+//! Every node counts what it has in flight itself and tells the others in small reports. A request goes straight to a
+//! target that has a free slot by all counts; an online request may also take a slot that a batch item holds, which
+//! the item's node then gives back. Nothing here does input or output, and the present time is always an argument.
+//!
+//! [`Registry`] follows the targets' own announcements, [`Board`] knows their load, and [`Dispatcher`] holds the
+//! queue of requests that found no slot.
+
+mod board;
+mod dispatch;
+mod entry;
+mod health;
+mod peers;
+mod queue;
+mod registry;
+mod report;
+
+pub use board::{AttemptEnd, Board, Wish, Work};
+pub use dispatch::{Arrival, Decision, Dispatcher, Due};
+pub use entry::TargetEntry;
+pub use peers::{NodeEntry, Peers};
+pub use queue::TicketKey;
+pub use registry::Registry;
+pub use report::{PeerReport, ReportError, TargetLoad, WaitingCount, stable_hash};
+
+slotmap::new_key_type! {
+    /// A target on a [`Board`].
+    pub struct TargetKey;
+}
--- /dev/null
+++ b/eel-gateway/src/batch/calls.rs
@@ -0,0 +1,138 @@
+//! The calls about a job that was submitted.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use eel_ledger::Job;
+use eel_platform::encode_results;
+use eel_store::{Compare, KeyValue as _, Op, StoreError, Txn};
+use eel_verdict::{Reason, Refusal};
+use http::{HeaderValue, Response, StatusCode, header};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::{
+    context::Context,
+    http::{Body, empty, full, refuse},
+    store::load_job,
+};
+
+/// How long the end of a job is tried to be written.
+const END_TIMEOUT: Duration = Duration::from_secs(3);
+/// The pause before a write is sent again.
+const PAUSE: Duration = Duration::from_millis(80);
+/// When a caller should come back to a node that cannot reach the store, in ms.
+const RETRY_AFTER_MS: u64 = 500;
+
+/// Answers with results from the position `from` on, and waits up to `wait_ms` until there is one.
+pub(crate) async fn results(
+    context: &Arc<Context>,
+    id: &str,
+    from: usize,
+    wait_ms: u64,
+) -> Response<Body> {
+    if let Err(response) = find(context, id).await {
+        return response;
+    }
+    let until = Instant::now() + Duration::from_millis(wait_ms);
+    let mut changes = context.ledger_changes.subscribe();
+    loop {
+        changes.mark_unchanged();
+        if let Some(answer) = read_results(context, id, from, Instant::now() >= until) {
+            return json(answer);
+        }
+        // The sender lives as long as the context.
+        let _ = timeout_at(until, changes.changed()).await;
+    }
+}
+
+/// Encodes the results, unless it is worth waiting for some.
+fn read_results(context: &Context, id: &str, from: usize, is_last: bool) -> Option<Vec<u8>> {
+    let ledger = context.ledger();
+    let job = ledger.job(id)?;
+    let has_news = job.results().len() > from || !job.is_open();
+    (has_news || is_last).then(|| encode_results(job, from))
+}
+
+/// Answers with the body of an item that has no result yet.
+pub(crate) async fn item_body(context: &Arc<Context>, id: &str, item: &str) -> Response<Body> {
+    if let Err(response) = find(context, id).await {
+        return response;
+    }
+    let ledger = context.ledger();
+    let body = ledger.job(id).and_then(|job| open_body(job, item));
+    body.map_or_else(
+        || empty(StatusCode::NOT_FOUND),
+        |body| Response::new(full(body)),
+    )
+}
+
+fn open_body(job: &Job, id: &str) -> Option<Bytes> {
+    let position = job.items().iter().position(|item| *item.id == *id)?;
+    let index = u32::try_from(position).ok()?;
+    let is_open = !job.is_ended() && !job.is_listed(index);
+    is_open.then(|| job.items()[position].body.clone())
+}
+
+/// Ends a job.
+pub(crate) async fn end(context: &Arc<Context>, id: &str) -> Response<Body> {
+    if let Err(response) = find(context, id).await {
+        return response;
+    }
+    let key = context.ledger().keys().end(id);
+    let txn = Txn {
+        compares: vec![Compare::Absent { key: key.clone() }],
+        success: vec![Op::put(key.clone(), Bytes::new())],
+        failure: Vec::new(),
+    };
+    let until = Instant::now() + END_TIMEOUT;
+    loop {
+        match context.store.commit(&txn).await {
+            Ok(_) => {
+                context.on_store_answer();
+                context.ledger().on_put(&key, &Bytes::new());
+                context.on_ledger_change();
+                log::info!(target: "jobs", job = id; "A job was ended by its caller.");
+                return empty(StatusCode::OK);
+            }
+            Err(error) => {
+                let error: StoreError = *error.current_context();
+                context.on_store_failure("end a job", &error);
+            }
+        }
+        if Instant::now() >= until {
+            return refuse(&Refusal::may_have_run(Reason::DeadlineExceeded));
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+/// Makes sure that the job is known here; says otherwise that there is none, or that this node cannot tell.
+async fn find(context: &Context, id: &str) -> Result<(), Response<Body>> {
+    if is_known(context, id) {
+        return Ok(());
+    }
+    match load_job(context, id).await {
+        Ok(()) if is_known(context, id) => Ok(()),
+        Ok(()) => Err(empty(StatusCode::NOT_FOUND)),
+        Err(error) => {
+            context.on_store_failure("read a job", error.current_context());
+            Err(refuse(
+                &Refusal::not_run(Reason::StoreUnavailable).retry_after(RETRY_AFTER_MS),
+            ))
+        }
+    }
+}
+
+fn is_known(context: &Context, id: &str) -> bool {
+    context
+        .ledger()
+        .job(id)
+        .is_some_and(|job| job.head().is_some())
+}
+
+fn json(body: Vec<u8>) -> Response<Body> {
+    let mut response = Response::new(full(body));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
--- /dev/null
+++ b/eel-gateway/src/batch/commit.rs
@@ -0,0 +1,76 @@
+//! Lists results in the store.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use eel_ledger::{JobKey, Ledger};
+use eel_store::{KeyValue as _, StoreError, Txn};
+use eel_types::Name;
+use tokio::time::sleep;
+
+use crate::{context::Context, store::load_job};
+
+/// The pause between two transactions: results of this time are listed together.
+const GATHER: Duration = Duration::from_millis(500);
+/// The pause before a write is sent again.
+const PAUSE: Duration = Duration::from_millis(100);
+/// How often a transaction is tried before the results are gathered anew.
+const TRIES: u32 = 5;
+
+/// Waits until results may be listed.
+pub(super) async fn pause(context: &Context) {
+    tokio::select! {
+        () = sleep(GATHER) => {}
+        () = context.leaving.cancelled() => sleep(PAUSE).await,
+    }
+}
+
+/// Lists the results that `gather` returns, until there are none.
+pub(super) async fn list(
+    context: &Context,
+    gather: impl Fn(&Ledger) -> Option<(Txn, Vec<(String, Bytes)>)>,
+) {
+    for _ in 0..TRIES {
+        let gathered = gather(&context.ledger());
+        let Some((txn, chunks)) = gathered else {
+            return;
+        };
+        match context.store.commit(&txn).await {
+            Ok(outcome) if outcome.succeeded => {
+                context.on_store_answer();
+                take_in(context, &chunks);
+            }
+            Ok(_) => {
+                context.on_store_answer();
+                read_again(context, &chunks).await;
+            }
+            Err(error) => {
+                let error: StoreError = *error.current_context();
+                context.on_store_failure("list results", &error);
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take_in(context: &Context, chunks: &[(String, Bytes)]) {
+    let mut ledger = context.ledger();
+    for (key, value) in chunks {
+        ledger.on_put(key, value);
+    }
+    drop(ledger);
+    context.on_ledger_change();
+}
+
+/// A chunk of that number exists: another node listed it, or this node did and the answer was lost.
+async fn read_again(context: &Context, chunks: &[(String, Bytes)]) {
+    for (key, _) in chunks {
+        let job = match context.ledger().keys().parse(key) {
+            Some(JobKey::Chunk(job, _)) => Name::from(job),
+            _ => continue,
+        };
+        if let Err(error) = load_job(context, &job).await {
+            context.on_store_failure("read listed results", error.current_context());
+        }
+    }
+}
--- /dev/null
+++ b/eel-gateway/src/batch/item.rs
@@ -0,0 +1,135 @@
+//! One run of one item.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use eel_ledger::{Item, JobHead, Progress, Resolved};
+use eel_platform::event_id;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
+
+use crate::{
+    context::{Context, now_unix_ms},
+    slots::Held,
+    target::{Answer, Outgoing, exchange},
+};
+
+/// How long a run may stay without a byte before it is tried elsewhere.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// The longest time that a run is given.
+const LONGEST_RUN: Duration = Duration::from_mins(1);
+const EVENT_END: &[u8] = b"\n\n";
+
+/// One run of one item, and how far the item is.
+pub struct Run {
+    pub context: Arc<Context>,
+    pub head: JobHead,
+    pub item: Item,
+    pub progress: Progress,
+}
+
+impl Run {
+    /// Runs the item at the target of `held` until it ends or breaks off.
+    pub async fn run(&mut self, held: Held) -> Resolved {
+        let Some(outgoing) = to_outgoing(&self.head, &self.item) else {
+            return Resolved::Impossible;
+        };
+        let now = Instant::now();
+        let left_ms = self.head.give_up_unix_ms.saturating_sub(now_unix_ms());
+        let deadline = now + Duration::from_millis(left_ms).min(LONGEST_RUN);
+        let pool = &self.context.pool;
+        let until = now + SILENCE;
+        match exchange(
+            pool,
+            held,
+            &outgoing,
+            self.progress.last_event,
+            until,
+            deadline,
+        )
+        .await
+        {
+            Ok(answer) => self.read(answer).await,
+            Err(failure) => {
+                log::debug!(target: "jobs", "A run of item {} brought no answer: {failure}.", self.item.id);
+                self.broken_off()
+            }
+        }
+    }
+
+    async fn read(&mut self, mut answer: Answer) -> Resolved {
+        let status = answer.status;
+        let mut partial = Vec::new();
+        loop {
+            match answer.next(Instant::now() + SILENCE).await {
+                Ok(Some(bytes)) if status.is_success() => {
+                    partial.extend_from_slice(&bytes);
+                    take_events(&mut self.progress, &mut partial);
+                }
+                Ok(Some(_)) => {}
+                Ok(None) => break,
+                Err(failure) => {
+                    log::debug!(target: "jobs", "A run of item {} broke off: {failure}.", self.item.id);
+                    return self.broken_off();
+                }
+            }
+        }
+        answer.finish(&self.context.pool);
+        let progress = std::mem::take(&mut self.progress);
+        match status {
+            StatusCode::UNPROCESSABLE_ENTITY => Resolved::Impossible,
+            status if status.is_success() && partial.is_empty() => Resolved::Completed(progress),
+            status if status.is_success() => Resolved::BrokenOff(progress),
+            StatusCode::INTERNAL_SERVER_ERROR => Resolved::Failed(progress),
+            _ => Resolved::BrokenOff(progress),
+        }
+    }
+
+    /// Returns how far the item is.
+    pub fn broken_off(&mut self) -> Resolved {
+        Resolved::BrokenOff(std::mem::take(&mut self.progress))
+    }
+}
+
+fn to_outgoing(head: &JobHead, item: &Item) -> Option<Outgoing> {
+    let mut headers = HeaderMap::new();
+    for (name, value) in &item.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_str(value).ok()?);
+    }
+    headers.insert(header::HOST, HeaderValue::from_str(&head.host).ok()?);
+    Some(Outgoing {
+        method: Method::POST,
+        uri: item.path.parse().ok()?,
+        headers,
+        body: item.body.clone(),
+        request_id: item.id.as_str().to_owned(),
+        adds_id: true,
+    })
+}
+
+/// Moves the whole events of `partial` into `progress`.
+fn take_events(progress: &mut Progress, partial: &mut Vec<u8>) {
+    while let Some(at) = partial
+        .windows(EVENT_END.len())
+        .position(|window| window == EVENT_END)
+    {
+        let event: Vec<u8> = partial.drain(..at + EVENT_END.len()).collect();
+        let Some(id) = event_id(&event) else {
+            continue;
+        };
+        if progress.last_event.is_some_and(|last| id <= last) {
+            continue;
+        }
+        let lines = event.split(|&byte| byte == b'\n');
+        for data in lines.filter_map(|line| line.strip_prefix(b"data:")) {
+            let data = data.strip_prefix(b" ").unwrap_or(data);
+            if progress.last_event.is_some() || !progress.text.is_empty() {
+                progress.text.push('\n');
+            }
+            progress.text.push_str(&String::from_utf8_lossy(data));
+        }
+        progress.last_event = Some(id);
+    }
+}
--- /dev/null
+++ b/eel-gateway/src/batch/mod.rs
@@ -0,0 +1,12 @@
+//! Batch jobs: the calls of their callers, and the runs of their items.
+
+mod calls;
+mod commit;
+mod item;
+mod retire;
+mod submit;
+mod worker;
+
+pub(crate) use calls::{end, item_body, results};
+pub(crate) use submit::{Times, submit};
+pub(crate) use worker::Worker;
--- /dev/null
+++ b/eel-gateway/src/batch/submit.rs
@@ -0,0 +1,144 @@
+//! Accepts a job.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use eel_ledger::{Item, JobHead, submission};
+use eel_platform::{caller_fields, decode_job};
+use eel_store::{KeyValue as _, StoreError, Txn};
+use eel_table::Route;
+use eel_verdict::{Reason, Refusal};
+use http::{HeaderMap, Response, StatusCode, header};
+use tokio::time::sleep;
+
+use crate::{
+    context::{Context, now_unix_ms},
+    http::{Body, empty, refuse},
+};
+
+/// The times that a route gives the items of a job.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Times {
+    pub(crate) due_ms: u64,
+    pub(crate) give_up_ms: u64,
+}
+
+/// How much sooner than the caller's deadline the final answer is given.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(150);
+/// The pause before a write is sent again.
+const PAUSE: Duration = Duration::from_millis(80);
+/// When a caller whose job was not stored should come back, in ms.
+const RETRY_AFTER_MS: u64 = 500;
+/// The longest id of a job: the store's keys have at most 200 bytes.
+const MAX_ID_BYTES: usize = 100;
+
+/// Accepts a job, or says that no part of it will run.
+pub(crate) async fn submit(
+    context: &Arc<Context>,
+    route: &Route,
+    times: Times,
+    headers: &HeaderMap,
+    body: &[u8],
+) -> Response<Body> {
+    let fields = caller_fields(headers);
+    let id = fields
+        .request_id
+        .filter(|id| !id.is_empty() && id.len() <= MAX_ID_BYTES && !id.contains('/'));
+    let (Some(id), Ok(items)) = (id, decode_job(body)) else {
+        return refuse(&Refusal::not_run(Reason::BadRequest));
+    };
+    let host = headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .unwrap_or(route.host.as_str());
+    let head = new_head(route, times, host);
+    let txn = match submission(context.ledger().keys(), &id, head, &items) {
+        Ok(txn) => txn,
+        Err(error) => {
+            log::warn!(target: "jobs", job = id.as_str(), error:% = error; "A job cannot be stored.");
+            return refuse(&Refusal::not_run(Reason::TooLarge));
+        }
+    };
+    let allowed_ms = fields.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+    let until = Instant::now() + Duration::from_millis(allowed_ms).saturating_sub(DEADLINE_MARGIN);
+    let response = match store(context, &txn, until).await {
+        Ok(is_new) => {
+            if is_new {
+                take_in(context, &txn);
+            }
+            empty(StatusCode::ACCEPTED)
+        }
+        Err(refusal) => refuse(&refusal),
+    };
+    log_submission(&id, &items, &response);
+    response
+}
+
+fn new_head(route: &Route, times: Times, host: &str) -> JobHead {
+    let now_unix_ms = now_unix_ms();
+    JobHead {
+        host: host.into(),
+        submitted_unix_ms: now_unix_ms,
+        due_unix_ms: now_unix_ms + times.due_ms,
+        give_up_unix_ms: now_unix_ms + times.give_up_ms,
+        max_attempts: route.max_attempts,
+        items: 0,
+        parts: 0,
+    }
+}
+
+/// Writes the job; returns whether this call wrote it.
+///
+/// A write whose answer was lost is sent again: its condition lets it take effect once. Only if every try was refused
+/// does the answer promise that nothing runs.
+async fn store(context: &Context, txn: &Txn, until: Instant) -> Result<bool, Refusal> {
+    let mut may_be_stored = false;
+    loop {
+        match context.store.commit(txn).await {
+            Ok(outcome) => {
+                context.on_store_answer();
+                return Ok(outcome.succeeded);
+            }
+            Err(error) => {
+                let error = *error.current_context();
+                may_be_stored |= error == StoreError::MayHaveApplied;
+                context.on_store_failure("accept a job", &error);
+                if matches!(error, StoreError::Rejected(_)) {
+                    break;
+                }
+            }
+        }
+        if Instant::now() + PAUSE >= until {
+            break;
+        }
+        sleep(PAUSE).await;
+    }
+    Err(if may_be_stored {
+        Refusal::may_have_run(Reason::DeadlineExceeded)
+    } else {
+        Refusal::not_run(Reason::StoreUnavailable).retry_after(RETRY_AFTER_MS)
+    })
+}
+
+/// Shows the job to this node's own calls before the watch brings it.
+fn take_in(context: &Context, txn: &Txn) {
+    let mut ledger = context.ledger();
+    for op in &txn.success {
+        if let eel_store::Op::Put { key, value, .. } = op {
+            let value: &Bytes = value;
+            ledger.on_put(key, value);
+        }
+    }
+    drop(ledger);
+    context.on_ledger_change();
+}
+
+fn log_submission(id: &str, items: &[Item], response: &Response<Body>) {
+    log::info!(
+        target: "jobs", job = id, items = items.len(), status = response.status().as_u16();
+        "A job was decided."
+    );
+}
--- /dev/null
+++ b/eel-gateway/src/batch/worker.rs
@@ -0,0 +1,242 @@
+//! Runs the items of the jobs that this node owns.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use eel_fleet::{TargetKey, stable_hash};
+use eel_ledger::{ItemRef, Ledger, Resolved, Worklist, owner_of};
+use eel_types::Name;
+use eel_verdict::Verdict;
+use slotmap::SlotMap;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use super::{commit, item::Run, retire};
+use crate::{
+    context::{Context, now_unix_ms},
+    slots::Held,
+};
+
+/// How often the worker looks around while nothing happens.
+const TICK: Duration = Duration::from_millis(200);
+
+slotmap::new_key_type! {
+    struct RunKey;
+}
+
+/// Runs the items of the jobs that this node owns.
+pub(crate) struct Worker {
+    context: Arc<Context>,
+    parallel_items: usize,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    worklist: Worklist,
+    runs: SlotMap<RunKey, Running>,
+}
+
+/// A run in progress.
+struct Running {
+    target: TargetKey,
+    job: Name,
+    started_ms: u64,
+    cancel: CancellationToken,
+}
+
+impl Worker {
+    pub(crate) fn new(context: Arc<Context>, parallel_items: usize) -> Arc<Self> {
+        Arc::new(Self {
+            context,
+            parallel_items,
+            state: Mutex::default(),
+        })
+    }
+
+    /// Starts and yields runs for ever.
+    pub(crate) async fn run(self: &Arc<Self>) {
+        loop {
+            self.step();
+            // Looks around after each wake-up and each tick alike.
+            let _ = timeout(TICK, self.context.batch_wake.notified()).await;
+        }
+    }
+
+    /// Lists results for ever.
+    pub(crate) async fn list_results(self: &Arc<Self>) {
+        loop {
+            commit::pause(&self.context).await;
+            commit::list(&self.context, |ledger| {
+                let mut state = self.lock();
+                state.worklist.forget_listed(ledger);
+                state.worklist.commit(ledger)
+            })
+            .await;
+            retire::report(&self.context, self.is_idle()).await;
+        }
+    }
+
+    /// Waits until the results that there are have been listed.
+    pub(crate) async fn leave(self: &Arc<Self>) {
+        self.step();
+        commit::list(&self.context, |ledger| {
+            let mut state = self.lock();
+            state.worklist.forget_listed(ledger);
+            state.worklist.commit(ledger)
+        })
+        .await;
+    }
+
+    fn is_idle(&self) -> bool {
+        let state = self.lock();
+        state.runs.is_empty() && state.worklist.unlisted() == 0
+    }
+
+    fn step(self: &Arc<Self>) {
+        self.cancel_ended();
+        self.yield_slots();
+        if self.context.takes_batch() {
+            self.start_runs();
+        } else {
+            self.cancel_all();
+        }
+    }
+
+    /// Breaks off runs whose job is ended, or which another node has listed.
+    fn cancel_ended(&self) {
+        let ledger = self.context.ledger();
+        let mut state = self.lock();
+        state.worklist.forget_listed(&ledger);
+        let is_open = |job: &str| ledger.job(job).is_some_and(eel_ledger::Job::is_open);
+        for run in state.runs.values().filter(|run| !is_open(&run.job)) {
+            run.cancel.cancel();
+        }
+    }
+
+    /// Breaks off the youngest runs at targets where online requests need the slots.
+    fn yield_slots(&self) {
+        let now_ms = self.context.clock.now_ms();
+        let state = self.lock();
+        let mut by_target: HashMap<TargetKey, Vec<&Running>> = HashMap::new();
+        for run in state.runs.values().filter(|run| !run.cancel.is_cancelled()) {
+            by_target.entry(run.target).or_default().push(run);
+        }
+        for (target, mut runs) in by_target {
+            let incarnation = self.context.incarnation;
+            let read = |board: &eel_fleet::Board| board.excess_batch(now_ms, target, incarnation);
+            let excess = self
+                .context
+                .slots
+                .read(|dispatcher| read(dispatcher.board()));
+            runs.sort_by_key(|run| std::cmp::Reverse(run.started_ms));
+            for run in runs.into_iter().take(excess as usize) {
+                run.cancel.cancel();
+            }
+        }
+    }
+
+    fn cancel_all(&self) {
+        for run in self.lock().runs.values() {
+            run.cancel.cancel();
+        }
+    }
+
+    fn start_runs(self: &Arc<Self>) {
+        let now_ms = self.context.clock.now_ms();
+        let nodes: Vec<Name> = self.context.peers().batch_nodes(now_ms).cloned().collect();
+        let own = &self.context.name;
+        let is_mine = |job: &str| owner_of(job, nodes.iter().chain([own])) == Some(own);
+        let ledger = self.context.ledger();
+        let mut state = self.lock();
+        state.worklist.give_up(now_unix_ms(), &ledger, is_mine);
+        while state.runs.len() < self.parallel_items
+            && let Some(item) = state.worklist.next(&ledger, is_mine)
+            && let Some(started) = self.start(&mut state, &ledger, &item)
+        {
+            tokio::spawn(started);
+        }
+    }
+
+    /// Starts a run if a slot is idle.
+    fn start(
+        self: &Arc<Self>,
+        state: &mut State,
+        ledger: &Ledger,
+        item: &ItemRef,
+    ) -> Option<impl Future<Output = ()> + Send + 'static> {
+        let job = ledger.job(&item.job)?;
+        let (job_head, entry) = (
+            job.head()?.clone(),
+            job.items().get(item.item as usize)?.clone(),
+        );
+        let table = self.context.table.load();
+        let route = table.as_ref()?.find(&job_head.host, &entry.path)?;
+        let service = route.service_for(&entry.id)?;
+        let held = self
+            .context
+            .slots
+            .try_batch(service, stable_hash(&entry.id))?;
+        let cancel = CancellationToken::new();
+        let key = state.runs.insert(Running {
+            target: held.key,
+            job: item.job.clone(),
+            started_ms: self.context.clock.now_ms(),
+            cancel: cancel.clone(),
+        });
+        let progress = state.worklist.start(item);
+        let run = Run {
+            context: self.context.clone(),
+            head: job_head,
+            item: entry,
+            progress,
+        };
+        Some(self.clone().drive(key, item.clone(), run, held, cancel))
+    }
+
+    async fn drive(
+        self: Arc<Self>,
+        key: RunKey,
+        item: ItemRef,
+        mut run: Run,
+        held: Held,
+        cancel: CancellationToken,
+    ) {
+        let target = held.target.id.clone();
+        let resolved = tokio::select! {
+            resolved = run.run(held) => resolved,
+            () = cancel.cancelled() => run.broken_off(),
+        };
+        let outcome = match &resolved {
+            Resolved::Completed(_) => "completed",
+            Resolved::BrokenOff(_) => "broken_off",
+            Resolved::Failed(_) => "failed",
+            Resolved::Impossible => "impossible",
+        };
+        self.context.metrics.count_item(outcome);
+        let verdict = if outcome == "broken_off" {
+            Verdict::MayHaveRun
+        } else {
+            Verdict::Ran
+        };
+        log::info!(
+            target: "jobs", request_id = run.item.id.as_str(), job = item.job.as_str(), target_id = target.as_str(),
+            outcome, verdict = verdict.as_str(), yielded = cancel.is_cancelled();
+            "A run of an item ended."
+        );
+        let mut state = self.lock();
+        state.runs.remove(key);
+        state
+            .worklist
+            .resolve(&item, run.head.max_attempts, resolved);
+        drop(state);
+        self.context.batch_wake.notify_one();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/eel-gateway/src/http/answer.rs
@@ -0,0 +1,54 @@
+//! Answers to callers.
+
+use bytes::Bytes;
+use eel_platform::retry_after;
+use eel_verdict::Refusal;
+use futures_util::Stream;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::{BodyExt as _, Full, StreamBody, combinators::UnsyncBoxBody};
+use hyper::body::Frame;
+
+/// The header that says whether a refused request may have run.
+const VERDICT: &str = "x-eel-verdict";
+
+/// An answer that cannot be finished: the connection is cut, so that it does not look whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the answer broke off")]
+pub struct BrokenAnswer;
+
+/// The body of an answer.
+pub type Body = UnsyncBoxBody<Bytes, BrokenAnswer>;
+
+/// A body that is known as a whole.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// A body that comes piece by piece.
+pub fn streamed(pieces: impl Stream<Item = Result<Bytes, BrokenAnswer>> + Send + 'static) -> Body {
+    use futures_util::StreamExt as _;
+    StreamBody::new(pieces.map(|piece| piece.map(Frame::data))).boxed_unsync()
+}
+
+/// An answer without a body.
+pub fn empty(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(full(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+/// The final answer to a request that is given up on.
+pub fn refuse(refusal: &Refusal) -> Response<Body> {
+    let status =
+        StatusCode::from_u16(refusal.reason.http_status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = Response::new(full(format!("{refusal}\n")));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(VERDICT, HeaderValue::from_static(refusal.verdict.as_str()));
+    if let Some(retry_after_ms) = refusal.retry_after_ms {
+        headers.insert(header::RETRY_AFTER, retry_after(retry_after_ms));
+    }
+    response
+}
--- /dev/null
+++ b/eel-gateway/src/http/handler.rs
@@ -0,0 +1,81 @@
+//! Says what a request is and hands it on.
+
+use std::sync::Arc;
+
+use eel_platform::{JobCall, job_call};
+use eel_table::{Route, RouteKind, RouteTable};
+use eel_verdict::{Reason, Refusal};
+use http::{HeaderMap, Method, Request, Response, Uri, header};
+use hyper::body::Incoming;
+
+use super::{Body, BodyError, read_body, refuse};
+use crate::{batch, context::Context, online};
+
+/// When to come back to a node that does not know the routes yet, in ms: it reads them with its first call.
+const NO_ROUTES_RETRY_MS: u64 = 500;
+
+/// Answers one request.
+pub async fn handle(context: Arc<Context>, request: Request<Incoming>) -> Response<Body> {
+    if let Some(call) = job_call(request.method(), request.uri()) {
+        return call_job(&context, call, request.headers()).await;
+    }
+    let Some(table) = context.table.load_full() else {
+        return refuse(&Refusal::not_run(Reason::StoreUnavailable).retry_after(NO_ROUTES_RETRY_MS));
+    };
+    let Some(route) = find(&table, request.uri(), request.headers()) else {
+        return refuse(&no_route(&context));
+    };
+    let (head, body) = request.into_parts();
+    let body = match read_body(body, table.limits.body_bytes).await {
+        Ok(body) => body,
+        Err(error) => return refuse(&bad_body(error)),
+    };
+    match route.kind {
+        RouteKind::Batch { due_ms, give_up_ms } if head.method == Method::POST => {
+            let times = batch::Times { due_ms, give_up_ms };
+            batch::submit(&context, &route, times, &head.headers, &body).await
+        }
+        _ => online::serve(context, route, head, body).await,
+    }
+}
+
+async fn call_job(context: &Arc<Context>, call: JobCall, headers: &HeaderMap) -> Response<Body> {
+    match call {
+        JobCall::Results { job, from } => {
+            let wait_ms = eel_platform::wait_ms(headers);
+            batch::results(context, &job, from, wait_ms).await
+        }
+        JobCall::ItemBody { job, item } => batch::item_body(context, &job, &item).await,
+        JobCall::End { job } => batch::end(context, &job).await,
+    }
+}
+
+fn find(table: &RouteTable, uri: &Uri, headers: &HeaderMap) -> Option<Arc<Route>> {
+    let host = headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| uri.host())?;
+    let route = table.find(host, uri.path());
+    let without_port = || {
+        host.rsplit_once(':')
+            .and_then(|(host, _)| table.find(host, uri.path()))
+    };
+    route.or_else(without_port).cloned()
+}
+
+/// A node whose routes may be old cannot say that a route does not exist.
+fn no_route(context: &Context) -> Refusal {
+    if context.is_store_fresh() {
+        Refusal::not_run(Reason::UnknownService)
+    } else {
+        Refusal::not_run(Reason::StoreUnavailable).retry_after(NO_ROUTES_RETRY_MS)
+    }
+}
+
+fn bad_body(error: BodyError) -> Refusal {
+    Refusal::not_run(match error {
+        BodyError::TooLarge => Reason::TooLarge,
+        BodyError::Incomplete => Reason::BadRequest,
+        BodyError::Late => Reason::RequestTimeout,
+    })
+}
--- /dev/null
+++ b/eel-gateway/src/metrics.rs
@@ -0,0 +1,102 @@
+//! What the node counts.
+
+use eel_fleet::AttemptEnd;
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+
+/// Upper bounds of the latency buckets, in seconds: from a hop within a data centre to the longest deadline.
+const BUCKETS_S: [f64; 12] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0,
+];
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Outcome {
+    pub outcome: &'static str,
+}
+
+/// What the node counts.
+#[derive(Default)]
+pub struct Metrics {
+    pub requests: Family<Outcome, Counter>,
+    pub attempts: Family<Outcome, Counter>,
+    pub items: Family<Outcome, Counter>,
+    pub store_failures: Counter,
+    pub store_reachable: Gauge,
+    pub route_table_version: Gauge,
+    pub wait_seconds: Latency,
+    pub first_byte_seconds: Latency,
+}
+
+pub struct Latency(pub Histogram);
+
+impl Default for Latency {
+    fn default() -> Self {
+        Self(Histogram::new(BUCKETS_S))
+    }
+}
+
+impl Metrics {
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "requests",
+            "Online requests by outcome",
+            self.requests.clone(),
+        );
+        registry.register(
+            "attempts",
+            "Attempts at targets by outcome",
+            self.attempts.clone(),
+        );
+        registry.register(
+            "items",
+            "Runs of batch items by outcome",
+            self.items.clone(),
+        );
+        registry.register(
+            "store_failures",
+            "Failed calls to the store",
+            self.store_failures.clone(),
+        );
+        registry.register(
+            "store_reachable",
+            "Whether the store answers",
+            self.store_reachable.clone(),
+        );
+        registry.register(
+            "route_table_version",
+            "Version of the routes in force",
+            self.route_table_version.clone(),
+        );
+        registry.register(
+            "wait_seconds",
+            "Wait of requests for a slot",
+            self.wait_seconds.0.clone(),
+        );
+        registry.register(
+            "first_byte_seconds",
+            "Time from sending to the head of an answer",
+            self.first_byte_seconds.0.clone(),
+        );
+    }
+
+    pub fn count_request(&self, outcome: &'static str) {
+        self.requests.get_or_create(&Outcome { outcome }).inc();
+    }
+
+    pub fn count_item(&self, outcome: &'static str) {
+        self.items.get_or_create(&Outcome { outcome }).inc();
+    }
+
+    pub fn count_attempt(&self, end: AttemptEnd) {
+        let outcome = match end {
+            AttemptEnd::Answered => "answered",
+            AttemptEnd::Full => "full",
+            AttemptEnd::Failed => "failed",
+            AttemptEnd::BrokenOff => "broken_off",
+        };
+        self.attempts.get_or_create(&Outcome { outcome }).inc();
+    }
+}
--- /dev/null
+++ b/eel-gateway/src/node.rs
@@ -0,0 +1,296 @@
+//! The process as a whole: its start and its shutdown.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use eel_admin::HttpServer;
+use eel_fleet::NodeEntry;
+use eel_platform::{PlatformStore, StoreOptions};
+use eel_settings::GatewaySettings;
+use eel_supervise::{RestartPolicy, Shutdown, Supervisor};
+use error_stack::{Report, ResultExt as _};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    time::{Instant, interval, sleep, timeout},
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{
+    Error,
+    batch::Worker,
+    context::{Context, ContextOptions},
+    http::{serve_callers, serve_readiness},
+    reports,
+    store::{follow, keep_entry},
+};
+
+/// How long the node still takes connections after it has stopped being ready: the balancer asks each second and
+/// moves away after two answers.
+const LEAVE_NOTICE: Duration = Duration::from_millis(2_300);
+/// How often requests that wait and idle connections are looked at while nothing else happens.
+const TICK: Duration = Duration::from_millis(25);
+/// How often idle connections are looked at.
+const SWEEP: Duration = Duration::from_millis(500);
+/// The part of the drain time that is left for the process to end.
+const END_MARGIN: Duration = Duration::from_millis(500);
+
+/// A gateway node whose listeners are bound.
+pub struct GatewayNode {
+    context: Arc<Context>,
+    callers: Option<TcpListener>,
+    ready: Option<TcpListener>,
+    admin: TcpListener,
+    peers: Arc<UdpSocket>,
+    entry: NodeEntry,
+    settings: GatewaySettings,
+}
+
+impl GatewayNode {
+    /// Binds the listeners that `settings` name.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the store's client cannot be set up or a listener cannot be bound.
+    pub async fn bind(settings: &GatewaySettings) -> Result<Self, Report<Error>> {
+        let store = PlatformStore::new(&StoreOptions {
+            endpoint: settings.store.endpoint.as_str().to_owned(),
+            call_timeout_ms: settings.store.timeout_ms,
+        })
+        .change_context(Error::Client)?;
+        let callers = bind_optional(settings.listen.http).await?;
+        let ready = bind_optional(settings.listen.ready).await?;
+        let admin = bind(settings.listen.admin).await?;
+        let peers = reports::bind(settings.listen.peers)
+            .await
+            .change_context(Error::Bind)?;
+        let address = peers.local_addr().change_context(Error::Bind)?;
+        let context = Context::new(ContextOptions {
+            name: settings.node.name.clone(),
+            data_centre: settings.node.data_centre.clone(),
+            runs_batch: settings.batch.enabled,
+            store,
+            prefix: settings.store.prefix.clone(),
+        });
+        let entry = NodeEntry {
+            incarnation: context.incarnation,
+            token: context.token,
+            ip: address.ip(),
+            port: address.port(),
+            runs_batch: settings.batch.enabled,
+        };
+        Ok(Self {
+            context: Arc::new(context),
+            callers,
+            ready,
+            admin,
+            peers,
+            entry,
+            settings: settings.clone(),
+        })
+    }
+
+    /// Returns the address at which callers are served, if they are.
+    #[must_use]
+    pub fn http_address(&self) -> Option<SocketAddr> {
+        self.callers.as_ref()?.local_addr().ok()
+    }
+
+    /// Returns the address at which the balancer is answered, if it is.
+    #[must_use]
+    pub fn ready_address(&self) -> Option<SocketAddr> {
+        self.ready.as_ref()?.local_addr().ok()
+    }
+
+    /// Serves until `shutdown` says otherwise.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the admin pages cannot be served or a part of the process failed too often.
+    pub async fn run(self, shutdown: Shutdown) -> Result<(), Report<Error>> {
+        let context = self.context;
+        log::info!(
+            target: "node", name = context.name.as_str(), incarnation = context.incarnation, batch = context.runs_batch;
+            "The node has started."
+        );
+        let mut registry = eel_telemetry::metrics::registry();
+        context.metrics.register(&mut registry);
+        let ready_context = context.clone();
+        let is_ready =
+            move || ready_context.table.load().is_some() && !ready_context.leaving.is_cancelled();
+        let admin = HttpServer::start(self.admin, eel_admin::router(registry, is_ready))
+            .change_context(Error::Bind)?;
+        let stop = CancellationToken::new();
+        let closing = CancellationToken::new();
+        let connections = TaskTracker::new();
+        let mut supervisor = Supervisor::new(stop.clone(), RestartPolicy::default());
+        let worker = context
+            .runs_batch
+            .then(|| Worker::new(context.clone(), self.settings.batch.parallel_items));
+        let ttl_ms = self.settings.store.lease_ttl_ms;
+        spawn_parts(
+            &mut supervisor,
+            &context,
+            self.peers,
+            self.entry,
+            ttl_ms,
+            &stop,
+        );
+        if let Some(worker) = &worker {
+            spawn_worker(&mut supervisor, worker, &stop);
+        }
+        if let Some(ready) = self.ready {
+            tokio::spawn(serve_readiness(context.clone(), ready));
+        }
+        let takes_callers = self.callers.is_some();
+        if let Some(callers) = self.callers {
+            tokio::spawn(serve_callers(
+                context.clone(),
+                callers,
+                closing.clone(),
+                connections.clone(),
+            ));
+        }
+        let limit =
+            Duration::from_millis(self.settings.drain.timeout_ms).saturating_sub(END_MARGIN);
+        let outcome = tokio::select! {
+            ended = supervisor.join() => ended.change_context(Error::Supervisor),
+            () = drain(&context, worker.as_ref(), shutdown, &closing, &connections, takes_callers, limit) => Ok(()),
+        };
+        stop.cancel();
+        drop(admin);
+        log::info!(target: "node", "The node ends.");
+        outcome
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Report<Error>> {
+    TcpListener::bind(address)
+        .await
+        .change_context(Error::Bind)
+        .attach_with(|| format!("address {address}"))
+}
+
+async fn bind_optional(address: Option<SocketAddr>) -> Result<Option<TcpListener>, Report<Error>> {
+    match address {
+        Some(address) => bind(address).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+fn spawn_parts(
+    supervisor: &mut Supervisor,
+    context: &Arc<Context>,
+    socket: Arc<UdpSocket>,
+    entry: NodeEntry,
+    ttl_ms: u64,
+    stop: &CancellationToken,
+) {
+    spawn(supervisor, "store", context, stop, |context| async move {
+        follow(&context).await;
+    });
+    spawn(supervisor, "entry", context, stop, move |context| {
+        let entry = entry.clone();
+        async move {
+            keep_entry(&context, &entry, ttl_ms).await;
+            // The node leaves: the other parts go on until they are stopped.
+            std::future::pending::<()>().await;
+        }
+    });
+    let receiver = socket.clone();
+    spawn(supervisor, "reports out", context, stop, move |context| {
+        let socket = socket.clone();
+        async move { reports::send_reports(&context, &socket).await }
+    });
+    spawn(supervisor, "reports in", context, stop, move |context| {
+        let socket = receiver.clone();
+        async move { reports::receive_reports(&context, &socket).await }
+    });
+    spawn(supervisor, "clock", context, stop, |context| async move {
+        tick(&context).await;
+    });
+}
+
+fn spawn_worker(supervisor: &mut Supervisor, worker: &Arc<Worker>, stop: &CancellationToken) {
+    spawn(supervisor, "items", worker, stop, |worker| async move {
+        worker.run().await;
+    });
+    spawn(supervisor, "results", worker, stop, |worker| async move {
+        worker.list_results().await;
+    });
+}
+
+/// Runs a part over `shared` until the process ends.
+fn spawn<T, F>(
+    supervisor: &mut Supervisor,
+    name: &'static str,
+    shared: &Arc<T>,
+    stop: &CancellationToken,
+    part: impl Fn(Arc<T>) -> F + Send + Sync + 'static,
+) where
+    T: Send + Sync + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let shared = shared.clone();
+    let stop = stop.clone();
+    supervisor.spawn(name, move || {
+        let part = part(shared.clone());
+        let stop = stop.clone();
+        async move {
+            tokio::select! {
+                () = part => {}
+                () = stop.cancelled() => {}
+            }
+            Ok(())
+        }
+    });
+}
+
+/// Decides again about requests that wait, and closes idle connections.
+async fn tick(context: &Context) {
+    let mut ticks = interval(TICK);
+    let mut swept = Instant::now();
+    loop {
+        ticks.tick().await;
+        context.slots.update(|_| ());
+        if swept.elapsed() >= SWEEP {
+            swept = Instant::now();
+            context.pool.sweep(swept.into_std());
+        }
+    }
+}
+
+/// Waits for the order to end, then for the balancer to move away, then for open requests.
+async fn drain(
+    context: &Context,
+    worker: Option<&Arc<Worker>>,
+    shutdown: Shutdown,
+    closing: &CancellationToken,
+    connections: &TaskTracker,
+    takes_callers: bool,
+    limit: Duration,
+) {
+    tokio::select! {
+        () = shutdown.drain.cancelled() => {}
+        () = shutdown.now.cancelled() => return,
+    }
+    log::info!(target: "node", "The node leaves.");
+    context.leaving.cancel();
+    let finished = async {
+        if let Some(worker) = worker {
+            worker.leave().await;
+        }
+        if takes_callers {
+            sleep(LEAVE_NOTICE).await;
+        }
+        closing.cancel();
+        connections.close();
+        connections.wait().await;
+    };
+    tokio::select! {
+        done = timeout(limit, finished) => {
+            if done.is_err() {
+                log::warn!(target: "node", open = connections.len(); "Requests are still open at the end.");
+            }
+        }
+        () = shutdown.now.cancelled() => {}
+    }
+}
--- /dev/null
+++ b/eel-gateway/src/online/plan.rs
@@ -0,0 +1,121 @@
+//! What follows an attempt that brought no answer, and how long an attempt may take. No input or output.
+
+use std::time::Duration;
+
+use eel_table::{Route, RouteKind};
+use eel_verdict::{Reason, Refusal, Verdict};
+
+use crate::target::Failure;
+
+/// The goals that an attempt may take before another target is asked instead, where that is allowed.
+const GOALS_OF_PATIENCE: u32 = 3;
+/// The shortest and longest patience with one target.
+const LEAST_PATIENCE: Duration = Duration::from_millis(200);
+const MOST_PATIENCE: Duration = Duration::from_millis(800);
+/// How often a request that did not run may be sent anew: each time a target refused it or could not be reached.
+const MAX_NOT_RUN: u32 = 6;
+
+/// The attempts of one request so far.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempts {
+    /// The attempts that may have run.
+    pub may_have_run: u32,
+    not_run: u32,
+    verdict: Verdict,
+    last: Reason,
+}
+
+impl Default for Attempts {
+    fn default() -> Self {
+        Self {
+            may_have_run: 0,
+            not_run: 0,
+            verdict: Verdict::NotRun,
+            last: Reason::NoTarget,
+        }
+    }
+}
+
+impl Attempts {
+    /// Takes in a failed attempt.
+    pub fn on_failure(&mut self, failure: Failure) {
+        let verdict = failure.verdict();
+        self.verdict = self.verdict.and(verdict);
+        self.last = match failure {
+            Failure::NoConnection | Failure::OtherTarget => Reason::NoTarget,
+            Failure::Full => Reason::Overloaded,
+            Failure::Broken => Reason::TargetFailed,
+            Failure::Late => Reason::DeadlineExceeded,
+        };
+        if verdict == Verdict::NotRun {
+            self.not_run += 1;
+        } else {
+            self.may_have_run += 1;
+        }
+    }
+
+    /// Returns whether another target may be asked.
+    #[must_use]
+    pub fn may_go_on(&self, route: &Route) -> bool {
+        let is_allowed = self.verdict.allows_retry(route.kind.is_repeatable());
+        is_allowed && self.may_have_run < route.max_attempts && self.not_run < MAX_NOT_RUN
+    }
+
+    /// Returns how long the next attempt may stay without an answer; `None` for as long as the caller waits.
+    #[must_use]
+    pub fn patience(&self, route: &Route) -> Option<Duration> {
+        let can_ask_another =
+            route.kind.is_repeatable() && self.may_have_run + 1 < route.max_attempts;
+        let goal = Duration::from_millis(route.goal_ms);
+        can_ask_another.then(|| (goal * GOALS_OF_PATIENCE).clamp(LEAST_PATIENCE, MOST_PATIENCE))
+    }
+
+    /// Returns how long a stream that can be resumed may pause; `None` for as long as the caller waits.
+    #[must_use]
+    pub fn pause(&self, route: &Route) -> Option<Duration> {
+        let RouteKind::Stream {
+            resumable: true,
+            event_gap_ms,
+        } = route.kind
+        else {
+            return None;
+        };
+        let gap = Duration::from_millis(event_gap_ms);
+        let can_ask_another = self.may_have_run + 1 < route.max_attempts;
+        can_ask_another.then(|| (gap * GOALS_OF_PATIENCE).clamp(LEAST_PATIENCE, MOST_PATIENCE))
+    }
+
+    /// The final answer without a result.
+    #[must_use]
+    pub fn give_up(&self) -> Refusal {
+        self.refuse(self.last, None)
+    }
+
+    /// The final answer to a request that found no slot.
+    #[must_use]
+    pub fn reject(&self, retry_after_ms: u64) -> Refusal {
+        self.refuse(Reason::Overloaded, Some(retry_after_ms))
+    }
+
+    /// The final answer to a request whose time is up.
+    #[must_use]
+    pub fn time_out(&self) -> Refusal {
+        self.refuse(Reason::DeadlineExceeded, None)
+    }
+
+    /// A status that promises "not run" is given only with proof.
+    fn refuse(&self, reason: Reason, retry_after_ms: Option<u64>) -> Refusal {
+        let has_run = self.verdict != Verdict::NotRun;
+        let promises = matches!(reason.http_status(), 408 | 421 | 429 | 503);
+        let reason = if has_run && promises {
+            Reason::TargetFailed
+        } else {
+            reason
+        };
+        Refusal {
+            verdict: self.verdict,
+            reason,
+            retry_after_ms: retry_after_ms.filter(|_| !has_run),
+        }
+    }
+}
--- /dev/null
+++ b/eel-gateway/src/online/run.rs
@@ -0,0 +1,62 @@
+//! The attempts of one request, until a target answers or the request is given up on.
+
+use std::time::Instant;
+
+use eel_verdict::Refusal;
+
+use super::{plan::Attempts, request::Request};
+use crate::target::{Answer, exchange};
+
+/// Asks targets until one answers.
+///
+/// # Errors
+///
+/// The final answer without a result.
+pub async fn ask(
+    request: &mut Request,
+    attempts: &mut Attempts,
+    last_event_id: Option<u64>,
+) -> Result<Answer, Refusal> {
+    loop {
+        let now = Instant::now();
+        if now >= request.deadline {
+            return Err(attempts.time_out());
+        }
+        let held = request
+            .place()
+            .await
+            .map_err(|rejected| attempts.reject(rejected.retry_after_ms))?;
+        let (key, target) = (held.key, held.target.id.clone());
+        let patience = attempts.patience(&request.route);
+        let now = Instant::now();
+        let until = patience.map_or(request.deadline, |patience| {
+            (now + patience).min(request.deadline)
+        });
+        let pool = &request.context.pool;
+        let answered = exchange(
+            pool,
+            held,
+            &request.outgoing,
+            last_event_id,
+            until,
+            request.deadline,
+        )
+        .await;
+        match answered {
+            Ok(answer) => return Ok(answer),
+            Err(failure) => {
+                attempts.on_failure(failure);
+                log::info!(
+                    target: "online", request_id = request.outgoing.request_id.as_str(), target_id = target.as_str(),
+                    attempt_ms = u64::try_from(now.elapsed().as_millis()).unwrap_or(u64::MAX),
+                    verdict = failure.verdict().as_str(), again = attempts.may_go_on(&request.route);
+                    "An attempt brought no answer: {failure}."
+                );
+                request.exclude(key);
+                if !attempts.may_go_on(&request.route) {
+                    return Err(attempts.give_up());
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/eel-gateway/src/online/stream.rs
@@ -0,0 +1,140 @@
+//! Streams: events go to the caller as they come, and a stream that can be resumed goes on at another target.
+
+use std::time::Instant;
+
+use bytes::{Bytes, BytesMut};
+use eel_platform::event_id;
+use eel_table::RouteKind;
+use futures_util::stream::unfold;
+use http::Response;
+
+use super::{plan::Attempts, request::Request, run::ask, serve::to_response};
+use crate::{
+    http::{Body, BrokenAnswer, streamed},
+    target::{Answer, Failure},
+};
+
+const EVENT_END: &[u8] = b"\n\n";
+
+/// One stream on its way to the caller; dropping it ends the target's work.
+struct Relay {
+    request: Request,
+    attempts: Attempts,
+    answer: Option<Answer>,
+    /// Bytes after the last whole event; used only where the stream can be resumed.
+    partial: BytesMut,
+    last_event_id: Option<u64>,
+    is_resumable: bool,
+}
+
+/// Passes on the stream that `answer` begins.
+pub fn relay(request: Request, attempts: Attempts, answer: Answer) -> Response<Body> {
+    let is_resumable = matches!(
+        request.route.kind,
+        RouteKind::Stream {
+            resumable: true,
+            ..
+        }
+    );
+    let (status, headers) = (answer.status, answer.headers.clone());
+    let relay = Relay {
+        last_event_id: request.last_event_id,
+        request,
+        attempts,
+        answer: Some(answer),
+        partial: BytesMut::new(),
+        is_resumable,
+    };
+    let pieces = unfold(relay, |mut relay| async move {
+        let piece = relay.next().await.transpose()?;
+        Some((piece, relay))
+    });
+    to_response(status, &headers, streamed(pieces))
+}
+
+impl Relay {
+    /// Returns the next bytes for the caller; `None` after the last ones.
+    async fn next(&mut self) -> Result<Option<Bytes>, BrokenAnswer> {
+        loop {
+            let Some(answer) = &mut self.answer else {
+                return Ok(None);
+            };
+            let pause = self.attempts.pause(&self.request.route);
+            let deadline = self.request.deadline;
+            let until = pause.map_or(deadline, |pause| (Instant::now() + pause).min(deadline));
+            match answer.next(until).await {
+                Ok(Some(bytes)) if self.is_resumable => {
+                    if let Some(events) = self.whole_events(&bytes) {
+                        return Ok(Some(events));
+                    }
+                }
+                Ok(Some(bytes)) => return Ok(Some(bytes)),
+                Ok(None) if self.partial.is_empty() => {
+                    self.finish();
+                    return Ok(None);
+                }
+                Ok(None) => self.resume(Failure::Broken).await?,
+                Err(failure) => self.resume(failure).await?,
+            }
+        }
+    }
+
+    /// Takes in bytes and returns the events that are whole now.
+    fn whole_events(&mut self, bytes: &Bytes) -> Option<Bytes> {
+        self.partial.extend_from_slice(bytes);
+        let end = find_last(&self.partial, EVENT_END)? + EVENT_END.len();
+        let events = self.partial.split_to(end).freeze();
+        let last = last_event_id(&events[..events.len() - EVENT_END.len()]);
+        self.last_event_id = last.or(self.last_event_id);
+        Some(events)
+    }
+
+    fn finish(&mut self) {
+        if let Some(answer) = self.answer.take() {
+            answer.finish(&self.request.context.pool);
+        }
+    }
+
+    /// Goes on at another target after the last whole event, or breaks the caller's answer off.
+    async fn resume(&mut self, failure: Failure) -> Result<(), BrokenAnswer> {
+        self.partial.clear();
+        self.attempts.on_failure(failure);
+        let may_go_on = self.is_resumable && self.attempts.may_go_on(&self.request.route);
+        if let Some(mut answer) = self.answer.take() {
+            self.request.exclude(answer.held.key);
+            answer.fail(failure);
+        }
+        log::info!(
+            target: "online", request_id = self.request.outgoing.request_id.as_str(),
+            last_event_id = self.last_event_id.unwrap_or(0), resumes = may_go_on;
+            "A stream broke off: {failure}."
+        );
+        if !may_go_on || Instant::now() >= self.request.deadline {
+            return Err(BrokenAnswer);
+        }
+        let answer = ask(&mut self.request, &mut self.attempts, self.last_event_id).await;
+        let answer = answer.map_err(|refusal| {
+            log::info!(
+                target: "online", request_id = self.request.outgoing.request_id.as_str();
+                "A stream cannot be resumed: {refusal}."
+            );
+            BrokenAnswer
+        })?;
+        if !answer.status.is_success() {
+            return Err(BrokenAnswer);
+        }
+        self.answer = Some(answer);
+        Ok(())
+    }
+}
+
+fn last_event_id(events: &[u8]) -> Option<u64> {
+    let start = find_last(events, EVENT_END).map_or(0, |at| at + EVENT_END.len());
+    event_id(&events[start..])
+}
+
+fn find_last(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
+    bytes
+        .windows(pattern.len())
+        .rposition(|window| window == pattern)
+}
--- /dev/null
+++ b/eel-gateway/src/reports.rs
@@ -0,0 +1,95 @@
+//! Load reports between nodes: small datagrams, the newest of which counts.
+//!
+//! A report replaces the one before, so a lost datagram costs nothing that the next does not mend, and there is no
+//! connection that could go silent.
+
+use std::{io, sync::Arc, time::Duration};
+
+use eel_fleet::PeerReport;
+use tokio::{
+    net::UdpSocket,
+    time::{Instant, sleep, sleep_until},
+};
+
+use crate::context::Context;
+
+/// The time between two reports while nothing changes.
+const INTERVAL: Duration = Duration::from_millis(200);
+/// The shortest time between two reports: a tenth of a request's usual run time holds several.
+const LEAST_INTERVAL: Duration = Duration::from_millis(15);
+/// The largest report: one that takes more would not fit into a packet.
+const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// The pause after an error of the socket.
+const ERROR_PAUSE: Duration = Duration::from_millis(20);
+
+/// Sends reports, at once after changes and regularly without.
+pub(crate) async fn send_reports(context: &Context, socket: &UdpSocket) {
+    for sequence in 1.. {
+        let last = Instant::now();
+        let mut report = context
+            .slots
+            .report(context.incarnation, sequence, context.takes_batch());
+        let receivers: Vec<_> = context.peers().receivers().collect();
+        for (address, token) in receivers {
+            report.token = token;
+            send(socket, &report, address).await;
+        }
+        tokio::select! {
+            () = sleep_until(last + INTERVAL) => {}
+            () = context.slots.load_changed.notified() => sleep_until(last + LEAST_INTERVAL).await,
+        }
+    }
+}
+
+async fn send(socket: &UdpSocket, report: &PeerReport, address: std::net::SocketAddr) {
+    match report.encode() {
+        Ok(datagram) if datagram.len() > MAX_DATAGRAM_BYTES => {
+            log::warn!(target: "peers", bytes = datagram.len(); "A load report is too large and is not sent.");
+        }
+        Ok(datagram) => {
+            if let Err(error) = socket.send_to(&datagram, address).await {
+                log::debug!(target: "peers", "A load report to {address} is not sent: {error}.");
+            }
+        }
+        Err(error) => log::error!(target: "peers", "{error}."),
+    }
+}
+
+/// Takes in the reports of other nodes.
+pub(crate) async fn receive_reports(context: &Context, socket: &UdpSocket) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, sender)) => match PeerReport::decode(&buffer[..length]) {
+                Ok(report) if report.token == context.token => on_report(context, &report),
+                _ => {
+                    log::debug!(target: "peers", "A datagram from {sender} is no report for this node.");
+                }
+            },
+            Err(error) => {
+                log::debug!(target: "peers", "Reports cannot be received: {error}.");
+                sleep(ERROR_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn on_report(context: &Context, report: &PeerReport) {
+    let now_ms = context.clock.now_ms();
+    context.peers().on_report(now_ms, report);
+    context
+        .slots
+        .update(|dispatcher| dispatcher.on_report(now_ms, report));
+    if context.runs_batch {
+        context.batch_wake.notify_one();
+    }
+}
+
+/// Binds the socket for reports.
+///
+/// # Errors
+///
+/// If the address cannot be bound.
+pub(crate) async fn bind(address: std::net::SocketAddr) -> io::Result<Arc<UdpSocket>> {
+    UdpSocket::bind(address).await.map(Arc::new)
+}
--- /dev/null
+++ b/eel-gateway/src/slots.rs
@@ -0,0 +1,241 @@
+//! The decisions on slots, shared by all tasks of the node.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use eel_fleet::{
+    Arrival, AttemptEnd, Decision, Dispatcher, Due, PeerReport, TargetEntry, TargetKey, TicketKey,
+    Wish, Work,
+};
+use eel_types::{Clock, Name};
+use tokio::sync::{Notify, oneshot};
+
+use crate::metrics::Metrics;
+
+/// The dispatcher, and the requests that wait for it.
+pub(crate) struct Slots {
+    clock: Clock,
+    data_centre: Name,
+    metrics: Arc<Metrics>,
+    inner: Mutex<Inner>,
+    /// Told after each change of this node's load.
+    pub(crate) load_changed: Notify,
+}
+
+struct Inner {
+    dispatcher: Dispatcher,
+    waiters: HashMap<(Name, TicketKey), oneshot::Sender<Result<TargetKey, Rejected>>>,
+}
+
+/// A request found no slot and did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Rejected {
+    pub(crate) retry_after_ms: u64,
+}
+
+/// A slot at a target, given back on drop.
+pub(crate) struct Held {
+    slots: Arc<Slots>,
+    pub(crate) key: TargetKey,
+    pub(crate) target: TargetEntry,
+    work: Work,
+    started_ms: u64,
+    end: AttemptEnd,
+}
+
+impl Slots {
+    pub(crate) fn new(clock: Clock, data_centre: Name, metrics: Arc<Metrics>) -> Arc<Self> {
+        let dispatcher = Dispatcher::new(data_centre.clone());
+        Arc::new(Self {
+            clock,
+            data_centre,
+            metrics,
+            inner: Mutex::new(Inner {
+                dispatcher,
+                waiters: HashMap::new(),
+            }),
+            load_changed: Notify::new(),
+        })
+    }
+
+    /// Waits for a slot for an online request.
+    pub(crate) async fn place(self: &Arc<Self>, arrival: Arrival<'_>) -> Result<Held, Rejected> {
+        let now_ms = self.clock.now_ms();
+        let service = arrival.service.clone();
+        let (ticket, receiver) = {
+            let mut inner = self.lock();
+            match inner.dispatcher.arrive(now_ms, arrival) {
+                Decision::Start(key) => return self.held(&inner, key, Work::Online),
+                Decision::Reject { retry_after_ms } => return Err(Rejected { retry_after_ms }),
+                Decision::Wait(ticket) => {
+                    let (send, receive) = oneshot::channel();
+                    inner.waiters.insert((service.clone(), ticket), send);
+                    (ticket, receive)
+                }
+            }
+        };
+        self.load_changed.notify_one();
+        let waiter = Waiter {
+            slots: self,
+            service,
+            ticket,
+        };
+        let decided = receiver.await;
+        drop(waiter);
+        let waited_ms = self.clock.now_ms().saturating_sub(now_ms);
+        self.metrics.wait_seconds.0.observe(ms_to_s(waited_ms));
+        match decided {
+            Ok(Ok(key)) => self.held(&self.lock(), key, Work::Online),
+            Ok(Err(rejected)) => Err(rejected),
+            Err(_) => Err(Rejected { retry_after_ms: 0 }),
+        }
+    }
+
+    /// Takes a slot for a batch item if one is idle and no online request waits for the service.
+    pub(crate) fn try_batch(self: &Arc<Self>, service: &Name, spread: u64) -> Option<Held> {
+        let now_ms = self.clock.now_ms();
+        let mut inner = self.lock();
+        if inner.dispatcher.is_online_waiting(now_ms, service) {
+            return None;
+        }
+        let wish = Wish {
+            work: Work::Batch,
+            data_centre: &self.data_centre,
+            excluded: &[],
+            spread,
+        };
+        let key = inner.dispatcher.board().choose(now_ms, service, &wish)?;
+        inner.dispatcher.board_mut().start(now_ms, key, Work::Batch);
+        self.held(&inner, key, Work::Batch).ok()
+    }
+
+    /// Changes what is known of targets and peers, and then starts what can start.
+    pub(crate) fn update<T>(&self, change: impl FnOnce(&mut Dispatcher) -> T) -> T {
+        let mut inner = self.lock();
+        let outcome = change(&mut inner.dispatcher);
+        self.pump(&mut inner);
+        outcome
+    }
+
+    /// Reads what is known.
+    pub(crate) fn read<T>(&self, read: impl FnOnce(&Dispatcher) -> T) -> T {
+        read(&self.lock().dispatcher)
+    }
+
+    /// Returns what this node tells its peers, but for the token.
+    pub(crate) fn report(&self, sender: u64, sequence: u64, takes_batch: bool) -> PeerReport {
+        let inner = self.lock();
+        PeerReport {
+            token: 0,
+            sender,
+            sequence,
+            takes_batch,
+            targets: inner.dispatcher.board().own_loads(),
+            waiting: inner.dispatcher.own_waiting(),
+        }
+    }
+
+    fn held(self: &Arc<Self>, inner: &Inner, key: TargetKey, work: Work) -> Result<Held, Rejected> {
+        let target = inner.dispatcher.board().entry(key).cloned();
+        let target = target.ok_or(Rejected { retry_after_ms: 0 })?;
+        self.load_changed.notify_one();
+        Ok(Held {
+            slots: self.clone(),
+            key,
+            target,
+            work,
+            started_ms: self.clock.now_ms(),
+            end: AttemptEnd::BrokenOff,
+        })
+    }
+
+    fn pump(&self, inner: &mut Inner) {
+        let now_ms = self.clock.now_ms();
+        for due in inner.dispatcher.due(now_ms) {
+            let Due {
+                service,
+                ticket,
+                target,
+                retry_after_ms,
+            } = due;
+            let waiter = inner.waiters.remove(&(service, ticket));
+            let decided = target.ok_or(Rejected { retry_after_ms });
+            let is_taken = waiter.is_some_and(|waiter| waiter.send(decided).is_ok());
+            if let (false, Some(key)) = (is_taken, target) {
+                inner
+                    .dispatcher
+                    .board_mut()
+                    .end(now_ms, key, Work::Online, AttemptEnd::BrokenOff);
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Takes a request out of the queue when its caller leaves.
+struct Waiter<'a> {
+    slots: &'a Slots,
+    service: Name,
+    ticket: TicketKey,
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        let mut inner = self.slots.lock();
+        inner.dispatcher.cancel(&self.service, self.ticket);
+        inner.waiters.remove(&(self.service.clone(), self.ticket));
+    }
+}
+
+impl Held {
+    /// Says how the attempt ended; without it, this node broke it off.
+    pub(crate) fn set_end(&mut self, end: AttemptEnd) {
+        self.end = end;
+    }
+
+    /// Takes in that the target has said nothing for long.
+    pub(crate) fn on_silence(&self) {
+        let now_ms = self.slots.clock.now_ms();
+        self.slots
+            .lock()
+            .dispatcher
+            .board_mut()
+            .on_silence(now_ms, self.key);
+    }
+
+    /// Takes in a sign of life.
+    pub(crate) fn on_answer(&self) {
+        let run_ms = self.slots.clock.now_ms().saturating_sub(self.started_ms);
+        self.slots
+            .metrics
+            .first_byte_seconds
+            .0
+            .observe(ms_to_s(run_ms));
+        self.slots.lock().dispatcher.board_mut().on_answer(self.key);
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let now_ms = self.slots.clock.now_ms();
+        let run_time_ms = now_ms.saturating_sub(self.started_ms);
+        let mut inner = self.slots.lock();
+        let service = &self.target.service;
+        inner
+            .dispatcher
+            .end(now_ms, service, self.key, self.work, self.end, run_time_ms);
+        self.slots.metrics.count_attempt(self.end);
+        self.slots.pump(&mut inner);
+        self.slots.load_changed.notify_one();
+    }
+}
+
+fn ms_to_s(ms: u64) -> f64 {
+    const MS_PER_S: f64 = 1_000.0;
+    f64::from(u32::try_from(ms).unwrap_or(u32::MAX)) / MS_PER_S
+}
--- /dev/null
+++ b/eel-gateway/src/store/apply.rs
@@ -0,0 +1,175 @@
+//! Takes in values of the store.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use eel_fleet::NodeEntry;
+use eel_platform::{Subject, retired_node, route_table, subject, target_entry};
+use eel_store::KeyValuePair;
+use eel_types::Name;
+
+use crate::context::Context;
+
+const NODES: &str = "nodes/";
+
+/// Returns the key of a node's entry.
+pub(crate) fn node_key(prefix: &str, name: &str) -> String {
+    format!("{prefix}{NODES}{name}")
+}
+
+/// Returns the node whose entry stands under `key`.
+pub(crate) fn node_of<'a>(prefix: &str, key: &'a str) -> Option<&'a str> {
+    key.strip_prefix(prefix)?.strip_prefix(NODES)
+}
+
+/// Takes in a value that was written.
+pub(crate) fn on_put(context: &Context, pair: &KeyValuePair) {
+    match subject(&pair.key) {
+        Subject::RouteTable => put_routes(context, pair),
+        Subject::Target(id) => put_target(context, id, &pair.value),
+        Subject::Retirement(_) => on_retirement(context, &pair.key),
+        Subject::Other => put_own(context, pair),
+    }
+}
+
+/// Takes in that a key is gone.
+pub(crate) fn on_removed(context: &Context, key: &str) {
+    let now_ms = context.clock.now_ms();
+    match subject(key) {
+        Subject::Target(id) => remove_target(context, id),
+        Subject::RouteTable | Subject::Retirement(_) => {}
+        Subject::Other => match node_of(&context.prefix, key) {
+            Some(node) if *node == *context.name => context.entry_lost.notify_one(),
+            Some(node) => context.peers().on_removed(now_ms, node),
+            None => {
+                context.ledger().on_removed(key);
+                context.on_ledger_change();
+            }
+        },
+    }
+}
+
+/// Compares with all pairs that the store holds.
+pub(crate) fn retain_listed(context: &Context, pairs: &[KeyValuePair]) {
+    let now_ms = context.clock.now_ms();
+    let targets: Vec<Name> = pairs
+        .iter()
+        .filter_map(|pair| match subject(&pair.key) {
+            Subject::Target(id) => Some(id.into()),
+            _ => None,
+        })
+        .collect();
+    let gone = context.registry().retain_listed(now_ms, &targets);
+    for id in gone {
+        forget_target(context, &id);
+    }
+    let nodes = pairs
+        .iter()
+        .filter_map(|pair| node_of(&context.prefix, &pair.key));
+    let nodes: Vec<Name> = nodes.map(Name::from).collect();
+    context.peers().retain_listed(now_ms, &nodes);
+    if !nodes.contains(&context.name) {
+        context.entry_lost.notify_one();
+    }
+}
+
+/// Forgets targets whose entries did not come back after an outage of the store.
+pub(crate) fn expire_targets(context: &Context) {
+    let gone = context.registry().expire(context.clock.now_ms());
+    for id in gone {
+        forget_target(context, &id);
+    }
+}
+
+fn put_routes(context: &Context, pair: &KeyValuePair) {
+    let table = match route_table(&pair.value) {
+        Ok(table) => table,
+        Err(error) => {
+            log::error!(target: "routes", error:% = error; "New routes cannot be used; the old ones stay in force.");
+            return;
+        }
+    };
+    let in_force = context
+        .table
+        .load()
+        .as_ref()
+        .map_or(0, |table| table.version);
+    if context.table.load().is_some() && table.version <= in_force {
+        return;
+    }
+    log::info!(
+        target: "routes", version = table.version, previous = in_force, revision = pair.mod_revision.0;
+        "New routes are in force."
+    );
+    context
+        .metrics
+        .route_table_version
+        .set(i64::try_from(table.version).unwrap_or(i64::MAX));
+    context.table.store(Some(Arc::new(table)));
+    context.on_ledger_change();
+}
+
+fn put_target(context: &Context, id: &str, value: &[u8]) {
+    match target_entry(id, value) {
+        Ok(entry) => {
+            if context.registry().on_entry(entry.clone()) {
+                log::info!(
+                    target: "targets", target_id = id, service = entry.service.as_str(),
+                    draining = entry.is_draining, address:% = entry.address;
+                    "A target is listed."
+                );
+                context
+                    .slots
+                    .update(|dispatcher| dispatcher.board_mut().set_target(entry));
+                context.on_ledger_change();
+            }
+        }
+        Err(error) => {
+            log::warn!(target: "targets", target_id = id, error:% = error; "An entry names no target to use.");
+            remove_target(context, id);
+        }
+    }
+}
+
+fn remove_target(context: &Context, id: &str) {
+    let is_gone = context.registry().on_removed(context.clock.now_ms(), id);
+    if is_gone {
+        forget_target(context, id);
+    }
+}
+
+fn forget_target(context: &Context, id: &str) {
+    log::info!(target: "targets", target_id = id; "A target is gone.");
+    context
+        .slots
+        .update(|dispatcher| dispatcher.board_mut().remove_target(id));
+}
+
+fn on_retirement(context: &Context, key: &str) {
+    let Some(node) = retired_node(key) else {
+        return;
+    };
+    if *node == *context.name && !context.is_retiring.swap(true, Ordering::Relaxed) {
+        log::info!(target: "node", "The operator wants this node emptied.");
+    }
+    context.retirements().insert(node.into());
+    context.on_ledger_change();
+}
+
+fn put_own(context: &Context, pair: &KeyValuePair) {
+    if let Some(node) = node_of(&context.prefix, &pair.key) {
+        match NodeEntry::decode(&pair.value) {
+            Some(entry) if entry.incarnation != context.incarnation => {
+                context
+                    .peers()
+                    .on_entry(context.clock.now_ms(), &node.into(), entry);
+            }
+            Some(_) => {}
+            None => log::warn!(target: "peers", node; "A node's entry cannot be decoded."),
+        }
+        return;
+    }
+    let job = context.ledger().on_put(&pair.key, &pair.value);
+    if job.is_some() {
+        context.on_ledger_change();
+    }
+}
--- /dev/null
+++ b/eel-gateway/src/store/membership.rs
@@ -0,0 +1,79 @@
+//! The node's own entry in the store, under its lease.
+
+use std::time::Duration;
+
+use eel_fleet::NodeEntry;
+use eel_store::{KeyValue as _, Lease, LeaseId, Op, RejectReason, StoreError, StoreResult, Txn};
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::apply::{expire_targets, node_key};
+use crate::context::Context;
+
+/// The renewals in a lease's time to live.
+const RENEWALS: u64 = 3;
+/// The pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Keeps the node's entry in the store until the node leaves.
+pub(crate) async fn keep_entry(context: &Context, entry: &NodeEntry, ttl_ms: u64) {
+    let mut lease: Option<LeaseId> = None;
+    while !context.leaving.is_cancelled() {
+        let next = Instant::now() + Duration::from_millis(ttl_ms / RENEWALS);
+        let kept = match lease {
+            Some(id) => context.store.keep_alive(id).await,
+            None => publish(context, entry, ttl_ms).await,
+        };
+        expire_targets(context);
+        match kept {
+            Ok(kept) => {
+                context.on_store_answer();
+                lease = Some(kept.id);
+            }
+            Err(error) if is_lease_gone(*error.current_context()) => {
+                context.on_store_answer();
+                log::warn!(target: "store", "The node's lease ran out; it is listed anew.");
+                lease = None;
+                continue;
+            }
+            Err(error) => {
+                context.on_store_failure("keep the node's entry", error.current_context());
+                sleep(PAUSE).await;
+                continue;
+            }
+        }
+        tokio::select! {
+            () = sleep_until(next) => {}
+            () = context.entry_lost.notified() => lease = None,
+            () = context.leaving.cancelled() => {}
+        }
+    }
+    if let Some(lease) = lease {
+        withdraw(context, lease).await;
+    }
+}
+
+/// Ends the node's lease, so that others take over at once.
+async fn withdraw(context: &Context, lease: LeaseId) {
+    if let Err(error) = context.store.revoke(lease).await {
+        log::warn!(target: "store", error:% = error.current_context(); "The node's entry stays until its lease runs out.");
+    }
+}
+
+async fn publish(context: &Context, entry: &NodeEntry, ttl_ms: u64) -> StoreResult<Lease> {
+    let lease = context.store.grant_lease(ttl_ms).await?;
+    let put = Op::Put {
+        key: node_key(&context.prefix, &context.name),
+        value: entry.encode().into(),
+        lease: Some(lease.id),
+    };
+    let txn = Txn {
+        success: vec![put],
+        ..Txn::default()
+    };
+    context.store.commit(&txn).await?;
+    Ok(lease)
+}
+
+fn is_lease_gone(error: StoreError) -> bool {
+    matches!(error, StoreError::Rejected(RejectReason::LeaseGone))
+}
--- /dev/null
+++ b/eel-gateway/src/target/connection.rs
@@ -0,0 +1,57 @@
+//! One connection to a target.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+
+/// How long connecting may take: a lost packet would be sent again after a second, a new attempt is sooner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long sent data may stay unacknowledged before the connection counts as broken.
+const USER_TIMEOUT: Duration = Duration::from_millis(900);
+/// How often a connection that waits for an answer is probed.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+
+/// A connection to a target; dropping it closes it.
+pub struct Connection {
+    pub sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+}
+
+impl Connection {
+    /// Opens a connection to `address`.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be opened in time.
+    pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        let socket = SockRef::from(&stream);
+        socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+        socket.set_tcp_keepalive(
+            &TcpKeepalive::new()
+                .with_time(KEEP_ALIVE)
+                .with_interval(KEEP_ALIVE),
+        )?;
+        let (sender, connection) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        let task = tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!(target: "target", "A connection to {address} ended: {error}.");
+            }
+        });
+        Ok(Self { sender, task })
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- /dev/null
+++ b/eel-gateway/src/target/exchange.rs
@@ -0,0 +1,272 @@
+//! One request at one target.
+
+use std::{
+    convert::Infallible,
+    future::pending,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use eel_fleet::AttemptEnd;
+use eel_platform::{AnswerFields, AnswerKind, Forwarding, answer_fields, copy_request_headers};
+use eel_verdict::Verdict;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use tokio::time::{sleep, timeout_at};
+
+use super::{connection::Connection, pool::Pool};
+use crate::slots::Held;
+
+/// How long a target may leave a request without any answer before other requests avoid it.
+const SILENCE: Duration = Duration::from_millis(500);
+
+/// What is sent to a target.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub request_id: String,
+    /// Whether `headers` lack the request's id.
+    pub adds_id: bool,
+}
+
+/// The head of a target's answer, and what is needed to read the rest.
+pub struct Answer {
+    pub held: Held,
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub fields: AnswerFields,
+    pub body: Incoming,
+    connection: Option<Connection>,
+}
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Failure {
+    /// Nothing was sent.
+    #[error("the target cannot be reached")]
+    NoConnection,
+    /// The target is full and did not run the request.
+    #[error("the target is full")]
+    Full,
+    /// Another target has the address; the request did not run.
+    #[error("another target has the address")]
+    OtherTarget,
+    /// The answer is broken, or belongs to another request.
+    #[error("the answer is broken")]
+    Broken,
+    /// No answer came in time.
+    #[error("no answer came in time")]
+    Late,
+}
+
+impl Failure {
+    /// Says whether the request may have run.
+    pub fn verdict(self) -> Verdict {
+        match self {
+            Self::NoConnection | Self::Full | Self::OtherTarget => Verdict::NotRun,
+            Self::Broken | Self::Late => Verdict::MayHaveRun,
+        }
+    }
+
+    fn end(self) -> AttemptEnd {
+        match self {
+            Self::Full => AttemptEnd::Full,
+            Self::NoConnection | Self::OtherTarget | Self::Broken | Self::Late => {
+                AttemptEnd::Failed
+            }
+        }
+    }
+}
+
+/// Sends `outgoing` to the target that `held` has a slot at, and reads the head of its answer until `until`.
+///
+/// `deadline` is when the caller stops waiting, which the target is told; `last_event_id` resumes a stream.
+///
+/// # Errors
+///
+/// [`Failure`], with the verdict that it allows.
+pub async fn exchange(
+    pool: &Pool,
+    mut held: Held,
+    outgoing: &Outgoing,
+    last_event_id: Option<u64>,
+    until: Instant,
+    deadline: Instant,
+) -> Result<Answer, Failure> {
+    let sent = send(pool, &held, outgoing, last_event_id, until, deadline).await;
+    let (connection, response) = sent.inspect_err(|failure| held.set_end(failure.end()))?;
+    let (parts, body) = response.into_parts();
+    let fields = answer_fields(&outgoing.request_id, parts.status, &parts.headers);
+    if let Err(failure) = check(fields.kind) {
+        held.set_end(failure.end());
+        if !matches!(failure, Failure::Broken) && !fields.closes {
+            give_back(pool, &held, connection, &body, fields.keep_alive);
+        }
+        return Err(failure);
+    }
+    held.on_answer();
+    let connection = Some(connection);
+    Ok(Answer {
+        held,
+        status: parts.status,
+        headers: parts.headers,
+        fields,
+        body,
+        connection,
+    })
+}
+
+fn check(kind: AnswerKind) -> Result<(), Failure> {
+    match kind {
+        AnswerKind::Genuine => Ok(()),
+        AnswerKind::Full => Err(Failure::Full),
+        AnswerKind::OtherTarget => Err(Failure::OtherTarget),
+        AnswerKind::Foreign => Err(Failure::Broken),
+    }
+}
+
+async fn send(
+    pool: &Pool,
+    held: &Held,
+    outgoing: &Outgoing,
+    last_event_id: Option<u64>,
+    until: Instant,
+    deadline: Instant,
+) -> Result<(Connection, Response<Incoming>), Failure> {
+    let address = held.target.address;
+    let now = Instant::now();
+    let request = to_request(
+        held,
+        outgoing,
+        last_event_id,
+        deadline.saturating_duration_since(now),
+    );
+    let request = match pool.take(now, address) {
+        None => request,
+        Some(connection) => match try_send(connection, request, held, until).await {
+            Ok(sent) => return Ok(sent),
+            Err((failure, None)) => return Err(failure),
+            Err((_, Some(unsent))) => *unsent,
+        },
+    };
+    let connection = Connection::open(address).await.map_err(|error| {
+        log::debug!(target: "target", "No connection to {address}: {error}.");
+        Failure::NoConnection
+    })?;
+    try_send(connection, request, held, until)
+        .await
+        .map_err(|(failure, _)| failure)
+}
+
+type Unsent = Option<Box<Request<Full<Bytes>>>>;
+
+/// Sends a request; one that was not written at all comes back.
+async fn try_send(
+    mut connection: Connection,
+    request: Request<Full<Bytes>>,
+    held: &Held,
+    until: Instant,
+) -> Result<(Connection, Response<Incoming>), (Failure, Unsent)> {
+    let sending = connection.sender.try_send_request(request);
+    let silence = async {
+        sleep(SILENCE).await;
+        held.on_silence();
+        pending::<Infallible>().await
+    };
+    let sent = tokio::select! {
+        sent = timeout_at(until.into(), sending) => sent,
+        never = silence => match never {},
+    };
+    match sent {
+        Err(_) => Err((Failure::Late, None)),
+        Ok(Ok(response)) => Ok((connection, response)),
+        Ok(Err(mut error)) => {
+            let unsent = error.take_message();
+            let failure = if unsent.is_some() {
+                Failure::NoConnection
+            } else {
+                Failure::Broken
+            };
+            Err((failure, unsent.map(Box::new)))
+        }
+    }
+}
+
+fn to_request(
+    held: &Held,
+    outgoing: &Outgoing,
+    last_event_id: Option<u64>,
+    left: Duration,
+) -> Request<Full<Bytes>> {
+    let forwarding = Forwarding {
+        target_id: &held.target.id,
+        request_id: outgoing.adds_id.then_some(outgoing.request_id.as_str()),
+        deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1),
+        last_event_id,
+    };
+    let mut request = Request::new(Full::new(outgoing.body.clone()));
+    *request.method_mut() = outgoing.method.clone();
+    *request.uri_mut() = outgoing.uri.clone();
+    *request.headers_mut() = copy_request_headers(&outgoing.headers, &forwarding);
+    request
+}
+
+/// Keeps the connection of a refusal that has no body left to read.
+fn give_back(
+    pool: &Pool,
+    held: &Held,
+    connection: Connection,
+    body: &Incoming,
+    keep_alive: Option<Duration>,
+) {
+    if hyper::body::Body::is_end_stream(body) {
+        pool.put(Instant::now(), held.target.address, connection, keep_alive);
+    }
+}
+
+impl Answer {
+    /// Reads the next bytes until `until`; `None` after the last ones.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Broken`] if the answer breaks off, [`Failure::Late`] if nothing came until `until`.
+    pub async fn next(&mut self, until: Instant) -> Result<Option<Bytes>, Failure> {
+        loop {
+            let frame = timeout_at(until.into(), self.body.frame()).await;
+            match frame {
+                Err(_) => return Err(self.fail(Failure::Late)),
+                Ok(Some(Err(_))) => return Err(self.fail(Failure::Broken)),
+                Ok(None) => return Ok(None),
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Marks the answer as whole and keeps its connection.
+    pub fn finish(mut self, pool: &Pool) {
+        self.held.set_end(AttemptEnd::Answered);
+        let connection = self.connection.take();
+        if let Some(connection) = connection.filter(|_| !self.fields.closes) {
+            pool.put(
+                Instant::now(),
+                self.held.target.address,
+                connection,
+                self.fields.keep_alive,
+            );
+        }
+    }
+
+    /// Marks the answer as broken.
+    pub fn fail(&mut self, failure: Failure) -> Failure {
+        self.held.set_end(failure.end());
+        failure
+    }
+}
--- /dev/null
+++ b/eel-ledger/src/job.rs
@@ -0,0 +1,127 @@
+//! One job, as a node knows it.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+
+use crate::{Item, JobHead, ListedResult};
+
+/// One job. It counts as accepted once its head and all its items are known.
+#[derive(Clone, Debug, Default)]
+pub struct Job {
+    head: Option<JobHead>,
+    parts: BTreeMap<u32, Bytes>,
+    items: Vec<Item>,
+    early_chunks: BTreeMap<u32, Vec<ListedResult>>,
+    chunks: u32,
+    results: Vec<ListedResult>,
+    is_listed: Vec<bool>,
+    is_ended: bool,
+}
+
+impl Job {
+    /// Returns the head of an accepted job.
+    #[must_use]
+    pub fn head(&self) -> Option<&JobHead> {
+        self.head
+            .as_ref()
+            .filter(|head| self.items.len() == head.items as usize)
+    }
+
+    /// Returns the items; the body of a listed one is empty.
+    #[must_use]
+    pub fn items(&self) -> &[Item] {
+        &self.items
+    }
+
+    /// Returns the results in their final positions.
+    #[must_use]
+    pub fn results(&self) -> &[ListedResult] {
+        &self.results
+    }
+
+    /// Returns the number of the next chunk of results.
+    #[must_use]
+    pub fn next_chunk(&self) -> u32 {
+        self.chunks
+    }
+
+    /// Returns whether the item's result is listed.
+    #[must_use]
+    pub fn is_listed(&self, item: u32) -> bool {
+        self.is_listed.get(item as usize).copied().unwrap_or(false)
+    }
+
+    /// Returns whether its caller ended the job.
+    #[must_use]
+    pub fn is_ended(&self) -> bool {
+        self.is_ended
+    }
+
+    /// Returns whether items are still to be run.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !self.is_ended && self.head().is_some() && self.results.len() < self.items.len()
+    }
+
+    pub(crate) fn set_head(&mut self, head: JobHead) {
+        self.head = Some(head);
+        self.assemble();
+    }
+
+    pub(crate) fn set_part(&mut self, number: u32, value: Bytes) {
+        if self.items.is_empty() {
+            self.parts.insert(number, value);
+            self.assemble();
+        }
+    }
+
+    pub(crate) fn set_chunk(&mut self, number: u32, results: Vec<ListedResult>) {
+        if number < self.chunks {
+            return;
+        }
+        self.early_chunks.insert(number, results);
+        while let Some(results) = self.early_chunks.remove(&self.chunks) {
+            self.chunks += 1;
+            for result in results {
+                self.list(result);
+            }
+        }
+    }
+
+    pub(crate) fn set_ended(&mut self) {
+        self.is_ended = true;
+    }
+
+    fn list(&mut self, result: ListedResult) {
+        let index = result.item as usize;
+        if self.is_listed.len() <= index {
+            self.is_listed.resize(index + 1, false);
+        }
+        self.is_listed[index] = true;
+        if let Some(item) = self.items.get_mut(index) {
+            item.body = Bytes::new();
+        }
+        self.results.push(result);
+    }
+
+    fn assemble(&mut self) {
+        let Some(head) = &self.head else {
+            return;
+        };
+        if !self.items.is_empty() || self.parts.len() < head.parts as usize {
+            return;
+        }
+        let bytes: Vec<u8> = self.parts.values().flatten().copied().collect();
+        match postcard::from_bytes::<Vec<Item>>(&bytes) {
+            Ok(items) => self.items = items,
+            Err(_) => self.head = None,
+        }
+        self.parts.clear();
+        for index in 0..self.items.len() {
+            if self.is_listed.get(index).copied().unwrap_or(false) {
+                self.items[index].body = Bytes::new();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/eel-ledger/src/ledger.rs
@@ -0,0 +1,99 @@
+//! All jobs that a node knows.
+
+use std::collections::{BTreeMap, HashMap};
+
+use bytes::Bytes;
+use eel_types::Name;
+
+use crate::{
+    Job, JobKey, Keys,
+    entry::{JobHead, ListedResult},
+};
+
+/// All jobs that a node knows.
+#[derive(Debug)]
+pub struct Ledger {
+    keys: Keys,
+    jobs: HashMap<Name, Job>,
+    undecoded: u64,
+}
+
+impl Ledger {
+    /// Creates an empty ledger.
+    #[must_use]
+    pub fn new(keys: Keys) -> Self {
+        Self {
+            keys,
+            jobs: HashMap::new(),
+            undecoded: 0,
+        }
+    }
+
+    /// Returns the keys of jobs.
+    #[must_use]
+    pub fn keys(&self) -> &Keys {
+        &self.keys
+    }
+
+    /// Returns a job.
+    #[must_use]
+    pub fn job(&self, id: &str) -> Option<&Job> {
+        self.jobs.get(id)
+    }
+
+    /// Returns all jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = (&Name, &Job)> {
+        self.jobs.iter()
+    }
+
+    /// Returns how many values could not be decoded.
+    #[must_use]
+    pub fn undecoded(&self) -> u64 {
+        self.undecoded
+    }
+
+    /// Takes in a value of the store. Returns the job if the key is one of a job.
+    pub fn on_put(&mut self, key: &str, value: &Bytes) -> Option<Name> {
+        let parsed = self.keys.parse(key)?;
+        let (JobKey::Head(id) | JobKey::Part(id, _) | JobKey::Chunk(id, _) | JobKey::End(id)) =
+            parsed;
+        let id = Name::from(id);
+        let job = self.jobs.entry(id.clone()).or_default();
+        let is_decoded = match parsed {
+            JobKey::Head(_) => postcard::from_bytes::<JobHead>(value)
+                .map(|head| job.set_head(head))
+                .is_ok(),
+            JobKey::Chunk(_, number) => {
+                let results = postcard::from_bytes::<Vec<ListedResult>>(value);
+                results
+                    .map(|results| job.set_chunk(number, results))
+                    .is_ok()
+            }
+            JobKey::Part(_, number) => {
+                job.set_part(number, value.clone());
+                true
+            }
+            JobKey::End(_) => {
+                job.set_ended();
+                true
+            }
+        };
+        self.undecoded += u64::from(!is_decoded);
+        Some(id)
+    }
+
+    /// Takes in that a key is gone: a job without its head is forgotten.
+    pub fn on_removed(&mut self, key: &str) {
+        if let Some(JobKey::Head(id)) = self.keys.parse(key) {
+            self.jobs.remove(id);
+        }
+    }
+
+    /// Returns the open jobs in the order in which they are due.
+    #[must_use]
+    pub fn open_by_due(&self) -> BTreeMap<(u64, Name), &Job> {
+        let open = self.jobs.iter().filter(|(_, job)| job.is_open());
+        open.filter_map(|(id, job)| Some(((job.head()?.due_unix_ms, id.clone()), job)))
+            .collect()
+    }
+}
--- a/eel-settings/src/section.rs
+++ b/eel-settings/src/section.rs
@@ -52,6 +52,32 @@
             .unwrap_or_else(any_address)
     }
 
+    /// Reads the address and port to bind, if there is one.
+    pub fn optional_address(&mut self, key: &'static str) -> Option<SocketAddr> {
+        self.optional(key, ADDRESS, |text| SocketAddr::from_str(text).ok())
+    }
+
+    /// Reads a key prefix of the key-value service that ends with `/` and does not start with it.
+    pub fn bare_prefix(&mut self, key: &'static str, default: &str) -> Name {
+        let is_prefix = |text: &str| text.ends_with('/') && !text.starts_with('/');
+        let parse = |text: &str| is_prefix(text).then(|| Name::from(text));
+        self.optional(key, "a prefix that ends, but does not start, with /", parse)
+            .unwrap_or_else(|| default.into())
+    }
+
+    /// Reads one of a closed set of words.
+    pub fn choice<T: Copy>(&mut self, key: &'static str, choices: &[(&str, T)], default: T) -> T {
+        let words: Vec<&str> = choices.iter().map(|(word, _)| *word).collect();
+        let expected = format!("one of {}", words.join(", "));
+        let parse = |text: &str| {
+            choices
+                .iter()
+                .find(|(word, _)| *word == text)
+                .map(|(_, it)| *it)
+        };
+        self.optional(key, &expected, parse).unwrap_or(default)
+    }
+
     /// Reads a whole number in a range.
     pub fn number<T>(&mut self, key: &'static str, range: RangeInclusive<T>, default: T) -> T
     where
--- a/eel-settings/src/shared.rs
+++ b/eel-settings/src/shared.rs
@@ -79,11 +79,22 @@
     }
 }
 
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// For people: to standard error, or to the log file.
+    Text,
+    /// For machines: one JSON object a line to standard output, which never holds a request up.
+    Json,
+}
+
 /// `[telemetry]`: logs and traces.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TelemetrySettings {
     /// The least severe level that is logged.
     pub log_level: LevelFilter,
+    /// How log lines are written.
+    pub log_format: LogFormat,
     /// The log file; standard error if missing.
     pub log_file: Option<PathBuf>,
     /// The file that spans are appended to; none are written if missing.
@@ -97,6 +108,11 @@
         let mut section = document.section("telemetry");
         let settings = Self {
             log_level: section.level("log_level", LevelFilter::Info),
+            log_format: section.choice(
+                "log_format",
+                &[("text", LogFormat::Text), ("json", LogFormat::Json)],
+                LogFormat::Text,
+            ),
             log_file: section.optional_path("log_file"),
             trace_file: section.optional_path("trace_file"),
             trace_sample_percent: section.number("trace_sample_percent", 0..=100, 1),
--- a/eel-target/src/serve.rs
+++ b/eel-target/src/serve.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use eel_admit::{Arrival, Finish};
-use eel_telemetry::trace;
+use eel_telemetry::trace::{self, Span};
 use eel_types::RequestKey;
 use eel_verdict::{Reason, Refusal};
 use eel_wire::{
@@ -12,7 +12,7 @@
     message::{ReplyEnd, ReplyHead, ReplyRefused, ServeReply, ServeRequest},
 };
 use error_stack::{Report, ResultExt as _};
-use fastrace::Span;
+
 use futures_util::FutureExt as _;
 use quinn::SendStream;
 use reqwest::Response;
--- a/eel-telemetry/src/lib.rs
+++ b/eel-telemetry/src/lib.rs
@@ -1,6 +1,7 @@
 //! Logs, metrics and trace spans.
 
 mod error;
+mod json_lines;
 pub mod logs;
 pub mod metrics;
 pub mod trace;
--- a/eel-telemetry/src/logs.rs
+++ b/eel-telemetry/src/logs.rs
@@ -6,7 +6,7 @@
 use fern::Dispatch;
 use log::LevelFilter;
 
-use crate::Error;
+use crate::{Error, json_lines::JsonLines};
 
 /// Where log lines go and which.
 #[derive(Clone, Debug)]
@@ -17,6 +17,18 @@
     pub file: Option<PathBuf>,
 }
 
+/// Installs a logger that writes one JSON object a line to standard output and never blocks.
+///
+/// # Errors
+///
+/// [`Error::LoggerInstalled`] on a second call or if its thread cannot be started.
+pub fn install_json(level: LevelFilter) -> Result<(), Report<Error>> {
+    let lines = JsonLines::start(level).change_context(Error::LoggerInstalled)?;
+    log::set_boxed_logger(Box::new(lines)).change_context(Error::LoggerInstalled)?;
+    log::set_max_level(level);
+    Ok(())
+}
+
 /// Installs the process's logger.
 ///
 /// # Errors
--- a/eel-telemetry/src/trace.rs
+++ b/eel-telemetry/src/trace.rs
@@ -3,15 +3,28 @@
 //! Source of the header format: W3C Trace Context, <https://www.w3.org/TR/trace-context/>.
 
 use std::{
+    collections::HashMap,
     fs::{File, OpenOptions},
     io::{BufWriter, Write},
     path::Path,
+    sync::{Mutex, MutexGuard, OnceLock, PoisonError},
+    time::{SystemTime, UNIX_EPOCH},
 };
 
 use error_stack::{Report, ResultExt as _};
-use fastrace::{
-    Span,
-    collector::{Config, Reporter, SpanContext, SpanRecord},
+use opentelemetry::{
+    Context, KeyValue,
+    global::{self, BoxedSpan},
+    propagation::TextMapPropagator as _,
+    trace::{
+        Span as _, SpanContext, SpanId, TraceContextExt as _, TraceFlags, TraceId, TraceState,
+        Tracer as _,
+    },
+};
+use opentelemetry_sdk::{
+    error::{OTelSdkError, OTelSdkResult},
+    propagation::TraceContextPropagator,
+    trace::{SdkTracerProvider, SpanData, SpanExporter},
 };
 use serde::Serialize;
 
@@ -20,7 +33,33 @@
 /// The header that carries a trace context.
 pub const TRACEPARENT: &str = "traceparent";
 
-/// Installs a reporter that appends each finished span to the file at `path`, as one JSON object a line.
+const TRACER: &str = "eelgrassgap";
+
+static PROVIDER: OnceLock<SdkTracerProvider> = OnceLock::new();
+
+/// The span of one hop; dropping it ends it.
+pub struct Span(Mutex<BoxedSpan>);
+
+impl Span {
+    /// Adds a property to the span, if it is recorded.
+    pub fn add_property(&self, property: impl FnOnce() -> (&'static str, String)) {
+        let mut span = self.lock();
+        if span.is_recording() {
+            let (key, value) = property();
+            span.set_attribute(KeyValue::new(key, value));
+        }
+    }
+
+    fn context(&self) -> SpanContext {
+        self.lock().span_context().clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BoxedSpan> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Installs an exporter that appends each finished span to the file at `path`, as one JSON object a line.
 ///
 /// # Errors
 ///
@@ -31,60 +70,98 @@
         .append(true)
         .open(path)
         .change_context(Error::File)?;
-    let reporter = FileReporter {
-        file: BufWriter::new(file),
+    let exporter = FileExporter {
+        file: Mutex::new(BufWriter::new(file)),
     };
-    fastrace::set_reporter(reporter, Config::default());
+    let provider = SdkTracerProvider::builder()
+        .with_simple_exporter(exporter)
+        .build();
+    global::set_tracer_provider(provider.clone());
+    if PROVIDER.set(provider).is_err() {
+        log::warn!(target: "trace", "A span file was installed before; the newer one is used.");
+    }
     Ok(())
 }
 
-/// Hands every finished span to the reporter; called before the process ends.
+/// Writes out every finished span; called before the process ends.
 pub fn flush() {
-    fastrace::flush();
+    let Some(provider) = PROVIDER.get() else {
+        return;
+    };
+    if let Err(error) = provider.force_flush() {
+        log::warn!(target: "trace", "Spans cannot be written: {error}.");
+    }
 }
 
 /// Takes the trace context of a `traceparent` header, or starts a trace that is recorded if `sampled`.
 #[must_use]
 pub fn context(traceparent: Option<&str>, sampled: bool) -> SpanContext {
     traceparent
-        .and_then(SpanContext::decode_w3c_traceparent)
-        .unwrap_or_else(|| SpanContext::random().sampled(sampled))
+        .and_then(decode)
+        .unwrap_or_else(|| random_context(sampled))
 }
 
 /// Starts the span of one hop.
+#[must_use]
 pub fn hop(name: &'static str, parent: SpanContext) -> Span {
-    Span::root(name, parent)
+    let parent = Context::new().with_remote_span_context(parent);
+    Span(Mutex::new(
+        global::tracer(TRACER).start_with_context(name, &parent),
+    ))
+}
+
+/// Starts a span within `parent`.
+#[must_use]
+pub fn child(name: &'static str, parent: &Span) -> Span {
+    hop(name, parent.context())
 }
 
 /// Returns the `traceparent` header for the next hop after `span`, if the span is recorded.
 #[must_use]
 pub fn traceparent(span: &Span) -> Option<String> {
-    SpanContext::from_span(span).map(|context| context.encode_w3c_traceparent())
+    let context = span.context();
+    let flags = context.trace_flags().to_u8();
+    context.is_sampled().then(|| {
+        format!(
+            "00-{}-{}-{flags:02x}",
+            context.trace_id(),
+            context.span_id()
+        )
+    })
 }
 
-struct FileReporter {
-    file: BufWriter<File>,
+fn decode(traceparent: &str) -> Option<SpanContext> {
+    let headers = HashMap::from([(TRACEPARENT.to_owned(), traceparent.to_owned())]);
+    let parent = TraceContextPropagator::new().extract_with_context(&Context::new(), &headers);
+    let context = parent.span().span_context().clone();
+    context.is_valid().then_some(context)
 }
 
-impl Reporter for FileReporter {
-    fn report(&mut self, spans: Vec<SpanRecord>) {
-        for span in spans {
-            if let Err(error) = self.write(&span) {
-                log::warn!(target: "trace", "A span cannot be written: {error}.");
-                return;
-            }
-        }
-        if let Err(error) = self.file.flush() {
-            log::warn!(target: "trace", "Spans cannot be written: {error}.");
-        }
+fn random_context(sampled: bool) -> SpanContext {
+    let flags = TraceFlags::default().with_sampled(sampled);
+    let trace_id = TraceId::from(rand::random::<u128>());
+    let span_id = SpanId::from(rand::random::<u64>());
+    SpanContext::new(trace_id, span_id, flags, true, TraceState::default())
+}
+
+#[derive(Debug)]
+struct FileExporter {
+    file: Mutex<BufWriter<File>>,
+}
+
+impl SpanExporter for FileExporter {
+    async fn export(&self, batch: Vec<SpanData>) -> OTelSdkResult {
+        let mut file = self.file.lock().unwrap_or_else(PoisonError::into_inner);
+        write_all(&mut file, &batch).map_err(|e| OTelSdkError::InternalFailure(e.to_string()))
     }
 }
 
-impl FileReporter {
-    fn write(&mut self, span: &SpanRecord) -> std::io::Result<()> {
-        serde_json::to_writer(&mut self.file, &SpanLine::from(span))?;
-        self.file.write_all(b"\n")
+fn write_all(file: &mut BufWriter<File>, spans: &[SpanData]) -> std::io::Result<()> {
+    for span in spans {
+        serde_json::to_writer(&mut *file, &SpanLine::from(span))?;
+        file.write_all(b"\n")?;
     }
+    file.flush()
 }
 
 #[derive(Serialize)]
@@ -101,24 +178,33 @@
 #[derive(Serialize)]
 struct Property<'a> {
     key: &'a str,
-    value: &'a str,
+    value: String,
 }
 
-impl<'a> From<&'a SpanRecord> for SpanLine<'a> {
-    fn from(span: &'a SpanRecord) -> Self {
-        let properties = span
-            .properties
-            .iter()
-            .map(|(key, value)| Property { key, value })
-            .collect();
+impl<'a> From<&'a SpanData> for SpanLine<'a> {
+    fn from(span: &'a SpanData) -> Self {
+        let begin_unix_ns = unix_ns(span.start_time);
         Self {
-            trace_id: format!("{:032x}", span.trace_id.0),
-            span_id: format!("{:016x}", span.span_id.0),
-            parent_id: format!("{:016x}", span.parent_id.0),
+            trace_id: span.span_context.trace_id().to_string(),
+            span_id: span.span_context.span_id().to_string(),
+            parent_id: span.parent_span_id.to_string(),
             name: &span.name,
-            begin_unix_ns: span.begin_time_unix_ns,
-            duration_ns: span.duration_ns,
-            properties,
+            begin_unix_ns,
+            duration_ns: unix_ns(span.end_time).saturating_sub(begin_unix_ns),
+            properties: span.attributes.iter().map(to_property).collect(),
         }
     }
 }
+
+fn to_property(attribute: &KeyValue) -> Property<'_> {
+    Property {
+        key: attribute.key.as_str(),
+        value: attribute.value.to_string(),
+    }
+}
+
+/// Nanoseconds since 1970; 0 for a clock set before then.
+fn unix_ns(time: SystemTime) -> u64 {
+    let since = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_nanos()).unwrap_or(u64::MAX)
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,15 +16,22 @@
 
 use eel_core::Exit;
 use error_stack::Report;
+use tokio::runtime::{Builder, Runtime};
 
 use error::Error;
 use options::{Options, Verb};
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     eel_core::install_report_format();
     let options: Options = argh::from_env();
-    match run(options).await {
+    let runtime = match runtime_for(&options.verb) {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("the runtime cannot be started: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(run(options)) {
         Ok(exit) => ExitCode::from(exit.code()),
         Err(report) => {
             eprintln!("{report:?}");
@@ -33,6 +40,15 @@
     }
 }
 
+/// A gateway node runs on thin VMs: one thread saves it the switches between threads.
+fn runtime_for(verb: &Verb) -> std::io::Result<Runtime> {
+    let mut builder = match verb {
+        Verb::Gateway(_) => Builder::new_current_thread(),
+        _ => Builder::new_multi_thread(),
+    };
+    builder.enable_all().build()
+}
+
 async fn run(options: Options) -> Result<Exit, Report<Error>> {
     let connection = records::Connection {
         store: &options.store,
@@ -42,6 +58,7 @@
     };
     match &options.verb {
         Verb::Serve(serve) => serve::run(serve).await,
+        Verb::Gateway(gateway) => serve::gateway(gateway).await,
         Verb::Check(check) => records::check(check, options.format),
         Verb::Plan(plan) => records::plan(plan, &connection).await,
         Verb::Apply(apply) => records::apply(apply, &connection).await,
--- a/src/options/mod.rs
+++ b/src/options/mod.rs
@@ -64,6 +64,7 @@
 #[argh(subcommand)]
 pub enum Verb {
     Serve(ServeOptions),
+    Gateway(GatewayOptions),
     Check(CheckOptions),
     Plan(PlanOptions),
     Apply(ApplyOptions),
@@ -89,6 +90,18 @@
     pub settings: PathBuf,
 }
 
+/// Run a gateway node, which sends requests and batch items straight to their targets.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "gateway")]
+pub struct GatewayOptions {
+    /// settings file
+    #[argh(option)]
+    pub settings: Option<PathBuf>,
+    /// environment variable that holds the path of the settings file
+    #[argh(option)]
+    pub settings_env: Option<String>,
+}
+
 /// Look into settings files.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "settings")]
@@ -110,6 +123,9 @@
     /// the file is that of a target node, not of an entry node
     #[argh(switch)]
     pub target: bool,
+    /// the file is that of a gateway node
+    #[argh(switch)]
+    pub gateway: bool,
     /// settings file
     #[argh(positional)]
     pub file: PathBuf,
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,9 +1,14 @@
-//! `serve`: runs an entry node.
+//! `serve` and `gateway`: run an entry node or a gateway node.
+
+use std::{env, path::PathBuf};
 
 use eel_core::Exit;
 use error_stack::{Report, ResultExt as _};
 
-use crate::{error::Error, options::ServeOptions};
+use crate::{
+    error::Error,
+    options::{GatewayOptions, ServeOptions},
+};
 
 /// Runs an entry node until it is told to end.
 ///
@@ -16,3 +21,23 @@
         .change_context(Error::Node)?;
     Ok(Exit::Success)
 }
+
+/// Runs a gateway node until it is told to end.
+///
+/// # Errors
+///
+/// [`Error`] if no settings file is named or the node cannot start or go on.
+pub async fn gateway(options: &GatewayOptions) -> Result<Exit, Report<Error>> {
+    let path = settings_path(options).ok_or_else(|| {
+        Report::new(Error::Node).attach("name a settings file by --settings or --settings-env")
+    })?;
+    eel_core::serve::gateway(&path)
+        .await
+        .change_context(Error::Node)?;
+    Ok(Exit::Success)
+}
+
+fn settings_path(options: &GatewayOptions) -> Option<PathBuf> {
+    let from_env = || env::var_os(options.settings_env.as_ref()?).map(PathBuf::from);
+    options.settings.clone().or_else(from_env)
+}
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -36,10 +36,10 @@
     let SettingsVerb::Check(options) = &options.verb;
     let options = settings_check::Options {
         file: options.file.clone(),
-        process: if options.target {
-            Process::Target
-        } else {
-            Process::Entry
+        process: match (options.target, options.gateway) {
+            (_, true) => Process::Gateway,
+            (true, false) => Process::Target,
+            (false, false) => Process::Entry,
         },
     };
     let outcome = settings_check::settings_check(&options).change_context(Error::Verb)?;
