perf(fleet): let batch nodes take idle slots in turn, and leave online requests room

Online requests in a burst waited 250 to 600 ms for their first event. A front that the store turned away kept jobs for 4 s, although other fronts could have stored them.

--- a/eel-fleet/src/board.rs
+++ b/eel-fleet/src/board.rs
@@ -18,6 +18,11 @@
 /// How long a peer's report counts without a newer one, in ms: five of the usual intervals.
 const REPORT_LIFE_MS: u64 = 1_000;
 
+/// How long a slot stays idle before a node takes it for batch whose target it is not, by how many nodes go first.
+const TURN_MS: u64 = 100;
+/// The longest such time.
+const LONGEST_TURN_MS: u64 = 400;
+
 /// The two kinds of work that share a target's slots.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Work {
@@ -59,6 +64,10 @@
     own: Load,
     peers: Vec<PeerLoad>,
     health: Health,
+    /// Since when a slot has been idle by all counts.
+    idle_since_ms: Option<u64>,
+    /// How many live nodes go before this one in taking its slots for batch.
+    batch_turn: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -80,6 +89,8 @@
     by_id: HashMap<Name, TargetKey>,
     services: HashMap<Name, Vec<TargetKey>>,
     sequences: HashMap<u64, u64>,
+    /// The nodes that run batch, this one first.
+    batch_nodes: Vec<Name>,
 }
 
 impl Board {
@@ -101,7 +112,10 @@
             own: Load::default(),
             peers: Vec::new(),
             health: Health::default(),
+            idle_since_ms: Some(0),
+            batch_turn: 0,
         });
+        self.set_turn(key);
         self.by_id.insert(id, key);
         self.services.entry(service).or_default().push(key);
     }
@@ -124,14 +138,6 @@
         self.targets.get(key).map(|target| &target.entry)
     }
 
-    /// Returns whether a target exists and takes new work.
-    #[must_use]
-    pub fn is_open(&self, key: TargetKey) -> bool {
-        self.targets
-            .get(key)
-            .is_some_and(|target| !target.entry.is_draining)
-    }
-
     /// Chooses a target with a slot for `wish`, if there is one.
     #[must_use]
     pub fn choose(&self, now_ms: u64, service: &str, wish: &Wish<'_>) -> Option<TargetKey> {
@@ -147,14 +153,37 @@
         ranked.min_by_key(|&(rank, _)| rank).map(|(_, key)| key)
     }
 
-    /// Returns whether the service has a target that is usable, full or not.
+    /// Says which nodes run batch: this one, `own`, and the live `others`.
+    ///
+    /// Each node goes first at some of the targets, so that two nodes do not take one idle slot at the same moment.
+    pub fn set_batch_nodes(&mut self, own: &Name, others: &[Name]) {
+        let nodes: Vec<Name> = [own].into_iter().chain(others).cloned().collect();
+        if nodes == self.batch_nodes {
+            return;
+        }
+        self.batch_nodes = nodes;
+        for key in self.targets.keys().collect::<Vec<_>>() {
+            self.set_turn(key);
+        }
+    }
+
+    /// Returns whether the service has more idle slots than its online requests may need at once.
+    ///
+    /// Their number varies by about its root, so that many slots are left to them.
     #[must_use]
-    pub fn has_usable(&self, now_ms: u64, service: &str, excluded: &[TargetKey]) -> bool {
+    pub fn has_batch_room(&self, now_ms: u64, service: &str) -> bool {
         let keys = self.services.get(service).into_iter().flatten();
-        let mut targets = keys
-            .filter(|key| !excluded.contains(key))
-            .filter_map(|&key| self.targets.get(key));
-        targets.any(|target| target.is_usable(now_ms))
+        let targets = keys.filter_map(|&key| self.targets.get(key));
+        let (mut idle, mut online) = (0, 0);
+        for target in targets.filter(|target| target.is_usable(now_ms)) {
+            let total = target.total(now_ms);
+            idle += target
+                .entry
+                .slots
+                .saturating_sub(total.online + total.batch);
+            online += total.online;
+        }
+        idle > online.isqrt()
     }
 
     /// Returns the slots of a service's usable targets.
@@ -173,6 +202,7 @@
         if let Some(target) = self.targets.get_mut(key) {
             *target.own.of(work) += 1;
             target.health.on_start(now_ms);
+            target.note_idle(now_ms);
         }
     }
 
@@ -203,6 +233,7 @@
             AttemptEnd::Failed => target.health.on_failure(now_ms),
             AttemptEnd::BrokenOff => {}
         }
+        target.note_idle(now_ms);
     }
 
     /// Returns how many of this node's batch items at `key` have to make room, of `own` that it runs there.
@@ -247,10 +278,22 @@
                 },
                 at_ms: now_ms,
             });
+            target.note_idle(now_ms);
         }
         true
     }
 
+    fn set_turn(&mut self, key: TargetKey) {
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        let weight = |node: &Name| stable_hash(&format!("{node} {}", target.entry.id));
+        let mut nodes = self.batch_nodes.iter();
+        let own = nodes.next().map(weight);
+        let before = nodes.filter(|node| Some(weight(node)) > own);
+        target.batch_turn = before.count() as u64;
+    }
+
     /// Returns what this node has in flight.
     #[must_use]
     pub fn own_loads(&self) -> Vec<TargetLoad> {
@@ -280,13 +323,26 @@
         let takes_batch_slot = load >= self.entry.slots;
         let has_room = match wish.work {
             Work::Online => total.online < self.entry.slots,
-            Work::Batch => !takes_batch_slot,
+            Work::Batch => self.is_batch_turn(now_ms),
         };
         let is_far = *self.entry.data_centre != *wish.data_centre;
         let tie = self.hash.rotate_left(17) ^ wish.spread.wrapping_mul(0x9E37_79B9_7F4A_7C15);
         has_room.then_some((takes_batch_slot, is_far, load, tie))
     }
 
+    /// Returns whether a slot has been idle long enough for this node to take it for batch.
+    fn is_batch_turn(&self, now_ms: u64) -> bool {
+        let wait_ms = (self.batch_turn * TURN_MS).min(LONGEST_TURN_MS);
+        self.idle_since_ms
+            .is_some_and(|since_ms| now_ms >= since_ms + wait_ms)
+    }
+
+    fn note_idle(&mut self, now_ms: u64) {
+        let total = self.total(now_ms);
+        let is_idle = total.online + total.batch < self.entry.slots;
+        self.idle_since_ms = is_idle.then(|| self.idle_since_ms.unwrap_or(now_ms));
+    }
+
     fn is_usable(&self, now_ms: u64) -> bool {
         !self.entry.is_draining && self.health.is_usable(now_ms)
     }
--- a/eel-fleet/src/peers.rs
+++ b/eel-fleet/src/peers.rs
@@ -58,6 +58,7 @@
     listed_ms: u64,
     heard_ms: Option<u64>,
     takes_batch: bool,
+    reaches_store: bool,
 }
 
 /// The other nodes, by name.
@@ -85,6 +86,7 @@
             listed_ms: now_ms,
             heard_ms: None,
             takes_batch,
+            reaches_store: false,
         };
         self.peers.insert(name.clone(), peer);
     }
@@ -117,6 +119,7 @@
         if let Some(peer) = peers.find(|peer| peer.entry.incarnation == report.sender) {
             peer.heard_ms = Some(now_ms);
             peer.takes_batch = report.takes_batch;
+            peer.reaches_store = report.reaches_store;
         }
     }
 
@@ -137,6 +140,13 @@
             .map(|(name, _)| name)
     }
 
+    /// Returns whether a live node reaches the store.
+    #[must_use]
+    pub fn is_store_reached(&self, now_ms: u64) -> bool {
+        let mut live = self.peers.values().filter(|peer| peer.is_live(now_ms));
+        live.any(|peer| peer.reaches_store)
+    }
+
     /// Returns whether a node is alive.
     #[must_use]
     pub fn is_live(&self, now_ms: u64, name: &str) -> bool {
--- a/eel-fleet/src/report.rs
+++ b/eel-fleet/src/report.rs
@@ -38,6 +38,8 @@
     pub sender: u64,
     /// Counts the sender's reports.
     pub sequence: u64,
+    /// Whether the store answered the sender lately.
+    pub reaches_store: bool,
     /// Whether the sender takes items of batch jobs at present.
     pub takes_batch: bool,
     /// The targets at which the sender has something in flight.
--- a/eel-gateway/src/batch/submit.rs
+++ b/eel-gateway/src/batch/submit.rs
@@ -32,6 +32,8 @@
 const PAUSE: Duration = Duration::from_millis(80);
 /// When a caller whose job was not stored should come back, in ms.
 const RETRY_AFTER_MS: u64 = 500;
+/// When a caller should come back whose job another node can store, in ms.
+const ELSEWHERE_MS: u64 = 50;
 /// The longest id of a job: the store's keys have at most 200 bytes.
 const MAX_ID_BYTES: usize = 100;
 
@@ -96,7 +98,7 @@
 /// does the answer promise that nothing runs.
 async fn store(context: &Context, txn: &Txn, until: Instant) -> Result<bool, Refusal> {
     let mut may_be_stored = false;
-    loop {
+    while !is_better_elsewhere(context, may_be_stored) {
         match context.store.commit(txn).await {
             Ok(outcome) => {
                 context.on_store_answer();
@@ -119,10 +121,21 @@
     Err(if may_be_stored {
         Refusal::may_have_run(Reason::DeadlineExceeded)
     } else {
-        Refusal::not_run(Reason::StoreUnavailable).retry_after(RETRY_AFTER_MS)
+        let retry_after_ms = if is_better_elsewhere(context, false) {
+            ELSEWHERE_MS
+        } else {
+            RETRY_AFTER_MS
+        };
+        Refusal::not_run(Reason::StoreUnavailable).retry_after(retry_after_ms)
     })
 }
 
+/// Returns whether nothing is stored and another node reaches the store while this one does not.
+fn is_better_elsewhere(context: &Context, may_be_stored: bool) -> bool {
+    let now_ms = context.clock.now_ms();
+    !may_be_stored && context.is_store_failing() && context.peers().is_store_reached(now_ms)
+}
+
 /// Shows the job to this node's own calls before the watch brings it.
 fn take_in(context: &Context, txn: &Txn) {
     let mut ledger = context.ledger();
--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -144,6 +144,11 @@
         answered_ms > 0 && self.clock.now_ms() < answered_ms + STORE_FRESH_MS
     }
 
+    /// Returns whether the store left the last call unanswered or refused it.
+    pub(crate) fn is_store_failing(&self) -> bool {
+        self.metrics.store_reachable.get() == 0
+    }
+
     /// Returns whether this node takes items of batch jobs.
     pub(crate) fn takes_batch(&self) -> bool {
         self.runs_batch
--- a/eel-gateway/src/online/request.rs
+++ b/eel-gateway/src/online/request.rs
@@ -35,6 +35,8 @@
     /// The last event that the caller had before it came.
     pub last_event_id: Option<u64>,
     excluded: Vec<TargetKey>,
+    /// How long it has waited for slots.
+    pub waited: Duration,
 }
 
 impl Request {
@@ -62,11 +64,12 @@
             deadline: arrived + allowed,
             last_event_id: fields.last_event_id,
             excluded: Vec::new(),
+            waited: Duration::ZERO,
         })
     }
 
     /// Waits for a slot.
-    pub async fn place(&self) -> Result<Held, Rejected> {
+    pub async fn place(&mut self) -> Result<Held, Rejected> {
         let now = Instant::now();
         let now_ms = self.context.clock.now_ms();
         let left_ms = ms(self.deadline.saturating_duration_since(now));
@@ -83,7 +86,9 @@
             excluded: self.excluded.clone(),
             spread: stable_hash(&self.outgoing.request_id),
         };
-        self.context.slots.place(arrival).await
+        let placed = self.context.slots.place(arrival).await;
+        self.waited += now.elapsed();
+        placed
     }
 
     /// Avoids a target from now on.
--- a/eel-gateway/src/reports.rs
+++ b/eel-gateway/src/reports.rs
@@ -15,8 +15,8 @@
 
 /// The time between two reports while nothing changes.
 const INTERVAL: Duration = Duration::from_millis(200);
-/// The shortest time between two reports: a tenth of a request's usual run time holds several.
-const LEAST_INTERVAL: Duration = Duration::from_millis(15);
+/// The shortest time between two reports: about the time that one takes to the farthest data centre.
+const LEAST_INTERVAL: Duration = Duration::from_millis(4);
 /// The largest report: one that takes more would not fit into a packet.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// The pause after an error of the socket.
@@ -26,9 +26,13 @@
 pub(crate) async fn send_reports(context: &Context, socket: &UdpSocket) {
     for sequence in 1.. {
         let last = Instant::now();
-        let mut report = context
-            .slots
-            .report(context.incarnation, sequence, context.takes_batch());
+        let mut report = PeerReport {
+            sender: context.incarnation,
+            sequence,
+            reaches_store: context.is_store_fresh() && !context.is_store_failing(),
+            takes_batch: context.takes_batch(),
+            ..context.slots.report()
+        };
         let receivers: Vec<_> = context.peers().receivers().collect();
         for (address, token) in receivers {
             report.token = token;
--- a/eel-gateway/src/slots.rs
+++ b/eel-gateway/src/slots.rs
@@ -97,7 +97,8 @@
     pub(crate) fn try_batch(self: &Arc<Self>, service: &Name, spread: u64) -> Option<Held> {
         let now_ms = self.clock.now_ms();
         let mut inner = self.lock();
-        if inner.dispatcher.is_online_waiting(now_ms, service) {
+        let has_room = inner.dispatcher.board().has_batch_room(now_ms, service);
+        if !has_room || inner.dispatcher.is_online_waiting(now_ms, service) {
             return None;
         }
         let wish = Wish {
@@ -124,16 +125,13 @@
         read(&self.lock().dispatcher)
     }
 
-    /// Returns what this node tells its peers, but for the token.
-    pub(crate) fn report(&self, sender: u64, sequence: u64, takes_batch: bool) -> PeerReport {
+    /// Returns what this node tells its peers about its load.
+    pub(crate) fn report(&self) -> PeerReport {
         let inner = self.lock();
         PeerReport {
-            token: 0,
-            sender,
-            sequence,
-            takes_batch,
             targets: inner.dispatcher.board().own_loads(),
             waiting: inner.dispatcher.own_waiting(),
+            ..PeerReport::default()
         }
     }
 
