test(gateway): prove the gateway's promises against stand-ins of the platform

Change: a stand-in of the platform's store (revisions, pages, leases, watches; refusing, silent, losing answers, doing late what was asked) and one of a target (full, failing, silent, unsigned, another's answer, breaking off) behind the feature `standin` of platform/. Tables of faults for requests, streams, jobs, entries and shutdown; the decisions on slots are played as a load of bursts over batch with late reports; results are listed by two nodes in any order.

Found by them: a request with two Host headers was routed by the first one. It is refused as malformed now.

--- /dev/null
+++ b/eel-fleet/tests/fleet/main.rs
@@ -0,0 +1,11 @@
+//! Tests of the decisions on targets.
+
+mod batch_turns;
+mod burst_load;
+mod fixture;
+mod live_peers;
+mod load_reports;
+mod store_lapse;
+mod target_choice;
+mod target_health;
+mod waiting_requests;
--- /dev/null
+++ b/eel-fleet/tests/fleet/waiting_requests.rs
@@ -0,0 +1,163 @@
+//! Online requests that find no slot.
+
+use eel_fleet::{AttemptEnd, Decision, Dispatcher, Due, TargetKey, TicketKey, Work};
+use eel_types::Name;
+
+use crate::fixture::{SERVICE, arrival, report, target};
+
+fn dispatcher(slots: u32) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new("dc-a".into());
+    dispatcher
+        .board_mut()
+        .set_target(target("a", "dc-a", slots));
+    dispatcher
+}
+
+fn start(dispatcher: &mut Dispatcher, now_ms: u64) -> TargetKey {
+    let service = Name::from(SERVICE);
+    match dispatcher.arrive(now_ms, arrival(&service, now_ms + 300, now_ms + 5_000)) {
+        Decision::Start(key) => key,
+        other => panic!("no slot: {other:?}"),
+    }
+}
+
+fn wait(dispatcher: &mut Dispatcher, now_ms: u64, start_by_ms: u64, give_up_ms: u64) -> TicketKey {
+    let service = Name::from(SERVICE);
+    match dispatcher.arrive(now_ms, arrival(&service, start_by_ms, give_up_ms)) {
+        Decision::Wait(ticket) => ticket,
+        other => panic!("it does not wait: {other:?}"),
+    }
+}
+
+fn tickets(due: Vec<Due>) -> Vec<(TicketKey, bool)> {
+    due.into_iter()
+        .map(|due| (due.ticket, due.target.is_some()))
+        .collect()
+}
+
+#[test]
+fn freed_slot_goes_to_the_most_urgent() {
+    let mut dispatcher = dispatcher(1);
+    let key = start(&mut dispatcher, 0);
+    let later = wait(&mut dispatcher, 0, 1_000, 5_000);
+    let sooner = wait(&mut dispatcher, 0, 700, 5_000);
+    assert!(dispatcher.due(10).is_empty());
+    dispatcher.end(100, SERVICE, key, Work::Online, AttemptEnd::Answered, 100);
+    assert_eq!(tickets(dispatcher.due(100)), [(sooner, true)]);
+    dispatcher.end(200, SERVICE, key, Work::Online, AttemptEnd::Answered, 100);
+    assert_eq!(tickets(dispatcher.due(200)), [(later, true)]);
+}
+
+#[test]
+fn late_ones_come_last() {
+    let mut dispatcher = dispatcher(1);
+    let key = start(&mut dispatcher, 0);
+    let late = wait(&mut dispatcher, 0, 310, 5_000);
+    let in_time = wait(&mut dispatcher, 0, 2_000, 5_000);
+    dispatcher.end(400, SERVICE, key, Work::Online, AttemptEnd::Answered, 400);
+    assert_eq!(tickets(dispatcher.due(400)), [(in_time, true)]);
+    dispatcher.end(800, SERVICE, key, Work::Online, AttemptEnd::Answered, 400);
+    assert_eq!(
+        tickets(dispatcher.due(800)),
+        [(late, true)],
+        "it is of use until its deadline"
+    );
+}
+
+#[test]
+fn rejected_on_arrival() {
+    let mut dispatcher = dispatcher(1);
+    start(&mut dispatcher, 0);
+    wait(&mut dispatcher, 0, 400, 5_000);
+    let service = Name::from(SERVICE);
+    // One runs for 300 ms and one waits: a third starts after 600 ms at the soonest.
+    let decision = dispatcher.arrive(0, arrival(&service, 400, 5_000));
+    assert_eq!(
+        decision,
+        Decision::Reject {
+            retry_after_ms: 600
+        }
+    );
+}
+
+#[test]
+fn peers_wait_too() {
+    let mut dispatcher = dispatcher(1);
+    start(&mut dispatcher, 0);
+    let mut crowded = report(5, 1, &[]);
+    crowded.waiting = vec![eel_fleet::WaitingCount {
+        service: eel_fleet::stable_hash(SERVICE),
+        waiting: 3,
+    }];
+    dispatcher.on_report(0, &crowded);
+    assert!(dispatcher.is_online_waiting(1, SERVICE));
+    let service = Name::from(SERVICE);
+    let decision = dispatcher.arrive(1, arrival(&service, 1_000, 5_000));
+    assert_eq!(
+        decision,
+        Decision::Reject {
+            retry_after_ms: 1_200
+        }
+    );
+    assert!(
+        !dispatcher.is_online_waiting(1_001, SERVICE),
+        "an old report does not count"
+    );
+}
+
+#[test]
+fn given_up_at_the_deadline() {
+    let mut dispatcher = dispatcher(1);
+    start(&mut dispatcher, 0);
+    let ticket = wait(&mut dispatcher, 0, 350, 500);
+    assert!(dispatcher.due(499).is_empty());
+    assert_eq!(tickets(dispatcher.due(500)), [(ticket, false)]);
+}
+
+#[test]
+fn no_usable_target() {
+    let mut dispatcher = dispatcher(1);
+    let key = start(&mut dispatcher, 0);
+    dispatcher.end(0, SERVICE, key, Work::Online, AttemptEnd::Failed, 0);
+    let ticket = wait(&mut dispatcher, 0, 300, 5_000);
+    assert!(
+        dispatcher.due(200).is_empty(),
+        "the target is tried again soon"
+    );
+    assert_eq!(tickets(dispatcher.due(260)), [(ticket, true)]);
+    dispatcher.end(260, SERVICE, key, Work::Online, AttemptEnd::Failed, 0);
+    let hopeless = wait(&mut dispatcher, 260, 570, 5_000);
+    assert_eq!(
+        tickets(dispatcher.due(600)),
+        [(hopeless, false)],
+        "late, and nothing can serve it"
+    );
+}
+
+#[test]
+fn caller_leaves() {
+    let mut dispatcher = dispatcher(1);
+    let key = start(&mut dispatcher, 0);
+    let ticket = wait(&mut dispatcher, 0, 1_000, 5_000);
+    dispatcher.cancel(SERVICE, ticket);
+    dispatcher.end(100, SERVICE, key, Work::Online, AttemptEnd::Answered, 100);
+    assert!(dispatcher.due(100).is_empty());
+    assert!(dispatcher.own_waiting().is_empty());
+}
+
+#[test]
+fn run_time_is_learnt() {
+    let mut dispatcher = dispatcher(2);
+    for _ in 0..64 {
+        let key = start(&mut dispatcher, 0);
+        dispatcher.end(0, SERVICE, key, Work::Online, AttemptEnd::Answered, 700);
+    }
+    assert_eq!(dispatcher.run_time_ms(SERVICE), 700);
+    let key = start(&mut dispatcher, 0);
+    dispatcher.end(0, SERVICE, key, Work::Online, AttemptEnd::Failed, 5);
+    assert_eq!(
+        dispatcher.run_time_ms(SERVICE),
+        700,
+        "a failure is no run time"
+    );
+}
--- a/eel-gateway/src/http/handler.rs
+++ b/eel-gateway/src/http/handler.rs
@@ -19,6 +19,9 @@
     if let Some(call) = job_call(request.method(), request.uri()) {
         return call_job(&context, call, request.headers()).await;
     }
+    if request.headers().get_all(header::HOST).iter().count() > 1 {
+        return refuse(&Refusal::not_run(Reason::BadRequest));
+    }
     let Some(table) = context.table.load_full() else {
         return refuse(&Refusal::not_run(Reason::StoreUnavailable).retry_after(NO_ROUTES_RETRY_MS));
     };
--- /dev/null
+++ b/eel-gateway/tests/gateway/attempt_faults.rs
@@ -0,0 +1,107 @@
+//! Requests whose targets misbehave: what the caller gets, and how often the request ran.
+
+use eel_platform::standin::Behaviour;
+
+use crate::fixture::fleet;
+
+use Behaviour::{Answers, AnswersAnother, Fails, Full, Silent, Unsigned};
+
+#[tokio::test]
+async fn fault_table() {
+    // The attempts of a request take the words in turn, whichever target they reach.
+    let cases: [(&str, &str, [Behaviour; 2], u16, u32); 12] = [
+        ("answered", "/once/1", [Answers, Answers], 200, 1),
+        ("full, then free", "/once/1", [Full, Answers], 200, 1),
+        (
+            "once, another's answer",
+            "/once/1",
+            [AnswersAnother, Answers],
+            502,
+            1,
+        ),
+        ("once, unsigned", "/once/1", [Unsigned, Answers], 502, 1),
+        ("once, failed", "/once/1", [Fails, Answers], 500, 1),
+        ("once, silent", "/once/1", [Silent, Answers], 504, 1),
+        (
+            "repeatable, another's answer",
+            "/idempotent/1",
+            [AnswersAnother, Answers],
+            200,
+            2,
+        ),
+        (
+            "repeatable, unsigned",
+            "/idempotent/1",
+            [Unsigned, Answers],
+            200,
+            2,
+        ),
+        (
+            "repeatable, failed",
+            "/idempotent/1",
+            [Fails, Answers],
+            200,
+            2,
+        ),
+        (
+            "repeatable, silent",
+            "/idempotent/1",
+            [Silent, Answers],
+            200,
+            2,
+        ),
+        (
+            "repeatable, failed twice",
+            "/idempotent/1",
+            [Fails, Fails],
+            500,
+            2,
+        ),
+        (
+            "repeatable, broken twice",
+            "/idempotent/1",
+            [Unsigned, Unsigned],
+            502,
+            2,
+        ),
+    ];
+    for (name, path, script, status, runs) in cases {
+        let fleet = fleet(1, 2).await;
+        fleet.targets[0].share_script(&fleet.targets[1], &script);
+        let sent = fleet
+            .post(0, path, "r1")
+            .header("x-eelgrassgap-deadline-ms", "2000");
+        let response = sent.send().await.expect("an answer");
+        assert_eq!(response.status().as_u16(), status, "{name}");
+        assert_eq!(fleet.runs("r1"), runs, "{name}: runs");
+    }
+}
+
+#[tokio::test]
+async fn full_everywhere() {
+    let fleet = fleet(1, 2).await;
+    for target in &fleet.targets {
+        target.always(Full);
+    }
+    let response = fleet
+        .post(0, "/once/1", "r1")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(response.status().as_u16(), 503);
+    assert_eq!(response.headers()["x-eel-verdict"], "not-run");
+    assert_eq!(fleet.runs("r1"), 0);
+}
+
+#[tokio::test]
+async fn no_target_listens() {
+    let mut fleet = fleet(1, 1).await;
+    fleet.targets.clear();
+    let response = fleet
+        .post(0, "/once/1", "r1")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(response.status().as_u16(), 503);
+    assert_eq!(response.headers()["x-eel-verdict"], "not-run");
+}
--- /dev/null
+++ b/eel-gateway/tests/gateway/batch_job.rs
@@ -0,0 +1,159 @@
+//! Batch jobs where nothing fails but their items.
+
+use eel_platform::standin::{Behaviour, StandInTarget};
+
+use crate::fixture::{fleet, until};
+
+#[tokio::test]
+async fn whole_job() {
+    let fleet = fleet(2, 2).await;
+    assert_eq!(
+        fleet
+            .submit(0, "j1", &["stream/1", "stream/2", "stream/3"])
+            .await,
+        202
+    );
+    assert_eq!(
+        fleet
+            .submit(1, "j1", &["stream/1", "stream/2", "stream/3"])
+            .await,
+        202,
+        "the same job again"
+    );
+    let results = fleet.results(1, "j1", 3).await;
+    let mut ids: Vec<&str> = results
+        .iter()
+        .filter_map(|result| result["id"].as_str())
+        .collect();
+    ids.sort_unstable();
+    assert_eq!(ids, ["j1-0", "j1-1", "j1-2"]);
+    for result in &results {
+        assert_eq!(result["state"], "completed");
+        assert_eq!(result["text"], "word1\nword2\nword3\nword4\nword5");
+    }
+    assert_eq!(
+        fleet.results(0, "j1", 3).await,
+        results,
+        "the same positions at each node"
+    );
+}
+
+#[tokio::test]
+async fn broken_runs_go_on() {
+    let fleet = fleet(1, 2).await;
+    let script = [
+        Behaviour::BreaksAfter(2),
+        Behaviour::Full,
+        Behaviour::BreaksAfter(4),
+        Behaviour::Answers,
+    ];
+    fleet.targets[0].share_script(&fleet.targets[1], &script);
+    assert_eq!(fleet.submit(0, "j1", &["stream/1"]).await, 202);
+    let results = fleet.results(0, "j1", 1).await;
+    assert_eq!(results[0]["text"], "word1\nword2\nword3\nword4\nword5");
+    let resumed: Vec<u64> = fleet
+        .targets
+        .iter()
+        .flat_map(StandInTarget::resumed_after)
+        .collect();
+    assert_eq!(resumed.len(), 2, "{resumed:?}");
+}
+
+#[tokio::test]
+async fn items_that_fail() {
+    let fleet = fleet(1, 1).await;
+    fleet.targets[0].script(&[Behaviour::Impossible]);
+    assert_eq!(fleet.submit(0, "impossible", &["stream/1"]).await, 202);
+    assert_eq!(
+        fleet.results(0, "impossible", 1).await[0]["state"],
+        "errored"
+    );
+    assert_eq!(fleet.runs("impossible-0"), 1);
+    fleet.targets[0].script(&[Behaviour::Fails, Behaviour::Fails]);
+    assert_eq!(fleet.submit(0, "fails", &["stream/1"]).await, 202);
+    assert_eq!(fleet.results(0, "fails", 1).await[0]["state"], "errored");
+    assert_eq!(fleet.runs("fails-0"), 2, "as often as the route allows");
+}
+
+#[tokio::test]
+async fn item_bodies() {
+    let fleet = fleet(2, 1).await;
+    fleet.targets[0].always(Behaviour::Full);
+    assert_eq!(fleet.submit(0, "j1", &["stream/1"]).await, 202);
+    let body = async |node: usize, path: &str| {
+        let response = fleet.get(node, path).send().await.expect("an answer");
+        (
+            response.status().as_u16(),
+            response.text().await.expect("a body"),
+        )
+    };
+    assert_eq!(
+        body(1, "/eelgrassgap/items/j1?id=j1-0").await,
+        (200, "q".into())
+    );
+    assert_eq!(body(0, "/eelgrassgap/items/j1?id=other").await.0, 404);
+    assert_eq!(body(0, "/eelgrassgap/items/unknown?id=j1-0").await.0, 404);
+    fleet.targets[0].always(Behaviour::Answers);
+    fleet.results(0, "j1", 1).await;
+    assert_eq!(
+        body(0, "/eelgrassgap/items/j1?id=j1-0").await.0,
+        404,
+        "its result is listed"
+    );
+}
+
+#[tokio::test]
+async fn ended_job() {
+    let fleet = fleet(2, 1).await;
+    fleet.targets[0].always(Behaviour::Silent);
+    assert_eq!(fleet.submit(0, "j1", &["stream/1", "stream/2"]).await, 202);
+    until("the items run", async || fleet.targets[0].open() > 0).await;
+    let url = format!("http://{}/eelgrassgap/lots/j1", fleet.nodes[1].http);
+    for _ in 0..2 {
+        let response = fleet.client.delete(&url).send().await.expect("an answer");
+        assert_eq!(response.status().as_u16(), 200);
+    }
+    until("the runs are broken off", async || {
+        fleet.targets[0].open() == 0
+    })
+    .await;
+    let runs = fleet.targets[0].all_runs();
+    tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+    assert_eq!(fleet.targets[0].all_runs(), runs);
+}
+
+#[tokio::test]
+async fn unknown_job() {
+    let fleet = fleet(1, 1).await;
+    let response = fleet
+        .get(0, "/eelgrassgap/lots/unknown?after=0")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(response.status().as_u16(), 404);
+}
+
+#[tokio::test]
+async fn online_takes_the_slots() {
+    let fleet = fleet(1, 1).await;
+    fleet.targets[0].always(Behaviour::Silent);
+    assert_eq!(
+        fleet
+            .submit(0, "j1", &["stream/1", "stream/2", "stream/3"])
+            .await,
+        202
+    );
+    until("both slots run items", async || {
+        fleet.targets[0].open() == 2
+    })
+    .await;
+    fleet.targets[0].always(Behaviour::Answers);
+    for number in 0..3 {
+        let response = fleet
+            .post(0, "/once/1", &format!("r{number}"))
+            .send()
+            .await
+            .expect("an answer");
+        assert_eq!(response.status().as_u16(), 200);
+    }
+}
--- /dev/null
+++ b/eel-gateway/tests/gateway/batch_store_faults.rs
@@ -0,0 +1,114 @@
+//! Batch jobs while the store fails.
+
+use std::time::Duration;
+
+use eel_platform::standin::{Behaviour, StoreFault};
+
+use crate::fixture::{fleet, until};
+
+#[tokio::test]
+async fn refused_job_never_runs() {
+    let fleet = fleet(1, 1).await;
+    fleet.store.set_fault(StoreFault::Refuses);
+    assert_eq!(fleet.submit(0, "j1", &["stream/1"]).await, 503);
+    fleet.store.set_fault(StoreFault::None);
+    assert_eq!(fleet.submit(0, "j2", &["stream/1"]).await, 202);
+    fleet.results(0, "j2", 1).await;
+    assert_eq!(fleet.runs("j1-0"), 0);
+}
+
+#[tokio::test]
+async fn lost_answer_promises_nothing() {
+    for fault in [
+        StoreFault::LosesAnswers,
+        StoreFault::DoesLater { after_ms: 400 },
+        StoreFault::Silent,
+    ] {
+        let fleet = fleet(1, 1).await;
+        fleet.store.set_fault(fault);
+        let status = fleet.submit(0, "j1", &["stream/1"]).await;
+        assert_eq!(status, 504, "{fault:?}");
+        fleet.store.set_fault(StoreFault::None);
+        assert_eq!(fleet.submit(0, "j1", &["stream/1"]).await, 202, "{fault:?}");
+        assert_eq!(fleet.results(0, "j1", 1).await.len(), 1);
+    }
+}
+
+#[tokio::test]
+async fn answer_lost_once() {
+    let fleet = fleet(1, 1).await;
+    fleet.store.set_fault(StoreFault::LosesAnswers);
+    let submitted = async {
+        let heal = async {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            fleet.store.set_fault(StoreFault::None);
+        };
+        tokio::join!(fleet.submit(0, "j1", &["stream/1"]), heal).0
+    };
+    assert_eq!(submitted.await, 202, "the repeat finds the job accepted");
+}
+
+#[tokio::test]
+async fn results_wait_for_the_store() {
+    let fleet = fleet(1, 1).await;
+    fleet.targets[0].always(Behaviour::Full);
+    assert_eq!(fleet.submit(0, "j1", &["stream/1"]).await, 202);
+    fleet.store.set_fault(StoreFault::LosesAnswers);
+    fleet.targets[0].always(Behaviour::Answers);
+    until("the item has run", async || fleet.runs("j1-0") > 0).await;
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    fleet.store.set_fault(StoreFault::None);
+    let results = fleet.results(0, "j1", 1).await;
+    assert_eq!(
+        results.len(),
+        1,
+        "a chunk whose answer was lost is not listed again"
+    );
+    assert_eq!(results[0]["state"], "completed");
+}
+
+#[tokio::test]
+async fn node_that_cannot_tell() {
+    let fleet = fleet(1, 1).await;
+    fleet.store.set_fault(StoreFault::Silent);
+    let response = fleet
+        .get(0, "/eelgrassgap/lots/unknown?after=0")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(response.status().as_u16(), 503);
+}
+
+#[tokio::test]
+async fn another_node_can_store() {
+    // The store refuses everyone here; what counts is that the node does not hold the caller for its whole deadline.
+    let fleet = fleet(1, 1).await;
+    fleet.store.set_fault(StoreFault::Refuses);
+    let sent = fleet
+        .post(0, "/jobs/1", "j1")
+        .header("x-eelgrassgap-deadline-ms", "1000");
+    let body = r#"{"items": [{"id": "a", "path": "/jobs/stream/1", "body": ""}]}"#;
+    let response = sent.body(body).send().await.expect("an answer");
+    assert_eq!(response.status().as_u16(), 503);
+    assert!(response.headers().contains_key("retry-after"));
+}
+
+#[tokio::test]
+async fn lost_history() {
+    let fleet = fleet(2, 1).await;
+    fleet.targets[0].always(Behaviour::Full);
+    assert_eq!(fleet.submit(0, "j1", &["stream/1"]).await, 202);
+    fleet.store.compact();
+    assert_eq!(fleet.submit(1, "j2", &["stream/1"]).await, 202);
+    fleet.store.compact();
+    fleet.targets[0].always(Behaviour::Answers);
+    for job in ["j1", "j2"] {
+        for node in [0, 1] {
+            assert_eq!(
+                fleet.results(node, job, 1).await.len(),
+                1,
+                "{job} at node {node}"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/eel-gateway/tests/gateway/fixture.rs
@@ -0,0 +1,211 @@
+//! A fleet in one process: the store, targets, and gateway nodes.
+
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use eel_gateway::GatewayNode;
+use eel_platform::standin::{StandInStore, StandInTarget};
+use eel_settings::GatewaySettings;
+use eel_supervise::Shutdown;
+use reqwest::{Client, RequestBuilder, Response};
+use serde_json::{Value, json};
+use tokio::{task::JoinHandle, time::sleep};
+
+pub const HOST: &str = "a.example";
+/// How long a condition is waited for before the test counts as hung.
+const HANG: Duration = Duration::from_mins(1);
+
+pub struct Node {
+    pub http: SocketAddr,
+    pub ready: SocketAddr,
+    pub shutdown: Shutdown,
+    pub task: JoinHandle<()>,
+}
+
+pub struct Fleet {
+    pub store: StandInStore,
+    pub targets: Vec<StandInTarget>,
+    pub nodes: Vec<Node>,
+    pub client: Client,
+}
+
+/// A fleet of `nodes` nodes that do everything, and `targets` targets of one service.
+pub async fn fleet(nodes: usize, targets: usize) -> Fleet {
+    let store = StandInStore::start().await.expect("a store");
+    store.put("op/config", &routes(1).to_string());
+    let mut all = Vec::new();
+    for number in 0..targets {
+        let target = StandInTarget::start("scribe", &format!("i-{number}"))
+            .await
+            .expect("a target");
+        target.announce(&store, "ready");
+        all.push(target);
+    }
+    let client = Client::builder().no_proxy().build().expect("a client");
+    let mut fleet = Fleet {
+        store,
+        targets: all,
+        nodes: Vec::new(),
+        client,
+    };
+    for number in 0..nodes {
+        let node = start_node(&fleet.store.endpoint(), &format!("node-{number}")).await;
+        fleet.nodes.push(node);
+    }
+    for node in 0..nodes {
+        fleet.until_ready(node).await;
+    }
+    fleet
+}
+
+pub async fn start_node(endpoint: &str, name: &str) -> Node {
+    let text = format!(
+        "[node]\nname = {name}\ndata_centre = dc-a\n\
+         [listen]\nhttp = 127.0.0.1:0\nready = 127.0.0.1:0\npeers = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\
+         [store]\nendpoint = {endpoint}\ntimeout_ms = 300\nlease_ttl_ms = 1000\n\
+         [drain]\ntimeout_ms = 8000\n"
+    );
+    let settings = GatewaySettings::parse(&text, "node.ini", PathBuf::new()).expect("settings");
+    let node = GatewayNode::bind(&settings).await.expect("a node");
+    let (http, ready) = (
+        node.http_address().expect("callers"),
+        node.ready_address().expect("readiness"),
+    );
+    let shutdown = Shutdown::default();
+    let running = shutdown.clone();
+    let task = tokio::spawn(async move { node.run(running).await.expect("the node ends well") });
+    Node {
+        http,
+        ready,
+        shutdown,
+        task,
+    }
+}
+
+/// Routes of every kind to one service.
+pub fn routes(version: u64) -> Value {
+    let route = |name: &str, kind: &str| {
+        json!({
+            "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "routeType": kind, "timeoutMs": 3000,
+            "targetLatencyMs": 100, "priority": 0, "service": "scribe", "maxAttempts": 2, "gapAimMs": 100
+        })
+    };
+    let mut resumable = route("resumable-stream", "streaming");
+    resumable["resumable"] = true.into();
+    let mut batch = route("jobs", "batch");
+    batch["dueMs"] = 10_000.into();
+    batch["maxQueueS"] = 30.into();
+    let plain = [
+        route("idempotent", "idempotent"),
+        route("once", "non_idempotent"),
+        route("once-stream", "streaming"),
+    ];
+    let routes: Vec<Value> = plain.into_iter().chain([resumable, batch]).collect();
+    json!({
+        "version": version, "routes": routes, "services": [{"name": "scribe", "engine": {"slots": 2}}],
+        "limits": {"maxBodyBytes": 100_000}
+    })
+}
+
+impl Fleet {
+    pub fn post(&self, node: usize, path: &str, id: &str) -> RequestBuilder {
+        let url = format!("http://{}{path}", self.nodes[node].http);
+        self.client
+            .post(url)
+            .header("host", HOST)
+            .header("x-eelgrassgap-attempt-id", id)
+            .body("body")
+    }
+
+    pub fn get(&self, node: usize, path: &str) -> RequestBuilder {
+        self.client
+            .get(format!("http://{}{path}", self.nodes[node].http))
+            .header("host", HOST)
+    }
+
+    pub async fn is_ready(&self, node: usize) -> bool {
+        let url = format!("http://{}/eelgrassgap/readiness", self.nodes[node].ready);
+        self.client
+            .get(url)
+            .send()
+            .await
+            .is_ok_and(|response| response.status().is_success())
+    }
+
+    async fn until_ready(&self, node: usize) {
+        until("the node is ready", async || self.is_ready(node).await).await;
+        // A request is served only once the targets are known, which come with the same read as the routes.
+    }
+
+    /// Submits a job whose items have these paths; returns the status.
+    pub async fn submit(&self, node: usize, id: &str, paths: &[&str]) -> u16 {
+        let items: Vec<Value> = (0..)
+            .zip(paths)
+            .map(|(number, path): (usize, _)| {
+                json!({"id": format!("{id}-{number}"), "path": format!("/jobs/{path}"), "headers": {}, "body": "cQ=="})
+            })
+            .collect();
+        let body = json!({"items": items}).to_string();
+        let response = self
+            .post(node, "/jobs/submit", id)
+            .body(body)
+            .send()
+            .await
+            .expect("an answer");
+        response.status().as_u16()
+    }
+
+    /// Reads all results of a job, once there are `count`.
+    pub async fn results(&self, node: usize, id: &str, count: usize) -> Vec<Value> {
+        let mut results = Vec::new();
+        until("the results are listed", async || {
+            let response = self
+                .get(node, &format!("/eelgrassgap/lots/{id}?after=0"))
+                .send()
+                .await
+                .expect("an answer");
+            if response.status().as_u16() != 200 {
+                return false;
+            }
+            let document: Value = response.json().await.expect("a document");
+            results = document["results"].as_array().cloned().unwrap_or_default();
+            results.len() >= count
+        })
+        .await;
+        results
+    }
+
+    pub fn runs(&self, id: &str) -> u32 {
+        self.targets.iter().map(|target| target.runs(id)).sum()
+    }
+}
+
+/// Waits until `condition` holds.
+pub async fn until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let waiting = async {
+        while !condition().await {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    assert!(
+        tokio::time::timeout(HANG, waiting).await.is_ok(),
+        "it never came: {what}"
+    );
+}
+
+/// Returns the numbers of the events of a whole stream, or of one that was cut, and whether it was whole.
+pub async fn events(response: Response) -> (Vec<u64>, bool) {
+    let mut response = response;
+    let mut text = String::new();
+    let is_whole = loop {
+        match response.chunk().await {
+            Ok(Some(chunk)) => text.push_str(&String::from_utf8_lossy(&chunk)),
+            Ok(None) => break true,
+            Err(_) => break false,
+        }
+    };
+    let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+    (
+        ids.map(|id| id.parse().expect("a number")).collect(),
+        is_whole,
+    )
+}
--- /dev/null
+++ b/eel-gateway/tests/gateway/graceful_stop.rs
@@ -0,0 +1,45 @@
+//! A node that is told to end while it works.
+
+use std::time::Duration;
+
+use crate::fixture::{events, fleet, until};
+
+#[tokio::test]
+async fn nothing_is_cut() {
+    let mut fleet = fleet(1, 1).await;
+    let stream = fleet
+        .post(0, "/once-stream/1", "r1")
+        .send()
+        .await
+        .expect("an answer");
+    fleet.nodes[0].shutdown.on_signal();
+    until("the node is not ready", async || !fleet.is_ready(0).await).await;
+    assert_eq!(events(stream).await, (vec![1, 2, 3, 4, 5], true));
+    let late = fleet
+        .post(0, "/once/1", "r2")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(
+        late.status().as_u16(),
+        200,
+        "the balancer has not moved away yet"
+    );
+    assert_eq!(late.headers()["connection"], "close");
+    let node = fleet.nodes.remove(0);
+    node.task.await.expect("the node ends");
+    let refused = reqwest::get(format!("http://{}/", node.http)).await;
+    assert!(refused.expect_err("no connection").is_connect());
+}
+
+#[tokio::test]
+async fn second_signal() {
+    let mut fleet = fleet(1, 1).await;
+    let node = fleet.nodes.remove(0);
+    node.shutdown.on_signal();
+    node.shutdown.on_signal();
+    let ended = tokio::time::timeout(Duration::from_secs(30), node.task).await;
+    ended
+        .expect("it ends without a wait")
+        .expect("the node ends");
+}
--- /dev/null
+++ b/eel-gateway/tests/gateway/lost_entry.rs
@@ -0,0 +1,50 @@
+//! The node's own entry in the store.
+
+use eel_platform::standin::StoreFault;
+
+use crate::fixture::{fleet, until};
+
+const ENTRY: &str = "eelgrassgap/nodes/node-0";
+
+#[tokio::test]
+async fn taken_away() {
+    let fleet = fleet(1, 0).await;
+    until("the node is listed", async || {
+        !fleet.store.keys(ENTRY).is_empty()
+    })
+    .await;
+    fleet.store.remove(ENTRY);
+    until("the node is listed again", async || {
+        !fleet.store.keys(ENTRY).is_empty()
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn lapsed_in_an_outage() {
+    let fleet = fleet(1, 0).await;
+    until("the node is listed", async || {
+        !fleet.store.keys(ENTRY).is_empty()
+    })
+    .await;
+    fleet.store.set_fault(StoreFault::Silent);
+    tokio::time::sleep(std::time::Duration::from_millis(1_200)).await;
+    fleet.store.set_fault(StoreFault::None);
+    until("the node is listed again", async || {
+        !fleet.store.keys(ENTRY).is_empty()
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn gone_when_leaving() {
+    let mut fleet = fleet(1, 0).await;
+    until("the node is listed", async || {
+        !fleet.store.keys(ENTRY).is_empty()
+    })
+    .await;
+    let node = fleet.nodes.remove(0);
+    node.shutdown.on_signal();
+    node.task.await.expect("the node ends");
+    assert!(fleet.store.keys(ENTRY).is_empty());
+}
--- /dev/null
+++ b/eel-gateway/tests/gateway/main.rs
@@ -0,0 +1,12 @@
+//! Tests of gateway nodes, with stand-ins of the platform's store and of targets.
+
+mod attempt_faults;
+mod batch_job;
+mod batch_store_faults;
+mod fixture;
+mod graceful_stop;
+mod leaving_caller;
+mod lost_entry;
+mod refused_requests;
+mod resumed_stream;
+mod target_lifecycle;
--- /dev/null
+++ b/eel-gateway/tests/gateway/resumed_stream.rs
@@ -0,0 +1,81 @@
+//! Streams that break off.
+
+use eel_platform::standin::{Behaviour, StandInTarget};
+
+use crate::fixture::{events, fleet};
+
+use Behaviour::{Answers, BreaksAfter, Full};
+
+#[tokio::test]
+async fn goes_on_elsewhere() {
+    for last in 0..=4 {
+        let fleet = fleet(1, 2).await;
+        fleet.targets[0].share_script(&fleet.targets[1], &[BreaksAfter(last), Answers]);
+        let response = fleet
+            .post(0, "/resumable-stream/1", "r1")
+            .send()
+            .await
+            .expect("an answer");
+        assert_eq!(response.headers()["x-eelgrassgap-response-seal"], "seal");
+        assert_eq!(
+            events(response).await,
+            (vec![1, 2, 3, 4, 5], true),
+            "broken after event {last}"
+        );
+        let resumed: Vec<u64> = fleet
+            .targets
+            .iter()
+            .flat_map(StandInTarget::resumed_after)
+            .collect();
+        let expected: Vec<u64> = if last == 0 { Vec::new() } else { vec![last] };
+        assert_eq!(resumed, expected);
+    }
+}
+
+#[tokio::test]
+async fn full_target_in_between() {
+    let fleet = fleet(1, 3).await;
+    fleet.targets[0].share_script(&fleet.targets[1], &[BreaksAfter(2), Full]);
+    fleet.targets[2].always(Answers);
+    let response = fleet
+        .post(0, "/resumable-stream/1", "r1")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(events(response).await, (vec![1, 2, 3, 4, 5], true));
+}
+
+#[tokio::test]
+async fn never_looks_whole() {
+    // Two runs are allowed, and both break off.
+    let fleet = fleet(1, 2).await;
+    for target in &fleet.targets {
+        target.always(BreaksAfter(3));
+    }
+    let response = fleet
+        .post(0, "/resumable-stream/1", "r1")
+        .send()
+        .await
+        .expect("an answer");
+    let (ids, is_whole) = events(response).await;
+    assert!(!is_whole);
+    assert!([1, 2, 3, 4, 5].starts_with(&ids), "{ids:?}");
+    assert_eq!(fleet.runs("r1"), 2);
+}
+
+#[tokio::test]
+async fn not_repeatable() {
+    let fleet = fleet(1, 2).await;
+    for target in &fleet.targets {
+        target.always(BreaksAfter(2));
+    }
+    let response = fleet
+        .post(0, "/once-stream/1", "r1")
+        .send()
+        .await
+        .expect("an answer");
+    let (ids, is_whole) = events(response).await;
+    assert!(!is_whole);
+    assert_eq!(ids[..2], [1, 2]);
+    assert_eq!(fleet.runs("r1"), 1);
+}
--- /dev/null
+++ b/eel-gateway/tests/gateway/target_lifecycle.rs
@@ -0,0 +1,85 @@
+//! Targets that come, leave, and are replaced.
+
+use crate::fixture::{fleet, routes, until};
+
+#[tokio::test]
+async fn draining_target() {
+    let fleet = fleet(1, 2).await;
+    fleet.targets[0].announce(&fleet.store, "draining");
+    until("only the other target is used", async || {
+        let before = fleet.targets[0].all_runs();
+        for number in 0..5 {
+            fleet
+                .post(0, "/idempotent/1", &format!("r{number}"))
+                .send()
+                .await
+                .expect("an answer");
+        }
+        fleet.targets[0].all_runs() == before
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn another_target_at_the_address() {
+    let fleet = fleet(1, 1).await;
+    // The entry names an id that the process at its address does not have.
+    let entry = serde_json::json!({
+        "service": "scribe", "address": fleet.targets[0].address(), "zone": "dc-a", "slots": 2, "state": "ready"
+    });
+    fleet.store.put("servers/i-other", &entry.to_string());
+    fleet.store.remove("servers/i-0");
+    until("the requests are refused", async || {
+        let response = fleet
+            .post(0, "/once/1", "r1")
+            .send()
+            .await
+            .expect("an answer");
+        response.status().as_u16() == 503
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn foreign_entries() {
+    let fleet = fleet(1, 1).await;
+    for (number, entry) in ["", "{}", "\u{1}", r#"{"service": 1}"#].iter().enumerate() {
+        fleet.store.put(&format!("servers/foreign-{number}"), entry);
+    }
+    fleet.store.put("op/config", "no routes at all");
+    fleet.store.put("op/config", &routes(2).to_string());
+    for number in 0..5 {
+        let response = fleet
+            .post(0, "/once/1", &format!("r{number}"))
+            .send()
+            .await
+            .expect("an answer");
+        assert_eq!(response.status().as_u16(), 200);
+    }
+}
+
+#[tokio::test]
+async fn routes_never_go_back() {
+    let fleet = fleet(1, 1).await;
+    let mut newer = routes(9);
+    newer["routes"][0]["pathPrefix"] = "/moved/".into();
+    fleet.store.put("op/config", &newer.to_string());
+    let status = async |path: &str| {
+        fleet
+            .post(0, path, "r1")
+            .send()
+            .await
+            .expect("an answer")
+            .status()
+            .as_u16()
+    };
+    until("the new routes are in force", async || {
+        status("/moved/1").await == 200
+    })
+    .await;
+    fleet.store.put("op/config", &routes(8).to_string());
+    fleet.store.put("servers/marker", "");
+    tokio::time::sleep(std::time::Duration::from_millis(600)).await;
+    assert_eq!(status("/idempotent/1").await, 404);
+    assert_eq!(status("/moved/1").await, 200);
+}
--- /dev/null
+++ b/eel-ledger/tests/ledger/next_item.rs
@@ -0,0 +1,109 @@
+//! Which item is next, and what ends one.
+
+use eel_ledger::{ItemRef, Ledger, Progress, Resolved, Worklist};
+
+use crate::fixture::{Values, head, items, keys, ledger_with};
+
+fn item(job: &str, item: u32) -> ItemRef {
+    ItemRef {
+        job: job.into(),
+        item,
+    }
+}
+
+fn progress(text: &str, last_event: u64) -> Progress {
+    Progress {
+        text: text.into(),
+        last_event: Some(last_event),
+        failures: 0,
+    }
+}
+
+#[test]
+fn due_first() {
+    let mut values = Values::default();
+    for (id, due_unix_ms) in [("late", 30_000), ("soon", 10_000)] {
+        let head = eel_ledger::JobHead {
+            due_unix_ms,
+            ..head()
+        };
+        values.apply(&eel_ledger::submission(&keys(), id, head, &items(1)).expect("a transaction"));
+    }
+    let mut ledger = Ledger::new(keys());
+    values.read(&mut ledger);
+    let mut worklist = Worklist::default();
+    assert_eq!(worklist.next(&ledger, |_| true), Some(item("soon", 0)));
+    worklist.start(&item("soon", 0));
+    assert_eq!(worklist.next(&ledger, |_| true), Some(item("late", 0)));
+    assert_eq!(
+        worklist.next(&ledger, |job| job == "soon"),
+        None,
+        "only jobs of this node"
+    );
+}
+
+#[test]
+fn broken_off_goes_on() {
+    let (ledger, _) = ledger_with("j", 1);
+    let mut worklist = Worklist::default();
+    assert_eq!(worklist.start(&item("j", 0)), Progress::default());
+    worklist.resolve(&item("j", 0), 3, Resolved::BrokenOff(progress("a\nb", 2)));
+    assert_eq!(worklist.next(&ledger, |_| true), Some(item("j", 0)));
+    assert_eq!(worklist.start(&item("j", 0)), progress("a\nb", 2));
+}
+
+#[test]
+fn failures_are_counted() {
+    let (ledger, _) = ledger_with("j", 1);
+    let mut worklist = Worklist::default();
+    for failures in 1..=3 {
+        assert_eq!(
+            worklist.next(&ledger, |_| true),
+            Some(item("j", 0)),
+            "after {failures} failures less one"
+        );
+        let progress = worklist.start(&item("j", 0));
+        worklist.resolve(&item("j", 0), 3, Resolved::Failed(progress));
+    }
+    assert_eq!(worklist.next(&ledger, |_| true), None);
+    assert_eq!(worklist.unlisted(), 1);
+}
+
+#[test]
+fn breaks_are_no_failures() {
+    let (ledger, _) = ledger_with("j", 1);
+    let mut worklist = Worklist::default();
+    for _ in 0..20 {
+        let progress = worklist.start(&item("j", 0));
+        worklist.resolve(&item("j", 0), 3, Resolved::BrokenOff(progress));
+    }
+    assert_eq!(worklist.next(&ledger, |_| true), Some(item("j", 0)));
+}
+
+#[test]
+fn given_up_after_its_time() {
+    let (ledger, _) = ledger_with("j", 2);
+    let mut worklist = Worklist::default();
+    worklist.start(&item("j", 0));
+    worklist.give_up(61_000, &ledger, |_| true);
+    assert_eq!(
+        worklist.unlisted(),
+        0,
+        "the clock of another node may be ahead"
+    );
+    worklist.give_up(63_501, &ledger, |_| false);
+    assert_eq!(worklist.unlisted(), 0, "the job of another node");
+    worklist.give_up(63_501, &ledger, |_| true);
+    assert_eq!(worklist.unlisted(), 1, "all but the one that runs");
+}
+
+#[test]
+fn ended_job() {
+    let (mut ledger, _) = ledger_with("j", 2);
+    let mut worklist = Worklist::default();
+    worklist.resolve(&item("j", 0), 3, Resolved::Impossible);
+    ledger.on_put(&keys().end("j"), &bytes::Bytes::new());
+    assert_eq!(worklist.next(&ledger, |_| true), None);
+    worklist.forget_listed(&ledger);
+    assert_eq!(worklist.unlisted(), 0);
+}
--- /dev/null
+++ b/eel-table/tests/table/main.rs
@@ -0,0 +1,4 @@
+//! Tests of route tables.
+
+mod route_lookup;
+mod traffic_split;
--- /dev/null
+++ b/eel-table/tests/table/traffic_split.rs
@@ -0,0 +1,52 @@
+//! Which service of a split route a request goes to.
+
+use eel_table::{Route, RouteKind, Share};
+use quickcheck::{QuickCheck, TestResult};
+
+fn split(weights: &[u32]) -> Route {
+    let shares = weights.iter().enumerate();
+    Route {
+        name: "split".into(),
+        host: "a.example".into(),
+        path_prefix: "/".into(),
+        kind: RouteKind::NonIdempotent,
+        timeout_ms: 1_000,
+        goal_ms: 100,
+        priority: 0,
+        shares: shares
+            .map(|(index, &weight)| Share {
+                service: format!("s{index}").into(),
+                weight,
+            })
+            .collect(),
+        max_attempts: 1,
+    }
+}
+
+#[test]
+fn weights_hold() {
+    let route = split(&[90, 10, 0]);
+    let mut counts = [0; 3];
+    for request in 0..10_000 {
+        let service = route
+            .service_for(&format!("request-{request}"))
+            .expect("a service");
+        counts[usize::from(service.as_bytes()[1] - b'0')] += 1;
+    }
+    assert!((8_700..9_300).contains(&counts[0]), "{counts:?}");
+    assert_eq!(counts[2], 0, "a share without weight gets nothing");
+}
+
+#[test]
+fn same_service_again() {
+    #[allow(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
+    fn holds(id: String, weights: Vec<u32>) -> TestResult {
+        if weights.is_empty() {
+            return TestResult::from_bool(split(&weights).service_for(&id).is_none());
+        }
+        let route = split(&weights);
+        let first = route.service_for(&id);
+        TestResult::from_bool(first.is_some() && first == route.service_for(&id))
+    }
+    QuickCheck::new().quickcheck(holds as fn(String, Vec<u32>) -> TestResult);
+}
