perf(gateway): read routes and targets first, and jobs on demand

Batch nodes broke all runs off when nobody reached the store, though nobody could take over.

Ruled out: the nodes' start (0.03 s from start to the first answer of the store).

Change: operator, targets and nodes are read in three calls; batch nodes read jobs beside the watch, fronts read a job when a call asks for it. Batch nodes go on while no node reaches the store.

--- a/eel-gateway/src/batch/calls.rs
+++ b/eel-gateway/src/batch/calls.rs
@@ -30,12 +30,12 @@
     from: usize,
     wait_ms: u64,
 ) -> Response<Body> {
-    if let Err(response) = find(context, id).await {
-        return response;
-    }
     let until = Instant::now() + Duration::from_millis(wait_ms);
     let mut changes = context.ledger_changes.subscribe();
     loop {
+        if let Err(response) = find(context, id).await {
+            return response;
+        }
         changes.mark_unchanged();
         if let Some(answer) = read_results(context, id, from, Instant::now() >= until) {
             return json(answer);
--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -150,11 +150,14 @@
     }
 
     /// Returns whether this node takes items of batch jobs.
+    ///
+    /// One that alone cannot list results leaves them to the others. While nobody can, all go on and list later.
     pub(crate) fn takes_batch(&self) -> bool {
+        let can_list = self.is_store_fresh() || !self.peers().is_store_reached(self.clock.now_ms());
         self.runs_batch
+            && can_list
             && !self.is_retiring.load(Ordering::Relaxed)
             && !self.leaving.is_cancelled()
-            && self.is_store_fresh()
     }
 }
 
--- a/eel-gateway/tests/gateway/fixture.rs
+++ b/eel-gateway/tests/gateway/fixture.rs
@@ -48,20 +48,18 @@
         client,
     };
     for number in 0..nodes {
-        let node = start_node(&fleet.store.endpoint(), &format!("node-{number}")).await;
-        fleet.nodes.push(node);
-    }
-    for node in 0..nodes {
-        fleet.until_ready(node).await;
+        fleet.add_node(&format!("node-{number}"), true).await;
     }
     fleet
 }
 
-pub async fn start_node(endpoint: &str, name: &str) -> Node {
+/// Starts a node; `runs_batch` says whether it runs items of jobs.
+pub async fn start_node(endpoint: &str, name: &str, runs_batch: bool) -> Node {
     let text = format!(
         "[node]\nname = {name}\ndata_centre = dc-a\n\
          [listen]\nhttp = 127.0.0.1:0\nready = 127.0.0.1:0\npeers = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\
          [store]\nendpoint = {endpoint}\ntimeout_ms = 300\nlease_ttl_ms = 1000\n\
+         [batch]\nenabled = {runs_batch}\n\
          [drain]\ntimeout_ms = 8000\n"
     );
     let settings = GatewaySettings::parse(&text, "node.ini", PathBuf::new()).expect("settings");
@@ -131,9 +129,13 @@
             .is_ok_and(|response| response.status().is_success())
     }
 
-    async fn until_ready(&self, node: usize) {
-        until("the node is ready", async || self.is_ready(node).await).await;
-        // A request is served only once the targets are known, which come with the same read as the routes.
+    /// Adds a node and waits until it is ready; returns its index.
+    pub async fn add_node(&mut self, name: &str, runs_batch: bool) -> usize {
+        let node = start_node(&self.store.endpoint(), name, runs_batch).await;
+        self.nodes.push(node);
+        let index = self.nodes.len() - 1;
+        until("the node is ready", async || self.is_ready(index).await).await;
+        index
     }
 
     /// Submits a job whose items have these paths; returns the status.
--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -9,4 +9,5 @@
 mod lost_entry;
 mod refused_requests;
 mod resumed_stream;
+mod start_up;
 mod target_lifecycle;
--- a/eel-gateway/tests/gateway/refused_requests.rs
+++ b/eel-gateway/tests/gateway/refused_requests.rs
@@ -62,7 +62,7 @@
 async fn node_without_routes() {
     let mut fleet: Fleet = fleet(0, 1).await;
     fleet.store.set_fault(StoreFault::Silent);
-    let node = start_node(&fleet.store.endpoint(), "node-0").await;
+    let node = start_node(&fleet.store.endpoint(), "node-0", true).await;
     fleet.nodes.push(node);
     assert!(!fleet.is_ready(0).await);
     let response = fleet
--- a/eel-ledger/src/key.rs
+++ b/eel-ledger/src/key.rs
@@ -30,6 +30,12 @@
         Self { prefix }
     }
 
+    /// Returns the prefix of all keys of all jobs.
+    #[must_use]
+    pub fn all_jobs(&self) -> String {
+        format!("{}{JOBS}", self.prefix)
+    }
+
     /// Returns the prefix of all keys of one job.
     #[must_use]
     pub fn job(&self, id: &str) -> String {
--- a/eel-ledger/src/ledger.rs
+++ b/eel-ledger/src/ledger.rs
@@ -82,6 +82,11 @@
         Some(id)
     }
 
+    /// Forgets all jobs, because changes of them may have been missed.
+    pub fn clear(&mut self) {
+        self.jobs.clear();
+    }
+
     /// Takes in that a key is gone: a job without its head is forgotten.
     pub fn on_removed(&mut self, key: &str) {
         if let Some(JobKey::Head(id)) = self.keys.parse(key) {
