feat(core): explain a request from the logs of all nodes, and log what a rejection rests on

Cause: the line of a rejected request named neither the queue nor the slots it was decided by, and an on-call engineer had to search each node's log.

Change: `eelgrassgap explain ID FILE...`; a rejection carries its expected wait, the requests ahead and the slots; runs of items say their failures, listed results their chunk and revision, decided requests the version of the routes. Three tests go from a failed request's id to its cause over a real process, by its log lines alone.

--- a/eel-core/src/lib.rs
+++ b/eel-core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod apply;
 pub mod check;
 mod exit;
+pub mod explain;
 pub mod get;
 pub mod job;
 pub mod keys;
--- a/eel-fleet/src/dispatch.rs
+++ b/eel-fleet/src/dispatch.rs
@@ -48,10 +48,20 @@
     /// Hold it until [`Dispatcher::due`] names the ticket.
     Wait(TicketKey),
     /// Reject it as not run.
-    Reject {
-        /// When to come back.
-        retry_after_ms: u64,
-    },
+    Reject(Rejection),
+}
+
+/// Why a request is rejected, and when it should come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rejection {
+    /// When to come back.
+    pub retry_after_ms: u64,
+    /// How long it would wait for a slot.
+    pub expected_wait_ms: u64,
+    /// The requests that would start before it, here and at other nodes.
+    pub ahead: u64,
+    /// The slots of the targets that can be used.
+    pub slots: u32,
 }
 
 /// A request whose wait is over.
@@ -61,10 +71,8 @@
     pub service: Name,
     /// The request.
     pub ticket: TicketKey,
-    /// Where to send it; `None` rejects it.
-    pub target: Option<TargetKey>,
-    /// When a rejected request should come back.
-    pub retry_after_ms: u64,
+    /// Where to send it, or why it is rejected.
+    pub outcome: Result<TargetKey, Rejection>,
 }
 
 #[derive(Default)]
@@ -123,12 +131,10 @@
         {
             return Decision::Start(target);
         }
-        let wait_ms = self.expected_wait_ms(now_ms, &service, ahead);
-        let starts_at_ms = now_ms.saturating_add(wait_ms);
+        let rejection = self.rejection(now_ms, &service, ahead);
+        let starts_at_ms = now_ms.saturating_add(rejection.expected_wait_ms);
         if starts_at_ms > waiting.start_by_ms.min(waiting.give_up_ms) {
-            return Decision::Reject {
-                retry_after_ms: clamp(wait_ms),
-            };
+            return Decision::Reject(rejection);
         }
         let state = self.services.entry(service).or_default();
         Decision::Wait(state.queue.push(waiting))
@@ -243,12 +249,11 @@
             if target.is_none() && !is_over {
                 continue;
             }
-            let retry_after_ms = clamp(self.expected_wait_ms(now_ms, service, ahead));
+            let outcome = target.ok_or_else(|| self.rejection(now_ms, service, ahead));
             due.push(Due {
                 service: service.clone(),
                 ticket,
-                target,
-                retry_after_ms,
+                outcome,
             });
             self.cancel(service, ticket);
         }
@@ -272,15 +277,21 @@
     }
 
     /// Expects slots to become free evenly: each `run_time / slots`.
-    fn expected_wait_ms(&self, now_ms: u64, service: &Name, ahead: usize) -> u64 {
-        let slots = u64::from(self.board.slots(now_ms, service));
+    fn rejection(&self, now_ms: u64, service: &Name, ahead: usize) -> Rejection {
+        let slots = self.board.slots(now_ms, service);
         let run_time_ms = self.run_time_ms(service);
-        if slots == 0 {
-            return run_time_ms;
-        }
         let ahead = u64::try_from(ahead).unwrap_or(u64::MAX);
-        let ahead = ahead.saturating_add(self.waiting_at_peers(now_ms, service) + 1);
-        ahead.saturating_mul(run_time_ms) / slots
+        let ahead = ahead.saturating_add(self.waiting_at_peers(now_ms, service));
+        let expected_wait_ms = match u64::from(slots) {
+            0 => run_time_ms,
+            slots => ahead.saturating_add(1).saturating_mul(run_time_ms) / slots,
+        };
+        Rejection {
+            retry_after_ms: clamp(expected_wait_ms),
+            expected_wait_ms,
+            ahead,
+            slots,
+        }
     }
 
     fn waiting_at_peers(&self, now_ms: u64, service: &str) -> u64 {
--- a/eel-fleet/src/lib.rs
+++ b/eel-fleet/src/lib.rs
@@ -17,7 +17,7 @@
 mod report;
 
 pub use board::{AttemptEnd, Board, Wish, Work};
-pub use dispatch::{Arrival, Decision, Dispatcher, Due};
+pub use dispatch::{Arrival, Decision, Dispatcher, Due, Rejection};
 pub use entry::TargetEntry;
 pub use peers::{NodeEntry, Peers};
 pub use queue::TicketKey;
--- a/eel-fleet/tests/fleet/burst_load.rs
+++ b/eel-fleet/tests/fleet/burst_load.rs
@@ -115,16 +115,16 @@
         match self.fronts[node].arrive(now_ms, arrival) {
             Decision::Start(key) => self.send(node, key, now_ms),
             Decision::Wait(_) => {}
-            Decision::Reject { .. } => self.rejected += 1,
+            Decision::Reject(_) => self.rejected += 1,
         }
     }
 
     fn pump(&mut self, now_ms: u64) {
         for node in 0..self.fronts.len() {
             for due in self.fronts[node].due(now_ms) {
-                match due.target {
-                    Some(key) => self.send(node, key, now_ms),
-                    None => self.rejected += 1,
+                match due.outcome {
+                    Ok(key) => self.send(node, key, now_ms),
+                    Err(_) => self.rejected += 1,
                 }
             }
         }
--- a/eel-fleet/tests/fleet/waiting_requests.rs
+++ b/eel-fleet/tests/fleet/waiting_requests.rs
@@ -1,6 +1,6 @@
 //! Online requests that find no slot.
 
-use eel_fleet::{AttemptEnd, Decision, Dispatcher, Due, TargetKey, TicketKey, Work};
+use eel_fleet::{AttemptEnd, Decision, Dispatcher, Due, Rejection, TargetKey, TicketKey, Work};
 use eel_types::Name;
 
 use crate::fixture::{SERVICE, arrival, report, target};
@@ -31,7 +31,7 @@
 
 fn tickets(due: Vec<Due>) -> Vec<(TicketKey, bool)> {
     due.into_iter()
-        .map(|due| (due.ticket, due.target.is_some()))
+        .map(|due| (due.ticket, due.outcome.is_ok()))
         .collect()
 }
 
@@ -74,9 +74,12 @@
     let decision = dispatcher.arrive(0, arrival(&service, 400, 5_000));
     assert_eq!(
         decision,
-        Decision::Reject {
-            retry_after_ms: 600
-        }
+        Decision::Reject(Rejection {
+            retry_after_ms: 600,
+            expected_wait_ms: 600,
+            ahead: 1,
+            slots: 1
+        })
     );
 }
 
@@ -95,9 +98,12 @@
     let decision = dispatcher.arrive(1, arrival(&service, 1_000, 5_000));
     assert_eq!(
         decision,
-        Decision::Reject {
-            retry_after_ms: 1_200
-        }
+        Decision::Reject(Rejection {
+            retry_after_ms: 1_200,
+            expected_wait_ms: 1_200,
+            ahead: 3,
+            slots: 1
+        })
     );
     assert!(
         !dispatcher.is_online_waiting(1_001, SERVICE),
--- a/eel-gateway/src/batch/commit.rs
+++ b/eel-gateway/src/batch/commit.rs
@@ -38,6 +38,7 @@
         match context.store.commit(&txn).await {
             Ok(outcome) if outcome.succeeded => {
                 context.on_store_answer();
+                log_listed(context, &chunks, outcome.revision.0);
                 take_in(context, &chunks);
             }
             Ok(_) => {
@@ -53,6 +54,18 @@
     }
 }
 
+fn log_listed(context: &Context, chunks: &[(String, Bytes)], revision: u64) {
+    let ledger = context.ledger();
+    for (key, value) in chunks {
+        if let Some(JobKey::Chunk(job, number)) = ledger.keys().parse(key) {
+            log::info!(
+                target: "jobs", job, chunk = number, bytes = value.len(), revision;
+                "Results were listed."
+            );
+        }
+    }
+}
+
 fn take_in(context: &Context, chunks: &[(String, Bytes)]) {
     let mut ledger = context.ledger();
     for (key, value) in chunks {
--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -213,6 +213,11 @@
             resolved = run.run(held) => resolved,
             () = cancel.cancelled() => run.broken_off(),
         };
+        let failures = match &resolved {
+            Resolved::Failed(progress) => progress.failures + 1,
+            Resolved::Completed(progress) | Resolved::BrokenOff(progress) => progress.failures,
+            Resolved::Impossible => 0,
+        };
         let outcome = match &resolved {
             Resolved::Completed(_) => "completed",
             Resolved::BrokenOff(_) => "broken_off",
@@ -227,7 +232,7 @@
         };
         log::info!(
             target: "jobs", request_id = run.item.id.as_str(), job = item.job.as_str(), target_id = target.as_str(),
-            outcome, verdict = verdict.as_str(), yielded = cancel.is_cancelled();
+            outcome, failures, max_attempts = run.head.max_attempts, verdict = verdict.as_str(), yielded = cancel.is_cancelled();
             "A run of an item ended."
         );
         let mut state = self.lock();
--- a/eel-gateway/src/online/request.rs
+++ b/eel-gateway/src/online/request.rs
@@ -6,17 +6,13 @@
 };
 
 use bytes::Bytes;
-use eel_fleet::{Arrival, TargetKey, stable_hash};
+use eel_fleet::{Arrival, Rejection, TargetKey, stable_hash};
 use eel_platform::caller_fields;
 use eel_table::Route;
 use eel_types::Name;
 use http::{Uri, request::Parts};
 
-use crate::{
-    context::Context,
-    slots::{Held, Rejected},
-    target::Outgoing,
-};
+use crate::{context::Context, slots::Held, target::Outgoing};
 
 /// The time that a target takes for a first answer once it has a request, in ms: reading a prompt and one step.
 const FIRST_ANSWER_MS: u64 = 40;
@@ -69,7 +65,7 @@
     }
 
     /// Waits for a slot.
-    pub async fn place(&mut self) -> Result<Held, Rejected> {
+    pub async fn place(&mut self) -> Result<Held, Rejection> {
         let now = Instant::now();
         let now_ms = self.context.clock.now_ms();
         let left_ms = ms(self.deadline.saturating_duration_since(now));
--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use eel_fleet::Rejection;
 use eel_verdict::Refusal;
 
 use super::{plan::Attempts, request::Request};
@@ -22,10 +23,13 @@
         if now >= request.deadline {
             return Err(attempts.time_out());
         }
-        let held = request
-            .place()
-            .await
-            .map_err(|rejected| attempts.reject(rejected.retry_after_ms))?;
+        let held = match request.place().await {
+            Ok(held) => held,
+            Err(rejection) => {
+                log_rejection(request, &rejection);
+                return Err(attempts.reject(rejection.retry_after_ms));
+            }
+        };
         let (key, target) = (held.key, held.target.id.clone());
         let patience = attempts.patience(&request.route);
         let now = Instant::now();
@@ -60,3 +64,12 @@
         }
     }
 }
+
+fn log_rejection(request: &Request, rejection: &Rejection) {
+    log::info!(
+        target: "online", request_id = request.outgoing.request_id.as_str(), service = request.service.as_str(),
+        expected_wait_ms = rejection.expected_wait_ms, ahead = rejection.ahead, slots = rejection.slots,
+        retry_after_ms = rejection.retry_after_ms;
+        "A request found no slot in time."
+    );
+}
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -123,7 +123,8 @@
     request.context.metrics.count_request(outcome);
     log::info!(
         target: "online", request_id = request.outgoing.request_id.as_str(), route = request.route.name.as_str(),
-        service = request.service.as_str(), status = status.as_u16(), outcome, failed_attempts = attempts.may_have_run,
+        service = request.service.as_str(),
+        routes_version = request.context.table.load().as_ref().map_or(0, |table| table.version), status = status.as_u16(), outcome, failed_attempts = attempts.may_have_run,
         waited_ms = u64::try_from(request.waited.as_millis()).unwrap_or(u64::MAX),
         total_ms = u64::try_from(request.arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
         "A request was decided."
--- a/eel-gateway/src/slots.rs
+++ b/eel-gateway/src/slots.rs
@@ -6,8 +6,8 @@
 };
 
 use eel_fleet::{
-    Arrival, AttemptEnd, Decision, Dispatcher, Due, PeerReport, TargetEntry, TargetKey, TicketKey,
-    Wish, Work,
+    Arrival, AttemptEnd, Decision, Dispatcher, Due, PeerReport, Rejection, TargetEntry, TargetKey,
+    TicketKey, Wish, Work,
 };
 use eel_types::{Clock, Name};
 use tokio::sync::{Notify, oneshot};
@@ -26,14 +26,16 @@
 
 struct Inner {
     dispatcher: Dispatcher,
-    waiters: HashMap<(Name, TicketKey), oneshot::Sender<Result<TargetKey, Rejected>>>,
+    waiters: HashMap<(Name, TicketKey), oneshot::Sender<Result<TargetKey, Rejection>>>,
 }
 
-/// A request found no slot and did not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Rejected {
-    pub(crate) retry_after_ms: u64,
-}
+/// The chosen target was removed before the request could be sent.
+const NO_TARGET: Rejection = Rejection {
+    retry_after_ms: 0,
+    expected_wait_ms: 0,
+    ahead: 0,
+    slots: 0,
+};
 
 /// A slot at a target, given back on drop.
 pub(crate) struct Held {
@@ -61,14 +63,14 @@
     }
 
     /// Waits for a slot for an online request.
-    pub(crate) async fn place(self: &Arc<Self>, arrival: Arrival<'_>) -> Result<Held, Rejected> {
+    pub(crate) async fn place(self: &Arc<Self>, arrival: Arrival<'_>) -> Result<Held, Rejection> {
         let now_ms = self.clock.now_ms();
         let service = arrival.service.clone();
         let (ticket, receiver) = {
             let mut inner = self.lock();
             match inner.dispatcher.arrive(now_ms, arrival) {
                 Decision::Start(key) => return self.held(&inner, key, Work::Online),
-                Decision::Reject { retry_after_ms } => return Err(Rejected { retry_after_ms }),
+                Decision::Reject(rejection) => return Err(rejection),
                 Decision::Wait(ticket) => {
                     let (send, receive) = oneshot::channel();
                     inner.waiters.insert((service.clone(), ticket), send);
@@ -88,8 +90,8 @@
         self.metrics.wait_seconds.0.observe(ms_to_s(waited_ms));
         match decided {
             Ok(Ok(key)) => self.held(&self.lock(), key, Work::Online),
-            Ok(Err(rejected)) => Err(rejected),
-            Err(_) => Err(Rejected { retry_after_ms: 0 }),
+            Ok(Err(rejection)) => Err(rejection),
+            Err(_) => Err(NO_TARGET),
         }
     }
 
@@ -135,9 +137,14 @@
         }
     }
 
-    fn held(self: &Arc<Self>, inner: &Inner, key: TargetKey, work: Work) -> Result<Held, Rejected> {
+    fn held(
+        self: &Arc<Self>,
+        inner: &Inner,
+        key: TargetKey,
+        work: Work,
+    ) -> Result<Held, Rejection> {
         let target = inner.dispatcher.board().entry(key).cloned();
-        let target = target.ok_or(Rejected { retry_after_ms: 0 })?;
+        let target = target.ok_or(NO_TARGET)?;
         self.load_changed.notify_one();
         Ok(Held {
             slots: self.clone(),
@@ -155,13 +162,11 @@
             let Due {
                 service,
                 ticket,
-                target,
-                retry_after_ms,
+                outcome,
             } = due;
             let waiter = inner.waiters.remove(&(service, ticket));
-            let decided = target.ok_or(Rejected { retry_after_ms });
-            let is_taken = waiter.is_some_and(|waiter| waiter.send(decided).is_ok());
-            if let (false, Some(key)) = (is_taken, target) {
+            let is_taken = waiter.is_some_and(|waiter| waiter.send(outcome).is_ok());
+            if let (false, Ok(key)) = (is_taken, outcome) {
                 inner
                     .dispatcher
                     .board_mut()
--- a/src/main.rs
+++ b/src/main.rs
@@ -67,6 +67,7 @@
         Verb::Job(job) => job::run(job, options.timeout_ms, options.format).await,
         Verb::Keys(keys) => setup::keys(keys, options.format),
         Verb::Settings(settings) => setup::settings(settings, options.format),
+        Verb::Explain(explain) => setup::explain(explain, options.format),
         #[cfg(feature = "bench")]
         Verb::Bench(bench) => bench::run(bench).await,
         #[cfg(feature = "bench")]
--- a/src/options/mod.rs
+++ b/src/options/mod.rs
@@ -73,6 +73,7 @@
     Job(JobOptions),
     Keys(KeysOptions),
     Settings(SettingsOptions),
+    Explain(ExplainOptions),
     #[cfg(feature = "bench")]
     Bench(BenchOptions),
     #[cfg(feature = "bench")]
@@ -110,6 +111,18 @@
     pub verb: SettingsVerb,
 }
 
+/// Print what the logs of all nodes say of a request, an item or a job, in order.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainOptions {
+    /// id of the request, the item or the job
+    #[argh(positional)]
+    pub id: String,
+    /// logs in JSON lines
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+}
+
 #[derive(FromArgs)]
 #[argh(subcommand)]
 pub enum SettingsVerb {
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -1,7 +1,7 @@
-//! The verbs that prepare a node: keys and settings.
+//! The verbs around a node: keys, settings and logs.
 
 use eel_core::{
-    Exit, keys,
+    Exit, explain, keys,
     settings_check::{self, Process},
 };
 use error_stack::{Report, ResultExt as _};
@@ -9,7 +9,7 @@
 
 use crate::{
     error::Error,
-    options::{Format, KeysOptions, KeysVerb, SettingsOptions, SettingsVerb},
+    options::{ExplainOptions, Format, KeysOptions, KeysVerb, SettingsOptions, SettingsVerb},
     print::print,
 };
 
@@ -46,3 +46,13 @@
     print(&outcome, format)?;
     Ok(outcome.exit())
 }
+
+pub fn explain(options: &ExplainOptions, format: Format) -> Result<Exit, Report<Error>> {
+    let options = explain::Options {
+        id: options.id.clone(),
+        files: options.files.clone(),
+    };
+    let outcome = explain::explain(&options).change_context(Error::Verb)?;
+    print(&outcome, format)?;
+    Ok(outcome.exit())
+}
--- /dev/null
+++ b/tests/gateway/explained_failures.rs
@@ -0,0 +1,183 @@
+//! From a failed request's id to its cause, by the log lines alone.
+
+use std::time::Duration;
+
+use eel_core::explain::{Line, Options, explain};
+use eel_platform::standin::{Behaviour, StandInStore, StandInTarget};
+use reqwest::{Client, Response};
+use serde_json::json;
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    process::Process,
+    world::{HOST, routes},
+};
+
+/// How long a line is waited for before the test counts as hung.
+const HANG: Duration = Duration::from_mins(1);
+
+struct Fleet {
+    _store: StandInStore,
+    target: StandInTarget,
+    node: Process,
+    client: Client,
+    _directory: tempfile::TempDir,
+}
+
+async fn fleet() -> Fleet {
+    let store = StandInStore::start().await.expect("a store");
+    store.put("op/config", &routes(1).to_string());
+    let target = StandInTarget::start("scribe", "i-0")
+        .await
+        .expect("a target");
+    target.announce(&store, "ready");
+    let directory = tempfile::tempdir().expect("a directory");
+    let node = Process::start(directory.path(), "node-0", store.address(), true);
+    let client = Client::builder().no_proxy().build().expect("a client");
+    let fleet = Fleet {
+        _store: store,
+        target,
+        node,
+        client,
+        _directory: directory,
+    };
+    let served = async {
+        while !matches!(fleet.send("/idempotent/1", "first").await, Some(200)) {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(HANG, served).await.expect("the node serves");
+    fleet
+}
+
+impl Fleet {
+    async fn send(&self, path: &str, id: &str) -> Option<u16> {
+        let url = format!("http://{}{path}", self.node.http);
+        let request = self
+            .client
+            .post(url)
+            .header("host", HOST)
+            .header("x-eelgrassgap-attempt-id", id);
+        let sent = request
+            .header("x-eelgrassgap-deadline-ms", "1500")
+            .body("body")
+            .send()
+            .await;
+        sent.ok()
+            .as_ref()
+            .map(Response::status)
+            .map(|status| status.as_u16())
+    }
+
+    /// Returns the first line about `id` with this message.
+    async fn line(&self, id: &str, message: &str) -> Line {
+        let options = Options {
+            id: id.into(),
+            files: vec![self.node.log_path()],
+        };
+        let found = async {
+            loop {
+                let lines = explain(&options).expect("a log").lines;
+                if let Some(line) = lines
+                    .into_iter()
+                    .find(|line| line.message.starts_with(message))
+                {
+                    return line;
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let found = timeout(HANG, found).await;
+        found.unwrap_or_else(|_| panic!("no line {message:?} about {id}\n{}", self.node.log_tail()))
+    }
+}
+
+#[tokio::test]
+async fn rejected_under_load() {
+    let fleet = fleet().await;
+    fleet.target.always(Behaviour::Silent);
+    let sends = (0..6).map(|number| {
+        let (client, http) = (fleet.client.clone(), fleet.node.http);
+        tokio::spawn(async move {
+            let request = client
+                .post(format!("http://{http}/once/1"))
+                .header("host", HOST);
+            let request = request.header("x-eelgrassgap-attempt-id", format!("crowd-{number}"));
+            request
+                .header("x-eelgrassgap-deadline-ms", "1500")
+                .body("body")
+                .send()
+                .await
+        })
+    });
+    let mut rejected = None;
+    for (number, sent) in sends.collect::<Vec<_>>().into_iter().enumerate() {
+        let response = sent.await.expect("a task").expect("an answer");
+        if response.status().as_u16() == 503 {
+            rejected = Some(format!("crowd-{number}"));
+        }
+    }
+    let line = fleet
+        .line(
+            &rejected.expect("one of six for two slots"),
+            "A request found no slot in time.",
+        )
+        .await;
+    assert_eq!(line.fields["service"], "scribe");
+    assert!(
+        line.fields["expected_wait_ms"].as_u64() > Some(0),
+        "{line:?}"
+    );
+    assert!(
+        line.fields.contains_key("ahead") && line.fields.contains_key("slots"),
+        "{line:?}"
+    );
+}
+
+#[tokio::test]
+async fn may_have_run() {
+    let fleet = fleet().await;
+    fleet.target.always(Behaviour::AnswersAnother);
+    assert_eq!(fleet.send("/once/1", "unlucky").await, Some(502));
+    let attempt = fleet
+        .line(
+            "unlucky",
+            "An attempt brought no answer: the answer is broken.",
+        )
+        .await;
+    assert_eq!(attempt.fields["target_id"], "i-0");
+    assert_eq!(
+        (&attempt.fields["verdict"], &attempt.fields["again"]),
+        (&json!("may-have-run"), &json!(false))
+    );
+    let decided = fleet.line("unlucky", "A request was decided.").await;
+    assert_eq!(
+        (&decided.fields["status"], &decided.fields["routes_version"]),
+        (&json!(502), &json!(1))
+    );
+}
+
+#[tokio::test]
+async fn errored_item() {
+    let fleet = fleet().await;
+    fleet.target.always(Behaviour::Impossible);
+    let items = json!({"items": [{"id": "sad-item", "path": "/jobs/stream", "body": ""}]});
+    let url = format!("http://{}/jobs/submit", fleet.node.http);
+    let request = fleet
+        .client
+        .post(url)
+        .header("host", HOST)
+        .header("x-eelgrassgap-attempt-id", "sad-job");
+    let response = request
+        .body(items.to_string())
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(response.status().as_u16(), 202);
+    let run = fleet.line("sad-item", "A run of an item ended.").await;
+    assert_eq!(
+        (&run.fields["outcome"], &run.fields["job"]),
+        (&json!("impossible"), &json!("sad-job"))
+    );
+    fleet.line("sad-job", "Results were listed.").await;
+}
--- a/tests/soak/main.rs
+++ b/tests/gateway/main.rs
@@ -1,10 +1,12 @@
-//! A randomized fault soak: gateway nodes as processes of their own, faults from outside, promises checked by what
-//! callers and targets see.
+//! Gateway nodes as processes of their own: a randomized fault soak, and failures explained from the logs.
 //!
-//! `seeded` runs in CI. By hand: `SOAK_RUNS=50 SOAK_NODES=6 cargo test --test soak -- --ignored --nocapture`, from the
+//! The soak injects faults from outside and checks the promises by what callers and targets see.
+//!
+//! `seeded` runs in CI. By hand: `SOAK_RUNS=50 SOAK_NODES=6 cargo test --test gateway -- --ignored --nocapture`, from the
 //! seed `SOAK_SEED` on or from a fresh one. A seed that ever failed is kept in [`REGRESSIONS`].
 
 mod callers;
+mod explained_failures;
 mod faults;
 mod jobs;
 mod process;
--- a/tests/soak/process.rs
+++ b/tests/gateway/process.rs
@@ -80,6 +80,11 @@
         child.is_none_or(|child| child.try_wait().is_ok_and(|status| status.is_some()))
     }
 
+    /// Returns where the node logs to.
+    pub fn log_path(&self) -> PathBuf {
+        self.log.clone()
+    }
+
     /// Returns the last lines of the log.
     pub fn log_tail(&self) -> String {
         const LINES: usize = 30;
--- a/tests/soak/world.rs
+++ b/tests/gateway/world.rs
@@ -188,7 +188,8 @@
     }
 }
 
-fn routes(version: u64) -> Value {
+/// Routes of every kind to one service.
+pub fn routes(version: u64) -> Value {
     let route = |name: &str, kind: &str| {
         json!({
             "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "routeType": kind, "timeoutMs": 3000,
