fix(platform): notice a watch whose answer was lost within 2.5 s

A front's watch call had reached the store during a fault that lost its answer; the connection stayed alive, so neither keep-alive probes nor the user timeout ended it, and the call waited out its 10 s. Routes, results and ends of jobs came 11 s late.

Ruled out: the lease (renewed at 6.95 s, as soon as the store was back); the gathering pause (0.7 s).

Change: the store may keep a watch's call for 1.5 s.

--- a/eel-gateway/src/node.rs
+++ b/eel-gateway/src/node.rs
@@ -26,6 +26,9 @@
 /// How long the node still takes connections after it has stopped being ready: the balancer asks each second and
 /// moves away after two answers.
 const LEAVE_NOTICE: Duration = Duration::from_millis(2_300);
+/// How long the store may keep a watch's call that has nothing to tell, in ms. With the second that a call may take, a
+/// lost answer is noticed within the 3 s after which a calm node has to know the newest routes.
+const WATCH_WAIT_MS: u64 = 1_500;
 /// How often requests that wait and idle connections are looked at while nothing else happens.
 const TICK: Duration = Duration::from_millis(25);
 /// How often idle connections are looked at.
@@ -54,6 +57,7 @@
         let store = PlatformStore::new(&StoreOptions {
             endpoint: settings.store.endpoint.as_str().to_owned(),
             call_timeout_ms: settings.store.timeout_ms,
+            watch_wait_ms: WATCH_WAIT_MS,
         })
         .change_context(Error::Client)?;
         let callers = bind_optional(settings.listen.http).await?;
