refactor(platform): one copy of a call's effect and of the tests' routes; drop what nothing reads

Cause: read as a newcomer: the store's two clients each said what a lost answer means, two test targets each wrote the same routes, and route tables carried services that no decision reads.

Change: `Effect` stands in eel-store; the stand-ins hold the routes; `ServiceSpec`, `has_host` and `by_name` are gone. Behaviour is the same.

--- a/eel-gateway/tests/gateway/fixture.rs
+++ b/eel-gateway/tests/gateway/fixture.rs
@@ -3,14 +3,13 @@
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use eel_gateway::GatewayNode;
-use eel_platform::standin::{StandInStore, StandInTarget};
+use eel_platform::standin::{HOST, StandInStore, StandInTarget, routes};
 use eel_settings::GatewaySettings;
 use eel_supervise::Shutdown;
 use reqwest::{Client, RequestBuilder, Response};
 use serde_json::{Value, json};
 use tokio::{task::JoinHandle, time::sleep};
 
-pub const HOST: &str = "a.example";
 /// How long a condition is waited for before the test counts as hung.
 const HANG: Duration = Duration::from_mins(1);
 
@@ -79,31 +78,6 @@
     }
 }
 
-/// Routes of every kind to one service.
-pub fn routes(version: u64) -> Value {
-    let route = |name: &str, kind: &str| {
-        json!({
-            "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "routeType": kind, "timeoutMs": 3000,
-            "targetLatencyMs": 100, "priority": 0, "service": "scribe", "maxAttempts": 2, "gapAimMs": 100
-        })
-    };
-    let mut resumable = route("resumable-stream", "streaming");
-    resumable["resumable"] = true.into();
-    let mut batch = route("jobs", "batch");
-    batch["dueMs"] = 10_000.into();
-    batch["maxQueueS"] = 30.into();
-    let plain = [
-        route("idempotent", "idempotent"),
-        route("once", "non_idempotent"),
-        route("once-stream", "streaming"),
-    ];
-    let routes: Vec<Value> = plain.into_iter().chain([resumable, batch]).collect();
-    json!({
-        "version": version, "routes": routes, "services": [{"name": "scribe", "engine": {"slots": 2}}],
-        "limits": {"maxBodyBytes": 100_000}
-    })
-}
-
 impl Fleet {
     pub fn post(&self, node: usize, path: &str, id: &str) -> RequestBuilder {
         let url = format!("http://{}{path}", self.nodes[node].http);
--- a/eel-gateway/tests/gateway/target_lifecycle.rs
+++ b/eel-gateway/tests/gateway/target_lifecycle.rs
@@ -1,6 +1,8 @@
 //! Targets that come, leave, and are replaced.
 
-use crate::fixture::{fleet, routes, until};
+use eel_platform::standin::routes;
+
+use crate::fixture::{fleet, until};
 
 #[tokio::test]
 async fn draining_target() {
--- a/eel-store/src/etcd/call.rs
+++ b/eel-store/src/etcd/call.rs
@@ -11,19 +11,12 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use super::{client::EtcdOptions, message::ErrorAnswer};
-use crate::{RejectReason, StoreError, StoreResult};
+use crate::{Effect, RejectReason, StoreError, StoreResult};
 
 const IDLE_CONNECTIONS: usize = 4;
 const CODE_OUT_OF_RANGE: u32 = 11;
 const CODE_NOT_FOUND: u32 = 5;
 
-/// What a call does to the store; decides what a lost answer means.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Effect {
-    Reads,
-    Writes,
-}
-
 /// Sends calls to the first endpoint that takes them.
 #[derive(Debug)]
 pub struct Caller {
@@ -90,7 +83,7 @@
                 }
             }
         }
-        Err(failure.unwrap_or_else(|| Report::new(unanswered(effect))))
+        Err(failure.unwrap_or_else(|| Report::new(effect.unanswered())))
     }
 
     /// Opens a streamed answer on a connection of its own, at the endpoint that is `attempt` after the preferred one.
@@ -116,34 +109,20 @@
     }
 }
 
-fn unanswered(effect: Effect) -> StoreError {
-    match effect {
-        Effect::Reads => StoreError::Unavailable,
-        Effect::Writes => StoreError::MayHaveApplied,
-    }
-}
-
-fn not_sent(effect: Effect) -> StoreError {
-    match effect {
-        Effect::Reads => StoreError::Unavailable,
-        Effect::Writes => StoreError::NotApplied,
-    }
-}
-
 async fn exchange(request: reqwest::RequestBuilder, effect: Effect) -> StoreResult<Bytes> {
     let response = match request.send().await {
         Ok(response) => response,
         Err(error) => {
             let context = if error.is_connect() {
-                not_sent(effect)
+                effect.not_done()
             } else {
-                unanswered(effect)
+                effect.unanswered()
             };
             return Err(Report::new(error).change_context(context));
         }
     };
     let status = response.status();
-    let body = response.bytes().await.change_context(unanswered(effect))?;
+    let body = response.bytes().await.change_context(effect.unanswered())?;
     if status.is_success() {
         return Ok(body);
     }
@@ -153,14 +132,14 @@
 }
 
 fn parse<A: DeserializeOwned>(answer: &[u8], effect: Effect) -> StoreResult<A> {
-    serde_json::from_slice(answer).change_context(unanswered(effect))
+    serde_json::from_slice(answer).change_context(effect.unanswered())
 }
 
 /// What an error answer means. A status that the service does not document says nothing about the effect.
 fn refusal(status: StatusCode, answer: &ErrorAnswer, effect: Effect) -> StoreError {
     let rejected = StoreError::Rejected;
     match status {
-        StatusCode::TOO_MANY_REQUESTS => not_sent(effect),
+        StatusCode::TOO_MANY_REQUESTS => effect.not_done(),
         StatusCode::PAYLOAD_TOO_LARGE => rejected(RejectReason::TooLarge),
         StatusCode::NOT_FOUND if answer.code == CODE_NOT_FOUND => rejected(RejectReason::LeaseGone),
         StatusCode::BAD_REQUEST if answer.code == CODE_OUT_OF_RANGE => {
@@ -173,6 +152,6 @@
         | StatusCode::NOT_FOUND
         | StatusCode::UNAUTHORIZED
         | StatusCode::FORBIDDEN => rejected(RejectReason::Invalid),
-        _ => unanswered(effect),
+        _ => effect.unanswered(),
     }
 }
--- a/eel-store/src/etcd/client.rs
+++ b/eel-store/src/etcd/client.rs
@@ -4,14 +4,10 @@
 
 use error_stack::Report;
 
-use super::{
-    call::{Caller, Effect},
-    message, request, response,
-    watch::WatchStream,
-};
+use super::{call::Caller, message, request, response, watch::WatchStream};
 use crate::{
-    KeyValue, Lease, LeaseId, RangeOutcome, RangeRequest, RejectReason, StoreError, StoreResult,
-    Txn, TxnOutcome, WatchOptions,
+    Effect, KeyValue, Lease, LeaseId, RangeOutcome, RangeRequest, RejectReason, StoreError,
+    StoreResult, Txn, TxnOutcome, WatchOptions,
 };
 
 const MS_PER_S: u64 = 1000;
--- a/eel-store/src/lib.rs
+++ b/eel-store/src/lib.rs
@@ -4,6 +4,7 @@
 //! publishes. [`commit_settled`] decides whether a write whose answer was lost took effect. [`VmList`] is the edge to
 //! the platform's list of VMs.
 
+mod effect;
 mod error;
 mod etcd;
 mod key_value;
@@ -14,6 +15,7 @@
 mod vm_list;
 mod watch;
 
+pub use effect::Effect;
 pub use error::{RejectReason, StoreError, StoreResult};
 pub use etcd::{EtcdJson, EtcdOptions};
 pub use key_value::KeyValue;
--- a/eel-table/src/lib.rs
+++ b/eel-table/src/lib.rs
@@ -2,10 +2,8 @@
 
 mod limits;
 mod route;
-mod service;
 mod table;
 
 pub use limits::CallerLimits;
 pub use route::{Route, RouteKind, Share};
-pub use service::ServiceSpec;
 pub use table::RouteTable;
--- a/eel-table/src/table.rs
+++ b/eel-table/src/table.rs
@@ -4,7 +4,7 @@
 
 use eel_types::Name;
 
-use crate::{CallerLimits, Route, ServiceSpec};
+use crate::{CallerLimits, Route};
 
 /// All routes of one version.
 #[derive(Clone, Debug, Default)]
@@ -13,19 +13,13 @@
     pub version: u64,
     /// What callers may send.
     pub limits: CallerLimits,
-    services: HashMap<Name, ServiceSpec>,
     hosts: HashMap<Name, Vec<Arc<Route>>>,
 }
 
 impl RouteTable {
     /// Arranges `routes` for lookup.
     #[must_use]
-    pub fn new(
-        version: u64,
-        routes: Vec<Route>,
-        services: Vec<ServiceSpec>,
-        limits: CallerLimits,
-    ) -> Self {
+    pub fn new(version: u64, routes: Vec<Route>, limits: CallerLimits) -> Self {
         let mut hosts: HashMap<Name, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             hosts
@@ -36,11 +30,9 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
         Self {
             version,
             limits,
-            services,
             hosts,
         }
     }
@@ -60,25 +52,4 @@
             .iter()
             .find(|route| path.starts_with(route.path_prefix.as_str()))
     }
-
-    /// Returns whether some route of `host` exists.
-    #[must_use]
-    pub fn has_host(&self, host: &str) -> bool {
-        self.hosts.contains_key(host.to_ascii_lowercase().as_str())
-    }
-
-    /// Finds a route by its name.
-    #[must_use]
-    pub fn by_name(&self, name: &str) -> Option<&Arc<Route>> {
-        self.hosts
-            .values()
-            .flatten()
-            .find(|route| *route.name == *name)
-    }
-
-    /// Returns what is declared of a service.
-    #[must_use]
-    pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
-        self.services.get(name)
-    }
 }
--- a/eel-table/tests/table/route_lookup.rs
+++ b/eel-table/tests/table/route_lookup.rs
@@ -27,7 +27,7 @@
         route("old", "a.example", "/notes/old/"),
         route("other", "b.example", "/notes/"),
     ];
-    let table = RouteTable::new(1, routes, Vec::new(), CallerLimits::default());
+    let table = RouteTable::new(1, routes, CallerLimits::default());
     let cases = [
         ("a.example", "/notes/old/1", Some("old")),
         ("a.example", "/notes/older", Some("notes")),
--- a/tests/gateway/callers.rs
+++ b/tests/gateway/callers.rs
@@ -9,12 +9,11 @@
     time::Duration,
 };
 
+use eel_platform::standin::HOST;
 use rand::{RngExt as _, rngs::SmallRng};
 use reqwest::{Client, Response};
 use tokio::time::sleep;
 
-use crate::world::HOST;
-
 const EVENTS: [u64; 5] = [1, 2, 3, 4, 5];
 const KINDS: [(&str, bool); 4] = [
     ("/idempotent/1", true),
--- a/tests/gateway/explained_failures.rs
+++ b/tests/gateway/explained_failures.rs
@@ -3,15 +3,12 @@
 use std::time::Duration;
 
 use eel_core::explain::{Line, Options, explain};
-use eel_platform::standin::{Behaviour, StandInStore, StandInTarget};
+use eel_platform::standin::{Behaviour, HOST, StandInStore, StandInTarget, routes};
 use reqwest::{Client, Response};
 use serde_json::json;
 use tokio::time::{sleep, timeout};
 
-use crate::{
-    process::Process,
-    world::{HOST, routes},
-};
+use crate::process::Process;
 
 /// How long a line is waited for before the test counts as hung.
 const HANG: Duration = Duration::from_mins(1);
--- a/tests/gateway/jobs.rs
+++ b/tests/gateway/jobs.rs
@@ -10,13 +10,12 @@
     time::Duration,
 };
 
+use eel_platform::standin::HOST;
 use rand::{RngExt as _, rngs::SmallRng};
 use reqwest::Client;
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use crate::world::HOST;
-
 const ITEMS: usize = 3;
 const TEXT: &str = "word1\nword2\nword3\nword4\nword5";
 /// How often a job is submitted before its caller gives up.
--- a/tests/gateway/world.rs
+++ b/tests/gateway/world.rs
@@ -8,10 +8,9 @@
     time::{Duration, Instant},
 };
 
-use eel_platform::standin::{Behaviour, StandInStore, StandInTarget, StoreFault};
+use eel_platform::standin::{Behaviour, StandInStore, StandInTarget, StoreFault, routes};
 use nix::sys::signal::Signal;
 use rand::{SeedableRng as _, rngs::SmallRng};
-use serde_json::{Value, json};
 use tempfile::TempDir;
 use tokio::{task::JoinSet, time::sleep};
 
@@ -23,7 +22,6 @@
     proxy::{Link, Proxy},
 };
 
-pub const HOST: &str = "a.example";
 const TARGETS: usize = 4;
 const CALLERS: u64 = 6;
 /// How long jobs may take to end after all faults are over, before the run counts as hung.
@@ -187,25 +185,3 @@
             .put("op/config", &routes(self.version).to_string());
     }
 }
-
-/// Routes of every kind to one service.
-pub fn routes(version: u64) -> Value {
-    let route = |name: &str, kind: &str| {
-        json!({
-            "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "routeType": kind, "timeoutMs": 3000,
-            "targetLatencyMs": 150, "service": "scribe", "maxAttempts": 2, "gapAimMs": 100
-        })
-    };
-    let mut resumable = route("resumable-stream", "streaming");
-    resumable["resumable"] = true.into();
-    let mut batch = route("jobs", "batch");
-    batch["dueMs"] = 10_000.into();
-    batch["maxQueueS"] = 600.into();
-    let plain = [
-        route("idempotent", "idempotent"),
-        route("once", "non_idempotent"),
-        route("once-stream", "streaming"),
-    ];
-    let routes: Vec<Value> = plain.into_iter().chain([resumable, batch]).collect();
-    json!({"version": version, "routes": routes, "services": [{"name": "scribe"}], "limits": {}})
-}
