feat(ledger): let items go on after what a lost node saved

Ruled out: saving whole texts each time (0.8 MB every 2 s and node, by estimate); saving to the same key as results, which would end positions.

Change: batch nodes write the new pieces of their items' texts each 1.5 s, and once more when they leave; a node that takes an item up goes on after the last piece. Pieces of one node form a lineage that says what it goes on from, so texts of runs that did not follow one another are never joined. Keys of ended items are removed in the same transactions.

--- a/eel-fleet/src/peers.rs
+++ b/eel-fleet/src/peers.rs
@@ -12,8 +12,6 @@
 
 /// How long a node counts as alive after its last report, in ms: eight of the usual intervals.
 const HEARD_LIFE_MS: u64 = 2_000;
-/// How long a newly listed node counts as alive before its first report, in ms.
-const FIRST_REPORT_MS: u64 = 1_500;
 
 /// What a node publishes of itself, under its lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -55,7 +53,6 @@
 struct Peer {
     entry: NodeEntry,
     is_listed: bool,
-    listed_ms: u64,
     heard_ms: Option<u64>,
     takes_batch: bool,
     reaches_store: bool,
@@ -69,7 +66,7 @@
 
 impl Peers {
     /// Takes in a node's entry.
-    pub fn on_entry(&mut self, now_ms: u64, name: &Name, entry: NodeEntry) {
+    pub fn on_entry(&mut self, name: &Name, entry: NodeEntry) {
         let is_known = self
             .peers
             .get(name)
@@ -83,7 +80,6 @@
         let peer = Peer {
             entry,
             is_listed: true,
-            listed_ms: now_ms,
             heard_ms: None,
             takes_batch,
             reaches_store: false,
@@ -162,8 +158,9 @@
             .is_some_and(|heard_ms| now_ms < heard_ms + HEARD_LIFE_MS)
     }
 
+    /// Two nodes that are cut off from one another still reach the store, so a listed one is alive though it is not
+    /// heard. One that is heard is alive though its entry was taken away.
     fn is_live(&self, now_ms: u64) -> bool {
-        let is_new = self.is_listed && now_ms < self.listed_ms + FIRST_REPORT_MS;
-        is_new || self.is_heard(now_ms)
+        self.is_listed || self.is_heard(now_ms)
     }
 }
--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -1,7 +1,7 @@
 //! One run of one item.
 
 use std::{
-    sync::Arc,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
@@ -26,7 +26,25 @@
     pub context: Arc<Context>,
     pub head: JobHead,
     pub item: Item,
-    pub progress: Progress,
+    pub progress: SharedProgress,
+}
+
+/// How far a running item is, for its run and for whoever saves it.
+#[derive(Clone, Debug, Default)]
+pub struct SharedProgress(Arc<Mutex<Progress>>);
+
+impl SharedProgress {
+    pub fn new(progress: Progress) -> Self {
+        Self(Arc::new(Mutex::new(progress)))
+    }
+
+    pub fn lock(&self) -> MutexGuard<'_, Progress> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take(&self) -> Progress {
+        std::mem::take(&mut *self.lock())
+    }
 }
 
 impl Run {
@@ -40,16 +58,8 @@
         let deadline = now + Duration::from_millis(left_ms).min(LONGEST_RUN);
         let pool = &self.context.pool;
         let until = now + SILENCE;
-        match exchange(
-            pool,
-            held,
-            &outgoing,
-            self.progress.last_event,
-            until,
-            deadline,
-        )
-        .await
-        {
+        let last_event = self.progress.lock().last_event;
+        match exchange(pool, held, &outgoing, last_event, until, deadline).await {
             Ok(answer) => self.read(answer).await,
             Err(failure) => {
                 log::debug!(target: "jobs", "A run of item {} brought no answer: {failure}.", self.item.id);
@@ -65,7 +75,7 @@
             match answer.next(Instant::now() + SILENCE).await {
                 Ok(Some(bytes)) if status.is_success() => {
                     partial.extend_from_slice(&bytes);
-                    take_events(&mut self.progress, &mut partial);
+                    take_events(&mut self.progress.lock(), &mut partial);
                 }
                 Ok(Some(_)) => {}
                 Ok(None) => break,
@@ -76,7 +86,7 @@
             }
         }
         answer.finish(&self.context.pool);
-        let progress = std::mem::take(&mut self.progress);
+        let progress = self.progress.take();
         match status {
             StatusCode::UNPROCESSABLE_ENTITY => Resolved::Impossible,
             status if status.is_success() && partial.is_empty() => Resolved::Completed(progress),
@@ -88,7 +98,7 @@
 
     /// Returns how far the item is.
     pub fn broken_off(&mut self) -> Resolved {
-        Resolved::BrokenOff(std::mem::take(&mut self.progress))
+        Resolved::BrokenOff(self.progress.take())
     }
 }
 
--- a/eel-gateway/src/batch/mod.rs
+++ b/eel-gateway/src/batch/mod.rs
@@ -4,6 +4,7 @@
 mod commit;
 mod item;
 mod retire;
+mod save;
 mod submit;
 mod worker;
 
--- /dev/null
+++ b/eel-gateway/src/batch/save.rs
@@ -0,0 +1,66 @@
+//! Writes how far items are, so that another node can go on with them.
+
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use eel_ledger::{Piece, owner_of};
+use eel_store::{KeyValue as _, Op, Txn};
+use eel_types::Name;
+
+use crate::context::Context;
+
+/// The most keys that are removed in one transaction, which takes 32 entries.
+const MAX_REMOVED: usize = 30;
+/// The keys that are worth a transaction of their own to remove.
+const WORTH_REMOVING: usize = 15;
+
+/// Writes pieces of text, and removes those whose items have ended. Returns whether the pieces were written.
+pub(super) async fn save(context: &Context, pieces: &[Piece]) -> bool {
+    let removed = removable(context);
+    if pieces.is_empty() && removed.len() < WORTH_REMOVING {
+        return false;
+    }
+    let Some(value) = Piece::encode_all(pieces).map(Bytes::from) else {
+        log::error!(target: "jobs", pieces = pieces.len(); "Pieces of text cannot be encoded.");
+        return false;
+    };
+    let sequence = context.saves.fetch_add(1, Ordering::Relaxed);
+    let key = context
+        .ledger()
+        .keys()
+        .partial(&context.name, context.incarnation, sequence);
+    let put = (!pieces.is_empty()).then(|| Op::put(key.clone(), value.clone()));
+    let removals = removed.iter().map(|key| Op::Delete { key: key.clone() });
+    let txn = Txn {
+        success: put.into_iter().chain(removals).collect(),
+        ..Txn::default()
+    };
+    if let Err(error) = context.store.commit(&txn).await {
+        context.on_store_failure("save how far items are", error.current_context());
+        return false;
+    }
+    context.on_store_answer();
+    let mut partials = context.partials();
+    for key in &removed {
+        partials.on_removed(key);
+    }
+    pieces.is_empty() || partials.on_put(&key, &value)
+}
+
+/// Returns keys of ended items that this node wrote, or that it removes for a node that is gone.
+fn removable(context: &Context) -> Vec<String> {
+    let now_ms = context.clock.now_ms();
+    let ledger = context.ledger();
+    let ended = context.partials().ended(&ledger, MAX_REMOVED);
+    let keys = ledger.keys().clone();
+    drop(ledger);
+    let peers = context.peers();
+    let live: Vec<&Name> = peers.batch_nodes(now_ms).chain([&context.name]).collect();
+    let is_mine = |key: &String| {
+        keys.partial_writer(key).is_some_and(|writer| {
+            let answers_for = owner_of(key, live.iter().copied()) == Some(&context.name);
+            *writer == *context.name || (!peers.is_live(now_ms, writer) && answers_for)
+        })
+    };
+    ended.into_iter().filter(is_mine).collect()
+}
--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -7,14 +7,18 @@
 };
 
 use eel_fleet::{TargetKey, stable_hash};
-use eel_ledger::{ItemRef, Ledger, Resolved, Worklist, owner_of};
+use eel_ledger::{ItemRef, Ledger, Progress, Resolved, SavedItems, Worklist, owner_of};
 use eel_types::Name;
 use eel_verdict::Verdict;
 use slotmap::SlotMap;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
-use super::{commit, item::Run, retire};
+use super::{
+    commit,
+    item::{Run, SharedProgress},
+    retire, save,
+};
 use crate::{
     context::{Context, now_unix_ms},
     slots::Held,
@@ -23,6 +27,11 @@
 /// How often the worker looks around while nothing happens.
 const TICK: Duration = Duration::from_millis(200);
 
+/// How often it is saved how far items are, in ms: a third of a usual run.
+const SAVE_EVERY_MS: u64 = 1_500;
+/// How often it is looked whether broken off runs have ended.
+const RUNS_END: Duration = Duration::from_millis(10);
+
 slotmap::new_key_type! {
     struct RunKey;
 }
@@ -38,12 +47,14 @@
 struct State {
     worklist: Worklist,
     runs: SlotMap<RunKey, Running>,
+    saved: SavedItems,
 }
 
 /// A run in progress.
 struct Running {
     target: TargetKey,
-    job: Name,
+    item: ItemRef,
+    progress: SharedProgress,
     started_ms: u64,
     cancel: CancellationToken,
 }
@@ -70,19 +81,54 @@
     pub(crate) async fn list_results(self: &Arc<Self>) {
         loop {
             commit::pause(&self.context).await;
-            commit::list(&self.context, |ledger| {
-                let mut state = self.lock();
-                state.worklist.forget_listed(ledger);
-                state.worklist.commit(ledger)
-            })
-            .await;
+            self.list_now().await;
+            self.save_progress(SAVE_EVERY_MS).await;
             retire::report(&self.context, self.is_idle()).await;
         }
     }
 
-    /// Waits until the results that there are have been listed.
+    /// Breaks all runs off, lists the results that there are and saves how far the other items are.
     pub(crate) async fn leave(self: &Arc<Self>) {
         self.step();
+        let all_ended = async {
+            while !self.lock().runs.is_empty() {
+                sleep(RUNS_END).await;
+            }
+        };
+        if timeout(TICK, all_ended).await.is_err() {
+            log::warn!(target: "jobs", "Runs have not ended in time; how far they are is not saved.");
+        }
+        self.list_now().await;
+        self.save_progress(0).await;
+    }
+
+    /// Writes how far items are, if that was last done at least `interval_ms` ago.
+    async fn save_progress(&self, interval_ms: u64) {
+        let pieces = {
+            let mut state = self.lock();
+            let State {
+                worklist,
+                runs,
+                saved,
+            } = &mut *state;
+            let running = runs
+                .values()
+                .map(|run| (run.item.clone(), run.progress.lock().clone()));
+            let paused = worklist
+                .paused()
+                .map(|(item, progress)| (item.clone(), progress.clone()));
+            saved.pieces(
+                self.context.clock.now_ms(),
+                interval_ms,
+                running.chain(paused),
+            )
+        };
+        if save::save(&self.context, &pieces).await {
+            self.lock().saved.on_saved(&pieces);
+        }
+    }
+
+    async fn list_now(&self) {
         commit::list(&self.context, |ledger| {
             let mut state = self.lock();
             state.worklist.forget_listed(ledger);
@@ -111,8 +157,9 @@
         let ledger = self.context.ledger();
         let mut state = self.lock();
         state.worklist.forget_listed(&ledger);
+        state.saved.forget_ended(&ledger);
         let is_open = |job: &str| ledger.job(job).is_some_and(eel_ledger::Job::is_open);
-        for run in state.runs.values().filter(|run| !is_open(&run.job)) {
+        for run in state.runs.values().filter(|run| !is_open(&run.item.job)) {
             run.cancel.cancel();
         }
     }
@@ -183,14 +230,15 @@
             .context
             .slots
             .try_batch(service, stable_hash(&entry.id))?;
+        let progress = SharedProgress::new(self.take_up(state, item));
         let cancel = CancellationToken::new();
         let key = state.runs.insert(Running {
             target: held.key,
-            job: item.job.clone(),
+            item: item.clone(),
+            progress: progress.clone(),
             started_ms: self.context.clock.now_ms(),
             cancel: cancel.clone(),
         });
-        let progress = state.worklist.start(item);
         let run = Run {
             context: self.context.clone(),
             head: job_head,
@@ -200,6 +248,17 @@
         Some(self.clone().drive(key, item.clone(), run, held, cancel))
     }
 
+    /// Returns how far an item is: by this node's own runs, or else by what another one saved.
+    fn take_up(&self, state: &mut State, item: &ItemRef) -> Progress {
+        let own = state.worklist.start(item);
+        if own.last_event.is_some() || state.saved.has(item) {
+            return own;
+        }
+        let known = self.context.partials().known(item);
+        state.saved.begin(item, known.as_ref(), rand::random());
+        known.map_or(own, |known| known.progress)
+    }
+
     async fn drive(
         self: Arc<Self>,
         key: RunKey,
--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -11,7 +11,7 @@
 
 use arc_swap::ArcSwapOption;
 use eel_fleet::{Peers, Registry};
-use eel_ledger::Ledger;
+use eel_ledger::{Ledger, Partials};
 use eel_platform::PlatformStore;
 use eel_table::RouteTable;
 use eel_types::{Clock, Name};
@@ -39,6 +39,11 @@
     registry: Mutex<Registry>,
     peers: Mutex<Peers>,
     ledger: Mutex<Ledger>,
+    partials: Mutex<Partials>,
+    /// Counts the writes of how far items are.
+    pub(crate) saves: AtomicU64,
+    /// Whether a node that runs batch has read the jobs and how far their items are.
+    pub(crate) has_read_jobs: AtomicBool,
     /// Counts the changes of the ledger.
     pub(crate) ledger_changes: watch::Sender<u64>,
     /// Told when a slot may have become free, or has to be given back.
@@ -84,6 +89,9 @@
             registry: Mutex::default(),
             peers: Mutex::default(),
             ledger: Mutex::new(Ledger::new(keys)),
+            partials: Mutex::default(),
+            saves: AtomicU64::new(0),
+            has_read_jobs: AtomicBool::new(false),
             ledger_changes: watch::channel(0).0,
             batch_wake: Notify::new(),
             entry_lost: Notify::new(),
@@ -106,6 +114,10 @@
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn partials(&self) -> MutexGuard<'_, Partials> {
+        self.partials.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn retirements(&self) -> MutexGuard<'_, BTreeSet<Name>> {
         self.retirements
             .lock()
@@ -155,6 +167,7 @@
     pub(crate) fn takes_batch(&self) -> bool {
         let can_list = self.is_store_fresh() || !self.peers().is_store_reached(self.clock.now_ms());
         self.runs_batch
+            && self.has_read_jobs.load(Ordering::Relaxed)
             && can_list
             && !self.is_retiring.load(Ordering::Relaxed)
             && !self.leaving.is_cancelled()
--- a/eel-gateway/src/online/request.rs
+++ b/eel-gateway/src/online/request.rs
@@ -68,8 +68,8 @@
     pub async fn place(&mut self) -> Result<Held, Rejection> {
         let now = Instant::now();
         let now_ms = self.context.clock.now_ms();
-        let left_ms = ms(self.deadline.saturating_duration_since(now));
-        let spent_ms = ms(now.saturating_duration_since(self.arrived));
+        let left_ms = whole_ms(self.deadline.saturating_duration_since(now));
+        let spent_ms = whole_ms(now.saturating_duration_since(self.arrived));
         let goal_left_ms = self
             .route
             .goal_ms
@@ -98,6 +98,7 @@
     path.and_then(|path| path.parse().ok()).unwrap_or(uri)
 }
 
-fn ms(duration: Duration) -> u64 {
+/// Returns a duration in whole milliseconds.
+pub fn whole_ms(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -5,7 +5,10 @@
 use eel_fleet::Rejection;
 use eel_verdict::Refusal;
 
-use super::{plan::Attempts, request::Request};
+use super::{
+    plan::Attempts,
+    request::{Request, whole_ms},
+};
 use crate::target::{Answer, exchange};
 
 /// Asks targets until one answers.
@@ -52,7 +55,7 @@
                 attempts.on_failure(failure);
                 log::info!(
                     target: "online", request_id = request.outgoing.request_id.as_str(), target_id = target.as_str(),
-                    attempt_ms = u64::try_from(now.elapsed().as_millis()).unwrap_or(u64::MAX),
+                    attempt_ms = whole_ms(now.elapsed()),
                     verdict = failure.verdict().as_str(), again = attempts.may_go_on(&request.route);
                     "An attempt brought no answer: {failure}."
                 );
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -8,7 +8,12 @@
 use eel_verdict::{Reason, Refusal};
 use http::{HeaderMap, Response, StatusCode, header, request::Parts};
 
-use super::{plan::Attempts, request::Request, run::ask, stream};
+use super::{
+    plan::Attempts,
+    request::{Request, whole_ms},
+    run::ask,
+    stream,
+};
 use crate::{
     context::Context,
     http::{Body, full, refuse},
@@ -120,13 +125,18 @@
 }
 
 fn log_end(request: &Request, attempts: &Attempts, status: StatusCode, outcome: &'static str) {
-    request.context.metrics.count_request(outcome);
+    let context = &request.context;
+    context.metrics.count_request(outcome);
+    let routes_version = context
+        .table
+        .load()
+        .as_ref()
+        .map_or(0, |table| table.version);
     log::info!(
         target: "online", request_id = request.outgoing.request_id.as_str(), route = request.route.name.as_str(),
-        service = request.service.as_str(),
-        routes_version = request.context.table.load().as_ref().map_or(0, |table| table.version), status = status.as_u16(), outcome, failed_attempts = attempts.may_have_run,
-        waited_ms = u64::try_from(request.waited.as_millis()).unwrap_or(u64::MAX),
-        total_ms = u64::try_from(request.arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
+        service = request.service.as_str(), routes_version, status = status.as_u16(), outcome,
+        failed_attempts = attempts.may_have_run, waited_ms = whole_ms(request.waited),
+        total_ms = whole_ms(request.arrived.elapsed());
         "A request was decided."
     );
 }
--- a/eel-gateway/src/store/apply.rs
+++ b/eel-gateway/src/store/apply.rs
@@ -40,6 +40,9 @@
         Subject::Other => match node_of(&context.prefix, key) {
             Some(node) if *node == *context.name => context.entry_lost.notify_one(),
             Some(node) => context.peers().on_removed(now_ms, node),
+            None if context.ledger().keys().partial_writer(key).is_some() => {
+                context.partials().on_removed(key);
+            }
             None => {
                 context.ledger().on_removed(key);
                 context.on_ledger_change();
@@ -159,15 +162,19 @@
     if let Some(node) = node_of(&context.prefix, &pair.key) {
         match NodeEntry::decode(&pair.value) {
             Some(entry) if entry.incarnation != context.incarnation => {
-                context
-                    .peers()
-                    .on_entry(context.clock.now_ms(), &node.into(), entry);
+                context.peers().on_entry(&node.into(), entry);
             }
             Some(_) => {}
             None => log::warn!(target: "peers", node; "A node's entry cannot be decoded."),
         }
         return;
     }
+    if context.ledger().keys().partial_writer(&pair.key).is_some() {
+        if context.runs_batch && !context.partials().on_put(&pair.key, &pair.value) {
+            log::warn!(target: "jobs", key = pair.key.as_str(); "Pieces of text cannot be decoded.");
+        }
+        return;
+    }
     let job = context.ledger().on_put(&pair.key, &pair.value);
     if job.is_some() {
         context.on_ledger_change();
--- a/eel-gateway/src/store/follow.rs
+++ b/eel-gateway/src/store/follow.rs
@@ -1,6 +1,6 @@
 //! Follows everything that the store holds.
 
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use eel_platform::{OPERATOR_AND_TARGETS, WATCHED_PREFIX};
 use eel_store::{KeyValue as _, RangeRequest, StoreResult, WatchEvent, WatchOptions};
@@ -50,6 +50,8 @@
 async fn read_jobs(context: &Context) {
     if context.runs_batch {
         until_read(context, "read jobs", read_all_jobs).await;
+        context.has_read_jobs.store(true, Ordering::Relaxed);
+        context.batch_wake.notify_one();
     } else {
         // Changes may have been missed, so what is known of jobs may have gaps. Calls read what they need anew.
         context.ledger().clear();
@@ -76,12 +78,15 @@
 }
 
 async fn read_all_jobs(context: &Context) -> StoreResult<Revision> {
-    let prefix = context.ledger().keys().all_jobs();
-    let outcome = context.store.range(&RangeRequest::prefix(prefix)).await?;
-    for pair in &outcome.kvs {
-        apply::on_put(context, pair);
+    let keys = context.ledger().keys().clone();
+    // Pieces of text come last: by then the jobs that they belong to are known.
+    for prefix in [keys.all_jobs(), keys.all_partials()] {
+        let outcome = context.store.range(&RangeRequest::prefix(prefix)).await?;
+        for pair in &outcome.kvs {
+            apply::on_put(context, pair);
+        }
     }
-    Ok(outcome.revision)
+    Ok(Revision::default())
 }
 
 /// Repeats `read` until the store answers.
--- /dev/null
+++ b/eel-gateway/tests/gateway/batch_takeover.rs
@@ -0,0 +1,85 @@
+//! Items whose node is lost, or leaves, while they run.
+
+use eel_platform::standin::{Behaviour, StandInTarget};
+
+use crate::fixture::{Fleet, fleet, until};
+
+/// A job whose item stalls after 3 events at the only node, once that is saved.
+async fn stalled() -> Fleet {
+    let fleet = fleet(1, 2).await;
+    for target in &fleet.targets {
+        target.always(Behaviour::StallsAfter(3));
+    }
+    assert_eq!(fleet.submit(0, "j1", &["stream/1"]).await, 202);
+    until("the item runs", async || fleet.runs("j1-0") > 0).await;
+    fleet
+}
+
+async fn goes_on(mut fleet: Fleet) {
+    for target in &fleet.targets {
+        target.always(Behaviour::Answers);
+    }
+    let before = fleet.runs("j1-0");
+    let resumed_before: usize = fleet
+        .targets
+        .iter()
+        .map(|target| target.resumed_after().len())
+        .sum();
+    let next = fleet.add_node("next", true).await;
+    let results = fleet.results(next, "j1", 1).await;
+    assert_eq!(results[0]["text"], "word1\nword2\nword3\nword4\nword5");
+    let resumed: Vec<u64> = fleet
+        .targets
+        .iter()
+        .flat_map(StandInTarget::resumed_after)
+        .collect();
+    assert_eq!(fleet.runs("j1-0"), before + 1);
+    assert_eq!(resumed.len(), resumed_before + 1, "it did not start anew");
+    // The node may have been stopped before it had read all three events.
+    assert!(
+        resumed.iter().all(|event| (1..=3).contains(event)),
+        "{resumed:?}"
+    );
+}
+
+#[tokio::test]
+async fn after_a_loss() {
+    let mut fleet = stalled().await;
+    let saved = async || !fleet.store.keys("eelgrassgap/partials/").is_empty();
+    until("its text is saved", saved).await;
+    let lost = fleet.nodes.remove(0);
+    lost.task.abort();
+    let _ = lost.task.await;
+    goes_on(fleet).await;
+}
+
+#[tokio::test]
+async fn after_a_stop() {
+    let mut fleet = stalled().await;
+    let leaving = fleet.nodes.remove(0);
+    leaving.shutdown.on_signal();
+    leaving.task.await.expect("the node ends");
+    goes_on(fleet).await;
+}
+
+#[tokio::test]
+async fn pieces_are_removed() {
+    let fleet = stalled().await;
+    let count = || fleet.store.keys("eelgrassgap/partials/").len();
+    until("its text is saved", async || count() > 0).await;
+    for target in &fleet.targets {
+        target.always(Behaviour::Answers);
+    }
+    fleet.results(0, "j1", 1).await;
+    for target in &fleet.targets {
+        target.always(Behaviour::StallsAfter(2));
+    }
+    // The next save takes the pieces of ended items away.
+    assert_eq!(fleet.submit(0, "j2", &["stream/1"]).await, 202);
+    let first = fleet.store.keys("eelgrassgap/partials/");
+    until("the pieces of the first job are gone", async || {
+        let now = fleet.store.keys("eelgrassgap/partials/");
+        !now.is_empty() && !now.contains(&first[0])
+    })
+    .await;
+}
--- a/eel-ledger/src/key.rs
+++ b/eel-ledger/src/key.rs
@@ -3,6 +3,7 @@
 use eel_types::Name;
 
 const JOBS: &str = "jobs/";
+const PARTIALS: &str = "partials/";
 
 /// The keys under one prefix.
 #[derive(Clone, Debug)]
@@ -66,6 +67,30 @@
         format!("{}end", self.job(id))
     }
 
+    /// Returns the prefix of all pieces of text.
+    #[must_use]
+    pub fn all_partials(&self) -> String {
+        format!("{}{PARTIALS}", self.prefix)
+    }
+
+    /// Returns the key of the pieces that an incarnation of `node` wrote as its `sequence`th.
+    #[must_use]
+    pub fn partial(&self, node: &str, incarnation: u64, sequence: u64) -> String {
+        format!(
+            "{}{node}/{incarnation:016x}-{sequence:08}",
+            self.all_partials()
+        )
+    }
+
+    /// Returns the node that wrote the pieces under `key`; `None` if it is no key of pieces.
+    #[must_use]
+    pub fn partial_writer<'a>(&self, key: &'a str) -> Option<&'a str> {
+        let rest = key
+            .strip_prefix(self.prefix.as_str())?
+            .strip_prefix(PARTIALS)?;
+        rest.split_once('/').map(|(node, _)| node)
+    }
+
     /// Takes a key apart; `None` if it is no key of a job.
     #[must_use]
     pub fn parse<'a>(&self, key: &'a str) -> Option<JobKey<'a>> {
--- a/eel-ledger/src/lib.rs
+++ b/eel-ledger/src/lib.rs
@@ -9,6 +9,8 @@
 mod key;
 mod ledger;
 mod owner;
+mod partials;
+mod saved;
 mod submit;
 mod worklist;
 
@@ -17,5 +19,7 @@
 pub use key::{JobKey, Keys};
 pub use ledger::Ledger;
 pub use owner::owner_of;
+pub use partials::{Known, Partials, Piece};
+pub use saved::SavedItems;
 pub use submit::{MAX_ITEM_BYTES, SubmitError, submission};
 pub use worklist::{ItemRef, Progress, Resolved, Worklist};
--- /dev/null
+++ b/eel-ledger/src/partials.rs
@@ -0,0 +1,142 @@
+//! Pieces of text that items have so far, written to the store while they run.
+//!
+//! An item whose node is lost goes on elsewhere after its last piece. Texts of runs that did not follow one another must
+//! not be joined: the pieces that one node writes for an item are a lineage of their own, and say which lineage they go
+//! on from, if any.
+
+use std::collections::HashMap;
+
+use eel_types::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::{ItemRef, Job, Ledger, Progress};
+
+/// How many nodes may have gone on with an item, one after the other, before its text is not followed back any more.
+const MAX_LINEAGES: u32 = 16;
+
+/// A piece of an item's text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Piece {
+    /// The job.
+    pub job: Name,
+    /// The item's index.
+    pub item: u32,
+    /// The lineage that it belongs to.
+    pub lineage: u64,
+    /// The lineage that its first piece goes on from.
+    pub continues: Option<u64>,
+    /// The event that it follows; `None` at the start of the text.
+    pub after: Option<u64>,
+    /// The last event in it.
+    pub last: u64,
+    /// The data of its events, separated by line feeds.
+    pub text: String,
+}
+
+impl Piece {
+    /// Encodes pieces as one value of the store; `None` if they cannot be encoded.
+    #[must_use]
+    pub fn encode_all(pieces: &[Self]) -> Option<Vec<u8>> {
+        postcard::to_stdvec(pieces).ok()
+    }
+}
+
+/// The pieces that a node knows.
+#[derive(Debug, Default)]
+pub struct Partials {
+    pieces: HashMap<ItemRef, Vec<Piece>>,
+    keys: HashMap<String, Vec<ItemRef>>,
+}
+
+/// What is known of an item's text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Known {
+    /// The lineage that it comes from.
+    pub lineage: u64,
+    /// The text and its last event.
+    pub progress: Progress,
+}
+
+impl Partials {
+    /// Takes in the pieces under a key. Returns `false` if they cannot be decoded.
+    pub fn on_put(&mut self, key: &str, value: &[u8]) -> bool {
+        let Ok(pieces) = postcard::from_bytes::<Vec<Piece>>(value) else {
+            return false;
+        };
+        if self.keys.contains_key(key) {
+            return true;
+        }
+        let mut items = Vec::new();
+        for piece in pieces {
+            let item = ItemRef {
+                job: piece.job.clone(),
+                item: piece.item,
+            };
+            self.pieces.entry(item.clone()).or_default().push(piece);
+            items.push(item);
+        }
+        self.keys.insert(key.to_owned(), items);
+        true
+    }
+
+    /// Takes in that a key is gone; its items have ended.
+    pub fn on_removed(&mut self, key: &str) {
+        for item in self.keys.remove(key).unwrap_or_default() {
+            self.pieces.remove(&item);
+        }
+    }
+
+    /// Returns the longest text that is known of an item.
+    #[must_use]
+    pub fn known(&self, item: &ItemRef) -> Option<Known> {
+        let pieces = self.pieces.get(item)?;
+        let mut lineages: Vec<u64> = pieces.iter().map(|piece| piece.lineage).collect();
+        lineages.sort_unstable();
+        lineages.dedup();
+        let known = lineages.into_iter().filter_map(|lineage| {
+            let progress = assemble(pieces, lineage, None, MAX_LINEAGES)?;
+            Some(Known { lineage, progress })
+        });
+        known.max_by_key(|known| known.progress.last_event)
+    }
+
+    /// Returns up to `limit` keys all of whose items have ended.
+    #[must_use]
+    pub fn ended(&self, ledger: &Ledger, limit: usize) -> Vec<String> {
+        let has_ended = |item: &ItemRef| {
+            let job = ledger.job(&item.job).filter(|job| job.head().is_some());
+            job.is_some_and(|job: &Job| !job.is_open() || job.is_listed(item.item))
+        };
+        let ended = self
+            .keys
+            .iter()
+            .filter(|(_, items)| items.iter().all(has_ended));
+        ended.map(|(key, _)| key.clone()).take(limit).collect()
+    }
+}
+
+/// Joins the pieces of a lineage, up to the event `until` if there is one.
+fn assemble(pieces: &[Piece], lineage: u64, until: Option<u64>, depth: u32) -> Option<Progress> {
+    let own = || pieces.iter().filter(|piece| piece.lineage == lineage);
+    let first = own().min_by_key(|piece| piece.after)?;
+    let mut progress = match first.continues {
+        None if first.after.is_none() => Progress::default(),
+        None => return None,
+        Some(earlier) => assemble(pieces, earlier, first.after, depth.checked_sub(1)?)?,
+    };
+    while until.is_none() || progress.last_event != until {
+        let is_within = |piece: &&Piece| until.is_none_or(|until| piece.last <= until);
+        let next = own()
+            .filter(|piece| piece.after == progress.last_event)
+            .filter(is_within);
+        let Some(next) = next.max_by_key(|piece| piece.last) else {
+            break;
+        };
+        if progress.last_event.is_some() {
+            progress.text.push('\n');
+        }
+        progress.text.push_str(&next.text);
+        progress.last_event = Some(next.last);
+    }
+    (until.is_none() || progress.last_event == until).then_some(progress)
+}
--- /dev/null
+++ b/eel-ledger/src/saved.rs
@@ -0,0 +1,105 @@
+//! What a node has saved of its items' texts, so that only what is new is written.
+
+use std::collections::HashMap;
+
+use crate::{ItemRef, Job, Known, Ledger, Piece, Progress};
+
+/// The most bytes of text in one value of the store, which holds 1 MiB.
+const PIECES_BYTES: usize = 512 * 1024;
+
+#[derive(Clone, Copy, Debug)]
+struct Saved {
+    lineage: u64,
+    continues: Option<u64>,
+    event: Option<u64>,
+    text_bytes: usize,
+}
+
+/// How much of each item's text is saved.
+#[derive(Debug, Default)]
+pub struct SavedItems {
+    items: HashMap<ItemRef, Saved>,
+    last_ms: u64,
+}
+
+impl SavedItems {
+    /// Returns whether this node has begun the item.
+    #[must_use]
+    pub fn has(&self, item: &ItemRef) -> bool {
+        self.items.contains_key(item)
+    }
+
+    /// Begins an item at its start, or after what another node saved; `lineage` is a new random number.
+    pub fn begin(&mut self, item: &ItemRef, known: Option<&Known>, lineage: u64) {
+        let saved = Saved {
+            lineage,
+            continues: known.map(|known| known.lineage),
+            event: known.and_then(|known| known.progress.last_event),
+            text_bytes: known.map_or(0, |known| known.progress.text.len()),
+        };
+        self.items.insert(item.clone(), saved);
+    }
+
+    /// Returns the pieces that are new, unless it was last asked less than `interval_ms` ago.
+    pub fn pieces(
+        &mut self,
+        now_ms: u64,
+        interval_ms: u64,
+        items: impl Iterator<Item = (ItemRef, Progress)>,
+    ) -> Vec<Piece> {
+        if now_ms < self.last_ms + interval_ms {
+            return Vec::new();
+        }
+        self.last_ms = now_ms;
+        let mut bytes = 0;
+        let pieces = items.filter_map(|(item, progress)| self.piece(item, &progress));
+        pieces
+            .take_while(|piece| {
+                bytes += piece.text.len();
+                bytes <= PIECES_BYTES
+            })
+            .collect()
+    }
+
+    /// Takes in that pieces were written.
+    pub fn on_saved(&mut self, pieces: &[Piece]) {
+        for piece in pieces {
+            let item = ItemRef {
+                job: piece.job.clone(),
+                item: piece.item,
+            };
+            if let Some(saved) = self.items.get_mut(&item) {
+                let separator = usize::from(saved.event.is_some());
+                saved.text_bytes += separator + piece.text.len();
+                saved.event = Some(piece.last);
+            }
+        }
+    }
+
+    /// Forgets items that have ended.
+    pub fn forget_ended(&mut self, ledger: &Ledger) {
+        let is_open = |item: &ItemRef| {
+            let job = ledger.job(&item.job).filter(|job| job.is_open());
+            job.is_some_and(|job: &Job| !job.is_listed(item.item))
+        };
+        self.items.retain(|item, _| is_open(item));
+    }
+
+    fn piece(&self, item: ItemRef, progress: &Progress) -> Option<Piece> {
+        let saved = self.items.get(&item)?;
+        let last = progress
+            .last_event
+            .filter(|last| Some(*last) > saved.event)?;
+        let separator = usize::from(saved.event.is_some());
+        let text = progress.text.get(saved.text_bytes + separator..)?;
+        Some(Piece {
+            job: item.job,
+            item: item.item,
+            lineage: saved.lineage,
+            continues: saved.continues,
+            after: saved.event,
+            last,
+            text: text.to_owned(),
+        })
+    }
+}
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -81,6 +81,11 @@
         self.progress.remove(item).unwrap_or_default()
     }
 
+    /// Returns the items that were broken off, and how far they are.
+    pub fn paused(&self) -> impl Iterator<Item = (&ItemRef, &Progress)> {
+        self.progress.iter()
+    }
+
     /// Takes in how a run ended.
     pub fn resolve(&mut self, item: &ItemRef, max_attempts: u32, resolved: Resolved) {
         self.running.remove(item);
--- a/eel-ledger/tests/ledger/main.rs
+++ b/eel-ledger/tests/ledger/main.rs
@@ -3,5 +3,6 @@
 mod fixture;
 mod job_owner;
 mod next_item;
+mod partial_texts;
 mod result_positions;
 mod submission;
--- /dev/null
+++ b/eel-ledger/tests/ledger/partial_texts.rs
@@ -0,0 +1,179 @@
+//! Texts that were saved while their items ran.
+
+use std::fmt::Write as _;
+
+use bytes::Bytes;
+use eel_ledger::{ItemRef, Partials, Piece, Progress, Resolved, SavedItems, Worklist};
+use quickcheck::{QuickCheck, TestResult};
+
+use crate::fixture::{Values, keys, ledger_with};
+
+fn item() -> ItemRef {
+    ItemRef {
+        job: "j".into(),
+        item: 0,
+    }
+}
+
+/// The text of the first `events` events of a run that is called `run`.
+fn progress(run: &str, events: u64) -> Progress {
+    let words: Vec<String> = (1..=events).map(|event| format!("{run}{event}")).collect();
+    Progress {
+        text: words.join("\n"),
+        last_event: (events > 0).then_some(events),
+        failures: 0,
+    }
+}
+
+fn save(saved: &mut SavedItems, partials: &mut Partials, key: &str, progress: Progress) {
+    let pieces = saved.pieces(0, 0, [(item(), progress)].into_iter());
+    if !pieces.is_empty() {
+        let value = Piece::encode_all(&pieces).expect("a value");
+        assert!(partials.on_put(key, &value));
+        saved.on_saved(&pieces);
+    }
+}
+
+#[test]
+fn pieces_are_joined() {
+    let (mut saved, mut partials) = (SavedItems::default(), Partials::default());
+    saved.begin(&item(), None, 1);
+    for (key, events) in [("a", 3), ("b", 3), ("c", 7)] {
+        save(&mut saved, &mut partials, key, progress("w", events));
+    }
+    assert_eq!(
+        partials.known(&item()).expect("a text").progress,
+        progress("w", 7)
+    );
+}
+
+#[test]
+fn order_of_arrival() {
+    let (mut saved, mut kept) = (SavedItems::default(), Vec::new());
+    saved.begin(&item(), None, 1);
+    for events in [2, 4, 9] {
+        let pieces = saved.pieces(0, 0, [(item(), progress("w", events))].into_iter());
+        saved.on_saved(&pieces);
+        kept.push(Piece::encode_all(&pieces).expect("a value"));
+    }
+    let mut partials = Partials::default();
+    for (number, value) in kept.iter().enumerate().rev() {
+        partials.on_put(&number.to_string(), value);
+    }
+    assert_eq!(
+        partials.known(&item()).expect("a text").progress,
+        progress("w", 9)
+    );
+}
+
+#[test]
+fn answer_lost_then_saved_again() {
+    let (mut saved, mut partials) = (SavedItems::default(), Partials::default());
+    saved.begin(&item(), None, 1);
+    let lost = saved.pieces(0, 0, [(item(), progress("w", 3))].into_iter());
+    partials.on_put("lost", &Piece::encode_all(&lost).expect("a value"));
+    save(&mut saved, &mut partials, "again", progress("w", 5));
+    save(&mut saved, &mut partials, "more", progress("w", 8));
+    assert_eq!(
+        partials.known(&item()).expect("a text").progress,
+        progress("w", 8)
+    );
+}
+
+/// Two nodes run the item by turns or at once; texts of runs that did not follow one another are never joined.
+#[test]
+fn lineages_are_not_mixed() {
+    fn holds(steps: Vec<(bool, u8, bool)>) -> TestResult {
+        let mut partials = Partials::default();
+        let mut nodes = [
+            (SavedItems::default(), Progress::default()),
+            (SavedItems::default(), Progress::default()),
+        ];
+        let mut texts: Vec<String> = Vec::new();
+        for (number, (which, events, takes_up)) in steps.into_iter().enumerate() {
+            let (saved, progress) = &mut nodes[usize::from(which)];
+            if takes_up || !saved.has(&item()) {
+                let known = partials.known(&item()).filter(|_| takes_up);
+                *progress = known
+                    .clone()
+                    .map_or_else(Progress::default, |known| known.progress);
+                saved.begin(&item(), known.as_ref(), number as u64 + 1);
+            }
+            // Each run words its events in its own way.
+            for _ in 0..events % 4 {
+                let next = progress.last_event.unwrap_or(0) + 1;
+                if next > 1 {
+                    progress.text.push('\n');
+                }
+                write!(progress.text, "run{number}-{next}").expect("a string takes all");
+                progress.last_event = Some(next);
+            }
+            texts.push(progress.text.clone());
+            let progress = progress.clone();
+            save(saved, &mut partials, &number.to_string(), progress);
+            if let Some(known) = partials.known(&item()) {
+                let text = &known.progress.text;
+                if !texts.iter().any(|whole| whole.starts_with(text.as_str())) {
+                    return TestResult::error(format!(
+                        "{text:?} is no beginning of any of {texts:?}"
+                    ));
+                }
+            }
+        }
+        TestResult::passed()
+    }
+    QuickCheck::new()
+        .tests(500)
+        .quickcheck(holds as fn(Vec<(bool, u8, bool)>) -> TestResult);
+}
+
+#[test]
+fn removed_when_ended() {
+    let (mut ledger, mut values): (_, Values) = ledger_with("j", 1);
+    let (mut saved, mut partials) = (SavedItems::default(), Partials::default());
+    saved.begin(&item(), None, 1);
+    save(&mut saved, &mut partials, "a", progress("w", 3));
+    assert!(partials.ended(&ledger, 10).is_empty());
+    let mut worklist = Worklist::default();
+    worklist.resolve(&item(), 3, Resolved::Completed(progress("w", 5)));
+    let (txn, _) = worklist.commit(&ledger).expect("a transaction");
+    values.apply(&txn);
+    values.read(&mut ledger);
+    assert_eq!(partials.ended(&ledger, 10), ["a"]);
+    partials.on_removed("a");
+    assert!(partials.known(&item()).is_none());
+    saved.forget_ended(&ledger);
+    assert!(!saved.has(&item()));
+}
+
+#[test]
+fn saved_at_intervals() {
+    let mut saved = SavedItems::default();
+    saved.begin(&item(), None, 1);
+    let mut pieces = |now_ms| {
+        saved
+            .pieces(now_ms, 1_500, [(item(), progress("w", 3))].into_iter())
+            .len()
+    };
+    assert_eq!(
+        [pieces(1_500), pieces(2_999), pieces(3_000)],
+        [1, 0, 1],
+        "nothing was written meanwhile"
+    );
+}
+
+#[test]
+fn undecodable_pieces() {
+    let mut partials = Partials::default();
+    assert!(!partials.on_put("a", &[0xff]));
+    assert!(partials.known(&item()).is_none());
+    let keys = keys();
+    let key = keys.partial("node-1", 7, 3);
+    assert_eq!(keys.partial_writer(&key), Some("node-1"));
+    assert_eq!(keys.partial_writer(&keys.head("j")), None);
+    assert!(
+        eel_ledger::Ledger::new(keys)
+            .on_put(&key, &Bytes::new())
+            .is_none()
+    );
+}
