test(gateway): reserve the soak's ports, and let no node end by itself unseen

A node's port was chosen by binding and releasing it, so another run's node could take it while the soak's node restarted; callers then asked another fleet.

Change: ports come in blocks that a listener guards, from a range that outgoing connections do not use. A process that ends without having been told to fails the run with its log.

--- a/tests/gateway/explained_failures.rs
+++ b/tests/gateway/explained_failures.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 use tokio::time::{sleep, timeout};
 
-use crate::process::Process;
+use crate::{ports::Ports, process::Process};
 
 /// How long a line is waited for before the test counts as hung.
 const HANG: Duration = Duration::from_mins(1);
@@ -18,6 +18,7 @@
     target: StandInTarget,
     node: Process,
     client: Client,
+    _ports: Ports,
     _directory: tempfile::TempDir,
 }
 
@@ -29,13 +30,21 @@
         .expect("a target");
     target.announce(&store, "ready");
     let directory = tempfile::tempdir().expect("a directory");
-    let node = Process::start(directory.path(), "node-0", store.address(), true);
+    let mut ports = Ports::reserve();
+    let node = Process::start(
+        directory.path(),
+        &mut ports,
+        "node-0",
+        store.address(),
+        true,
+    );
     let client = Client::builder().no_proxy().build().expect("a client");
     let fleet = Fleet {
         _store: store,
         target,
         node,
         client,
+        _ports: ports,
         _directory: directory,
     };
     let served = async {
--- a/tests/gateway/faults.rs
+++ b/tests/gateway/faults.rs
@@ -51,13 +51,13 @@
     world.nodes[node].restart();
 }
 
-fn signal_node(world: &World, rng: &mut SmallRng, signal: Signal) {
+fn signal_node(world: &mut World, rng: &mut SmallRng, signal: Signal) {
     let node = rng.random_range(0..world.nodes.len());
     world.nodes[node].signal(signal);
 }
 
 /// Stops a node for longer than its lease lives, or for a moment.
-async fn freeze_node(world: &World, rng: &mut SmallRng) {
+async fn freeze_node(world: &mut World, rng: &mut SmallRng) {
     signal_node(world, &mut rng.clone(), Signal::SIGSTOP);
     let frozen_ms = if rng.clone().random_bool(0.5) {
         200
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod explained_failures;
 mod faults;
 mod jobs;
+mod ports;
 mod process;
 mod proxy;
 mod world;
--- a/tests/gateway/process.rs
+++ b/tests/gateway/process.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::{self, File},
-    net::{SocketAddr, TcpListener, UdpSocket},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
 };
@@ -12,6 +12,8 @@
     unistd::Pid,
 };
 
+use crate::ports::Ports;
+
 /// A node; its process is killed when it is dropped.
 pub struct Process {
     pub http: SocketAddr,
@@ -19,20 +21,28 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    /// Whether the process was told to end.
+    may_end: bool,
 }
 
 impl Process {
     /// Writes the node's settings and starts it.
-    pub fn start(directory: &Path, name: &str, store: SocketAddr, runs_batch: bool) -> Self {
-        let http = free_address();
+    pub fn start(
+        directory: &Path,
+        ports: &mut Ports,
+        name: &str,
+        store: SocketAddr,
+        runs_batch: bool,
+    ) -> Self {
+        let http = ports.next();
         let text = format!(
             "[node]\nname = {name}\ndata_centre = dc-a\n\
              [listen]\nhttp = {http}\nready = {}\npeers = {}\nadmin = {}\n\
              [store]\nendpoint = http://{store}\ntimeout_ms = 300\nlease_ttl_ms = 1000\n\
              [batch]\nenabled = {runs_batch}\n[telemetry]\nlog_format = json\n[drain]\ntimeout_ms = 6000\n",
-            free_address(),
-            free_datagram_address(),
-            free_address(),
+            ports.next(),
+            ports.next(),
+            ports.next(),
         );
         let settings = directory.join(format!("{name}.ini"));
         fs::write(&settings, text).expect("a written file");
@@ -43,6 +53,7 @@
             settings,
             log,
             child: None,
+            may_end: false,
         };
         process.restart();
         process
@@ -64,9 +75,11 @@
             .stderr(Stdio::from(log))
             .spawn();
         self.child = Some(child.expect("a started process"));
+        self.may_end = false;
     }
 
-    pub fn signal(&self, signal: Signal) {
+    pub fn signal(&mut self, signal: Signal) {
+        self.may_end |= signal == Signal::SIGTERM;
         if let Some(child) = &self.child {
             let pid = Pid::from_raw(i32::try_from(child.id()).expect("a process number"));
             // The process may have ended by itself; whoever needs it starts it again.
@@ -74,10 +87,17 @@
         }
     }
 
-    /// Returns whether the process has ended.
+    /// Returns whether the process has ended. One that was not told to must not end.
     pub fn has_ended(&mut self) -> bool {
         let child = self.child.as_mut();
-        child.is_none_or(|child| child.try_wait().is_ok_and(|status| status.is_some()))
+        let has_ended =
+            child.is_none_or(|child| child.try_wait().is_ok_and(|status| status.is_some()));
+        assert!(
+            !has_ended || self.may_end,
+            "a node ended by itself, {}",
+            self.log_tail()
+        );
+        has_ended
     }
 
     /// Returns where the node logs to.
@@ -107,13 +127,3 @@
         self.kill();
     }
 }
-
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
-}
-
-fn free_datagram_address() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("an address")
-}
--- a/tests/gateway/world.rs
+++ b/tests/gateway/world.rs
@@ -18,6 +18,7 @@
     callers::{Seen, call_until},
     faults,
     jobs::{Jobs, submit_until},
+    ports::Ports,
     process::Process,
     proxy::{Link, Proxy},
 };
@@ -35,6 +36,7 @@
     pub target_links: Vec<Proxy>,
     pub nodes: Vec<Process>,
     pub version: u64,
+    ports: Ports,
     directory: TempDir,
 }
 
@@ -50,6 +52,7 @@
             nodes: Vec::new(),
             version: 0,
             store,
+            ports: Ports::reserve(),
             directory,
         };
         world.change_routes();
@@ -66,7 +69,13 @@
             let link = Proxy::start(world.store.address()).await;
             let name = format!("node-{number}");
             let runs_batch = number % 2 == 1;
-            let node = Process::start(world.directory.path(), &name, link.address, runs_batch);
+            let node = Process::start(
+                world.directory.path(),
+                &mut world.ports,
+                &name,
+                link.address,
+                runs_batch,
+            );
             world.store_links.push(link);
             world.nodes.push(node);
         }
