fix(core): take hangups from the first moment of a start

Change: the handlers come before the settings are read. The test holds a node at its settings by a pipe and sends the signal there; it failed before (the process was gone) and passes now. The soak sends no hangup before a process has written a line, since none can handle a signal before it runs.

--- a/eel-core/src/serve.rs
+++ b/eel-core/src/serve.rs
@@ -74,14 +74,16 @@
 ///
 /// [`Error`] if the node cannot start or go on.
 pub async fn gateway(path: &Path) -> Result<(), Report<Error>> {
+    // Signals come first: without a handler, a hangup during the start would end the process.
+    let hangups = signal(SignalKind::hangup()).change_context(Error::Signals)?;
+    let shutdown = shutdown_by_signals()?;
     let settings = GatewaySettings::load(path).change_context(Error::Settings)?;
     install_telemetry(&settings.telemetry)?;
     let node = GatewayNode::bind(&settings)
         .await
         .change_context(Error::Node)?;
-    let hangups = signal(SignalKind::hangup()).change_context(Error::Signals)?;
     tokio::spawn(reload_on(hangups, path.to_owned(), settings));
-    let ended = node.run(shutdown_by_signals()?).await;
+    let ended = node.run(shutdown).await;
     trace::flush();
     ended.change_context(Error::Node)
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 //! seed `SOAK_SEED` on or from a fresh one. A seed that ever failed is kept in [`REGRESSIONS`].
 
 mod callers;
+mod early_hangup;
 mod explained_failures;
 mod faults;
 mod jobs;
--- a/tests/gateway/process.rs
+++ b/tests/gateway/process.rs
@@ -21,6 +21,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    /// The length of the log when the process was started.
+    log_start: u64,
     /// Whether the process was told to end.
     may_end: bool,
 }
@@ -53,6 +55,7 @@
             settings,
             log,
             child: None,
+            log_start: 0,
             may_end: false,
         };
         process.restart();
@@ -67,6 +70,7 @@
             .append(true)
             .open(&self.log)
             .expect("a log file");
+        self.log_start = log.metadata().expect("a log file").len();
         let child = Command::new(env!("CARGO_BIN_EXE_eelgrassgap"))
             .arg("gateway")
             .arg("--settings")
@@ -100,6 +104,16 @@
         has_ended
     }
 
+    /// Returns the node's settings file.
+    pub fn settings_path(&self) -> &Path {
+        &self.settings
+    }
+
+    /// Returns whether the process has written a line since it was started last.
+    pub fn has_logged(&self) -> bool {
+        fs::metadata(&self.log).is_ok_and(|log| log.len() > self.log_start)
+    }
+
     /// Returns where the node logs to.
     pub fn log_path(&self) -> PathBuf {
         self.log.clone()
