fix(fleet): see slots as idle again when a peer stops reporting them

Cause: a node that runs batch takes a slot only after it has been idle for the node's turn. Since when it is idle was noted only where a report named the target, or at this node's own starts and ends. When a peer's next report no longer named the target, or no report came any more, the slot counted as taken for ever, unless an online request came by. Ruled out: ownership and liveness of peers (some of the owners still listed results), the store's watch (the results and submissions were known), runs that never end (none was counted). Change: all targets are looked at with each report and before each choice for batch. The rule for batch starts moves from the gateway's shared state to `Dispatcher::start_batch`, so that it is tested without a network. `REPORT_LIFE_MS` stands once. Before: `idle_again` fails in its four cases (never started). After: starts at the first tick after the report, or when the report has aged out.

--- a/eel-fleet/src/board.rs
+++ b/eel-fleet/src/board.rs
@@ -12,12 +12,9 @@
 use crate::{
     TargetEntry, TargetKey,
     health::Health,
-    report::{PeerReport, TargetLoad, stable_hash},
+    report::{PeerReport, REPORT_LIFE_MS, TargetLoad, stable_hash},
 };
 
-/// How long a peer's report counts without a newer one, in ms: five of the usual intervals.
-const REPORT_LIFE_MS: u64 = 1_000;
-
 /// How long a slot stays idle before a node takes it for batch whose target it is not, by how many nodes go first.
 const TURN_MS: u64 = 100;
 /// The longest such time.
@@ -264,25 +261,30 @@
         }
         *last = report.sequence;
         for target in self.targets.values_mut() {
-            target
-                .peers
-                .retain(|peer| peer.peer != report.sender && peer.is_live(now_ms));
-            let Some(load) = report.targets.iter().find(|it| it.target == target.hash) else {
-                continue;
-            };
-            target.peers.push(PeerLoad {
-                peer: report.sender,
-                load: Load {
-                    online: load.online.into(),
-                    batch: load.batch.into(),
-                },
-                at_ms: now_ms,
-            });
-            target.note_idle(now_ms);
+            target.peers.retain(|peer| peer.peer != report.sender);
+            if let Some(load) = report.targets.iter().find(|it| it.target == target.hash) {
+                target.peers.push(PeerLoad {
+                    peer: report.sender,
+                    load: Load {
+                        online: load.online.into(),
+                        batch: load.batch.into(),
+                    },
+                    at_ms: now_ms,
+                });
+            }
         }
+        self.drop_old_reports(now_ms);
         true
     }
 
+    /// Drops what silent peers reported long ago, and notes the slots that are idle without it.
+    pub fn drop_old_reports(&mut self, now_ms: u64) {
+        for target in self.targets.values_mut() {
+            target.peers.retain(|peer| peer.is_live(now_ms));
+            target.note_idle(now_ms);
+        }
+    }
+
     fn set_turn(&mut self, key: TargetKey) {
         let Some(target) = self.targets.get_mut(key) else {
             return;
--- a/eel-fleet/src/dispatch.rs
+++ b/eel-fleet/src/dispatch.rs
@@ -11,7 +11,7 @@
 use crate::{
     AttemptEnd, Board, TargetKey, TicketKey, Wish, Work,
     queue::{Queue, Waiting},
-    report::{PeerReport, WaitingCount, stable_hash},
+    report::{PeerReport, REPORT_LIFE_MS, WaitingCount, stable_hash},
 };
 
 /// The share of a measurement in the moving average of run times, as a divisor.
@@ -20,8 +20,6 @@
 const FIRST_RUN_TIME_MS: u64 = 300;
 /// The shortest and longest times to come back that are given, in ms. Callers honour a third of what they have left.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 100..=1_500;
-/// How long a peer's count of waiting requests holds without a newer one, in ms.
-const REPORT_LIFE_MS: u64 = 1_000;
 
 /// A request that wants to start.
 #[derive(Clone, Debug)]
@@ -140,6 +138,24 @@
         Decision::Wait(state.queue.push(waiting))
     }
 
+    /// Takes a slot for a batch item if one is idle and no online request waits for the service.
+    pub fn start_batch(&mut self, now_ms: u64, service: &Name, spread: u64) -> Option<TargetKey> {
+        let has_room = self.board.has_batch_room(now_ms, service);
+        if !has_room || self.is_online_waiting(now_ms, service) {
+            return None;
+        }
+        let wish = Wish {
+            work: Work::Batch,
+            data_centre: &self.data_centre,
+            excluded: &[],
+            spread,
+        };
+        self.board.drop_old_reports(now_ms);
+        let target = self.board.choose(now_ms, service, &wish)?;
+        self.board.start(now_ms, target, Work::Batch);
+        Some(target)
+    }
+
     /// Starts or rejects requests that have waited; called after every change.
     pub fn due(&mut self, now_ms: u64) -> Vec<Due> {
         let mut due = Vec::new();
--- a/eel-fleet/tests/fleet/main.rs
+++ b/eel-fleet/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod batch_turns;
 mod burst_load;
 mod fixture;
+mod idle_again;
 mod live_peers;
 mod load_reports;
 mod store_lapse;
--- a/eel-gateway/src/slots.rs
+++ b/eel-gateway/src/slots.rs
@@ -7,7 +7,7 @@
 
 use eel_fleet::{
     Arrival, AttemptEnd, Decision, Dispatcher, Due, PeerReport, Rejection, TargetEntry, TargetKey,
-    TicketKey, Wish, Work,
+    TicketKey, Work,
 };
 use eel_types::{Clock, Name};
 use tokio::sync::{Notify, oneshot};
@@ -17,7 +17,6 @@
 /// The dispatcher, and the requests that wait for it.
 pub(crate) struct Slots {
     clock: Clock,
-    data_centre: Name,
     metrics: Arc<Metrics>,
     inner: Mutex<Inner>,
     /// Told after each change of this node's load.
@@ -49,10 +48,9 @@
 
 impl Slots {
     pub(crate) fn new(clock: Clock, data_centre: Name, metrics: Arc<Metrics>) -> Arc<Self> {
-        let dispatcher = Dispatcher::new(data_centre.clone());
+        let dispatcher = Dispatcher::new(data_centre);
         Arc::new(Self {
             clock,
-            data_centre,
             metrics,
             inner: Mutex::new(Inner {
                 dispatcher,
@@ -99,18 +97,7 @@
     pub(crate) fn try_batch(self: &Arc<Self>, service: &Name, spread: u64) -> Option<Held> {
         let now_ms = self.clock.now_ms();
         let mut inner = self.lock();
-        let has_room = inner.dispatcher.board().has_batch_room(now_ms, service);
-        if !has_room || inner.dispatcher.is_online_waiting(now_ms, service) {
-            return None;
-        }
-        let wish = Wish {
-            work: Work::Batch,
-            data_centre: &self.data_centre,
-            excluded: &[],
-            spread,
-        };
-        let key = inner.dispatcher.board().choose(now_ms, service, &wish)?;
-        inner.dispatcher.board_mut().start(now_ms, key, Work::Batch);
+        let key = inner.dispatcher.start_batch(now_ms, service, spread)?;
         self.held(&inner, key, Work::Batch).ok()
     }
 
