fix(batch): go on with jobs of other services where one has no slot

Cause: a node asked for the next item of all its jobs and stopped when that one found no slot. A job due first, whose service was full or had no targets, held up the jobs of all other services. Change: each step goes through the open jobs by due time once, and a job that finds no slot is passed over. The jobs are sorted once a step and not once an item. Before: `service_without_targets` waits for a minute and fails. After: the second job is done in 0.5 s.

--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -203,11 +203,14 @@
         let ledger = self.context.ledger();
         let mut state = self.lock();
         state.worklist.give_up(now_unix_ms(), &ledger, is_mine);
-        while state.runs.len() < self.parallel_items
-            && let Some(item) = state.worklist.next(&ledger, is_mine)
-            && let Some(started) = self.start(&mut state, &ledger, &item)
-        {
-            tokio::spawn(started);
+        // A job whose next item finds no slot does not hold up jobs of other services.
+        for (id, job) in ledger.open_by_due(is_mine) {
+            while state.runs.len() < self.parallel_items
+                && let Some(item) = state.worklist.next(id, job)
+                && let Some(started) = self.start(&mut state, &ledger, &item)
+            {
+                tokio::spawn(started);
+            }
         }
     }
 
--- a/eel-gateway/src/store/apply.rs
+++ b/eel-gateway/src/store/apply.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, atomic::Ordering};
 
 use eel_fleet::NodeEntry;
-use eel_platform::{Subject, retired_node, route_table, subject, target_entry};
+use eel_platform::{Subject, route_table, subject, target_entry};
 use eel_store::KeyValuePair;
 use eel_types::Name;
 
@@ -26,7 +26,7 @@
     match subject(&pair.key) {
         Subject::RouteTable => put_routes(context, pair),
         Subject::Target(id) => put_target(context, id, &pair.value),
-        Subject::Retirement(_) => on_retirement(context, &pair.key),
+        Subject::Retirement(node) => on_retirement(context, node),
         Subject::Other => put_own(context, pair),
     }
 }
@@ -147,10 +147,7 @@
         .update(|dispatcher| dispatcher.board_mut().remove_target(id));
 }
 
-fn on_retirement(context: &Context, key: &str) {
-    let Some(node) = retired_node(key) else {
-        return;
-    };
+fn on_retirement(context: &Context, node: &str) {
     if *node == *context.name && !context.is_retiring.swap(true, Ordering::Relaxed) {
         log::info!(target: "node", "The operator wants this node emptied.");
     }
--- a/eel-gateway/tests/gateway/batch_job.rs
+++ b/eel-gateway/tests/gateway/batch_job.rs
@@ -75,6 +75,21 @@
     assert_eq!(fleet.runs("fails-0"), 2, "as often as the route allows");
 }
 
+#[tokio::test]
+async fn service_without_targets() {
+    let fleet = fleet(1, 1).await;
+    assert_eq!(
+        fleet
+            .submit_to("other-jobs", 0, "due-first", &["stream/1"])
+            .await,
+        202
+    );
+    assert_eq!(fleet.submit(0, "due-second", &["stream/1"]).await, 202);
+    let results = fleet.results(0, "due-second", 1).await;
+    assert_eq!(results[0]["state"], "completed");
+    assert_eq!(fleet.runs("due-first-0"), 0);
+}
+
 #[tokio::test]
 async fn item_bodies() {
     let fleet = fleet(2, 1).await;
--- a/eel-gateway/tests/gateway/fixture.rs
+++ b/eel-gateway/tests/gateway/fixture.rs
@@ -112,17 +112,22 @@
         index
     }
 
-    /// Submits a job whose items have these paths; returns the status.
+    /// Submits a job to `scribe` whose items have these paths; returns the status.
     pub async fn submit(&self, node: usize, id: &str, paths: &[&str]) -> u16 {
+        self.submit_to("jobs", node, id, paths).await
+    }
+
+    /// Submits a job by a route; returns the status.
+    pub async fn submit_to(&self, route: &str, node: usize, id: &str, paths: &[&str]) -> u16 {
         let items: Vec<Value> = (0..)
             .zip(paths)
             .map(|(number, path): (usize, _)| {
-                json!({"id": format!("{id}-{number}"), "path": format!("/jobs/{path}"), "headers": {}, "body": "cQ=="})
+                json!({"id": format!("{id}-{number}"), "path": format!("/{route}/{path}"), "headers": {}, "body": "cQ=="})
             })
             .collect();
         let body = json!({"items": items}).to_string();
         let response = self
-            .post(node, "/jobs/submit", id)
+            .post(node, &format!("/{route}/submit"), id)
             .body(body)
             .send()
             .await
--- a/eel-ledger/src/ledger.rs
+++ b/eel-ledger/src/ledger.rs
@@ -1,6 +1,6 @@
 //! All jobs that a node knows.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 
 use bytes::Bytes;
 use eel_types::Name;
@@ -94,11 +94,12 @@
         }
     }
 
-    /// Returns the open jobs in the order in which they are due.
+    /// Returns the open jobs that `is_mine` lets through, in the order in which they are due.
     #[must_use]
-    pub fn open_by_due(&self) -> BTreeMap<(u64, Name), &Job> {
+    pub fn open_by_due(&self, is_mine: impl Fn(&str) -> bool) -> Vec<(&Name, &Job)> {
         let open = self.jobs.iter().filter(|(_, job)| job.is_open());
-        open.filter_map(|(id, job)| Some(((job.head()?.due_unix_ms, id.clone()), job)))
-            .collect()
+        let mut jobs: Vec<_> = open.filter(|(id, _)| is_mine(id)).collect();
+        jobs.sort_unstable_by_key(|(id, job)| (job.head().map(|head| head.due_unix_ms), *id));
+        jobs
     }
 }
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -9,7 +9,7 @@
 use eel_store::{Compare, Op, Txn};
 use eel_types::Name;
 
-use crate::{Ledger, ListedResult, ResultState};
+use crate::{Job, Ledger, ListedResult, ResultState};
 
 /// The most chunks in one transaction: each takes a condition and a write of the 32 entries that the store allows.
 const CHUNKS_PER_COMMIT: usize = 16;
@@ -60,19 +60,15 @@
 }
 
 impl Worklist {
-    /// Returns the next item to run of the jobs that `is_mine` says this node owns; the job due first comes first.
+    /// Returns the next item of a job to run.
     #[must_use]
-    pub fn next(&self, ledger: &Ledger, is_mine: impl Fn(&str) -> bool) -> Option<ItemRef> {
-        let open = ledger.open_by_due();
-        let mut mine = open.iter().filter(|((_, id), _)| is_mine(id));
-        mine.find_map(|((_, id), job)| {
-            let indices = 0..u32::try_from(job.items().len()).unwrap_or(u32::MAX);
-            let mut items = indices.map(|item| ItemRef {
-                job: id.clone(),
-                item,
-            });
-            items.find(|it| !job.is_listed(it.item) && self.is_free(it))
-        })
+    pub fn next(&self, id: &Name, job: &Job) -> Option<ItemRef> {
+        let indices = 0..u32::try_from(job.items().len()).unwrap_or(u32::MAX);
+        let mut items = indices.map(|item| ItemRef {
+            job: id.clone(),
+            item,
+        });
+        items.find(|it| !job.is_listed(it.item) && self.is_free(it))
     }
 
     /// Marks an item as running and returns how far it is.
@@ -110,11 +106,11 @@
 
     /// Gives up items whose time has passed.
     pub fn give_up(&mut self, now_unix_ms: u64, ledger: &Ledger, is_mine: impl Fn(&str) -> bool) {
-        for ((_, id), job) in ledger.open_by_due() {
+        for (id, job) in ledger.jobs().filter(|(_, job)| job.is_open()) {
             let is_over = job
                 .head()
                 .is_some_and(|head| now_unix_ms > head.give_up_unix_ms + GIVE_UP_SLACK_MS);
-            if !is_over || !is_mine(&id) {
+            if !is_over || !is_mine(id) {
                 continue;
             }
             for item in 0..u32::try_from(job.items().len()).unwrap_or(u32::MAX) {
@@ -131,7 +127,7 @@
 
     /// Forgets what the ledger has listed meanwhile, or what belongs to jobs that are not open any more.
     pub fn forget_listed(&mut self, ledger: &Ledger) {
-        let is_open = |id: &str| ledger.job(id).is_some_and(crate::Job::is_open);
+        let is_open = |id: &str| ledger.job(id).is_some_and(Job::is_open);
         self.progress.retain(|it, _| is_open(&it.job));
         self.unlisted.retain(|id, results| {
             let Some(job) = ledger.job(id).filter(|job| job.is_open()) else {
--- a/eel-ledger/tests/ledger/next_item.rs
+++ b/eel-ledger/tests/ledger/next_item.rs
@@ -11,6 +11,12 @@
     }
 }
 
+/// Returns the next item of the open job that is due first.
+fn next(worklist: &Worklist, ledger: &Ledger) -> Option<ItemRef> {
+    let (id, job) = *ledger.open_by_due(|_| true).first()?;
+    worklist.next(id, job)
+}
+
 fn progress(text: &str, last_event: u64) -> Progress {
     Progress {
         text: text.into(),
@@ -31,15 +37,23 @@
     }
     let mut ledger = Ledger::new(keys());
     values.read(&mut ledger);
+    let order = |is_mine: &dyn Fn(&str) -> bool| -> Vec<String> {
+        let jobs = ledger.open_by_due(is_mine);
+        jobs.into_iter().map(|(id, _)| id.to_string()).collect()
+    };
+    assert_eq!(order(&|_| true), ["soon", "late"]);
+    assert_eq!(order(&|job| job == "late"), ["late"]);
+}
+
+#[test]
+fn in_order_of_index() {
+    let (ledger, _) = ledger_with("j", 2);
     let mut worklist = Worklist::default();
-    assert_eq!(worklist.next(&ledger, |_| true), Some(item("soon", 0)));
-    worklist.start(&item("soon", 0));
-    assert_eq!(worklist.next(&ledger, |_| true), Some(item("late", 0)));
-    assert_eq!(
-        worklist.next(&ledger, |job| job == "soon"),
-        None,
-        "only jobs of this node"
-    );
+    assert_eq!(next(&worklist, &ledger), Some(item("j", 0)));
+    worklist.start(&item("j", 0));
+    assert_eq!(next(&worklist, &ledger), Some(item("j", 1)));
+    worklist.start(&item("j", 1));
+    assert_eq!(next(&worklist, &ledger), None);
 }
 
 #[test]
@@ -48,7 +62,7 @@
     let mut worklist = Worklist::default();
     assert_eq!(worklist.start(&item("j", 0)), Progress::default());
     worklist.resolve(&item("j", 0), 3, Resolved::BrokenOff(progress("a\nb", 2)));
-    assert_eq!(worklist.next(&ledger, |_| true), Some(item("j", 0)));
+    assert_eq!(next(&worklist, &ledger), Some(item("j", 0)));
     assert_eq!(worklist.start(&item("j", 0)), progress("a\nb", 2));
 }
 
@@ -58,14 +72,14 @@
     let mut worklist = Worklist::default();
     for failures in 1..=3 {
         assert_eq!(
-            worklist.next(&ledger, |_| true),
+            next(&worklist, &ledger),
             Some(item("j", 0)),
             "after {failures} failures less one"
         );
         let progress = worklist.start(&item("j", 0));
         worklist.resolve(&item("j", 0), 3, Resolved::Failed(progress));
     }
-    assert_eq!(worklist.next(&ledger, |_| true), None);
+    assert_eq!(next(&worklist, &ledger), None);
     assert_eq!(worklist.unlisted(), 1);
 }
 
@@ -77,7 +91,7 @@
         let progress = worklist.start(&item("j", 0));
         worklist.resolve(&item("j", 0), 3, Resolved::BrokenOff(progress));
     }
-    assert_eq!(worklist.next(&ledger, |_| true), Some(item("j", 0)));
+    assert_eq!(next(&worklist, &ledger), Some(item("j", 0)));
 }
 
 #[test]
@@ -103,7 +117,7 @@
     let mut worklist = Worklist::default();
     worklist.resolve(&item("j", 0), 3, Resolved::Impossible);
     ledger.on_put(&keys().end("j"), &bytes::Bytes::new());
-    assert_eq!(worklist.next(&ledger, |_| true), None);
+    assert_eq!(next(&worklist, &ledger), None);
     worklist.forget_listed(&ledger);
     assert_eq!(worklist.unlisted(), 0);
 }
