test: print the log of a process that ended early

`entry_stopped_past_its_lease` failed once because its process had ended, and the log was lost with it. The wait now prints the status and the log.

--- a/tests/process/fleet/node.rs
+++ b/tests/process/fleet/node.rs
@@ -63,7 +63,13 @@
                 if let Some(value) = self.find(text) {
                     return value;
                 }
-                changes.changed().await.expect("a running process");
+                let change = changes.changed().await;
+                assert!(
+                    change.is_ok(),
+                    "the process ended ({:?}) without {text:?} in:\n{}",
+                    self.end_status(),
+                    self.log()
+                );
             }
         };
         let found = tokio::time::timeout(HANG_TIMEOUT, found).await;
@@ -96,12 +102,16 @@
         })
     }
 
+    fn end_status(&self) -> Option<ExitStatus> {
+        let mut child = self.child.lock().unwrap_or_else(PoisonError::into_inner);
+        child.try_wait().expect("a known process")
+    }
+
     /// Waits for the end of the process.
     pub async fn ended(&self) -> ExitStatus {
         let mut status = None;
         eventually("the process has ended", async || {
-            let mut child = self.child.lock().unwrap_or_else(PoisonError::into_inner);
-            status = child.try_wait().expect("a known process");
+            status = self.end_status();
             status.is_some()
         })
         .await;
