test: hold both store clients to one contract

The clients of the two key-value services had tests of their own, which asked different things. `tests/stores` runs one table of eleven cases against each client and its stand-in: conditions, atomic branches, revisions, ranges over pages, leases, refusals, and watches from a read.

--- /dev/null
+++ b/tests/stores/main.rs
@@ -0,0 +1,62 @@
+//! One contract for both clients of key-value services, each against its stand-in.
+
+mod contract;
+
+use eel_platform::{PlatformStore, StoreOptions, standin::StandInStore};
+use eel_standin::kv::KvServer;
+use eel_store::{EtcdJson, EtcdOptions};
+
+/// For calls that are to be answered, however busy the machine is.
+const CALL_TIMEOUT_MS: u64 = 30_000;
+const WATCH_WAIT_MS: u64 = 200;
+
+async fn etcd() -> (KvServer, EtcdJson) {
+    let server = KvServer::start().await.expect("a service");
+    let options = EtcdOptions {
+        endpoints: vec![server.url()],
+        call_timeout_ms: CALL_TIMEOUT_MS,
+        watch_silence_ms: WATCH_WAIT_MS,
+    };
+    let client = EtcdJson::new(&options).expect("a client");
+    (server, client)
+}
+
+async fn platform() -> (StandInStore, PlatformStore) {
+    let server = StandInStore::start().await.expect("a service");
+    let options = StoreOptions {
+        endpoint: server.endpoint(),
+        call_timeout_ms: CALL_TIMEOUT_MS,
+        watch_wait_ms: WATCH_WAIT_MS,
+    };
+    let client = PlatformStore::new(&options).expect("a client");
+    (server, client)
+}
+
+/// Runs each case against each client, on a service of its own.
+macro_rules! contract {
+    ($($case:ident),* $(,)?) => {
+        $(
+            #[tokio::test]
+            async fn $case() {
+                let (_server, client) = etcd().await;
+                contract::$case(&client).await;
+                let (_server, client) = platform().await;
+                contract::$case(&client).await;
+            }
+        )*
+    };
+}
+
+contract!(
+    compares_decide,
+    branch_is_atomic,
+    pair_history,
+    ranges_select,
+    long_ranges,
+    keys_go_with_lease,
+    lease_expires,
+    oversized_value,
+    operations_of_a_transaction,
+    watch_from_a_read,
+    watch_of_a_prefix,
+);
