refactor(gateway): split events in one place

Streams and batch items each split their bytes at blank lines in their own way; both use `events` now.

--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -5,12 +5,14 @@
     time::{Duration, Instant},
 };
 
+use bytes::BytesMut;
 use eel_ledger::{Item, JobHead, Progress, Resolved};
 use eel_platform::event_id;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 
 use crate::{
     context::{Context, now_unix_ms},
+    events,
     slots::Held,
     target::{Answer, Outgoing, exchange},
 };
@@ -19,7 +21,6 @@
 const SILENCE: Duration = Duration::from_millis(1_500);
 /// The longest time that a run is given.
 const LONGEST_RUN: Duration = Duration::from_mins(1);
-const EVENT_END: &[u8] = b"\n\n";
 
 /// One run of one item, and how far the item is.
 pub struct Run {
@@ -70,12 +71,14 @@
 
     async fn read(&mut self, mut answer: Answer) -> Resolved {
         let status = answer.status;
-        let mut partial = Vec::new();
+        let mut partial = BytesMut::new();
         loop {
             match answer.next(Instant::now() + SILENCE).await {
                 Ok(Some(bytes)) if status.is_success() => {
                     partial.extend_from_slice(&bytes);
-                    take_events(&mut self.progress.lock(), &mut partial);
+                    let whole = events::take_whole(&mut partial).unwrap_or_default();
+                    let mut progress = self.progress.lock();
+                    events::each(&whole).for_each(|event| take_event(&mut progress, event));
                 }
                 Ok(Some(_)) => {}
                 Ok(None) => break,
@@ -119,27 +122,21 @@
     })
 }
 
-/// Moves the whole events of `partial` into `progress`.
-fn take_events(progress: &mut Progress, partial: &mut Vec<u8>) {
-    while let Some(at) = partial
-        .windows(EVENT_END.len())
-        .position(|window| window == EVENT_END)
-    {
-        let event: Vec<u8> = partial.drain(..at + EVENT_END.len()).collect();
-        let Some(id) = event_id(&event) else {
-            continue;
-        };
-        if progress.last_event.is_some_and(|last| id <= last) {
-            continue;
-        }
-        let lines = event.split(|&byte| byte == b'\n');
-        for data in lines.filter_map(|line| line.strip_prefix(b"data:")) {
-            let data = data.strip_prefix(b" ").unwrap_or(data);
-            if progress.last_event.is_some() || !progress.text.is_empty() {
-                progress.text.push('\n');
-            }
-            progress.text.push_str(&String::from_utf8_lossy(data));
+/// Takes in an event, unless it is one that came before.
+fn take_event(progress: &mut Progress, event: &[u8]) {
+    let Some(id) = event_id(event) else {
+        return;
+    };
+    if progress.last_event.is_some_and(|last| id <= last) {
+        return;
+    }
+    let lines = event.split(|&byte| byte == b'\n');
+    for data in lines.filter_map(|line| line.strip_prefix(b"data:")) {
+        let data = data.strip_prefix(b" ").unwrap_or(data);
+        if progress.last_event.is_some() || !progress.text.is_empty() {
+            progress.text.push('\n');
         }
-        progress.last_event = Some(id);
+        progress.text.push_str(&String::from_utf8_lossy(data));
     }
+    progress.last_event = Some(id);
 }
--- a/eel-gateway/src/lib.rs
+++ b/eel-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod batch;
 mod context;
 mod error;
+mod events;
 mod http;
 mod metrics;
 mod node;
--- a/eel-gateway/src/online/stream.rs
+++ b/eel-gateway/src/online/stream.rs
@@ -10,12 +10,11 @@
 
 use super::{plan::Attempts, request::Request, run::ask, serve::to_response};
 use crate::{
+    events,
     http::{Body, BrokenAnswer, streamed},
     target::{Answer, Failure},
 };
 
-const EVENT_END: &[u8] = b"\n\n";
-
 /// One stream on its way to the caller; dropping it ends the target's work.
 struct Relay {
     request: Request,
@@ -82,9 +81,8 @@
     /// Takes in bytes and returns the events that are whole now.
     fn whole_events(&mut self, bytes: &Bytes) -> Option<Bytes> {
         self.partial.extend_from_slice(bytes);
-        let end = find_last(&self.partial, EVENT_END)? + EVENT_END.len();
-        let events = self.partial.split_to(end).freeze();
-        let last = last_event_id(&events[..events.len() - EVENT_END.len()]);
+        let events = events::take_whole(&mut self.partial)?;
+        let last = events::each(&events).filter_map(event_id).last();
         self.last_event_id = last.or(self.last_event_id);
         Some(events)
     }
@@ -127,14 +125,3 @@
         Ok(())
     }
 }
-
-fn last_event_id(events: &[u8]) -> Option<u64> {
-    let start = find_last(events, EVENT_END).map_or(0, |at| at + EVENT_END.len());
-    event_id(&events[start..])
-}
-
-fn find_last(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes
-        .windows(pattern.len())
-        .rposition(|window| window == pattern)
-}
