fix(batch): ask the store for results where peers have shown more

Cause: a watch that went silent looks like one with nothing to tell, so a front could answer a read with no results while another node had shown them for longer than all nodes may take. Change: load reports name the newest revision that a node has shown. Nothing is read where watches keep up. Ruled out: reading the store at each empty answer (two reads a second for each open job at each caller).

--- a/eel-fleet/src/report.rs
+++ b/eel-fleet/src/report.rs
@@ -41,6 +41,8 @@
     pub sender: u64,
     /// Counts the sender's reports.
     pub sequence: u64,
+    /// The newest revision of the store of which the sender may have shown something.
+    pub shown_revision: u64,
     /// Whether the store answered the sender lately.
     pub reaches_store: bool,
     /// Whether the sender takes items of batch jobs at present.
--- a/eel-fleet/tests/fleet/main.rs
+++ b/eel-fleet/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod idle_again;
 mod live_peers;
 mod load_reports;
+mod stale_view;
 mod store_lapse;
 mod target_choice;
 mod target_health;
--- a/eel-gateway/src/batch/calls.rs
+++ b/eel-gateway/src/batch/calls.rs
@@ -7,6 +7,7 @@
 use eel_platform::encode_results;
 use eel_store::{Compare, KeyValue as _, Op, StoreError, Txn};
 use eel_verdict::{Reason, Refusal};
+use error_stack::Report;
 use http::{HeaderValue, Response, StatusCode, header};
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -37,20 +38,37 @@
             return response;
         }
         changes.mark_unchanged();
-        if let Some(answer) = read_results(context, id, from, Instant::now() >= until) {
+        if let Some(answer) = read_news(context, id, from) {
             return json(answer);
         }
+        if Instant::now() >= until {
+            return without_news(context, id, from).await;
+        }
         // The sender lives as long as the context.
         let _ = timeout_at(until, changes.changed()).await;
     }
 }
 
-/// Encodes the results, unless it is worth waiting for some.
-fn read_results(context: &Context, id: &str, from: usize, is_last: bool) -> Option<Vec<u8>> {
+/// Answers a call that has waited in vain. A node that is behind its peers asks the store first.
+async fn without_news(context: &Context, id: &str, from: usize) -> Response<Body> {
+    let is_behind = context.lag().is_behind(context.clock.now_ms());
+    if is_behind {
+        log::info!(target: "jobs", job = id, from; "Peers know more than this node; the store is asked.");
+        if let Err(error) = load_job(context, id).await {
+            return cannot_tell(context, &error);
+        }
+    }
+    let ledger = context.ledger();
+    let results = ledger.job(id).map(|job| encode_results(job, from));
+    results.map_or_else(|| empty(StatusCode::NOT_FOUND), json)
+}
+
+/// Encodes the results from `from` on, if there are any or there will be none.
+fn read_news(context: &Context, id: &str, from: usize) -> Option<Vec<u8>> {
     let ledger = context.ledger();
     let job = ledger.job(id)?;
     let has_news = job.results().len() > from || !job.is_open();
-    (has_news || is_last).then(|| encode_results(job, from))
+    has_news.then(|| encode_results(job, from))
 }
 
 /// Answers with the body of an item that has no result yet.
@@ -114,15 +132,15 @@
     match load_job(context, id).await {
         Ok(()) if is_known(context, id) => Ok(()),
         Ok(()) => Err(empty(StatusCode::NOT_FOUND)),
-        Err(error) => {
-            context.on_store_failure("read a job", error.current_context());
-            Err(refuse(
-                &Refusal::not_run(Reason::StoreUnavailable).retry_after(RETRY_AFTER_MS),
-            ))
-        }
+        Err(error) => Err(cannot_tell(context, &error)),
     }
 }
 
+fn cannot_tell(context: &Context, error: &Report<StoreError>) -> Response<Body> {
+    context.on_store_failure("read a job", error.current_context());
+    refuse(&Refusal::not_run(Reason::StoreUnavailable).retry_after(RETRY_AFTER_MS))
+}
+
 fn is_known(context: &Context, id: &str) -> bool {
     context
         .ledger()
--- a/eel-gateway/src/batch/commit.rs
+++ b/eel-gateway/src/batch/commit.rs
@@ -40,6 +40,7 @@
                 context.on_store_answer();
                 log_listed(context, &chunks, outcome.revision.0);
                 take_in(context, &chunks);
+                context.lag().on_change(outcome.revision);
             }
             Ok(_) => {
                 context.on_store_answer();
--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -10,7 +10,7 @@
 };
 
 use arc_swap::ArcSwapOption;
-use eel_fleet::{Peers, Registry};
+use eel_fleet::{Lag, Peers, Registry};
 use eel_ledger::{Ledger, Partials};
 use eel_platform::PlatformStore;
 use eel_table::RouteTable;
@@ -39,6 +39,7 @@
     registry: Mutex<Registry>,
     peers: Mutex<Peers>,
     ledger: Mutex<Ledger>,
+    lag: Mutex<Lag>,
     partials: Mutex<Partials>,
     /// Counts the writes of how far items are.
     pub(crate) saves: AtomicU64,
@@ -89,6 +90,7 @@
             registry: Mutex::default(),
             peers: Mutex::default(),
             ledger: Mutex::new(Ledger::new(keys)),
+            lag: Mutex::default(),
             partials: Mutex::default(),
             saves: AtomicU64::new(0),
             has_read_jobs: AtomicBool::new(false),
@@ -114,6 +116,10 @@
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn lag(&self) -> MutexGuard<'_, Lag> {
+        self.lag.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn partials(&self) -> MutexGuard<'_, Partials> {
         self.partials.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/eel-gateway/src/reports.rs
+++ b/eel-gateway/src/reports.rs
@@ -6,6 +6,7 @@
 use std::{io, sync::Arc, time::Duration};
 
 use eel_fleet::PeerReport;
+use eel_types::Revision;
 use tokio::{
     net::UdpSocket,
     time::{Instant, sleep, sleep_until},
@@ -29,6 +30,7 @@
         let mut report = PeerReport {
             sender: context.incarnation,
             sequence,
+            shown_revision: context.lag().shown().0,
             reaches_store: context.is_store_fresh() && !context.is_store_failing(),
             takes_batch: context.takes_batch(),
             ..context.slots.report()
@@ -81,6 +83,8 @@
 fn on_report(context: &Context, report: &PeerReport) {
     let now_ms = context.clock.now_ms();
     context.peers().on_report(now_ms, report);
+    let shown = Revision(report.shown_revision);
+    context.lag().on_peer(now_ms, shown);
     context
         .slots
         .update(|dispatcher| dispatcher.on_report(now_ms, report));
--- a/eel-gateway/src/store/apply.rs
+++ b/eel-gateway/src/store/apply.rs
@@ -23,6 +23,7 @@
 
 /// Takes in a value that was written.
 pub(crate) fn on_put(context: &Context, pair: &KeyValuePair) {
+    context.lag().on_change(pair.mod_revision);
     match subject(&pair.key) {
         Subject::RouteTable => put_routes(context, pair),
         Subject::Target(id) => put_target(context, id, &pair.value),
--- a/eel-gateway/src/store/follow.rs
+++ b/eel-gateway/src/store/follow.rs
@@ -39,8 +39,14 @@
     while let Some(event) = watch.next().await {
         match event {
             WatchEvent::Put(pair) => apply::on_put(context, &pair),
-            WatchEvent::Delete { key, .. } => apply::on_removed(context, &key),
-            WatchEvent::Progress { .. } => context.on_store_answer(),
+            WatchEvent::Delete { key, mod_revision } => {
+                context.lag().on_change(mod_revision);
+                apply::on_removed(context, &key);
+            }
+            WatchEvent::Progress { revision } => {
+                context.lag().on_complete(revision);
+                context.on_store_answer();
+            }
             WatchEvent::Compacted { .. } => return,
         }
     }
--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -10,5 +10,6 @@
 mod lost_entry;
 mod refused_requests;
 mod resumed_stream;
+mod stale_watch;
 mod start_up;
 mod target_lifecycle;
