test(soak): play fleets of a few dozen nodes and more

A run with 40 nodes ended at once: its block held 50 ports, and each node listens on four. Blocks hold 1,000 ports now, and a larger fleet has more targets and callers.

--- a/tests/gateway/ports.rs
+++ b/tests/gateway/ports.rs
@@ -10,7 +10,8 @@
 /// The ports below those that the system gives to outgoing connections.
 const FIRST: u16 = 12_000;
 const LAST: u16 = 32_000;
-const BLOCK: u16 = 50;
+/// Enough for a few hundred processes with four listeners each.
+const BLOCK: u16 = 1_000;
 
 /// A block of ports that no other run takes.
 pub struct Ports {
--- a/tests/gateway/world.rs
+++ b/tests/gateway/world.rs
@@ -23,8 +23,11 @@
     proxy::{Link, Proxy},
 };
 
+/// The targets and callers of the smallest fleet, and how many nodes bring one more.
 const TARGETS: usize = 4;
-const CALLERS: u64 = 6;
+const CALLERS: usize = 6;
+const NODES_PER_TARGET: usize = 4;
+const NODES_PER_CALLER: usize = 2;
 /// How long jobs may take to end after all faults are over, before the run counts as hung.
 const CALM: Duration = Duration::from_mins(2);
 
@@ -56,7 +59,7 @@
             directory,
         };
         world.change_routes();
-        for number in 0..TARGETS {
+        for number in 0..TARGETS + nodes / NODES_PER_TARGET {
             let target = StandInTarget::start("scribe", &format!("i-{number}"))
                 .await
                 .expect("a target");
@@ -87,11 +90,12 @@
         let stop = Arc::new(AtomicBool::new(false));
         let addresses: Vec<_> = self.nodes.iter().map(|node| node.http).collect();
         let mut callers = JoinSet::new();
-        for number in 0..CALLERS {
+        let count = u64::try_from(CALLERS + self.nodes.len() / NODES_PER_CALLER).expect("a number");
+        for number in 0..count {
             let rng = SmallRng::seed_from_u64(self.seed.wrapping_mul(1_000).wrapping_add(number));
             callers.spawn(call_until(stop.clone(), addresses.clone(), number, rng));
         }
-        let rng = SmallRng::seed_from_u64(self.seed.wrapping_mul(1_000).wrapping_add(CALLERS));
+        let rng = SmallRng::seed_from_u64(self.seed.wrapping_mul(1_000).wrapping_add(count));
         let jobs = tokio::spawn(submit_until(stop.clone(), addresses, rng));
         let until = Instant::now() + length;
         let mut rng = SmallRng::seed_from_u64(self.seed);
