test(fleet): compare policies of placing on one load

The same bursts over batch are played with no queue in the nodes (any target; least in flight), with batch that keeps its slots, without turns, and as the code does it.

--- a/eel-fleet/tests/fleet/burst_load.rs
+++ b/eel-fleet/tests/fleet/burst_load.rs
@@ -5,7 +5,7 @@
 
 use std::collections::VecDeque;
 
-use eel_fleet::{AttemptEnd, Board, Decision, Dispatcher, PeerReport, TargetKey, Work};
+use eel_fleet::{AttemptEnd, Board, Decision, Dispatcher, PeerReport, TargetKey, Wish, Work};
 use eel_types::Name;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
 
@@ -28,6 +28,21 @@
     if now_ms % 6_000 < 3_600 { 21.0 } else { 103.0 }
 }
 
+/// How requests are placed, and whether batch makes room for them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Policy {
+    /// Any target, at once; it waits in the target's queue.
+    AnyTarget,
+    /// The target with the least in flight, known without delay; it waits in the target's queue.
+    LeastInFlight,
+    /// As this crate places them, but batch keeps its slots.
+    BatchKeeps,
+    /// As this crate places them, but batch nodes take idle slots without turns.
+    WithoutTurns,
+    /// As this crate places them.
+    Fleet,
+}
+
 struct Job {
     node: usize,
     key: TargetKey,
@@ -43,8 +58,11 @@
 }
 
 struct World {
+    policy: Policy,
     rng: SmallRng,
     fronts: Vec<Dispatcher>,
+    /// The targets' keys at each front, by their numbers.
+    front_keys: Vec<Vec<TargetKey>>,
     workers: Vec<Board>,
     engines: Vec<Engine>,
     mail: VecDeque<(u64, PeerReport)>,
@@ -53,10 +71,12 @@
     rejected: u32,
     cut: u32,
     batch_done: u32,
+    /// How long batch ran in slots; an item that is broken off goes on later where it was.
+    batch_run_ms: u64,
 }
 
 impl World {
-    fn new(has_turns: bool) -> Self {
+    fn new(policy: Policy) -> Self {
         let names = ["batch-a", "batch-b", "batch-c"].map(Name::from);
         let entries =
             || (0..TARGETS).map(|it| target(&format!("t{it}"), DATA_CENTRES[it % 3], SLOTS));
@@ -70,14 +90,16 @@
             entries().for_each(|entry| board.set_target(entry));
             let others: Vec<Name> = names
                 .iter()
-                .filter(|it| **it != own && has_turns)
+                .filter(|it| **it != own && policy != Policy::WithoutTurns)
                 .cloned()
                 .collect();
             board.set_batch_nodes(&own, &others);
             board
         });
         Self {
+            policy,
             rng: SmallRng::seed_from_u64(SEED),
+            front_keys: fronts.iter().map(|it| keys(it.board())).collect(),
             fronts: fronts.into(),
             workers: workers.into(),
             engines: (0..TARGETS).map(|_| Engine::default()).collect(),
@@ -87,6 +109,7 @@
             rejected: 0,
             cut: 0,
             batch_done: 0,
+            batch_run_ms: 0,
         }
     }
 
@@ -109,6 +132,13 @@
 
     fn arrive(&mut self, now_ms: u64) {
         let node = self.rng.random_range(0..self.fronts.len());
+        if let Some(target) = self.target_without_queue() {
+            let board = self.fronts[node].board_mut();
+            let key = self.front_keys[node][target];
+            board.start(now_ms, key, Work::Online);
+            self.send(node, key, now_ms);
+            return;
+        }
         let service = Name::from(SERVICE);
         let mut arrival = arrival(&service, now_ms + GOAL_MS - FIRST_ANSWER_MS, now_ms + 5_000);
         arrival.spread = self.rng.random();
@@ -119,6 +149,17 @@
         }
     }
 
+    /// Returns the target to send to at once, where the policy keeps no queue in the nodes.
+    fn target_without_queue(&mut self) -> Option<usize> {
+        match self.policy {
+            Policy::AnyTarget => Some(self.rng.random_range(0..TARGETS)),
+            Policy::LeastInFlight => {
+                (0..TARGETS).min_by_key(|&target| self.engines[target].jobs.len())
+            }
+            Policy::BatchKeeps | Policy::WithoutTurns | Policy::Fleet => None,
+        }
+    }
+
     fn pump(&mut self, now_ms: u64) {
         for node in 0..self.fronts.len() {
             for due in self.fronts[node].due(now_ms) {
@@ -145,22 +186,8 @@
     /// Batch nodes give slots back that online requests need, and take idle ones.
     fn fill(&mut self, now_ms: u64) {
         for node in 0..self.workers.len() {
-            let held: Vec<TargetKey> = self
-                .engines
-                .iter()
-                .flat_map(|it| &it.jobs)
-                .filter(|it| it.is_batch_of(node))
-                .map(|it| it.key)
-                .collect();
-            for key in held {
-                let board = &mut self.workers[node];
-                if board.excess_batch(now_ms, key, node as u64) > 0 {
-                    let jobs = &mut self.engines[index_of(board, key)].jobs;
-                    let youngest = jobs.iter().rposition(|it| it.is_batch_of(node));
-                    jobs.remove(youngest.expect("the node holds an item there"));
-                    board.end(now_ms, key, Work::Batch, AttemptEnd::BrokenOff);
-                    self.cut += 1;
-                }
+            if matches!(self.policy, Policy::Fleet | Policy::WithoutTurns) {
+                self.give_back(now_ms, node);
             }
             while self.workers[node].has_batch_room(now_ms, SERVICE)
                 && let Some(key) = self.workers[node].choose(now_ms, SERVICE, &wish(Work::Batch))
@@ -179,6 +206,30 @@
         }
     }
 
+    fn give_back(&mut self, now_ms: u64, node: usize) {
+        let held: Vec<TargetKey> = self
+            .engines
+            .iter()
+            .flat_map(|it| &it.jobs)
+            .filter(|it| it.is_batch_of(node))
+            .map(|it| it.key)
+            .collect();
+        for key in held {
+            let board = &mut self.workers[node];
+            if board.excess_batch(now_ms, key, node as u64) > 0 {
+                let jobs = &mut self.engines[index_of(board, key)].jobs;
+                let youngest = jobs.iter().rposition(|it| it.is_batch_of(node));
+                let job = youngest.and_then(|at| jobs.remove(at));
+                let job = job.expect("the node holds an item there");
+                if let Some(ends_ms) = job.ends_ms {
+                    self.batch_run_ms += BATCH_RUN_MS - (ends_ms - now_ms);
+                }
+                board.end(now_ms, key, Work::Batch, AttemptEnd::BrokenOff);
+                self.cut += 1;
+            }
+        }
+    }
+
     fn admit(&mut self, now_ms: u64) {
         for engine in &mut self.engines {
             for job in engine
@@ -222,6 +273,7 @@
                     Work::Batch => {
                         self.workers[job.node].end(now_ms, job.key, job.work, end);
                         self.batch_done += 1;
+                        self.batch_run_ms += BATCH_RUN_MS;
                     }
                 }
             }
@@ -293,10 +345,27 @@
     entry.id[1..].parse().expect("a number")
 }
 
+/// Returns the keys of all targets, in the order of their numbers, while all are idle.
+fn keys(board: &Board) -> Vec<TargetKey> {
+    let mut keys = Vec::new();
+    loop {
+        let wish = Wish {
+            excluded: &keys,
+            ..wish(Work::Online)
+        };
+        let Some(key) = board.choose(0, SERVICE, &wish) else {
+            break;
+        };
+        keys.push(key);
+    }
+    keys.sort_by_key(|key| index_of(board, *key));
+    keys
+}
+
 #[test]
 fn bursts_over_batch() {
     println!("seed {SEED}");
-    let played = World::new(true).play();
+    let played = World::new(Policy::Fleet).play();
     assert!(played.latencies_ms.len() > 1_000, "the load was played");
     assert!(played.batch_done > 0, "batch ran beside it");
     // The burst needs 74 of 96 slots, so every request can start in time.
@@ -312,8 +381,8 @@
 #[test]
 fn turns_spare_runs() {
     println!("seed {SEED}");
-    let with = World::new(true).play();
-    let without = World::new(false).play();
+    let with = World::new(Policy::Fleet).play();
+    let without = World::new(Policy::WithoutTurns).play();
     assert!(
         with.cut < without.cut,
         "cut with turns: {}, without: {}",
@@ -321,3 +390,28 @@
         without.cut
     );
 }
+
+#[test]
+fn policies_compared() {
+    println!(
+        "seed {SEED}\n| policy | in time, of 1,000 | rejected | slot-seconds of batch | broken off |"
+    );
+    let [any, least, keeps, without_turns, fleet] = [
+        Policy::AnyTarget,
+        Policy::LeastInFlight,
+        Policy::BatchKeeps,
+        Policy::WithoutTurns,
+        Policy::Fleet,
+    ]
+    .map(|policy| {
+        let played = World::new(policy).play();
+        let (in_time, rejected) = (played.in_time_per_1000(), played.rejected);
+        let (batch_s, cut) = (played.batch_run_ms / 1_000, played.cut);
+        println!("| {policy:?} | {in_time} | {rejected} | {batch_s} | {cut} |");
+        in_time
+    });
+    for other in [any, least, keeps] {
+        assert!(fleet > other, "callers get less than without: {other}");
+    }
+    assert!(fleet >= without_turns, "turns cost callers nothing");
+}
