feat(fleet): use targets last that fail a part of their requests

Cause: a target that fails some requests while its health is good was avoided for 250 ms after an attempt without an answer and then trusted as before; one that answered with errors was never avoided, because an answer counted as one "whatever it said". Change: each node keeps a moving share of failures a target, which halves in 4 s without attempts. From a fifth on the target ranks last. Errors that a target answers count, without a pause. Two failures within a few attempts are needed, so failures of one in a hundred put no target last for long.

--- a/eel-fleet/src/board.rs
+++ b/eel-fleet/src/board.rs
@@ -45,8 +45,10 @@
 /// How an attempt ended, by what it says of the target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptEnd {
-    /// The target answered, whatever it said.
+    /// The target answered.
     Answered,
+    /// The target answered that it failed.
+    Errored,
     /// The target refused because it is full.
     Full,
     /// No connection, a broken answer, or silence.
@@ -225,7 +227,8 @@
         let count = target.own.of(work);
         *count = count.saturating_sub(1);
         match end {
-            AttemptEnd::Answered => target.health.on_answer(),
+            AttemptEnd::Answered => target.health.on_end(now_ms, false),
+            AttemptEnd::Errored => target.health.on_end(now_ms, true),
             AttemptEnd::Full => target.health.on_full(now_ms),
             AttemptEnd::Failed => target.health.on_failure(now_ms),
             AttemptEnd::BrokenOff => {}
@@ -312,8 +315,8 @@
     }
 }
 
-/// Orders targets: a free slot before one under a batch item, near before far, little load before much.
-type Rank = (bool, bool, u32, u64);
+/// Orders targets: well before failing, a free slot before one under a batch item, near before far, little load before much.
+type Rank = (bool, bool, bool, u32, u64);
 
 impl Target {
     fn rank(&self, now_ms: u64, wish: &Wish<'_>) -> Option<Rank> {
@@ -329,7 +332,8 @@
         };
         let is_far = *self.entry.data_centre != *wish.data_centre;
         let tie = self.hash.rotate_left(17) ^ wish.spread.wrapping_mul(0x9E37_79B9_7F4A_7C15);
-        has_room.then_some((takes_batch_slot, is_far, load, tie))
+        let is_suspect = self.health.is_suspect(now_ms);
+        has_room.then_some((is_suspect, takes_batch_slot, is_far, load, tie))
     }
 
     /// Returns whether a slot has been idle long enough for this node to take it for batch.
--- a/eel-fleet/src/health.rs
+++ b/eel-fleet/src/health.rs
@@ -1,4 +1,7 @@
 //! Whether a target is worth sending to, by what this node's own attempts met.
+//!
+//! The load that this answers: targets that are down, which are left alone but for trials, and targets that fail a part
+//! of their requests while they look well, which are used last.
 
 /// The first pause after a failure, in ms: a crashed process is back within about a second.
 const FIRST_PAUSE_MS: u64 = 250;
@@ -7,11 +10,21 @@
 /// How long a target that said it was full is left alone, in ms: about a tenth of a request's run time.
 const FULL_PAUSE_MS: u64 = 50;
 
+/// The weight of the newest attempt in the share of failures, as a divisor: two failures within a few attempts count.
+const SHARE_OVER: u32 = 8;
+/// How long the share takes to halve without attempts, in ms: about as long as targets were seen to fail in part.
+const SHARE_HALF_LIFE_MS: u64 = 4_000;
+/// The share of failures from which a target is used last, in thousandths: a single failure makes 125.
+const SUSPECT_PER_1000: u32 = 200;
+
 /// What a node's attempts at a target met lately.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
     failures: u32,
     paused_until_ms: u64,
+    /// The moving share of attempts that failed, in thousandths, as of `share_at_ms`.
+    failed_per_1000: u32,
+    share_at_ms: u64,
 }
 
 impl Health {
@@ -20,6 +33,11 @@
         now_ms >= self.paused_until_ms
     }
 
+    /// Returns whether the target lately failed more of its requests than chance explains.
+    pub fn is_suspect(&self, now_ms: u64) -> bool {
+        self.share(now_ms) >= SUSPECT_PER_1000
+    }
+
     /// Takes in that an attempt starts: at a target under suspicion no second one follows until it is answered.
     pub fn on_start(&mut self, now_ms: u64) {
         if self.failures > 0 {
@@ -29,7 +47,14 @@
 
     /// Takes in a sign of life.
     pub fn on_answer(&mut self) {
-        *self = Self::default();
+        self.failures = 0;
+        self.paused_until_ms = 0;
+    }
+
+    /// Takes in a whole answer, which may say that the target failed.
+    pub fn on_end(&mut self, now_ms: u64, is_error: bool) {
+        self.on_answer();
+        self.note(now_ms, is_error);
     }
 
     /// Takes in that the target is full.
@@ -41,6 +66,19 @@
     pub fn on_failure(&mut self, now_ms: u64) {
         self.failures = self.failures.saturating_add(1);
         self.pause(now_ms);
+        self.note(now_ms, true);
+    }
+
+    fn note(&mut self, now_ms: u64, is_failure: bool) {
+        let share = self.share(now_ms);
+        let newest = if is_failure { 1_000 } else { 0 };
+        self.failed_per_1000 = (share * (SHARE_OVER - 1) + newest) / SHARE_OVER;
+        self.share_at_ms = now_ms;
+    }
+
+    fn share(&self, now_ms: u64) -> u32 {
+        let halvings = now_ms.saturating_sub(self.share_at_ms) / SHARE_HALF_LIFE_MS;
+        self.failed_per_1000 >> halvings.min(31)
     }
 
     fn pause(&mut self, now_ms: u64) {
--- /dev/null
+++ b/eel-fleet/tests/fleet/failing_target.rs
@@ -0,0 +1,159 @@
+//! A target that fails a part of its requests while it looks well, beside targets that fail now and then.
+
+use std::collections::HashMap;
+
+use eel_fleet::{AttemptEnd, Board, TargetKey, Wish, Work};
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+
+use crate::fixture::{SERVICE, board, wish};
+
+const SEED: u64 = 5;
+const REQUESTS: u64 = 2_000;
+const REQUEST_EVERY_MS: u64 = 10;
+/// How often the failing target and the others fail.
+const FAILING: f64 = 0.4;
+const USUAL: f64 = 0.01;
+/// When a baseline ejects a target, and for how long.
+const IN_A_ROW: u32 = 3;
+const EJECTED_MS: u64 = 2_000;
+
+#[derive(Clone, Copy, Debug)]
+enum Detection {
+    None,
+    /// Three failures in a row eject a target.
+    InARow,
+    /// As this crate does it.
+    Fleet,
+}
+
+struct Played {
+    failures: u32,
+    /// Requests to the failing target.
+    sent: u32,
+    /// Requests to the busiest of the others, in thousandths of their mean.
+    busiest: u64,
+}
+
+fn targets() -> Board {
+    board(&[
+        ("t0", "dc-a", 8),
+        ("t1", "dc-a", 8),
+        ("t2", "dc-a", 8),
+        ("t3", "dc-a", 8),
+        ("t4", "dc-a", 8),
+    ])
+}
+
+fn play(detection: Detection) -> Played {
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    let mut board = targets();
+    let mut in_a_row: HashMap<TargetKey, (u32, u64)> = HashMap::new();
+    let mut sent: HashMap<String, u32> = HashMap::new();
+    let mut failures = 0;
+    for request in 0..REQUESTS {
+        let now_ms = request * REQUEST_EVERY_MS;
+        let ejected: Vec<TargetKey> = in_a_row
+            .iter()
+            .filter(|(_, (_, until_ms))| now_ms < *until_ms)
+            .map(|(key, _)| *key)
+            .collect();
+        let wish = Wish {
+            spread: rng.random(),
+            excluded: &ejected,
+            ..wish(Work::Online)
+        };
+        let key = board.choose(now_ms, SERVICE, &wish).expect("a target");
+        let id = board.entry(key).expect("a target").id.to_string();
+        let has_failed = rng.random_bool(if id == "t0" { FAILING } else { USUAL });
+        *sent.entry(id).or_default() += 1;
+        failures += u32::from(has_failed);
+        match detection {
+            Detection::None => {}
+            Detection::InARow => {
+                let (count, until_ms) = in_a_row.entry(key).or_default();
+                *count = if has_failed { *count + 1 } else { 0 };
+                if *count >= IN_A_ROW {
+                    (*count, *until_ms) = (0, now_ms + EJECTED_MS);
+                }
+            }
+            Detection::Fleet => {
+                board.start(now_ms, key, Work::Online);
+                let end = if has_failed {
+                    AttemptEnd::Errored
+                } else {
+                    AttemptEnd::Answered
+                };
+                board.end(now_ms, key, Work::Online, end);
+            }
+        }
+    }
+    let failing = sent.remove("t0").unwrap_or(0);
+    let busiest = sent.values().max().copied().unwrap_or(0);
+    let others: u32 = sent.values().sum();
+    Played {
+        failures,
+        sent: failing,
+        busiest: 1_000 * u64::from(busiest) * sent.len() as u64 / u64::from(others),
+    }
+}
+
+#[test]
+fn detections_compared() {
+    println!(
+        "seed {SEED}\n| detection | failures, of {REQUESTS} | sent to it | busiest other, of 1,000 |"
+    );
+    let [none, in_a_row, fleet] =
+        [Detection::None, Detection::InARow, Detection::Fleet].map(|it| {
+            let played = play(it);
+            println!(
+                "| {it:?} | {} | {} | {} |",
+                played.failures, played.sent, played.busiest
+            );
+            played
+        });
+    assert!(fleet.failures < in_a_row.failures && fleet.failures < none.failures);
+    // Failures of one in a hundred put no target last for long.
+    assert!(
+        fleet.busiest <= 1_250,
+        "the others share the load: {}",
+        fleet.busiest
+    );
+}
+
+#[test]
+fn used_where_no_other_has_room() {
+    let mut board = board(&[("failing", "dc-a", 2), ("well", "dc-b", 1)]);
+    let failing = board
+        .choose(0, SERVICE, &wish(Work::Online))
+        .expect("a target");
+    for now_ms in [0, 10, 20] {
+        board.start(now_ms, failing, Work::Online);
+        board.end(now_ms, failing, Work::Online, AttemptEnd::Errored);
+    }
+    let first = board
+        .choose(30, SERVICE, &wish(Work::Online))
+        .expect("a target");
+    assert_ne!(first, failing, "though the other one is far");
+    board.start(30, first, Work::Online);
+    assert_eq!(
+        board.choose(31, SERVICE, &wish(Work::Online)),
+        Some(failing)
+    );
+}
+
+#[test]
+fn forgotten_after_a_while() {
+    let mut board = board(&[("near", "dc-a", 2), ("far", "dc-b", 2)]);
+    let near = board
+        .choose(0, SERVICE, &wish(Work::Online))
+        .expect("a target");
+    for now_ms in [0, 10] {
+        board.start(now_ms, near, Work::Online);
+        board.end(now_ms, near, Work::Online, AttemptEnd::Errored);
+    }
+    assert_ne!(board.choose(20, SERVICE, &wish(Work::Online)), Some(near));
+    assert_eq!(
+        board.choose(4_100, SERVICE, &wish(Work::Online)),
+        Some(near)
+    );
+}
--- a/eel-fleet/tests/fleet/main.rs
+++ b/eel-fleet/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod batch_turns;
 mod burst_load;
+mod failing_target;
 mod fixture;
 mod idle_again;
 mod live_peers;
--- a/eel-gateway/src/metrics.rs
+++ b/eel-gateway/src/metrics.rs
@@ -93,6 +93,7 @@
     pub fn count_attempt(&self, end: AttemptEnd) {
         let outcome = match end {
             AttemptEnd::Answered => "answered",
+            AttemptEnd::Errored => "errored",
             AttemptEnd::Full => "full",
             AttemptEnd::Failed => "failed",
             AttemptEnd::BrokenOff => "broken_off",
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -252,7 +252,11 @@
 
     /// Marks the answer as whole and keeps its connection.
     pub fn finish(mut self, pool: &Pool) {
-        self.held.set_end(AttemptEnd::Answered);
+        self.held.set_end(if self.status.is_server_error() {
+            AttemptEnd::Errored
+        } else {
+            AttemptEnd::Answered
+        });
         let connection = self.connection.take();
         if let Some(connection) = connection.filter(|_| !self.fields.closes) {
             pool.put(
