fix(fleet): count a run as a millisecond at the least

The first request had been answered within a millisecond, so the average run time was 0, and no backlog had a length: requests that could not start in time waited until their deadline in place of being rejected at once. Dividing by the slots rounded down as well. Change: a run counts one millisecond at the least, and the wait is rounded up. Before: `short_runs_take_time` fails (the request waits). After: it is rejected with a wait above zero.

--- a/eel-fleet/src/dispatch.rs
+++ b/eel-fleet/src/dispatch.rs
@@ -18,6 +18,8 @@
 const AVERAGE_OVER: u64 = 16;
 /// The run time that is assumed before any was measured, in ms.
 const FIRST_RUN_TIME_MS: u64 = 300;
+/// What a run counts at the least, in ms: the unit of the clock, so that a backlog of shorter runs is not empty.
+const LEAST_RUN_TIME_MS: u64 = 1;
 /// The shortest and longest times to come back that are given, in ms. Callers honour a third of what they have left.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 100..=1_500;
 
@@ -191,6 +193,7 @@
         self.board.end(now_ms, key, work, end);
         let is_sample = work == Work::Online && end == AttemptEnd::Answered;
         if is_sample && let Some(state) = self.services.get_mut(service) {
+            let run_time_ms = run_time_ms.max(LEAST_RUN_TIME_MS);
             let average_ms = state.run_time_ms.unwrap_or(run_time_ms);
             state.run_time_ms =
                 Some((average_ms * (AVERAGE_OVER - 1) + run_time_ms) / AVERAGE_OVER);
@@ -300,7 +303,10 @@
         let ahead = ahead.saturating_add(self.waiting_at_peers(now_ms, service));
         let expected_wait_ms = match u64::from(slots) {
             0 => run_time_ms,
-            slots => ahead.saturating_add(1).saturating_mul(run_time_ms) / slots,
+            slots => ahead
+                .saturating_add(1)
+                .saturating_mul(run_time_ms)
+                .div_ceil(slots),
         };
         Rejection {
             retry_after_ms: clamp(expected_wait_ms),
--- a/eel-fleet/tests/fleet/waiting_requests.rs
+++ b/eel-fleet/tests/fleet/waiting_requests.rs
@@ -167,3 +167,20 @@
         "a failure is no run time"
     );
 }
+
+#[test]
+fn short_runs_take_time() {
+    let mut dispatcher = dispatcher(2);
+    let service = Name::from(SERVICE);
+    for _ in 0..2 {
+        let key = start(&mut dispatcher, 0);
+        dispatcher.end(0, SERVICE, key, Work::Online, AttemptEnd::Answered, 0);
+    }
+    start(&mut dispatcher, 0);
+    start(&mut dispatcher, 0);
+    let decision = dispatcher.arrive(0, arrival(&service, 0, 5_000));
+    assert!(
+        matches!(decision, Decision::Reject(rejection) if rejection.expected_wait_ms > 0),
+        "it cannot start in time: {decision:?}"
+    );
+}
