refactor(batch): take in own writes in one place

A node shows its own writes of jobs before the watch brings them: submission, listing and the end of a job each did so in their own way. `Context::take_in` does it from the transaction, so `Worklist::commit` returns no second copy of what it writes.

--- a/eel-gateway/src/batch/calls.rs
+++ b/eel-gateway/src/batch/calls.rs
@@ -99,7 +99,7 @@
     let key = context.ledger().keys().end(id);
     let txn = Txn {
         compares: vec![Compare::Absent { key: key.clone() }],
-        success: vec![Op::put(key.clone(), Bytes::new())],
+        success: vec![Op::put(key, Bytes::new())],
         failure: Vec::new(),
     };
     let until = Instant::now() + END_TIMEOUT;
@@ -107,8 +107,7 @@
         match context.store.commit(&txn).await {
             Ok(_) => {
                 context.on_store_answer();
-                context.ledger().on_put(&key, &Bytes::new());
-                context.on_ledger_change();
+                context.take_in(&txn);
                 log::info!(target: "jobs", job = id; "A job was ended by its caller.");
                 return empty(StatusCode::OK);
             }
--- a/eel-gateway/src/batch/commit.rs
+++ b/eel-gateway/src/batch/commit.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use eel_ledger::{JobKey, Ledger};
 use eel_store::{KeyValue as _, StoreError, Txn};
 use eel_types::Name;
@@ -26,25 +25,22 @@
 }
 
 /// Lists the results that `gather` returns, until there are none.
-pub(super) async fn list(
-    context: &Context,
-    gather: impl Fn(&Ledger) -> Option<(Txn, Vec<(String, Bytes)>)>,
-) {
+pub(super) async fn list(context: &Context, gather: impl Fn(&Ledger) -> Option<Txn>) {
     for _ in 0..TRIES {
         let gathered = gather(&context.ledger());
-        let Some((txn, chunks)) = gathered else {
+        let Some(txn) = gathered else {
             return;
         };
         match context.store.commit(&txn).await {
             Ok(outcome) if outcome.succeeded => {
                 context.on_store_answer();
-                log_listed(context, &chunks, outcome.revision.0);
-                take_in(context, &chunks);
+                log_listed(context, &txn, outcome.revision.0);
+                context.take_in(&txn);
                 context.lag().on_change(outcome.revision);
             }
             Ok(_) => {
                 context.on_store_answer();
-                read_again(context, &chunks).await;
+                read_again(context, &txn).await;
             }
             Err(error) => {
                 let error: StoreError = *error.current_context();
@@ -55,9 +51,9 @@
     }
 }
 
-fn log_listed(context: &Context, chunks: &[(String, Bytes)], revision: u64) {
+fn log_listed(context: &Context, txn: &Txn, revision: u64) {
     let ledger = context.ledger();
-    for (key, value) in chunks {
+    for (key, value) in txn.puts() {
         if let Some(JobKey::Chunk(job, number)) = ledger.keys().parse(key) {
             log::info!(
                 target: "jobs", job, chunk = number, bytes = value.len(), revision;
@@ -67,18 +63,9 @@
     }
 }
 
-fn take_in(context: &Context, chunks: &[(String, Bytes)]) {
-    let mut ledger = context.ledger();
-    for (key, value) in chunks {
-        ledger.on_put(key, value);
-    }
-    drop(ledger);
-    context.on_ledger_change();
-}
-
 /// A chunk of that number exists: another node listed it, or this node did and the answer was lost.
-async fn read_again(context: &Context, chunks: &[(String, Bytes)]) {
-    for (key, _) in chunks {
+async fn read_again(context: &Context, txn: &Txn) {
+    for (key, _) in txn.puts() {
         let job = match context.ledger().keys().parse(key) {
             Some(JobKey::Chunk(job, _)) => Name::from(job),
             _ => continue,
--- a/eel-gateway/src/batch/submit.rs
+++ b/eel-gateway/src/batch/submit.rs
@@ -5,7 +5,6 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use eel_ledger::{Item, JobHead, submission};
 use eel_platform::{caller_fields, decode_job};
 use eel_store::{KeyValue as _, StoreError, Txn};
@@ -69,7 +68,7 @@
     let response = match store(context, &txn, until).await {
         Ok(is_new) => {
             if is_new {
-                take_in(context, &txn);
+                context.take_in(&txn);
             }
             empty(StatusCode::ACCEPTED)
         }
@@ -136,19 +135,6 @@
     !may_be_stored && context.is_store_failing() && context.peers().is_store_reached(now_ms)
 }
 
-/// Shows the job to this node's own calls before the watch brings it.
-fn take_in(context: &Context, txn: &Txn) {
-    let mut ledger = context.ledger();
-    for op in &txn.success {
-        if let eel_store::Op::Put { key, value, .. } = op {
-            let value: &Bytes = value;
-            ledger.on_put(key, value);
-        }
-    }
-    drop(ledger);
-    context.on_ledger_change();
-}
-
 fn log_submission(id: &str, items: &[Item], response: &Response<Body>) {
     log::info!(
         target: "jobs", job = id, items = items.len(), status = response.status().as_u16();
--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -13,6 +13,7 @@
 use eel_fleet::{Lag, Peers, Registry};
 use eel_ledger::{Ledger, Partials};
 use eel_platform::PlatformStore;
+use eel_store::Txn;
 use eel_table::RouteTable;
 use eel_types::{Clock, Name};
 use tokio::sync::{Notify, watch};
@@ -130,6 +131,16 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Shows a write of jobs to this node's own calls before the watch brings it.
+    pub(crate) fn take_in(&self, txn: &Txn) {
+        let mut ledger = self.ledger();
+        for (key, value) in txn.puts() {
+            ledger.on_put(key, value);
+        }
+        drop(ledger);
+        self.on_ledger_change();
+    }
+
     /// Tells those who wait for results or items.
     pub(crate) fn on_ledger_change(&self) {
         self.ledger_changes.send_modify(|count| *count += 1);
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -5,7 +5,6 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-use bytes::Bytes;
 use eel_store::{Compare, Op, Txn};
 use eel_types::Name;
 
@@ -144,13 +143,12 @@
         self.unlisted.values().map(BTreeMap::len).sum()
     }
 
-    /// Builds the transaction that lists results, and the chunks that it writes; `None` if there are none.
+    /// Builds the transaction that lists results, a chunk in each write; `None` if there are none.
     ///
     /// The same chunk number is written once, so the transaction may be sent again when its answer is lost.
     #[must_use]
-    pub fn commit(&self, ledger: &Ledger) -> Option<(Txn, Vec<(String, Bytes)>)> {
+    pub fn commit(&self, ledger: &Ledger) -> Option<Txn> {
         let mut txn = Txn::default();
-        let mut chunks = Vec::new();
         for (id, results) in self.unlisted.iter().take(CHUNKS_PER_COMMIT) {
             let Some(job) = ledger.job(id) else {
                 continue;
@@ -165,12 +163,10 @@
                 continue;
             };
             let key = ledger.keys().chunk(id, job.next_chunk());
-            let value = Bytes::from(value);
             txn.compares.push(Compare::Absent { key: key.clone() });
-            txn.success.push(Op::put(key.clone(), value.clone()));
-            chunks.push((key, value));
+            txn.success.push(Op::put(key, value));
         }
-        (!chunks.is_empty()).then_some((txn, chunks))
+        (!txn.success.is_empty()).then_some(txn)
     }
 
     fn is_free(&self, item: &ItemRef) -> bool {
--- a/eel-ledger/tests/ledger/partial_texts.rs
+++ b/eel-ledger/tests/ledger/partial_texts.rs
@@ -136,7 +136,7 @@
     assert!(partials.ended(&ledger, 10).is_empty());
     let mut worklist = Worklist::default();
     worklist.resolve(&item(), 3, Resolved::Completed(progress("w", 5)));
-    let (txn, _) = worklist.commit(&ledger).expect("a transaction");
+    let txn = worklist.commit(&ledger).expect("a transaction");
     values.apply(&txn);
     values.read(&mut ledger);
     assert_eq!(partials.ended(&ledger, 10), ["a"]);
--- a/eel-ledger/tests/ledger/result_positions.rs
+++ b/eel-ledger/tests/ledger/result_positions.rs
@@ -32,7 +32,7 @@
 
     fn list(&mut self, values: &mut Values) {
         self.worklist.forget_listed(&self.ledger);
-        if let Some((txn, _)) = self.worklist.commit(&self.ledger) {
+        if let Some(txn) = self.worklist.commit(&self.ledger) {
             values.apply(&txn);
         }
     }
@@ -96,7 +96,7 @@
             3,
             completed("text"),
         );
-        let (txn, _) = worklist.commit(&ledger).expect("a transaction");
+        let txn = worklist.commit(&ledger).expect("a transaction");
         assert!(values.apply(&txn));
         values.read(&mut ledger);
     }
@@ -126,7 +126,7 @@
         3,
         Resolved::Impossible,
     );
-    let (txn, _) = worklist.commit(&ledger).expect("a transaction");
+    let txn = worklist.commit(&ledger).expect("a transaction");
     values.apply(&txn);
     values.read(&mut ledger);
     let job = ledger.job("j").expect("the job");
@@ -148,7 +148,7 @@
         3,
         completed("text"),
     );
-    let (txn, _) = worklist.commit(&ledger).expect("a transaction");
+    let txn = worklist.commit(&ledger).expect("a transaction");
     assert!(values.apply(&txn), "its answer is lost");
     assert!(!values.apply(&txn));
     values.read(&mut ledger);
--- a/eel-store/src/txn.rs
+++ b/eel-store/src/txn.rs
@@ -91,6 +91,14 @@
 }
 
 impl Txn {
+    /// Returns the keys and values that `success` writes.
+    pub fn puts(&self) -> impl Iterator<Item = (&str, &Bytes)> {
+        self.success.iter().filter_map(|op| match op {
+            Op::Put { key, value, .. } => Some((key.as_str(), value)),
+            Op::Delete { .. } | Op::DeletePrefix { .. } | Op::Range(_) => None,
+        })
+    }
+
     /// Returns `true` if neither branch writes.
     #[must_use]
     pub fn is_read_only(&self) -> bool {
