refactor(gateway): ask the context who is ready, who owns and which routes are in force

Readiness stood at the balancer's listener and at the admin pages, the owner among live batch nodes in two parts of batch, and the routes' version was read three times, twice for one comparison. Naming the batch nodes no longer decides the queue of waiting requests at each step of the worker: nothing that waits can start for it. Behaviour and assertions as before.

--- a/eel-gateway/src/batch/retire.rs
+++ b/eel-gateway/src/batch/retire.rs
@@ -5,7 +5,6 @@
 
 use std::sync::atomic::Ordering;
 
-use eel_ledger::owner_of;
 use eel_platform::retirement_done;
 use eel_store::{KeyValue as _, Txn};
 use eel_types::Name;
@@ -22,7 +21,7 @@
         } else {
             !context.peers().is_live(now_ms, &node)
         };
-        if !is_empty || !answers_for(context, now_ms, &node) {
+        if !is_empty || !answers_for(context, &node) {
             continue;
         }
         let txn = Txn {
@@ -39,11 +38,10 @@
     }
 }
 
-fn answers_for(context: &Context, now_ms: u64, node: &Name) -> bool {
+fn answers_for(context: &Context, node: &Name) -> bool {
     if *node == context.name {
-        return context.is_retiring.load(Ordering::Relaxed);
+        context.is_retiring.load(Ordering::Relaxed)
+    } else {
+        context.owns(node)
     }
-    let peers = context.peers();
-    let live = peers.batch_nodes(now_ms).chain([&context.name]);
-    owner_of(node, live) == Some(&context.name)
 }
--- a/eel-gateway/src/batch/save.rs
+++ b/eel-gateway/src/batch/save.rs
@@ -3,9 +3,8 @@
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
-use eel_ledger::{Piece, owner_of};
+use eel_ledger::Piece;
 use eel_store::{KeyValue as _, Op, Txn};
-use eel_types::Name;
 
 use crate::context::Context;
 
@@ -54,12 +53,10 @@
     let ended = context.partials().ended(&ledger, MAX_REMOVED);
     let keys = ledger.keys().clone();
     drop(ledger);
-    let peers = context.peers();
-    let live: Vec<&Name> = peers.batch_nodes(now_ms).chain([&context.name]).collect();
     let is_mine = |key: &String| {
         keys.partial_writer(key).is_some_and(|writer| {
-            let answers_for = owner_of(key, live.iter().copied()) == Some(&context.name);
-            *writer == *context.name || (!peers.is_live(now_ms, writer) && answers_for)
+            let is_gone = || !context.peers().is_live(now_ms, writer);
+            *writer == *context.name || (is_gone() && context.owns(key))
         })
     };
     ended.into_iter().filter(is_mine).collect()
--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -196,9 +196,7 @@
         let now_ms = self.context.clock.now_ms();
         let nodes: Vec<Name> = self.context.peers().batch_nodes(now_ms).cloned().collect();
         let own = &self.context.name;
-        self.context
-            .slots
-            .update(|dispatcher| dispatcher.board_mut().set_batch_nodes(own, &nodes));
+        self.context.slots.set_batch_nodes(own, &nodes);
         let is_mine = |job: &str| owner_of(job, nodes.iter().chain([own])) == Some(own);
         let ledger = self.context.ledger();
         let mut state = self.lock();
--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -11,7 +11,7 @@
 
 use arc_swap::ArcSwapOption;
 use eel_fleet::{Lag, Peers, Registry};
-use eel_ledger::{Ledger, Partials};
+use eel_ledger::{Ledger, Partials, owner_of};
 use eel_platform::PlatformStore;
 use eel_store::Txn;
 use eel_table::RouteTable;
@@ -147,6 +147,23 @@
         self.batch_wake.notify_one();
     }
 
+    /// Returns the version of the routes in force, if any are.
+    pub(crate) fn routes_version(&self) -> Option<u64> {
+        self.table.load().as_ref().map(|table| table.version)
+    }
+
+    /// Returns whether the balancer may send connections.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.table.load().is_some() && !self.leaving.is_cancelled()
+    }
+
+    /// Returns whether this node is the one of the live batch nodes that answers for `key`.
+    pub(crate) fn owns(&self, key: &str) -> bool {
+        let peers = self.peers();
+        let live = peers.batch_nodes(self.clock.now_ms()).chain([&self.name]);
+        owner_of(key, live) == Some(&self.name)
+    }
+
     /// Takes in an answer of the store.
     pub(crate) fn on_store_answer(&self) {
         let now_ms = self.clock.now_ms();
--- a/eel-gateway/src/http/readiness.rs
+++ b/eel-gateway/src/http/readiness.rs
@@ -41,8 +41,7 @@
     if request.uri().path() != READINESS_PATH {
         return empty(StatusCode::NOT_FOUND);
     }
-    let is_ready = context.table.load().is_some() && !context.leaving.is_cancelled();
-    empty(if is_ready {
+    empty(if context.is_ready() {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
--- a/eel-gateway/src/node.rs
+++ b/eel-gateway/src/node.rs
@@ -118,8 +118,7 @@
         let mut registry = eel_telemetry::metrics::registry();
         context.metrics.register(&mut registry);
         let ready_context = context.clone();
-        let is_ready =
-            move || ready_context.table.load().is_some() && !ready_context.leaving.is_cancelled();
+        let is_ready = move || ready_context.is_ready();
         let admin = HttpServer::start(self.admin, eel_admin::router(registry, is_ready))
             .change_context(Error::Bind)?;
         let stop = CancellationToken::new();
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -127,11 +127,7 @@
 fn log_end(request: &Request, attempts: &Attempts, status: StatusCode, outcome: &'static str) {
     let context = &request.context;
     context.metrics.count_request(outcome);
-    let routes_version = context
-        .table
-        .load()
-        .as_ref()
-        .map_or(0, |table| table.version);
+    let routes_version = context.routes_version().unwrap_or(0);
     log::info!(
         target: "online", request_id = request.outgoing.request_id.as_str(), route = request.route.name.as_str(),
         service = request.service.as_str(), routes_version, status = status.as_u16(), outcome,
--- a/eel-gateway/src/slots.rs
+++ b/eel-gateway/src/slots.rs
@@ -109,6 +109,12 @@
         outcome
     }
 
+    /// Says which nodes run batch; no request can start for it.
+    pub(crate) fn set_batch_nodes(&self, own: &Name, others: &[Name]) {
+        let mut inner = self.lock();
+        inner.dispatcher.board_mut().set_batch_nodes(own, others);
+    }
+
     /// Reads what is known.
     pub(crate) fn read<T>(&self, read: impl FnOnce(&Dispatcher) -> T) -> T {
         read(&self.lock().dispatcher)
--- a/eel-gateway/src/store/apply.rs
+++ b/eel-gateway/src/store/apply.rs
@@ -92,16 +92,12 @@
             return;
         }
     };
-    let in_force = context
-        .table
-        .load()
-        .as_ref()
-        .map_or(0, |table| table.version);
-    if context.table.load().is_some() && table.version <= in_force {
+    let in_force = context.routes_version();
+    if in_force.is_some_and(|in_force| table.version <= in_force) {
         return;
     }
     log::info!(
-        target: "routes", version = table.version, previous = in_force, revision = pair.mod_revision.0;
+        target: "routes", version = table.version, previous = in_force.unwrap_or(0), revision = pair.mod_revision.0;
         "New routes are in force."
     );
     context
