fix(batch): find the route of a job whose host names a port

Cause: a port was taken off the host by the listener only, beside the lookup. A job keeps the host as it was sent, so its items found no route when they were to run: a job sent to `a.example:8080` was accepted and given up at the end of its time. Change: the table itself looks without the port where the host with it has no route; the listener's special case is gone. Before: `host_with_a_port` waits for a minute and fails. After: the job is done. Online requests are routed as before.

--- a/eel-gateway/src/http/handler.rs
+++ b/eel-gateway/src/http/handler.rs
@@ -58,12 +58,7 @@
         .get(header::HOST)
         .and_then(|host| host.to_str().ok());
     let host = host.or_else(|| uri.host())?;
-    let route = table.find(host, uri.path());
-    let without_port = || {
-        host.rsplit_once(':')
-            .and_then(|(host, _)| table.find(host, uri.path()))
-    };
-    route.or_else(without_port).cloned()
+    table.find(host, uri.path()).cloned()
 }
 
 /// A node whose routes may be old cannot say that a route does not exist.
--- a/eel-gateway/tests/gateway/batch_job.rs
+++ b/eel-gateway/tests/gateway/batch_job.rs
@@ -1,6 +1,6 @@
 //! Batch jobs where nothing fails but their items.
 
-use eel_platform::standin::{Behaviour, StandInTarget};
+use eel_platform::standin::{Behaviour, HOST, StandInTarget};
 
 use crate::fixture::{fleet, until};
 
@@ -90,6 +90,21 @@
     assert_eq!(fleet.runs("due-first-0"), 0);
 }
 
+#[tokio::test]
+async fn host_with_a_port() {
+    let fleet = fleet(1, 1).await;
+    let items = r#"{"items":[{"id":"j1-0","path":"/jobs/stream/1","headers":{},"body":"cQ=="}]}"#;
+    let submitted = fleet
+        .client
+        .post(format!("http://{}/jobs/submit", fleet.nodes[0].http))
+        .header("host", format!("{HOST}:8080"))
+        .header("x-eelgrassgap-attempt-id", "j1")
+        .body(items);
+    let submitted = submitted.send().await.expect("an answer");
+    assert_eq!(submitted.status().as_u16(), 202);
+    assert_eq!(fleet.results(0, "j1", 1).await[0]["state"], "completed");
+}
+
 #[tokio::test]
 async fn item_bodies() {
     let fleet = fleet(2, 1).await;
--- a/eel-table/src/table.rs
+++ b/eel-table/src/table.rs
@@ -37,9 +37,14 @@
         }
     }
 
-    /// Finds the route of `host` whose prefix is the longest that begins `path`.
+    /// Finds the route of `host`, with or without a port, whose prefix is the longest that begins `path`.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let without_port = || self.find_exactly(host.rsplit_once(':')?.0, path);
+        self.find_exactly(host, path).or_else(without_port)
+    }
+
+    fn find_exactly(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let lower;
         let host = if host.bytes().any(|b| b.is_ascii_uppercase()) {
             lower = host.to_ascii_lowercase();
--- a/eel-table/tests/table/route_lookup.rs
+++ b/eel-table/tests/table/route_lookup.rs
@@ -33,6 +33,7 @@
         ("a.example", "/notes/older", Some("notes")),
         ("a.example", "/notes", Some("all")),
         ("A.Example", "/notes/1", Some("notes")),
+        ("a.example:8080", "/notes/1", Some("notes")),
         ("b.example", "/notes/1", Some("other")),
         ("b.example", "/", None),
         ("c.example", "/notes/1", None),
