feat(gateway): count and log how streams from targets end

Each end of a stream is now counted by framing and end; one that is not complete, or that ended with its connection, is logged. `eel-events` follows a stream and knows whether it is within an event, for any line end and any size of pieces. What callers get is unchanged.

--- /dev/null
+++ b/eel-events/src/scanner.rs
@@ -0,0 +1,88 @@
+//! Follows a stream of events and finds where each of them ends.
+
+/// Follows a stream of events, byte by byte, without storing it.
+///
+/// An event ends with a blank line; a line ends with LF, CR or CRLF. Comments and blank lines between events belong to
+/// none.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EventScanner {
+    line: Line,
+    is_after_cr: bool,
+    has_fields: bool,
+    has_events: bool,
+}
+
+/// The part of the current line that was received so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Line {
+    #[default]
+    Start,
+    Comment,
+    Field,
+}
+
+impl EventScanner {
+    /// Follows `bytes`, the next part of the stream. Returns how many of them belong to events that are complete; `None`
+    /// if they complete none.
+    pub fn scan(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut end = None;
+        for (index, &byte) in bytes.iter().enumerate() {
+            let ends_crlf = byte == b'\n' && self.is_after_cr;
+            if self.push(byte) || (ends_crlf && end == Some(index)) {
+                end = Some(index + 1);
+            }
+        }
+        end
+    }
+
+    /// Returns whether the stream would be truncated if it ended here: within an event or a comment.
+    #[must_use]
+    pub fn is_inside(&self) -> bool {
+        self.has_fields || self.line != Line::Start
+    }
+
+    /// Returns whether an event is complete.
+    #[must_use]
+    pub fn has_events(&self) -> bool {
+        self.has_events
+    }
+
+    /// Follows one byte. Returns whether it completes an event.
+    fn push(&mut self, byte: u8) -> bool {
+        let is_after_cr = std::mem::replace(&mut self.is_after_cr, byte == b'\r');
+        match (byte, self.line) {
+            (b'\n', _) if is_after_cr => {}
+            (b'\n' | b'\r', Line::Start) => {
+                let ends_event = std::mem::take(&mut self.has_fields);
+                self.has_events |= ends_event;
+                return ends_event;
+            }
+            (b'\n' | b'\r', Line::Comment | Line::Field) => self.line = Line::Start,
+            (b':', Line::Start) => self.line = Line::Comment,
+            (_, Line::Start) => {
+                self.line = Line::Field;
+                self.has_fields = true;
+            }
+            (_, Line::Comment | Line::Field) => {}
+        }
+        false
+    }
+}
+
+/// Iterates over complete events, each with the blank line that ends it.
+pub fn each(mut events: &[u8]) -> impl Iterator<Item = &[u8]> {
+    std::iter::from_fn(move || {
+        let mut scanner = EventScanner::default();
+        let end = events.iter().position(|&byte| scanner.push(byte))? + 1;
+        let (event, rest) = events.split_at(end);
+        events = rest;
+        Some(event)
+    })
+}
+
+/// Iterates over the lines of an event that are not blank.
+pub fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    event
+        .split(|&byte| byte == b'\n' || byte == b'\r')
+        .filter(|line| !line.is_empty())
+}
--- /dev/null
+++ b/eel-events/tests/events/main.rs
@@ -0,0 +1,3 @@
+//! Tests of `eel-events`.
+
+mod event_ends;
--- a/eel-gateway/src/metrics.rs
+++ b/eel-gateway/src/metrics.rs
@@ -17,6 +17,12 @@
     pub outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StreamEndLabels {
+    pub framing: &'static str,
+    pub end: &'static str,
+}
+
 /// Counters, gauges and histograms of the node.
 #[derive(Default)]
 pub struct Metrics {
@@ -24,6 +30,8 @@
     /// Attempts of requests and items at targets, by outcome.
     pub attempts: Family<OutcomeLabel, Counter>,
     pub items: Family<OutcomeLabel, Counter>,
+    /// Streams from targets, by the framing of their body and by how they ended.
+    pub stream_ends: Family<StreamEndLabels, Counter>,
     pub store_failures: Counter,
     /// Result calls for which the watch was behind, so that the results were read from the store.
     pub result_reads: Counter,
@@ -63,6 +71,11 @@
             "Runs of batch items by outcome",
             self.items.clone(),
         );
+        registry.register(
+            "stream_ends",
+            "Streams from targets by the framing of their body and by how they ended",
+            self.stream_ends.clone(),
+        );
         registry.register(
             "store_failures",
             "Failed calls to the store",
@@ -108,6 +121,11 @@
         self.items.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    pub fn count_stream_end(&self, framing: &'static str, end: &'static str) {
+        let labels = StreamEndLabels { framing, end };
+        self.stream_ends.get_or_create(&labels).inc();
+    }
+
     pub fn count_attempt(&self, outcome: AttemptOutcome) {
         let outcome = match outcome {
             AttemptOutcome::Answered => "answered",
--- a/eel-gateway/src/online/stream.rs
+++ b/eel-gateway/src/online/stream.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
+use eel_events::EventScanner;
 use eel_platform::parse_event_id;
 use eel_table::RouteKind;
 use futures_util::stream::unfold;
@@ -12,7 +13,7 @@
 use crate::{
     events,
     http::{Body, TruncatedResponse, streamed},
-    target::{AttemptFailure, TargetResponse},
+    target::{AttemptFailure, BodyFraming, TargetResponse},
 };
 
 /// A stream that is relayed to the caller; dropping it closes the connection, which stops the target's work.
@@ -24,6 +25,8 @@
     partial: BytesMut,
     last_event_id: Option<u64>,
     is_resumable: bool,
+    /// Follows what the current target has sent.
+    scanner: EventScanner,
 }
 
 /// Relays the stream whose head is `target_response`.
@@ -47,6 +50,7 @@
         target_response: Some(target_response),
         partial: BytesMut::new(),
         is_resumable,
+        scanner: EventScanner::default(),
     };
     let pieces = unfold(relay, |mut relay| async move {
         let piece = relay.next().await.transpose()?;
@@ -69,7 +73,13 @@
             let until = event_timeout.map_or(deadline, |event_timeout| {
                 (waiting_since + event_timeout).min(deadline)
             });
-            match target_response.next(until).await {
+            let received = target_response.next(until).await;
+            if let Ok(Some(bytes)) = &received {
+                self.scanner.scan(bytes);
+            } else {
+                self.record_end(received.as_ref().err());
+            }
+            match received {
                 Ok(Some(bytes)) if self.is_resumable => {
                     if let Some(events) = self.complete_events(&bytes) {
                         return Ok(Some(events));
@@ -101,6 +111,28 @@
         Some(events)
     }
 
+    /// Counts and logs how the current target's stream ended; a failure of the connection is `failure`.
+    fn record_end(&self, failure: Option<&AttemptFailure>) {
+        let Some(target_response) = &self.target_response else {
+            return;
+        };
+        let framing = target_response.framing.as_str();
+        let end = match (failure, self.scanner.is_inside()) {
+            (None, false) => "complete",
+            (None, true) => "inside_event",
+            (Some(AttemptFailure::TimedOut), _) => "timed_out",
+            (Some(_), _) => "failed",
+        };
+        self.request.context.metrics.count_stream_end(framing, end);
+        if end != "complete" || target_response.framing == BodyFraming::Connection {
+            log::info!(
+                target: "online", request_id = self.request.outgoing.request_id.as_str(),
+                target_id = target_response.slot.target.id.as_str(), framing, end;
+                "A stream from a target ended."
+            );
+        }
+    }
+
     fn finish(&mut self) {
         if let Some(target_response) = self.target_response.take() {
             target_response.finish(&self.request.context.pool);
@@ -110,6 +142,7 @@
     /// Resumes the stream at another target after the last complete event. An error truncates the caller's response.
     async fn resume(&mut self, failure: AttemptFailure) -> Result<(), TruncatedResponse> {
         self.partial.clear();
+        self.scanner = EventScanner::default();
         self.attempts.on_failure(failure);
         let may_retry = self.is_resumable && self.attempts.may_retry(&self.request.route);
         if let Some(mut target_response) = self.target_response.take() {
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -12,7 +12,7 @@
     AttemptFields, ResponseFields, ResponseKind, copy_request_headers, response_fields,
 };
 use eel_verdict::Verdict;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use tokio::time::{sleep, timeout_at};
@@ -42,9 +42,55 @@
     pub headers: HeaderMap,
     pub fields: ResponseFields,
     pub body: Incoming,
+    pub framing: BodyFraming,
     connection: Option<Connection>,
 }
 
+/// What marks the end of a response's body (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// Its length is stated.
+    Length,
+    /// Its last chunk is empty.
+    Chunks,
+    /// The end of the connection.
+    Connection,
+}
+
+impl BodyFraming {
+    /// Returns the framing of the body of a response with these `headers`.
+    #[must_use]
+    pub fn of(headers: &HeaderMap) -> Self {
+        let is_chunked = |value: &HeaderValue| {
+            value
+                .as_bytes()
+                .trim_ascii_end()
+                .to_ascii_lowercase()
+                .ends_with(b"chunked")
+        };
+        if headers
+            .get(header::TRANSFER_ENCODING)
+            .is_some_and(is_chunked)
+        {
+            Self::Chunks
+        } else if headers.contains_key(header::CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::Connection
+        }
+    }
+
+    /// Returns the name in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Connection => "connection",
+        }
+    }
+}
+
 /// Why an attempt has no usable response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum AttemptFailure {
@@ -117,6 +163,7 @@
     Ok(TargetResponse {
         slot,
         status: parts.status,
+        framing: BodyFraming::of(&parts.headers),
         headers: parts.headers,
         fields,
         body,
--- a/eel-gateway/src/target/mod.rs
+++ b/eel-gateway/src/target/mod.rs
@@ -4,5 +4,5 @@
 mod exchange;
 mod pool;
 
-pub(crate) use exchange::{AttemptFailure, OutgoingRequest, TargetResponse, exchange};
+pub(crate) use exchange::{AttemptFailure, BodyFraming, OutgoingRequest, TargetResponse, exchange};
 pub(crate) use pool::Pool;
