test(gateway): end the body of a target's response in each way (fails)

The stand-in writes raw bytes, so that a body can end with its connection, which hyper's server does not do. Three of four tests fail on this code: a stream that is not resumable is complete when its connection ends inside an event or before the first one; a resumable stream and an item are so only before the first.

--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod batch_job;
 mod batch_store_faults;
 mod batch_takeover;
+mod body_ends;
 mod fixture;
 mod graceful_stop;
 mod leaving_caller;
