fix(gateway): take no stream for complete that ends within an event

Cause: the body of some responses has neither a length nor chunks and ends with its connection; the relay looked for an incomplete event only where the route is resumable, passed all other streams on as bytes, and took the end of the connection for the end of the stream. Ruled out: a reset that is read as an end (noticed in all cases), an error lost on the way to the caller (the relay saw none).

One function, `BodyFraming::is_complete`, now decides for streams that can be resumed, for those that cannot and for batch items. It takes the state of the events, so that no framing makes a stream complete within one. CR and CRLF line ends are read as the standard says: a resumable stream with them was never complete. A connection whose end was the framing does not go back to the pool.

--- a/eel-events/src/lib.rs
+++ b/eel-events/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! Source: the HTML standard, section 9.2.6, "Interpreting an event stream".
 
+mod buffer;
 mod scanner;
 
+pub use buffer::{EventBuffer, EventTooLong};
 pub use scanner::{EventScanner, each, lines};
--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -5,16 +5,15 @@
     time::{Duration, Instant},
 };
 
-use bytes::BytesMut;
+use eel_events::{EventBuffer, each, lines};
 use eel_ledger::{Item, JobHead, Progress, RunOutcome};
 use eel_platform::parse_event_id;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 
 use crate::{
     context::{Context, now_unix_ms},
-    events,
     slots::SlotGuard,
-    target::{OutgoingRequest, TargetResponse, exchange},
+    target::{AttemptFailure, MAX_EVENT_BYTES, OutgoingRequest, TargetResponse, exchange},
 };
 
 /// How long a run may receive no complete event before it is interrupted, to be tried at another target.
@@ -71,18 +70,24 @@
 
     async fn read(&mut self, mut target_response: TargetResponse, deadline: Instant) -> RunOutcome {
         let status = target_response.status;
-        let mut partial = BytesMut::new();
+        let resumes = self.progress.lock().last_event.is_some();
+        let mut buffer = EventBuffer::new(MAX_EVENT_BYTES);
         let mut until = Instant::now() + IDLE_TIMEOUT;
         loop {
             match target_response.next(until.min(deadline)).await {
                 Ok(Some(bytes)) if status.is_success() => {
-                    partial.extend_from_slice(&bytes);
-                    let Some(complete) = events::take_complete(&mut partial) else {
-                        continue;
+                    let complete = match buffer.push(&bytes) {
+                        Ok(Some(complete)) => complete,
+                        Ok(None) => continue,
+                        Err(error) => {
+                            log::debug!(target: "jobs", "A run of item {} was interrupted: {error}.", self.item.id);
+                            target_response.fail(AttemptFailure::InvalidResponse);
+                            return self.interrupted();
+                        }
                     };
                     until = Instant::now() + IDLE_TIMEOUT;
                     let mut progress = self.progress.lock();
-                    events::each(&complete).for_each(|event| append_event(&mut progress, event));
+                    each(&complete).for_each(|event| append_event(&mut progress, event));
                 }
                 Ok(Some(_)) => {}
                 Ok(None) => break,
@@ -92,12 +97,19 @@
                 }
             }
         }
+        let is_complete = target_response
+            .framing
+            .is_complete(buffer.scanner(), resumes);
+        if status.is_success() && !is_complete {
+            log::debug!(target: "jobs", "A run of item {} ended early.", self.item.id);
+            target_response.fail(AttemptFailure::Truncated);
+            return self.interrupted();
+        }
         target_response.finish(&self.context.pool);
         let progress = self.progress.take();
         match status {
             StatusCode::UNPROCESSABLE_ENTITY => RunOutcome::Rejected,
-            status if status.is_success() && partial.is_empty() => RunOutcome::Completed(progress),
-            status if status.is_success() => RunOutcome::Interrupted(progress),
+            status if status.is_success() => RunOutcome::Completed(progress),
             StatusCode::INTERNAL_SERVER_ERROR => RunOutcome::Failed(progress),
             _ => RunOutcome::Interrupted(progress),
         }
@@ -134,8 +146,7 @@
     if progress.last_event.is_some_and(|last| id <= last) {
         return;
     }
-    let lines = event.split(|&byte| byte == b'\n');
-    for data in lines.filter_map(|line| line.strip_prefix(b"data:")) {
+    for data in lines(event).filter_map(|line| line.strip_prefix(b"data:")) {
         let data = data.strip_prefix(b" ").unwrap_or(data);
         if progress.last_event.is_some() || !progress.text.is_empty() {
             progress.text.push('\n');
--- a/eel-gateway/src/lib.rs
+++ b/eel-gateway/src/lib.rs
@@ -7,7 +7,6 @@
 mod batch;
 mod context;
 mod error;
-mod events;
 mod http;
 mod metrics;
 mod node;
--- a/eel-gateway/src/online/attempts.rs
+++ b/eel-gateway/src/online/attempts.rs
@@ -45,7 +45,7 @@
         self.last = match failure {
             AttemptFailure::NoConnection | AttemptFailure::Misdirected => Reason::NoTarget,
             AttemptFailure::Full => Reason::Overloaded,
-            AttemptFailure::InvalidResponse => Reason::TargetFailed,
+            AttemptFailure::InvalidResponse | AttemptFailure::Truncated => Reason::TargetFailed,
             AttemptFailure::TimedOut => Reason::DeadlineExceeded,
         };
         if verdict == Verdict::NotRun {
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -12,12 +12,12 @@
     AttemptFields, ResponseFields, ResponseKind, copy_request_headers, response_fields,
 };
 use eel_verdict::Verdict;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use tokio::time::{sleep, timeout_at};
 
-use super::{connection::Connection, pool::Pool};
+use super::{connection::Connection, framing::BodyFraming, pool::Pool};
 use crate::slots::SlotGuard;
 
 /// How long a target may leave a request without the head of a response before other requests avoid it.
@@ -46,51 +46,6 @@
     connection: Option<Connection>,
 }
 
-/// What marks the end of a response's body (RFC 9112, section 6.3).
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BodyFraming {
-    /// Its length is stated.
-    Length,
-    /// Its last chunk is empty.
-    Chunks,
-    /// The end of the connection.
-    Connection,
-}
-
-impl BodyFraming {
-    /// Returns the framing of the body of a response with these `headers`.
-    #[must_use]
-    pub fn of(headers: &HeaderMap) -> Self {
-        let is_chunked = |value: &HeaderValue| {
-            value
-                .as_bytes()
-                .trim_ascii_end()
-                .to_ascii_lowercase()
-                .ends_with(b"chunked")
-        };
-        if headers
-            .get(header::TRANSFER_ENCODING)
-            .is_some_and(is_chunked)
-        {
-            Self::Chunks
-        } else if headers.contains_key(header::CONTENT_LENGTH) {
-            Self::Length
-        } else {
-            Self::Connection
-        }
-    }
-
-    /// Returns the name in logs and metrics.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Length => "length",
-            Self::Chunks => "chunks",
-            Self::Connection => "connection",
-        }
-    }
-}
-
 /// Why an attempt has no usable response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum AttemptFailure {
@@ -107,6 +62,9 @@
     /// request.
     #[error("the answer is broken")]
     InvalidResponse,
+    /// The body of the response ended within an event, or without one.
+    #[error("the answer ended early")]
+    Truncated,
     /// The target did not respond in time.
     #[error("the target did not respond in time")]
     TimedOut,
@@ -117,16 +75,18 @@
     pub fn verdict(self) -> Verdict {
         match self {
             Self::NoConnection | Self::Full | Self::Misdirected => Verdict::NotRun,
-            Self::InvalidResponse | Self::TimedOut => Verdict::MayHaveRun,
+            Self::InvalidResponse | Self::Truncated | Self::TimedOut => Verdict::MayHaveRun,
         }
     }
 
     fn outcome(self) -> AttemptOutcome {
         match self {
             Self::Full => AttemptOutcome::Full,
-            Self::NoConnection | Self::Misdirected | Self::InvalidResponse | Self::TimedOut => {
-                AttemptOutcome::Failed
-            }
+            Self::NoConnection
+            | Self::Misdirected
+            | Self::InvalidResponse
+            | Self::Truncated
+            | Self::TimedOut => AttemptOutcome::Failed,
         }
     }
 }
@@ -309,8 +269,9 @@
         } else {
             AttemptOutcome::Answered
         });
+        let is_open = !self.fields.closes && self.framing != BodyFraming::Connection;
         let connection = self.connection.take();
-        if let Some(connection) = connection.filter(|_| !self.fields.closes) {
+        if let Some(connection) = connection.filter(|_| is_open) {
             pool.put(
                 Instant::now(),
                 self.slot.target.address,
--- /dev/null
+++ b/eel-gateway/src/target/framing.rs
@@ -0,0 +1,71 @@
+//! Decides whether the end of a response's body is that of a complete response.
+
+use eel_events::EventScanner;
+use http::{HeaderMap, HeaderValue, header};
+
+/// The length of an event, and of bytes that complete none, from which a stream counts as broken.
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// What marks the end of a response's body (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// Its length is stated.
+    Length,
+    /// Its last chunk is empty.
+    Chunks,
+    /// The end of the connection, which a target that fails can cause at any byte.
+    Connection,
+}
+
+impl BodyFraming {
+    /// Returns the framing of the body of a response with these `headers`.
+    #[must_use]
+    pub fn of(headers: &HeaderMap) -> Self {
+        let is_chunked = |value: &HeaderValue| {
+            let codings = value.as_bytes().trim_ascii_end().to_ascii_lowercase();
+            codings.ends_with(b"chunked")
+        };
+        if headers
+            .get(header::TRANSFER_ENCODING)
+            .is_some_and(is_chunked)
+        {
+            Self::Chunks
+        } else if headers.contains_key(header::CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::Connection
+        }
+    }
+
+    /// Returns the name in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Connection => "connection",
+        }
+    }
+
+    /// Returns whether a stream of events is complete where its body ended without an error.
+    ///
+    /// The framing proves that no byte is missing, not that the target has finished, so that no stream is complete
+    /// within an event. The end of a connection proves less: such a stream needs an event, unless it `resumes` another
+    /// one, which may lack nothing but its end.
+    #[must_use]
+    pub fn is_complete(self, events: &EventScanner, resumes: bool) -> bool {
+        let proves_end = match self {
+            Self::Length | Self::Chunks => true,
+            Self::Connection => resumes || events.has_events(),
+        };
+        proves_end && !events.is_inside()
+    }
+}
+
+/// Returns whether a response with these `headers` on a route of streams is a stream of events.
+#[must_use]
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    headers
+        .get(header::CONTENT_TYPE)
+        .is_none_or(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
+}
--- a/eel-gateway/src/target/mod.rs
+++ b/eel-gateway/src/target/mod.rs
@@ -2,7 +2,9 @@
 
 mod connection;
 mod exchange;
+mod framing;
 mod pool;
 
-pub(crate) use exchange::{AttemptFailure, BodyFraming, OutgoingRequest, TargetResponse, exchange};
+pub(crate) use exchange::{AttemptFailure, OutgoingRequest, TargetResponse, exchange};
+pub(crate) use framing::{BodyFraming, MAX_EVENT_BYTES, is_event_stream};
 pub(crate) use pool::Pool;
