fix(target): take no stream of events for complete that ends within one

A stream of events of any other service that ended within an event reached the caller as complete, whatever its framing. The check now follows the events of each stream, by the scanner that gateway nodes use. Entry nodes take the end from the target node's end message, which states the length, so they need none.

--- a/eel-events/src/scanner.rs
+++ b/eel-events/src/scanner.rs
@@ -4,7 +4,7 @@
 ///
 /// An event ends with a blank line; a line ends with LF, CR or CRLF. Comments and blank lines between events belong to
 /// none.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct EventScanner {
     line: Line,
     is_after_cr: bool,
--- a/eel-target/src/serve.rs
+++ b/eel-target/src/serve.rs
@@ -248,7 +248,7 @@
     ) -> WireResult<AttemptResult> {
         let is_engine = self.link.context.config.is_engine(&self.request.service);
         let is_stream = is_event_stream(response.headers());
-        let mut end_marker = EndMarker::new(is_engine && is_stream);
+        let mut end_marker = EndMarker::new(is_stream, is_engine);
         codec::append(buffer, &self.head(&response))?;
         loop {
             let ready = response.chunk().now_or_never();
--- a/eel-target/src/serve/end_marker.rs
+++ b/eel-target/src/serve/end_marker.rs
@@ -1,5 +1,6 @@
-//! Detects the end marker of streamed completions.
+//! Detects streams that end early.
 
+use eel_events::EventScanner;
 use http::{HeaderMap, header::CONTENT_TYPE};
 
 /// The last event of a streamed completion.
@@ -17,21 +18,29 @@
         .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
 }
 
-/// Checks whether a response ends with the end marker; only streamed completions require one.
+/// Checks whether a response that ended without an error is complete: a stream of events ends between two of them, and
+/// a streamed completion with the end marker.
 pub(super) struct EndMarker {
+    events: Option<EventScanner>,
     required: bool,
     tail: Vec<u8>,
 }
 
 impl EndMarker {
-    pub(super) fn new(required: bool) -> Self {
+    /// Creates the check of a response; `is_stream` tells whether it is a stream of events, and `is_engine` whether its
+    /// streams are completions.
+    pub(super) fn new(is_stream: bool, is_engine: bool) -> Self {
         Self {
-            required,
+            events: is_stream.then(EventScanner::default),
+            required: is_stream && is_engine,
             tail: Vec::new(),
         }
     }
 
     pub(super) fn on_data(&mut self, data: &[u8]) {
+        if let Some(events) = &mut self.events {
+            events.scan(data);
+        }
         if !self.required {
             return;
         }
@@ -42,6 +51,10 @@
     }
 
     pub(super) fn is_complete(&self) -> bool {
-        !self.required || self.tail.trim_ascii_end().ends_with(DONE)
+        if self.required {
+            // Some engines send no blank line after the end marker.
+            return self.tail.trim_ascii_end().ends_with(DONE);
+        }
+        !self.events.as_ref().is_some_and(EventScanner::is_inside)
     }
 }
--- a/tests/process/fleet/mod.rs
+++ b/tests/process/fleet/mod.rs
@@ -75,8 +75,13 @@
 
     /// Starts a target node of `pool` that forwards to `engine` and adds it to the VM list.
     pub async fn start_target_with(&mut self, name: &str, pool: &str, engine: Engine) -> Target {
+        let (node, vm) = self.start_target_at(name, pool, &engine.url()).await;
+        Target { node, engine, vm }
+    }
+
+    /// Starts a target node of `pool` that forwards to `url` and adds it to the VM list.
+    pub async fn start_target_at(&mut self, name: &str, pool: &str, url: &str) -> (Node, ListedVm) {
         let tls = self.tls_section(name);
-        let url = engine.url();
         let settings = format!(
             "[node]\nname = {name}\ndata_centre = dc-a\npool = {pool}\n\
              [listen]\nquic = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\
@@ -94,7 +99,7 @@
         };
         self.listed.push(vm.clone());
         self.vm_list.set_vms(self.listed.clone());
-        Target { node, engine, vm }
+        (node, vm)
     }
 
     /// Binds the endpoint of a target node that the test simulates and adds it to the VM list.
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,6 +1,7 @@
 //! Tests that run the two binaries as processes. The stand-ins run inside the test process.
 
 mod batch_jobs;
+mod body_ends;
 mod command_line;
 mod crossed_answers;
 mod declared_intent;
