fix(gateway): bound the bytes of a response that never ends

A head is at most 64 KiB. A response of over 256 KiB is passed on as it arrives, also if it states no length. A stream is broken after 256 KiB that complete no event, whether it can be resumed or not. An item whose text does not fit into a value of the store has failed. The relay of a stream is a task of its own, so that the deadline closes the connection to the target while the caller does not read; it ends as soon as the caller leaves.

--- a/eel-events/src/scanner.rs
+++ b/eel-events/src/scanner.rs
@@ -10,6 +10,7 @@
     is_after_cr: bool,
     has_fields: bool,
     has_events: bool,
+    open_bytes: usize,
 }
 
 /// The part of the current line that was received so far.
@@ -32,6 +33,9 @@
                 end = Some(index + 1);
             }
         }
+        let complete = end.unwrap_or(0);
+        let before = if end.is_none() { self.open_bytes } else { 0 };
+        self.open_bytes = before + bytes.len() - complete;
         end
     }
 
@@ -47,6 +51,12 @@
         self.has_events
     }
 
+    /// Returns how many bytes follow the last complete event.
+    #[must_use]
+    pub fn open_bytes(&self) -> usize {
+        self.open_bytes
+    }
+
     /// Follows one byte. Returns whether it completes an event.
     fn push(&mut self, byte: u8) -> bool {
         let is_after_cr = std::mem::replace(&mut self.is_after_cr, byte == b'\r');
--- a/eel-events/tests/events/event_ends.rs
+++ b/eel-events/tests/events/event_ends.rs
@@ -29,6 +29,11 @@
         assert_eq!(scanner.scan(stream.as_bytes()), complete, "{stream:?}");
         assert_eq!(scanner.is_inside(), is_inside, "{stream:?}");
         assert_eq!(scanner.has_events(), complete.is_some(), "{stream:?}");
+        assert_eq!(
+            scanner.open_bytes(),
+            stream.len() - complete.unwrap_or(0),
+            "{stream:?}"
+        );
     }
 }
 
--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -6,7 +6,7 @@
 };
 
 use eel_events::{EventBuffer, each, lines};
-use eel_ledger::{Item, JobHead, Progress, RunOutcome};
+use eel_ledger::{Item, JobHead, MAX_TEXT_BYTES, Progress, RunOutcome};
 use eel_platform::parse_event_id;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 
@@ -88,6 +88,12 @@
                     until = Instant::now() + IDLE_TIMEOUT;
                     let mut progress = self.progress.lock();
                     each(&complete).for_each(|event| append_event(&mut progress, event));
+                    if progress.text.len() > MAX_TEXT_BYTES {
+                        drop(progress);
+                        log::info!(target: "jobs", request_id = self.item.id.as_str(); "The text of an item is too long to be listed.");
+                        target_response.fail(AttemptFailure::InvalidResponse);
+                        return RunOutcome::Failed(self.progress.take());
+                    }
                 }
                 Ok(Some(_)) => {}
                 Ok(None) => break,
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -40,9 +40,9 @@
             log_end(&request, &attempts, response.status(), "answered");
             response
         }
-        Ok(Served::Stream(target_response)) => {
+        Ok(Served::Stream(target_response, start)) => {
             log_end(&request, &attempts, target_response.status, "streaming");
-            stream::relay(request, attempts, *target_response)
+            stream::relay(request, attempts, *target_response, start)
         }
         Err(refusal) => {
             let response = refuse(&refusal);
@@ -59,7 +59,8 @@
 
 enum Served {
     Complete(Response<Body>),
-    Stream(Box<TargetResponse>),
+    /// A response that is passed on as it arrives, and the start of its body.
+    Stream(Box<TargetResponse>, Bytes),
 }
 
 async fn obtain_response(
@@ -71,11 +72,14 @@
         let mut target_response = run_attempts(request, attempts, last_event_id).await?;
         let is_stream = matches!(request.route.kind, RouteKind::Stream { .. });
         if (is_stream && target_response.status.is_success()) || is_large(&target_response) {
-            return Ok(Served::Stream(Box::new(target_response)));
+            return Ok(Served::Stream(Box::new(target_response), Bytes::new()));
         }
         let key = target_response.slot.key;
-        match read_complete(&mut target_response, request.deadline).await {
-            Ok(body) => {
+        match read_body(&mut target_response, request.deadline).await {
+            Ok(Buffered::Start(start)) => {
+                return Ok(Served::Stream(Box::new(target_response), start));
+            }
+            Ok(Buffered::Whole(body)) => {
                 let response =
                     to_response(target_response.status, &target_response.headers, full(body));
                 let is_failure = target_response.status.is_server_error();
@@ -108,18 +112,27 @@
     target_response.body.size_hint().lower() > MAX_BUFFERED_RESPONSE_BYTES as u64
 }
 
-async fn read_complete(
+/// The body of a response, or the start of one that is too long to be buffered.
+enum Buffered {
+    Whole(Bytes),
+    Start(Bytes),
+}
+
+async fn read_body(
     target_response: &mut TargetResponse,
     deadline: Instant,
-) -> Result<Bytes, AttemptFailure> {
+) -> Result<Buffered, AttemptFailure> {
     let Some(first) = target_response.next(deadline).await? else {
-        return Ok(Bytes::new());
+        return Ok(Buffered::Whole(Bytes::new()));
     };
     let mut bytes = BytesMut::from(first);
     while let Some(more) = target_response.next(deadline).await? {
         bytes.extend_from_slice(&more);
+        if bytes.len() > MAX_BUFFERED_RESPONSE_BYTES {
+            return Ok(Buffered::Start(bytes.freeze()));
+        }
     }
-    Ok(bytes.freeze())
+    Ok(Buffered::Whole(bytes.freeze()))
 }
 
 /// Builds the response to the caller from the status and headers of a target's response.
--- a/eel-gateway/src/online/stream.rs
+++ b/eel-gateway/src/online/stream.rs
@@ -6,8 +6,9 @@
 use eel_events::{EventBuffer, EventScanner, each};
 use eel_platform::parse_event_id;
 use eel_table::RouteKind;
-use futures_util::stream::unfold;
+use futures_util::{StreamExt as _, stream};
 use http::Response;
+use tokio::{sync::mpsc, time::timeout_at};
 
 use super::{attempts::Attempts, request::Request, run::run_attempts, serve::to_response};
 use crate::{
@@ -15,7 +16,7 @@
     target::{AttemptFailure, BodyFraming, MAX_EVENT_BYTES, TargetResponse, is_event_stream},
 };
 
-/// A stream that is relayed to the caller; dropping it closes the connection, which stops the target's work.
+/// A stream that is relayed to the caller; dropping it closes the connection to the target, which stops its work.
 struct Relay {
     request: Request,
     attempts: Attempts,
@@ -36,11 +37,12 @@
     Bytes,
 }
 
-/// Relays the stream whose head is `target_response`.
+/// Relays the stream whose head is `target_response`, after `start`, the part of its body that was read before.
 pub fn relay(
     request: Request,
     attempts: Attempts,
     target_response: TargetResponse,
+    start: Bytes,
 ) -> Response<Body> {
     let (status, headers) = (target_response.status, target_response.headers.clone());
     let relay = Relay {
@@ -49,13 +51,30 @@
         attempts,
         target_response: Some(target_response),
     };
-    let pieces = unfold(relay, |mut relay| async move {
-        let piece = relay.next().await.transpose()?;
-        Some((piece, relay))
-    });
+    let (sender, receiver) = mpsc::channel(1);
+    tokio::spawn(relay.run(sender));
+    let start = (!start.is_empty()).then_some(Ok(start));
+    let pieces = stream::iter(start).chain(stream::unfold(Some(receiver), receive));
     to_response(status, &headers, streamed(pieces))
 }
 
+type Piece = Result<Option<Bytes>, TruncatedResponse>;
+
+/// Receives the next piece. A relay that ends without having sent the end of the stream truncates the response.
+async fn receive(
+    receiver: Option<mpsc::Receiver<Piece>>,
+) -> Option<(
+    Result<Bytes, TruncatedResponse>,
+    Option<mpsc::Receiver<Piece>>,
+)> {
+    let mut receiver = receiver?;
+    match receiver.recv().await {
+        Some(Ok(Some(bytes))) => Some((Ok(bytes), Some(receiver))),
+        Some(Ok(None)) => None,
+        Some(Err(TruncatedResponse)) | None => Some((Err(TruncatedResponse), None)),
+    }
+}
+
 impl Content {
     fn of(request: &Request, target_response: &TargetResponse) -> Self {
         match request.route.kind {
@@ -95,6 +114,9 @@
             }
             Self::Events { scanner } => {
                 scanner.scan(&bytes);
+                if scanner.open_bytes() > MAX_EVENT_BYTES {
+                    return Err(AttemptFailure::InvalidResponse);
+                }
                 Ok(Some(bytes))
             }
             Self::Bytes => Ok(Some(bytes)),
@@ -115,6 +137,27 @@
 }
 
 impl Relay {
+    /// Sends the stream to `sender` until it ends, the caller leaves or the deadline passes. The deadline holds as well
+    /// while the caller does not read.
+    async fn run(mut self, sender: mpsc::Sender<Piece>) {
+        let deadline = self.request.deadline;
+        loop {
+            let piece = tokio::select! {
+                piece = self.next() => piece,
+                () = sender.closed() => return,
+            };
+            if !matches!(piece, Ok(Some(_))) {
+                // The connection to the target is not in use any more; an error means that the caller has left.
+                let _ = sender.send(piece).await;
+                return;
+            }
+            let sent = timeout_at(deadline.into(), sender.send(piece)).await;
+            if !matches!(sent, Ok(Ok(()))) {
+                return;
+            }
+        }
+    }
+
     /// Returns the next bytes for the caller; `None` at the end of the stream.
     async fn next(&mut self) -> Result<Option<Bytes>, TruncatedResponse> {
         // Bytes that complete no event do not extend the wait, and the time that the caller takes to read does not count.
--- a/eel-gateway/src/target/connection.rs
+++ b/eel-gateway/src/target/connection.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
@@ -13,6 +13,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long sent data may stay unacknowledged before the connection counts as broken.
 const USER_TIMEOUT: Duration = Duration::from_millis(900);
+/// The size of a response's head from which it counts as broken.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// The interval of TCP keep-alive probes on a connection that waits for a response.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -38,9 +40,10 @@
                 .with_time(KEEP_ALIVE_INTERVAL)
                 .with_interval(KEEP_ALIVE_INTERVAL),
         )?;
-        let (sender, connection) = handshake(TokioIo::new(stream))
-            .await
-            .map_err(io::Error::other)?;
+        let handshake = Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!(target: "target", "The connection to the target at {address} ended with an error: {error}.");
--- a/eel-gateway/tests/gateway/body_ends.rs
+++ b/eel-gateway/tests/gateway/body_ends.rs
@@ -3,38 +3,14 @@
 //!
 //! Guards against a truncated response that reaches its caller, or is listed, as a complete one.
 
-use eel_platform::standin::{Cut, Ending, Framing, RawResponse, RawScript, RawTarget};
+use eel_platform::standin::{Cut, Ending, Framing, RawResponse};
 
-use crate::fixture::{Fleet, events, fleet};
+use crate::fixture::{events, raw_fleet};
 
 use Cut::{BetweenEvents, Empty, InsideEvent, Whole};
 use Ending::{Closed, Reset};
 use Framing::{Chunks, Connection, Length};
 
-struct RawFleet {
-    fleet: Fleet,
-    _targets: Vec<RawTarget>,
-}
-
-/// Starts one node before two targets that give the first request `response` and later ones a complete response.
-async fn raw_fleet(response: RawResponse) -> RawFleet {
-    let script = RawScript::default();
-    script.lock().expect("the script").push_back(response);
-    let mut fleet = fleet(0, 0).await;
-    let mut targets = Vec::new();
-    for id in ["i-0", "i-1"] {
-        let target = RawTarget::start("scribe", id, script.clone()).await;
-        let target = target.expect("a target");
-        target.announce(&fleet.store);
-        targets.push(target);
-    }
-    fleet.add_node("node-0", true).await;
-    RawFleet {
-        fleet,
-        _targets: targets,
-    }
-}
-
 /// All cuts and endings, with whether they truncate a stream.
 fn stream_cases() -> Vec<(RawResponse, bool)> {
     let mut cases = Vec::new();
@@ -70,7 +46,7 @@
 async fn truncated_stream_is_not_complete() {
     let mut wrong = Vec::new();
     for (response, is_truncated) in stream_cases() {
-        let raw = raw_fleet(response).await;
+        let raw = raw_fleet(&[response]).await;
         let sent = raw.fleet.post(0, "/once-stream/1", "r1").send().await;
         // A stream that fails before its first byte may have no response at all.
         let (mut ids, is_whole) = match sent {
@@ -89,7 +65,7 @@
 async fn truncated_stream_is_resumed() {
     let mut wrong = Vec::new();
     for (response, is_truncated) in stream_cases() {
-        let raw = raw_fleet(response).await;
+        let raw = raw_fleet(&[response]).await;
         let sent = raw.fleet.post(0, "/resumable-stream/1", "r1").send().await;
         let (ids, is_whole) = events(sent.expect("a response")).await;
         let expected = sent_events(if is_truncated { Whole } else { response.cut });
@@ -104,7 +80,7 @@
 async fn truncated_item_is_resumed() {
     let mut wrong = Vec::new();
     for (response, is_truncated) in stream_cases() {
-        let raw = raw_fleet(response).await;
+        let raw = raw_fleet(&[response]).await;
         assert_eq!(raw.fleet.submit(0, "j1", &["stream/1"]).await, 202);
         let results = raw.fleet.results(0, "j1", 1).await;
         let listed = sent_events(if is_truncated { Whole } else { response.cut });
@@ -125,10 +101,10 @@
             (Connection, ending) => ending == Reset,
             (Length | Chunks, _) => response.cut != Whole,
         };
-        let raw = raw_fleet(response).await;
+        let raw = raw_fleet(&[response]).await;
         let once = raw.fleet.post(0, "/once/1", "r1").send().await;
         let status = once.expect("a response").status().as_u16();
-        let raw = raw_fleet(response).await;
+        let raw = raw_fleet(&[response]).await;
         let repeated = raw.fleet.post(0, "/idempotent/1", "r1").send().await;
         let text = repeated.expect("a response").text().await.expect("a body");
         let is_whole = text == "the whole body";
--- a/eel-gateway/tests/gateway/fixture.rs
+++ b/eel-gateway/tests/gateway/fixture.rs
@@ -3,7 +3,9 @@
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use eel_gateway::GatewayNode;
-use eel_platform::standin::{HOST, StandInStore, StandInTarget, routes};
+use eel_platform::standin::{
+    HOST, RawResponse, RawScript, RawTarget, StandInStore, StandInTarget, routes,
+};
 use eel_settings::GatewaySettings;
 use eel_supervise::Shutdown;
 use reqwest::{Client, RequestBuilder, Response};
@@ -52,6 +54,28 @@
     fleet
 }
 
+/// A fleet whose targets end their responses as a script says.
+pub struct RawFleet {
+    pub fleet: Fleet,
+    pub targets: Vec<RawTarget>,
+}
+
+/// Starts one node before two targets that give the first requests `responses` and later ones a complete response.
+pub async fn raw_fleet(responses: &[RawResponse]) -> RawFleet {
+    let script = RawScript::default();
+    script.lock().expect("the script").extend(responses);
+    let mut fleet = fleet(0, 0).await;
+    let mut targets = Vec::new();
+    for id in ["i-0", "i-1"] {
+        let target = RawTarget::start("scribe", id, script.clone()).await;
+        let target = target.expect("a target");
+        target.announce(&fleet.store);
+        targets.push(target);
+    }
+    fleet.add_node("node-0", true).await;
+    RawFleet { fleet, targets }
+}
+
 /// Starts a node that serves callers and, if `runs_batch`, runs items of jobs.
 pub async fn start_node(endpoint: &str, name: &str, runs_batch: bool) -> Node {
     let text = format!(
--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod batch_store_faults;
 mod batch_takeover;
 mod body_ends;
+mod endless_bytes;
 mod fixture;
 mod graceful_stop;
 mod leaving_caller;
--- a/eel-ledger/src/saved.rs
+++ b/eel-ledger/src/saved.rs
@@ -2,12 +2,10 @@
 
 use std::collections::HashMap;
 
-use crate::{ItemRef, Job, Ledger, Piece, Progress, SavedText};
+use crate::{ItemRef, Job, Ledger, Piece, Progress, SavedText, worklist::MAX_TEXT_BYTES};
 
 /// The maximum size of the text in one value of the store, which holds 1 MiB.
 const MAX_PIECES_BYTES: usize = 512 * 1024;
-/// The maximum size of a text that is saved alone; a longer one is not saved.
-const MAX_PIECE_BYTES: usize = 960 * 1024;
 
 #[derive(Clone, Copy, Debug)]
 struct Saved {
@@ -63,7 +61,7 @@
             .filter(|piece| {
                 let added = piece.text.len();
                 let fits =
-                    bytes + added <= MAX_PIECES_BYTES || (bytes == 0 && added <= MAX_PIECE_BYTES);
+                    bytes + added <= MAX_PIECES_BYTES || (bytes == 0 && added <= MAX_TEXT_BYTES);
                 bytes += if fits { added } else { 0 };
                 fits
             })
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -14,6 +14,8 @@
 const MAX_CHUNKS_PER_COMMIT: usize = 16;
 /// The maximum size of the text in one chunk, unless it is a single result: a value of the store holds 1 MiB.
 const MAX_CHUNK_BYTES: usize = 512 * 1024;
+/// The maximum size of an item's text: a value of the store, which holds 1 MiB, takes one with its frame.
+pub const MAX_TEXT_BYTES: usize = 960 * 1024;
 /// How long after its time an item is given up: the clocks of two nodes may differ by this much.
 const GIVE_UP_SLACK_MS: u64 = 2_500;
 
