feat(gateway): send nothing more to a target that says that it is leaving

The node knew of a leaving target from the store alone, whose entry may come late, be missing, or be written again after an outage; a request could reach the target until it exits.

The first response that says so takes the target out of use at this node: online requests, resumed streams and items. The word holds for the target's incarnation, also if its entry is rewritten as ready, is removed and returns, or changes its address; a later start is used. It counts in a genuine response or a refusal of the target itself, not in one that belongs to another request or target.

--- a/eel-fleet/src/lib.rs
+++ b/eel-fleet/src/lib.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod entry;
 mod health;
+mod leaving;
 mod pace;
 mod peers;
 mod queue;
--- a/eel-fleet/src/selector.rs
+++ b/eel-fleet/src/selector.rs
@@ -12,6 +12,7 @@
 use crate::{
     TargetEntry, TargetKey,
     health::Health,
+    leaving::LeavingTargets,
     report::{MAX_PART_BITS, PeerReport, REPORT_TTL_MS, TargetLoad, finest_part, stable_hash},
 };
 
@@ -75,6 +76,8 @@
     health: Health,
     /// When a slot became idle by all counts; `None` while all slots are in use.
     idle_since_ms: Option<u64>,
+    /// Whether the target has said that it is leaving.
+    is_leaving: bool,
     /// How many live nodes rank before this one for the target's idle slots.
     batch_rank: u64,
 }
@@ -108,6 +111,7 @@
     services: HashMap<Name, Vec<TargetKey>>,
     by_hash: HashMap<u64, TargetKey>,
     senders: HashMap<u64, Sender>,
+    leaving: LeavingTargets,
     /// When expired reports were last dropped.
     expired_ms: u64,
     /// The nodes that run batch items, this node first.
@@ -129,6 +133,7 @@
         let (id, service) = (entry.id.clone(), entry.service.clone());
         let key = self.targets.insert(Target {
             hash: stable_hash(&entry.id),
+            is_leaving: self.leaving.contains(&entry),
             entry,
             own: Load::default(),
             peers: Vec::new(),
@@ -286,6 +291,19 @@
         }
     }
 
+    /// Records that a target has said that it is leaving. Its incarnation gets no further attempts, whatever its entry
+    /// says. Returns `false` if that was known.
+    pub fn on_leaving(&mut self, now_ms: u64, key: TargetKey) -> bool {
+        let Some(target) = self.targets.get_mut(key).filter(|it| !it.is_leaving) else {
+            return false;
+        };
+        target.is_leaving = true;
+        let by_id = &self.by_id;
+        let is_listed = |id: &str| by_id.contains_key(id);
+        self.leaving.insert(now_ms, &target.entry, is_listed);
+        true
+    }
+
     /// Records the end of an attempt.
     pub fn end(&mut self, now_ms: u64, key: TargetKey, work: WorkKind, outcome: AttemptOutcome) {
         let Some(target) = self.targets.get_mut(key) else {
@@ -476,7 +494,7 @@
     }
 
     fn is_usable(&self, now_ms: u64) -> bool {
-        !self.entry.is_draining && self.health.is_usable(now_ms)
+        !self.entry.is_draining && !self.is_leaving && self.health.is_usable(now_ms)
     }
 
     fn total(&self, now_ms: u64) -> Load {
--- a/eel-fleet/tests/fleet/main.rs
+++ b/eel-fleet/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod fixture;
 mod idle_again;
 mod lease_expiry;
+mod leaving_target;
 mod live_peers;
 mod load_reports;
 mod report_parts;
--- a/eel-gateway/src/slots.rs
+++ b/eel-gateway/src/slots.rs
@@ -220,6 +220,20 @@
             .on_silence(now_ms, self.key);
     }
 
+    /// Records that the target has said that it is leaving.
+    pub(crate) fn on_leaving(&self) {
+        let now_ms = self.slots.clock.now_ms();
+        let is_new = self
+            .slots
+            .lock()
+            .dispatcher
+            .selector_mut()
+            .on_leaving(now_ms, self.key);
+        if is_new {
+            log::info!(target: "targets", target_id = self.target.id.as_str(); "A target has said that it is leaving.");
+        }
+    }
+
     /// Records the head of a response from the target.
     pub(crate) fn on_response(&self) {
         let run_ms = self.slots.clock.now_ms().saturating_sub(self.started_ms);
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -111,6 +111,9 @@
     let (connection, response) = sent.inspect_err(|failure| slot.set_outcome(failure.outcome()))?;
     let (parts, body) = response.into_parts();
     let fields = response_fields(&outgoing.request_id, parts.status, &parts.headers);
+    if fields.is_leaving {
+        slot.on_leaving();
+    }
     if let Err(failure) = check(fields.kind) {
         slot.set_outcome(failure.outcome());
         if !matches!(failure, AttemptFailure::InvalidResponse) && !fields.closes {
--- a/eel-gateway/tests/gateway/endless_bytes.rs
+++ b/eel-gateway/tests/gateway/endless_bytes.rs
@@ -2,7 +2,7 @@
 //!
 //! Guards against a node that collects them until its memory is used up, and against a connection that stays open.
 
-use eel_platform::standin::{Cut, Ending, Framing, RawResponse};
+use eel_platform::standin::{Cut, Ending, Framing, RawResponse, RawTarget};
 
 use crate::fixture::{RawFleet, raw_fleet, wait_until};
 
@@ -21,12 +21,12 @@
 
 impl RawFleet {
     fn taken_bytes(&self) -> u64 {
-        self.targets.iter().map(|it| it.endless_bytes()).sum()
+        self.targets.iter().map(RawTarget::endless_bytes).sum()
     }
 
     async fn wait_closed(&self, count: u64) {
         wait_until("the connections are closed", async || {
-            self.targets.iter().map(|it| it.closed()).sum::<u64>() >= count
+            self.targets.iter().map(RawTarget::closed).sum::<u64>() >= count
         })
         .await;
     }
--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod fixture;
 mod graceful_stop;
 mod leaving_caller;
+mod leaving_target;
 mod lost_entry;
 mod refused_requests;
 mod resumed_stream;
