fix(target,entry): bound a response that never ends or is not read

Found while looking for responses without end on entry and target nodes. A caller that did not read a long response kept the target's connection and slot past the deadline: the target node waited for the entry node to read, outside of the select that ends an attempt (the test timed out after a minute). The response to a batch item was collected without limit.

Writing a reply now ends with the attempt's cancellation or deadline. No refusal can follow a part that was not read, so the stream is reset, which the entry node takes for a truncated reply.

--- a/eel-entry/src/serve/run.rs
+++ b/eel-entry/src/serve/run.rs
@@ -23,6 +23,8 @@
 
 /// Responses up to this length are buffered, so that a truncated one can be retried.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 * 1024;
+/// Responses to batch items up to this length are collected; the store takes no longer ones.
+const MAX_COLLECTED_RESPONSE_BYTES: usize = 1024 * 1024;
 /// The time after the deadline for which the entry node waits for the target node, which enforces the deadline itself.
 const DEADLINE_GRACE: Duration = Duration::from_millis(250);
 
@@ -169,9 +171,18 @@
 
 async fn collect_streamed(mut streaming: StreamedResponse) -> Result<(u16, Bytes), Refusal> {
     let mut parts = std::mem::take(&mut streaming.buffered);
+    let mut collected_bytes: usize = parts.iter().map(Bytes::len).sum();
     loop {
         match streaming.reply.next().await {
-            Ok(ReplyPart::Data(data)) => parts.push(data),
+            Ok(ReplyPart::Data(data)) => {
+                collected_bytes += data.len();
+                parts.push(data);
+                if collected_bytes > MAX_COLLECTED_RESPONSE_BYTES {
+                    let refusal = Refusal::may_have_run(Reason::TooLarge);
+                    streaming.recorder.record_failure(&refusal);
+                    return Err(refusal);
+                }
+            }
             Ok(ReplyPart::End(load)) => {
                 streaming.recorder.record_complete(load);
                 return Ok((streaming.head.status, join(parts)));
--- a/eel-target/src/serve.rs
+++ b/eel-target/src/serve.rs
@@ -38,6 +38,9 @@
 /// The maximum time between two parts of a response body, after which its connection counts as silent.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The code with which a stream is reset whose reply cannot be written in time.
+const BLOCKED_CODE: u32 = 1;
+
 type WireResult<T> = Result<T, Report<eel_wire::Error>>;
 
 /// Serves `request` and writes the reply or refusal to `send`.
@@ -83,6 +86,12 @@
     record_outcome(link, &request, &result);
     match result {
         AttemptResult::Answered => Ok(()),
+        AttemptResult::Blocked(refusal) => {
+            span.set_attribute(|| ("refusal", refusal.to_string()));
+            // The stream may be closed already.
+            let _ = send.reset(BLOCKED_CODE.into());
+            Ok(())
+        }
         AttemptResult::Refused(refusal) | AttemptResult::Failed(refusal) => {
             span.set_attribute(|| ("refusal", refusal.to_string()));
             refuse(link, send, request.key, refusal).await
@@ -95,13 +104,15 @@
     Answered,
     Refused(Refusal),
     Failed(Refusal),
+    /// The attempt was interrupted while the entry node did not read, so that no refusal can follow what was written.
+    Blocked(Refusal),
 }
 
 fn record_outcome(link: &Link, request: &ServeRequest, result: &AttemptResult) {
     let outcome = match result {
         AttemptResult::Answered => Outcome::Answered,
         AttemptResult::Refused(_) => Outcome::Refused,
-        AttemptResult::Failed(_) => Outcome::Failed,
+        AttemptResult::Failed(_) | AttemptResult::Blocked(_) => Outcome::Failed,
     };
     let labels = AttemptLabels {
         class: ClassLabel::from(request.class),
@@ -255,8 +266,8 @@
             let part = if let Some(part) = ready {
                 part
             } else {
-                if is_stream {
-                    flush(send, buffer).await?;
+                if is_stream && let Err(refusal) = self.flush(send, buffer).await? {
+                    return Ok(AttemptResult::Blocked(refusal));
                 }
                 match self.next_part(&mut response, send).await {
                     Ok(part) => part,
@@ -268,13 +279,17 @@
                     timing.on_part(data.len());
                     end_marker.on_data(&data);
                     append_data(buffer, data)?;
-                    if buffer.len() >= FLUSH_BYTES {
-                        flush(send, buffer).await?;
+                    if buffer.len() >= FLUSH_BYTES
+                        && let Err(refusal) = self.flush(send, buffer).await?
+                    {
+                        return Ok(AttemptResult::Blocked(refusal));
                     }
                 }
                 Ok(None) if end_marker.is_complete() => return Ok(AttemptResult::Answered),
                 Ok(None) | Err(_) => {
-                    flush(send, buffer).await?;
+                    if let Err(refusal) = self.flush(send, buffer).await? {
+                        return Ok(AttemptResult::Blocked(refusal));
+                    }
                     return Ok(AttemptResult::Failed(Refusal::may_have_run(
                         Reason::Truncated,
                     )));
@@ -283,6 +298,22 @@
         }
     }
 
+    /// Writes `buffer` to the stream. An entry node that does not read holds neither the slot nor the connection to the
+    /// target past a cancellation or the deadline.
+    async fn flush(
+        &self,
+        send: &mut SendStream,
+        buffer: &mut Vec<u8>,
+    ) -> WireResult<Result<(), Refusal>> {
+        tokio::select! {
+            flushed = flush(send, buffer) => flushed.map(Ok),
+            () = self.ticket.cancelled() => Ok(Err(Refusal::may_have_run(Reason::Cancelled))),
+            () = tokio::time::sleep_until(self.deadline) => {
+                Ok(Err(Refusal::may_have_run(Reason::DeadlineExceeded)))
+            }
+        }
+    }
+
     async fn next_part(
         &self,
         response: &mut Response,
--- a/tests/process/body_ends.rs
+++ b/tests/process/body_ends.rs
@@ -2,43 +2,14 @@
 //!
 //! Guards against a stream that a target breaks off within an event and that reaches the caller as a complete one.
 
-use tokio::{
-    io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::TcpListener,
-};
-
 use crate::{
-    fleet::{Platform, Service},
+    fleet::{Platform, RawTarget, Service},
     outcome::{CallerOutcome, SHORT_DEADLINE_MS, call, outcome_of},
 };
 
 const WHOLE: &str = "data: a\n\ndata: b\n\n";
 const INSIDE_EVENT: &str = "data: a\n\ndata: b\n";
 
-/// Starts a target that sends `response` to each request and closes the connection; returns its URL.
-async fn start_raw_target(response: String) -> String {
-    let listener = TcpListener::bind(("127.0.0.1", 0))
-        .await
-        .expect("a free port");
-    let address = listener.local_addr().expect("an address");
-    tokio::spawn(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            let response = response.clone();
-            tokio::spawn(async move {
-                let mut received = Vec::new();
-                while !received.ends_with(b"tow ready") {
-                    if stream.read_buf(&mut received).await.unwrap_or(0) == 0 {
-                        return;
-                    }
-                }
-                // The node may have closed the connection.
-                let _ = stream.write_all(response.as_bytes()).await;
-            });
-        }
-    });
-    format!("http://{address}")
-}
-
 fn with_length(body: &str) -> String {
     format!("content-length: {}\r\n\r\n{body}", body.len())
 }
@@ -59,9 +30,9 @@
         for (body, is_complete) in [(WHOLE, true), (INSIDE_EVENT, false)] {
             let mut platform = Platform::start(&[Service::Dispatch]).await;
             let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
-            let url = start_raw_target(format!("{head}{}", frame(body))).await;
+            let raw = RawTarget::start(&format!("{head}{}", frame(body)), false).await;
             let _target = platform
-                .start_target_at("t1", "dispatch-runners", &url)
+                .start_target_at("t1", "dispatch-runners", &raw.url)
                 .await;
             let entry = platform.start_ready_entry("e1").await;
             let outcome = outcome_of(call(&entry, false, "a", SHORT_DEADLINE_MS)).await;
--- a/tests/process/fleet/mod.rs
+++ b/tests/process/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The test fixture: stand-ins in the test process, entry and target nodes as processes.
 
 mod node;
+mod raw;
 mod records;
 mod relay;
 
@@ -17,6 +18,7 @@
 };
 pub use node::{Node, eventually};
 use quinn::Endpoint;
+pub use raw::RawTarget;
 pub use records::{CALLER_KEY, Service};
 pub use relay::{Relay, Silence};
 use reqwest::{Client, RequestBuilder, Response};
