fix(gateway,entry): send HTTP/1.0 callers no response whose end they cannot see

Both tests failed before (status 200 and two events).

Gateway nodes refuse such a caller's request on a route of streams as not run; a response that turns out too long to be buffered, and on entry nodes each streamed one, gets 502 in place of a body without an end.

--- a/eel-gateway/src/http/handler.rs
+++ b/eel-gateway/src/http/handler.rs
@@ -5,7 +5,7 @@
 use eel_platform::{JobCall, decode_job_call};
 use eel_table::{Route, RouteKind, RouteTable};
 use eel_verdict::{Reason, Refusal};
-use http::{HeaderMap, Method, Request, Response, Uri, header};
+use http::{HeaderMap, Method, Request, Response, Uri, Version, header};
 use hyper::body::Incoming;
 
 use super::{Body, BodyError, read_body, refuse};
@@ -28,6 +28,10 @@
     let Some(route) = find_route(&table, request.uri(), request.headers()) else {
         return refuse(&no_route(&context));
     };
+    if request.version() < Version::HTTP_11 && matches!(route.kind, RouteKind::Stream { .. }) {
+        // In HTTP/1.0 a truncated stream looks complete.
+        return refuse(&Refusal::not_run(Reason::BadRequest));
+    }
     let (head, body) = request.into_parts();
     let body = match read_body(body, table.limits.body_bytes).await {
         Ok(body) => body,
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -6,7 +6,7 @@
 use eel_platform::copy_response_headers;
 use eel_table::{Route, RouteKind};
 use eel_verdict::{Reason, Refusal};
-use http::{HeaderMap, Response, StatusCode, header, request::Parts};
+use http::{HeaderMap, Response, StatusCode, Version, header, request::Parts};
 
 use super::{
     attempts::Attempts,
@@ -35,11 +35,24 @@
         return refuse(&Refusal::not_run(Reason::NoTarget));
     };
     let mut attempts = Attempts::default();
+    let version = request.version;
     match obtain_response(&mut request, &mut attempts).await {
         Ok(Served::Complete(response)) => {
             log_end(&request, &attempts, response.status(), "answered");
             response
         }
+        Ok(Served::Stream(..)) if version < Version::HTTP_11 => {
+            // In HTTP/1.0 a truncated response looks complete unless its length is stated.
+            let refusal = Refusal::may_have_run(Reason::TargetFailed);
+            let response = refuse(&refusal);
+            log_end(
+                &request,
+                &attempts,
+                response.status(),
+                refusal.reason.as_str(),
+            );
+            response
+        }
         Ok(Served::Stream(target_response, start)) => {
             log_end(&request, &attempts, target_response.status, "streaming");
             stream::relay(request, attempts, *target_response, start)
--- a/eel-gateway/tests/gateway/body_ends.rs
+++ b/eel-gateway/tests/gateway/body_ends.rs
@@ -3,9 +3,13 @@
 //!
 //! Guards against a truncated response that reaches its caller, or is listed, as a complete one.
 
-use eel_platform::standin::{Cut, Ending, Framing, RawResponse};
+use eel_platform::standin::{Behaviour, Cut, Ending, Framing, HOST, RawResponse};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
 
-use crate::fixture::{events, raw_fleet};
+use crate::fixture::{events, fleet, raw_fleet};
 
 use Cut::{BetweenEvents, Empty, InsideEvent, Whole};
 use Ending::{Closed, Reset};
@@ -114,3 +118,32 @@
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+#[tokio::test]
+async fn caller_without_framing() {
+    // The body of a response to HTTP/1.0 ends with its length or with the connection.
+    for (path, status, runs) in [("/once-stream/1", 400, 0), ("/once/1", 200, 1)] {
+        let fleet = fleet(1, 1).await;
+        if path.contains("stream") {
+            fleet.targets[0].script(&[Behaviour::DisconnectsAfter(2)]);
+        }
+        let mut stream = TcpStream::connect(fleet.nodes[0].http)
+            .await
+            .expect("a connection");
+        let head = format!(
+            "POST {path} HTTP/1.0\r\nhost: {HOST}\r\nx-eelgrassgap-attempt-id: r1\r\ncontent-length: 1\r\n\r\nx"
+        );
+        stream.write_all(head.as_bytes()).await.expect("a request");
+        let mut response = String::new();
+        stream
+            .read_to_string(&mut response)
+            .await
+            .expect("a response");
+        let status_line = response.lines().next().unwrap_or_default();
+        assert!(
+            status_line.contains(&format!(" {status} ")),
+            "{path}: {response}"
+        );
+        assert_eq!(fleet.runs("r1"), runs, "{path}");
+    }
+}
--- a/tests/process/body_ends.rs
+++ b/tests/process/body_ends.rs
@@ -2,8 +2,13 @@
 //!
 //! Guards against a stream that a target breaks off within an event and that reaches the caller as a complete one.
 
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
+
 use crate::{
-    fleet::{Platform, RawTarget, Service},
+    fleet::{CALLER_KEY, Platform, RawTarget, Service},
     outcome::{CallerOutcome, SHORT_DEADLINE_MS, call, outcome_of},
 };
 
@@ -44,3 +49,34 @@
         }
     }
 }
+
+#[tokio::test]
+async fn caller_without_framing() {
+    // The body of a response to HTTP/1.0 ends with its length or with the connection.
+    for body in [WHOLE, INSIDE_EVENT] {
+        let mut platform = Platform::start(&[Service::Dispatch]).await;
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
+        let raw = RawTarget::start(&format!("{head}{}", with_length(body)), false).await;
+        let _target = platform
+            .start_target_at("t1", "dispatch-runners", &raw.url)
+            .await;
+        let entry = platform.start_ready_entry("e1").await;
+        let address = entry.url.trim_start_matches("http://");
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        let request = format!(
+            "POST /services/dispatch/billing HTTP/1.0\r\nauthorization: Bearer {CALLER_KEY}\r\n\
+             content-length: 9\r\n\r\ntow ready"
+        );
+        stream
+            .write_all(request.as_bytes())
+            .await
+            .expect("a request");
+        let mut response = String::new();
+        stream
+            .read_to_string(&mut response)
+            .await
+            .expect("a response");
+        let status_line = response.lines().next().unwrap_or_default();
+        assert!(status_line.contains(" 502 "), "{body:?}: {response}");
+    }
+}
