fix(gateway): pass on long failures on routes of streams as they are

Only a success is a stream of events. A stream that the caller does not read until the deadline is counted as such.

--- a/eel-gateway/src/online/stream.rs
+++ b/eel-gateway/src/online/stream.rs
@@ -77,15 +77,15 @@
 
 impl Content {
     fn of(request: &Request, target_response: &TargetResponse) -> Self {
+        let headers = &target_response.headers;
+        let has_events = target_response.status.is_success() && is_event_stream(headers);
         match request.route.kind {
-            RouteKind::Stream { resumable, .. } if is_event_stream(&target_response.headers) => {
-                if resumable {
-                    Self::resumable(request.last_event_id)
-                } else {
-                    let scanner = EventScanner::default();
-                    Self::Events { scanner }
-                }
-            }
+            RouteKind::Stream {
+                resumable: true, ..
+            } if has_events => Self::resumable(request.last_event_id),
+            RouteKind::Stream { .. } if has_events => Self::Events {
+                scanner: EventScanner::default(),
+            },
             _ => Self::Bytes,
         }
     }
@@ -152,8 +152,10 @@
                 return;
             }
             let sent = timeout_at(deadline.into(), sender.send(piece)).await;
-            if !matches!(sent, Ok(Ok(()))) {
-                return;
+            match sent {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return,
+                Err(_) => return self.record_end("not_read"),
             }
         }
     }
--- a/eel-gateway/tests/gateway/attempt_faults.rs
+++ b/eel-gateway/tests/gateway/attempt_faults.rs
@@ -6,7 +6,7 @@
 
 use crate::fixture::fleet;
 
-use Behaviour::{Fails, Full, Responds, RespondsWithOtherId, Silent, Unsigned};
+use Behaviour::{Fails, FailsAtLength, Full, Responds, RespondsWithOtherId, Silent, Unsigned};
 
 #[tokio::test]
 async fn fault_table() {
@@ -107,3 +107,16 @@
     assert_eq!(response.status().as_u16(), 503);
     assert_eq!(response.headers()["x-eel-verdict"], "not-run");
 }
+
+#[tokio::test]
+async fn long_failure() {
+    for path in ["/once/1", "/once-stream/1", "/resumable-stream/1"] {
+        let fleet = fleet(1, 1).await;
+        fleet.targets[0].set_default_behaviour(FailsAtLength);
+        let sent = fleet.post(0, path, "r1").send().await;
+        let response = sent.expect("a response");
+        assert_eq!(response.status().as_u16(), 500, "{path}");
+        let body = response.bytes().await.expect("a complete body");
+        assert_eq!(body.len(), 300 * 1024, "{path}");
+    }
+}
