test(gateway): start nodes again that end after the faults of a soak run

Cause: both batch nodes were draining after a SIGTERM when the faults ended (their last line is `The node has stopped.`); the run started only nodes again that had ended by then, so that no node ran batch. On the platform a process that ends is started again. The run now does so until all jobs are complete; what is checked is the same. It stays in REGRESSIONS.

--- a/tests/gateway/faults.rs
+++ b/tests/gateway/faults.rs
@@ -41,11 +41,7 @@
         _ => soak.change_routes(),
     }
     sleep(Duration::from_millis(rng.random_range(20..400))).await;
-    for node in &mut soak.nodes {
-        if node.has_ended() {
-            node.restart();
-        }
-    }
+    soak.restart_ended();
 }
 
 fn kill_node(soak: &mut Soak, rng: &mut SmallRng) {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -24,11 +24,18 @@
 /// Seeds that run in CI, with the number of nodes.
 const SEEDS: [(u64, usize); 2] = [(1, 3), (2, 4)];
 /// Seeds that have failed, with the number of nodes and the cause of the failure.
-const REGRESSIONS: [(u64, usize, &str); 1] = [(
-    27_004,
-    8,
-    "slots stayed taken where a peer's next report no longer named the target",
-)];
+const REGRESSIONS: [(u64, usize, &str); 2] = [
+    (
+        27_004,
+        8,
+        "slots stayed taken where a peer's next report no longer named the target",
+    ),
+    (
+        4_084_767_675,
+        5,
+        "of the soak: both batch nodes were draining when the faults ended, and were not started again",
+    ),
+];
 /// The time in which one run injects faults.
 const FAULT_PERIOD: Duration = Duration::from_secs(8);
 const DEFAULT_NODES: usize = 5;
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -110,7 +110,7 @@
         self.check_jobs(jobs).await;
     }
 
-    /// Ends all faults and restarts the nodes that have ended.
+    /// Ends all faults.
     fn end_faults(&mut self) {
         self.store.set_fault(StoreFault::None);
         for proxy in self.store_proxies.iter().chain(&self.target_proxies) {
@@ -122,6 +122,13 @@
         }
         for node in &mut self.nodes {
             node.signal(Signal::SIGCONT);
+        }
+        self.restart_ended();
+    }
+
+    /// Starts the nodes that have ended again, as the platform does.
+    pub fn restart_ended(&mut self) {
+        for node in &mut self.nodes {
             if node.has_ended() {
                 node.restart();
             }
@@ -149,7 +156,7 @@
         }
     }
 
-    async fn check_jobs(&self, mut jobs: Jobs) {
+    async fn check_jobs(&mut self, mut jobs: Jobs) {
         let until = Instant::now() + COMPLETION_TIMEOUT;
         while !jobs.are_complete() {
             assert!(
@@ -159,6 +166,8 @@
                 jobs.incomplete(),
                 self.logs()
             );
+            // Nodes that were draining when the faults ended end only now.
+            self.restart_ended();
             jobs.read_incomplete().await;
             sleep(Duration::from_millis(200)).await;
         }
