fix(fleet): keep the word of a leaving target whose entry is gone

A target whose entry was removed while a request ran, and which then said that it is leaving, got work again when the entry returned after an outage: the word was looked up by the target's slot key, which the removal had made invalid. The test failed before. The word is now recorded by the entry that the request was sent with, whether the target is listed or not.

--- a/eel-fleet/src/selector.rs
+++ b/eel-fleet/src/selector.rs
@@ -291,16 +291,19 @@
         }
     }
 
-    /// Records that a target has said that it is leaving. Its incarnation gets no further attempts, whatever its entry
-    /// says. Returns `false` if that was known.
-    pub fn on_leaving(&mut self, now_ms: u64, key: TargetKey) -> bool {
-        let Some(target) = self.targets.get_mut(key).filter(|it| !it.is_leaving) else {
+    /// Records that the target of `entry` has said that it is leaving. Its incarnation gets no further attempts, whatever
+    /// its entry becomes; it need not be listed any more. Returns `false` if that was known.
+    pub fn on_leaving(&mut self, now_ms: u64, entry: &TargetEntry) -> bool {
+        if self.leaving.contains(entry) {
             return false;
-        };
-        target.is_leaving = true;
+        }
         let by_id = &self.by_id;
-        let is_listed = |id: &str| by_id.contains_key(id);
-        self.leaving.insert(now_ms, &target.entry, is_listed);
+        self.leaving
+            .insert(now_ms, entry, |id| by_id.contains_key(id));
+        let listed = self.by_id.get(&entry.id);
+        if let Some(target) = listed.and_then(|&key| self.targets.get_mut(key)) {
+            target.is_leaving = self.leaving.contains(&target.entry);
+        }
         true
     }
 
--- a/eel-fleet/tests/fleet/leaving_target.rs
+++ b/eel-fleet/tests/fleet/leaving_target.rs
@@ -4,12 +4,11 @@
 
 use eel_fleet::{TargetEntry, TargetSelector, WorkKind};
 
-use crate::fixture::{SERVICE, chosen, query, selector, target};
+use crate::fixture::{SERVICE, chosen, selector, target};
 
 fn leaving() -> TargetSelector {
     let mut selector = selector(&[("near", "dc-a", 2), ("far", "dc-b", 2)]);
-    let near = selector.choose(0, SERVICE, &query(WorkKind::Online));
-    selector.on_leaving(0, near.expect("a target"));
+    selector.on_leaving(0, &near(|_| {}));
     selector
 }
 
@@ -54,6 +53,16 @@
     }
 }
 
+#[test]
+fn removed_before_it_says_so() {
+    let mut selector = selector(&[("near", "dc-a", 2), ("far", "dc-b", 2)]);
+    selector.remove_target("near");
+    selector.on_leaving(0, &near(|_| {}));
+    selector.set_target(near(|_| {}));
+    let chosen = chosen(&selector, 1, WorkKind::Online);
+    assert_eq!(chosen.as_deref(), Some("far"));
+}
+
 #[test]
 fn no_slots_count() {
     let mut selector = leaving();
--- a/eel-gateway/src/slots.rs
+++ b/eel-gateway/src/slots.rs
@@ -228,7 +228,7 @@
             .lock()
             .dispatcher
             .selector_mut()
-            .on_leaving(now_ms, self.key);
+            .on_leaving(now_ms, &self.target);
         if is_new {
             log::info!(target: "targets", target_id = self.target.id.as_str(); "A target has said that it is leaving.");
         }
