fix(fleet): let no earlier start of a target hide that a later one is leaving

A late response of an earlier start under the same id replaced the word of the later one, which then got work again. The test failed before. The latest start that is known to leave is kept.

--- a/eel-fleet/src/leaving.rs
+++ b/eel-fleet/src/leaving.rs
@@ -26,7 +26,8 @@
 }
 
 impl LeavingTargets {
-    /// Records that the incarnation of `entry` is leaving. Drops old ones for which `is_listed` returns `false`.
+    /// Records that the incarnation of `entry` is leaving, unless a later one is known to leave. Drops old ones for which
+    /// `is_listed` returns `false`.
     pub fn insert(&mut self, now_ms: u64, entry: &TargetEntry, is_listed: impl Fn(&str) -> bool) {
         self.targets
             .retain(|id, it| now_ms < it.since_ms + UNLISTED_TTL_MS || is_listed(id));
@@ -34,7 +35,10 @@
             started_unix_ms: entry.started_unix_ms,
             since_ms: now_ms,
         };
-        self.targets.insert(entry.id.clone(), leaving);
+        let known = self.targets.entry(entry.id.clone()).or_insert(leaving);
+        if known.started_unix_ms < leaving.started_unix_ms {
+            *known = leaving;
+        }
     }
 
     /// Returns whether the incarnation of `entry` has said that it is leaving.
--- a/eel-fleet/tests/fleet/leaving_target.rs
+++ b/eel-fleet/tests/fleet/leaving_target.rs
@@ -63,6 +63,19 @@
     assert_eq!(chosen.as_deref(), Some("far"));
 }
 
+#[test]
+fn earlier_start_says_so_late() {
+    let mut selector = leaving();
+    let restarted = near(|it| it.started_unix_ms = Some(2));
+    selector.set_target(restarted.clone());
+    selector.on_leaving(1, &restarted);
+    selector.on_leaving(2, &near(|_| {}));
+    selector.remove_target("near");
+    selector.set_target(restarted);
+    let chosen = chosen(&selector, 3, WorkKind::Online);
+    assert_eq!(chosen.as_deref(), Some("far"));
+}
+
 #[test]
 fn no_slots_count() {
     let mut selector = leaving();
