refactor(gateway,entry): refuse HTTP/1.0 callers on the path of all refusals

The refusal was written and logged a second time beside the common path, and a field of the request carried the version for it alone. No change of what callers get.

--- a/eel-entry/src/serve/handler.rs
+++ b/eel-entry/src/serve/handler.rs
@@ -38,12 +38,6 @@
         let metrics = &self.0.metrics;
         metrics.requests.inc();
         match self.serve(id, req).await {
-            Ok((TargetResponse::Stream(_), _)) if req.version() < Version::HTTP_11 => {
-                // In HTTP/1.0 a truncated response looks complete unless its length is stated.
-                let refusal = Refusal::may_have_run(Reason::TargetFailed);
-                log::debug!(target: "serve", "Request {id} was refused: {refusal}; its response cannot be sent in HTTP/1.0.");
-                response::write_refusal(res, id, &refusal, metrics);
-            }
             Ok((response, open)) => response::write(res, id, response, open, metrics),
             Err(refusal) => {
                 log::debug!(target: "serve", "Request {id} was refused: {refusal}.");
@@ -76,6 +70,10 @@
         } else {
             run(context, &request, &span).await?
         };
+        if matches!(response, TargetResponse::Stream(_)) && req.version() < Version::HTTP_11 {
+            // In HTTP/1.0 a truncated response looks complete unless its length is stated.
+            return Err(Refusal::may_have_run(Reason::TargetFailed));
+        }
         Ok((response, open))
     }
 }
--- a/eel-gateway/src/online/request.rs
+++ b/eel-gateway/src/online/request.rs
@@ -10,7 +10,7 @@
 use eel_platform::caller_fields;
 use eel_table::Route;
 use eel_types::Name;
-use http::{Uri, Version, request::Parts};
+use http::{Uri, request::Parts};
 
 use crate::{context::Context, slots::SlotGuard, target::OutgoingRequest};
 
@@ -25,8 +25,6 @@
     pub route: Arc<Route>,
     pub service: Name,
     pub outgoing: OutgoingRequest,
-    /// The version of HTTP in which the caller gets the response.
-    pub version: Version,
     pub arrived: Instant,
     /// The time by which the final response must be sent.
     pub deadline: Instant,
@@ -50,7 +48,6 @@
             context,
             route,
             service,
-            version: head.version,
             outgoing: OutgoingRequest {
                 method: head.method,
                 uri: origin_form(head.uri),
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -31,28 +31,23 @@
     head: Parts,
     body: Bytes,
 ) -> Response<Body> {
+    let version = head.version;
     let Some(mut request) = Request::new(context, route, head, body) else {
         return refuse(&Refusal::not_run(Reason::NoTarget));
     };
     let mut attempts = Attempts::default();
-    let version = request.version;
-    match obtain_response(&mut request, &mut attempts).await {
+    let served = match obtain_response(&mut request, &mut attempts).await {
+        // In HTTP/1.0 a truncated response looks complete unless its length is stated.
+        Ok(Served::Stream(..)) if version < Version::HTTP_11 => {
+            Err(Refusal::may_have_run(Reason::TargetFailed))
+        }
+        served => served,
+    };
+    match served {
         Ok(Served::Complete(response)) => {
             log_end(&request, &attempts, response.status(), "answered");
             response
         }
-        Ok(Served::Stream(..)) if version < Version::HTTP_11 => {
-            // In HTTP/1.0 a truncated response looks complete unless its length is stated.
-            let refusal = Refusal::may_have_run(Reason::TargetFailed);
-            let response = refuse(&refusal);
-            log_end(
-                &request,
-                &attempts,
-                response.status(),
-                refusal.reason.as_str(),
-            );
-            response
-        }
         Ok(Served::Stream(target_response, start)) => {
             log_end(&request, &attempts, target_response.status, "streaming");
             stream::relay(request, attempts, *target_response, start)
