refactor(events): read events in one place

The content type of a stream was compared in three crates, the length of an event limited in two places, and the fields of an event read in platform/, though nothing of them is the platform's. `eel-events` has all of it now; the test of event ids moves along, with the line ends CR and CRLF added. A stream that ended early is given up as `truncated`, the reason that exists for it; its status is 502 as before.

--- a/eel-entry/src/serve/response.rs
+++ b/eel-entry/src/serve/response.rs
@@ -3,6 +3,7 @@
 use std::{io, sync::Arc};
 
 use bytes::Bytes;
+use eel_events::is_event_stream;
 use eel_types::RequestId;
 use eel_verdict::Refusal;
 use eel_wire::message::ReplyHead;
@@ -31,10 +32,9 @@
 const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("x-eel-retry-after-ms");
 
 /// Returns whether the response is a stream of server-sent events.
-pub(super) fn is_event_stream(head: &ReplyHead) -> bool {
+pub(super) fn has_events(head: &ReplyHead) -> bool {
     head.headers.iter().any(|header| {
-        header.name.as_str() == CONTENT_TYPE.as_str()
-            && header.value.starts_with(b"text/event-stream")
+        header.name.as_str() == CONTENT_TYPE.as_str() && is_event_stream(&header.value)
     })
 }
 
@@ -94,7 +94,7 @@
 ) -> impl Stream<Item = io::Result<Bytes>> + Send + 'static {
     let body = Body {
         buffered: std::mem::take(&mut streaming.buffered).into_iter(),
-        is_event_stream: is_event_stream(&streaming.head),
+        is_event_stream: has_events(&streaming.head),
         streaming: Some(streaming),
         failed: false,
         metrics,
--- a/eel-entry/src/serve/run.rs
+++ b/eel-entry/src/serve/run.rs
@@ -14,7 +14,7 @@
 use eel_verdict::{Reason, Refusal};
 use eel_wire::message::{ReplyHead, ServeRequest};
 
-use super::{request::Request, response::is_event_stream};
+use super::{request::Request, response::has_events};
 use crate::{
     link::{Attempt, Reply, ReplyPart},
     node::Context,
@@ -267,7 +267,7 @@
 async fn collect(mut reply: Reply, recorder: OutcomeRecorder) -> Result<TargetResponse, Refusal> {
     let mut buffered = Vec::new();
     let mut buffered_bytes = 0;
-    let is_stream = is_event_stream(&reply.head);
+    let is_stream = has_events(&reply.head);
     loop {
         if buffered_bytes > MAX_BUFFERED_RESPONSE_BYTES || (is_stream && buffered_bytes > 0) {
             return Ok(TargetResponse::Stream(Box::new(StreamedResponse {
--- a/eel-events/src/scanner.rs
+++ b/eel-events/src/scanner.rs
@@ -1,5 +1,8 @@
 //! Follows a stream of events and finds where each of them ends.
 
+/// The length of an event, and of bytes that complete none, from which a stream counts as broken.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// Follows a stream of events, byte by byte, without storing it.
 ///
 /// An event ends with a blank line; a line ends with LF, CR or CRLF. Comments and blank lines between events belong to
@@ -10,6 +13,7 @@
     is_after_cr: bool,
     has_fields: bool,
     has_events: bool,
+    /// How many bytes follow the last complete event.
     open_bytes: usize,
 }
 
@@ -51,10 +55,18 @@
         self.has_events
     }
 
-    /// Returns how many bytes follow the last complete event.
+    /// Returns whether more bytes follow the last complete event than one event may have, 256 KiB.
     #[must_use]
-    pub fn open_bytes(&self) -> usize {
-        self.open_bytes
+    pub fn is_too_long(&self) -> bool {
+        self.open_bytes > MAX_EVENT_BYTES
+    }
+
+    /// Returns the length of the first event of `bytes`; `None` if they complete none.
+    pub(crate) fn first_end(&mut self, bytes: &[u8]) -> Option<usize> {
+        bytes
+            .iter()
+            .position(|&byte| self.push(byte))
+            .map(|last| last + 1)
     }
 
     /// Follows one byte. Returns whether it completes an event.
@@ -78,21 +90,3 @@
         false
     }
 }
-
-/// Iterates over complete events, each with the blank line that ends it.
-pub fn each(mut events: &[u8]) -> impl Iterator<Item = &[u8]> {
-    std::iter::from_fn(move || {
-        let mut scanner = EventScanner::default();
-        let end = events.iter().position(|&byte| scanner.push(byte))? + 1;
-        let (event, rest) = events.split_at(end);
-        events = rest;
-        Some(event)
-    })
-}
-
-/// Iterates over the lines of an event that are not blank.
-pub fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
-    event
-        .split(|&byte| byte == b'\n' || byte == b'\r')
-        .filter(|line| !line.is_empty())
-}
--- a/eel-events/tests/events/main.rs
+++ b/eel-events/tests/events/main.rs
@@ -1,3 +1,4 @@
 //! Tests of `eel-events`.
 
 mod event_ends;
+mod event_fields;
--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -5,15 +5,14 @@
     time::{Duration, Instant},
 };
 
-use eel_events::{EventBuffer, each, lines};
+use eel_events::{EventBuffer, each, event_data, event_id};
 use eel_ledger::{Item, JobHead, MAX_TEXT_BYTES, Progress, RunOutcome};
-use eel_platform::parse_event_id;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 
 use crate::{
     context::{Context, now_unix_ms},
     slots::SlotGuard,
-    target::{AttemptFailure, MAX_EVENT_BYTES, OutgoingRequest, TargetResponse, exchange},
+    target::{AttemptFailure, OutgoingRequest, TargetResponse, exchange},
 };
 
 /// How long a run may receive no complete event before it is interrupted, to be tried at another target.
@@ -71,7 +70,7 @@
     async fn read(&mut self, mut target_response: TargetResponse, deadline: Instant) -> RunOutcome {
         let status = target_response.status;
         let resumes = self.progress.lock().last_event.is_some();
-        let mut buffer = EventBuffer::new(MAX_EVENT_BYTES);
+        let mut buffer = EventBuffer::default();
         let mut until = Instant::now() + IDLE_TIMEOUT;
         loop {
             match target_response.next(until.min(deadline)).await {
@@ -146,14 +145,13 @@
 
 /// Appends the text of an event to the progress, unless the event has no id or was received before.
 fn append_event(progress: &mut Progress, event: &[u8]) {
-    let Some(id) = parse_event_id(event) else {
+    let Some(id) = event_id(event) else {
         return;
     };
     if progress.last_event.is_some_and(|last| id <= last) {
         return;
     }
-    for data in lines(event).filter_map(|line| line.strip_prefix(b"data:")) {
-        let data = data.strip_prefix(b" ").unwrap_or(data);
+    for data in event_data(event) {
         if progress.last_event.is_some() || !progress.text.is_empty() {
             progress.text.push('\n');
         }
--- a/eel-gateway/src/online/attempts.rs
+++ b/eel-gateway/src/online/attempts.rs
@@ -45,7 +45,8 @@
         self.last = match failure {
             AttemptFailure::NoConnection | AttemptFailure::Misdirected => Reason::NoTarget,
             AttemptFailure::Full => Reason::Overloaded,
-            AttemptFailure::InvalidResponse | AttemptFailure::Truncated => Reason::TargetFailed,
+            AttemptFailure::InvalidResponse => Reason::TargetFailed,
+            AttemptFailure::Truncated => Reason::Truncated,
             AttemptFailure::TimedOut => Reason::DeadlineExceeded,
         };
         if verdict == Verdict::NotRun {
--- a/eel-gateway/src/online/stream.rs
+++ b/eel-gateway/src/online/stream.rs
@@ -3,8 +3,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use eel_events::{EventBuffer, EventScanner, each};
-use eel_platform::parse_event_id;
+use eel_events::{EventBuffer, EventScanner, each, event_id};
 use eel_table::RouteKind;
 use futures_util::{StreamExt as _, stream};
 use http::Response;
@@ -13,7 +12,7 @@
 use super::{attempts::Attempts, request::Request, run::run_attempts, serve::to_response};
 use crate::{
     http::{Body, TruncatedResponse, streamed},
-    target::{AttemptFailure, BodyFraming, MAX_EVENT_BYTES, TargetResponse, is_event_stream},
+    target::{AttemptFailure, BodyFraming, TargetResponse, has_events},
 };
 
 /// A stream that is relayed to the caller; dropping it closes the connection to the target, which stops its work.
@@ -77,8 +76,8 @@
 
 impl Content {
     fn of(request: &Request, target_response: &TargetResponse) -> Self {
-        let headers = &target_response.headers;
-        let has_events = target_response.status.is_success() && is_event_stream(headers);
+        let has_events =
+            target_response.status.is_success() && has_events(&target_response.headers);
         match request.route.kind {
             RouteKind::Stream {
                 resumable: true, ..
@@ -92,7 +91,7 @@
 
     fn resumable(last_event_id: Option<u64>) -> Self {
         Self::Resumable {
-            buffer: EventBuffer::new(MAX_EVENT_BYTES),
+            buffer: EventBuffer::default(),
             last_event_id,
         }
     }
@@ -108,13 +107,13 @@
                 let events = pushed.map_err(|_| AttemptFailure::InvalidResponse)?;
                 let last = events
                     .as_deref()
-                    .and_then(|it| each(it).filter_map(parse_event_id).last());
+                    .and_then(|it| each(it).filter_map(event_id).last());
                 *last_event_id = last.or(*last_event_id);
                 Ok(events)
             }
             Self::Events { scanner } => {
                 scanner.scan(&bytes);
-                if scanner.open_bytes() > MAX_EVENT_BYTES {
+                if scanner.is_too_long() {
                     return Err(AttemptFailure::InvalidResponse);
                 }
                 Ok(Some(bytes))
@@ -252,7 +251,7 @@
             );
             TruncatedResponse
         })?;
-        if !target_response.status.is_success() || !is_event_stream(&target_response.headers) {
+        if !target_response.status.is_success() || !has_events(&target_response.headers) {
             return Err(TruncatedResponse);
         }
         self.content = Content::resumable(last_event_id);
--- a/eel-gateway/src/target/framing.rs
+++ b/eel-gateway/src/target/framing.rs
@@ -1,11 +1,8 @@
 //! Decides whether the end of a response's body is that of a complete response.
 
-use eel_events::EventScanner;
+use eel_events::{EventScanner, is_event_stream};
 use http::{HeaderMap, HeaderValue, header};
 
-/// The length of an event, and of bytes that complete none, from which a stream counts as broken.
-pub const MAX_EVENT_BYTES: usize = 256 * 1024;
-
 /// What marks the end of a response's body (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyFraming {
@@ -62,10 +59,10 @@
     }
 }
 
-/// Returns whether a response with these `headers` on a route of streams is a stream of events.
+/// Returns whether a response with these `headers` on a route of streams has events: it does unless it says otherwise.
 #[must_use]
-pub fn is_event_stream(headers: &HeaderMap) -> bool {
+pub fn has_events(headers: &HeaderMap) -> bool {
     headers
         .get(header::CONTENT_TYPE)
-        .is_none_or(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
+        .is_none_or(|kind| is_event_stream(kind.as_bytes()))
 }
--- a/eel-gateway/src/target/mod.rs
+++ b/eel-gateway/src/target/mod.rs
@@ -6,5 +6,5 @@
 mod pool;
 
 pub(crate) use exchange::{AttemptFailure, OutgoingRequest, TargetResponse, exchange};
-pub(crate) use framing::{BodyFraming, MAX_EVENT_BYTES, is_event_stream};
+pub(crate) use framing::{BodyFraming, has_events};
 pub(crate) use pool::Pool;
