refactor(target): check the end of a response by one enum, and say once what ends an attempt

The check held a scanner, a flag and a tail, of which at most one was in use; it was named for the end marker alone. What interrupts an attempt was selected on twice. No change of what callers get.

--- a/eel-target/src/serve.rs
+++ b/eel-target/src/serve.rs
@@ -25,10 +25,10 @@
     metrics::{AttemptLabels, ClassLabel, Outcome},
 };
 
-mod end_marker;
+mod end_check;
 mod timing;
 
-use end_marker::{EndMarker, is_event_stream};
+use end_check::{EndCheck, has_events};
 use timing::Timing;
 
 /// The size of the reply buffer at which it is written to the stream.
@@ -236,10 +236,18 @@
     /// A non-repeatable request runs to its end even if its entry node is gone or has stopped the stream: stopping it
     /// midway would leave its effect unknown and gain nothing.
     async fn wait_for_interrupt(&self, send: &SendStream) -> Refusal {
-        let repeatable = self.request.repeatable;
+        tokio::select! {
+            refusal = self.wait_for_end() => refusal,
+            _ = send.stopped(), if self.request.repeatable => {
+                Refusal::may_have_run(Reason::Cancelled)
+            }
+        }
+    }
+
+    /// Waits for a cancellation or the deadline.
+    async fn wait_for_end(&self) -> Refusal {
         tokio::select! {
             () = self.ticket.cancelled() => Refusal::may_have_run(Reason::Cancelled),
-            _ = send.stopped(), if repeatable => Refusal::may_have_run(Reason::Cancelled),
             () = tokio::time::sleep_until(self.deadline) => {
                 Refusal::may_have_run(Reason::DeadlineExceeded)
             }
@@ -258,8 +266,8 @@
         buffer: &mut Vec<u8>,
     ) -> WireResult<AttemptResult> {
         let is_engine = self.link.context.config.is_engine(&self.request.service);
-        let is_stream = is_event_stream(response.headers());
-        let mut end_marker = EndMarker::new(is_stream, is_engine);
+        let is_stream = has_events(response.headers());
+        let mut end_check = EndCheck::new(is_stream, is_engine);
         codec::append(buffer, &self.head(&response))?;
         loop {
             let ready = response.chunk().now_or_never();
@@ -277,7 +285,7 @@
             match part {
                 Ok(Some(data)) => {
                     timing.on_part(data.len());
-                    end_marker.on_data(&data);
+                    end_check.on_data(&data);
                     append_data(buffer, data)?;
                     if buffer.len() >= FLUSH_BYTES
                         && let Err(refusal) = self.flush(send, buffer).await?
@@ -285,7 +293,7 @@
                         return Ok(AttemptResult::Blocked(refusal));
                     }
                 }
-                Ok(None) if end_marker.is_complete() => return Ok(AttemptResult::Answered),
+                Ok(None) if end_check.is_complete() => return Ok(AttemptResult::Answered),
                 Ok(None) | Err(_) => {
                     if let Err(refusal) = self.flush(send, buffer).await? {
                         return Ok(AttemptResult::Blocked(refusal));
@@ -307,10 +315,7 @@
     ) -> WireResult<Result<(), Refusal>> {
         tokio::select! {
             flushed = flush(send, buffer) => flushed.map(Ok),
-            () = self.ticket.cancelled() => Ok(Err(Refusal::may_have_run(Reason::Cancelled))),
-            () = tokio::time::sleep_until(self.deadline) => {
-                Ok(Err(Refusal::may_have_run(Reason::DeadlineExceeded)))
-            }
+            refusal = self.wait_for_end() => Ok(Err(refusal)),
         }
     }
 
--- a/eel-target/src/serve/end_check.rs
+++ b/eel-target/src/serve/end_check.rs
@@ -12,49 +12,53 @@
 const TAIL_BYTES: usize = 32;
 
 /// Returns `true` if a response with these headers is a stream of server-sent events.
-pub(super) fn is_event_stream(headers: &HeaderMap) -> bool {
+pub(super) fn has_events(headers: &HeaderMap) -> bool {
     headers
         .get(CONTENT_TYPE)
-        .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+        .is_some_and(|kind| eel_events::is_event_stream(kind.as_bytes()))
 }
 
-/// Checks whether a response that ended without an error is complete: a stream of events ends between two of them, and
-/// a streamed completion with the end marker.
-pub(super) struct EndMarker {
-    events: Option<EventScanner>,
-    required: bool,
-    tail: Vec<u8>,
+/// Checks whether a response that ended without an error is complete.
+pub(super) enum EndCheck {
+    /// Any end is complete.
+    None,
+    /// A stream of events is complete between two events.
+    Events(EventScanner),
+    /// A streamed completion is complete after the end marker; the tail of what was received. Some engines send no blank
+    /// line after it.
+    Marker(Vec<u8>),
 }
 
-impl EndMarker {
+impl EndCheck {
     /// Creates the check of a response; `is_stream` tells whether it is a stream of events, and `is_engine` whether its
     /// streams are completions.
     pub(super) fn new(is_stream: bool, is_engine: bool) -> Self {
-        Self {
-            events: is_stream.then(EventScanner::default),
-            required: is_stream && is_engine,
-            tail: Vec::new(),
+        match (is_stream, is_engine) {
+            (false, _) => Self::None,
+            (true, false) => Self::Events(EventScanner::default()),
+            (true, true) => Self::Marker(Vec::new()),
         }
     }
 
     pub(super) fn on_data(&mut self, data: &[u8]) {
-        if let Some(events) = &mut self.events {
-            events.scan(data);
+        match self {
+            Self::None => {}
+            Self::Events(scanner) => {
+                scanner.scan(data);
+            }
+            Self::Marker(tail) => {
+                tail.extend_from_slice(&data[data.len().saturating_sub(TAIL_BYTES)..]);
+                let surplus = tail.len().saturating_sub(TAIL_BYTES);
+                tail.drain(..surplus);
+            }
         }
-        if !self.required {
-            return;
-        }
-        let new_tail = &data[data.len().saturating_sub(TAIL_BYTES)..];
-        self.tail.extend_from_slice(new_tail);
-        let surplus = self.tail.len().saturating_sub(TAIL_BYTES);
-        self.tail.drain(..surplus);
     }
 
     pub(super) fn is_complete(&self) -> bool {
-        if self.required {
-            // Some engines send no blank line after the end marker.
-            return self.tail.trim_ascii_end().ends_with(DONE);
+        match self {
+            Self::None => true,
+            Self::Events(scanner) => !scanner.is_inside(),
+            Self::Marker(tail) => tail.trim_ascii_end().ends_with(DONE),
         }
-        !self.events.as_ref().is_some_and(EventScanner::is_inside)
     }
 }
