test(known-red): responses of sound targets that pause are cut

A target that pauses for 1,200 ms and goes on: resumable streams end after the events before the pause, alone and before targets that pause as well; an idempotent request gets 502. Streams and requests that may not be repeated arrive complete, beside a change of routes and a drain too. Items of jobs are interrupted after 1,500 ms of silence each time, and do not complete if each run pauses for longer.

--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod lost_entry;
 mod refused_requests;
 mod resumed_stream;
+mod silent_target;
 mod stale_watch;
 mod start_up;
 mod target_lifecycle;
