fix(gateway): keep the attempt at a silent target until another one has responded

Callers of resumable streams saw their connection cut, and callers of idempotent requests got 502, while a sound target paused for about a second.

Cause: an attempt was ended on the suspicion that its target is gone, and only then another target was looked for. If none had an idle slot, or all of them paused, nothing was left to respond with: the request was late and was rejected.

Now the silent attempt goes on while another target is tried beside it, and ends when that one has the head of a usable response. Attempts count from their start, so that the verdict and the limit of attempts hold also for those that are abandoned.

Ruled out: longer timeouts, which only move the limit, and none at all, which leaves requests at targets that are gone until their deadlines.

--- a/eel-gateway/src/online/attempts.rs
+++ b/eel-gateway/src/online/attempts.rs
@@ -1,4 +1,5 @@
-//! Decides whether a request is retried, how long an attempt may take, and how a request is refused. Performs no I/O.
+//! Decides whether a request is retried, when another target is tried beside a silent one, and how a request is refused.
+//! Performs no I/O.
 
 use std::time::Duration;
 
@@ -7,12 +8,12 @@
 
 use crate::target::AttemptFailure;
 
-/// The timeout of an attempt that may be retried at another target, as a multiple of the route's latency goal; for a
+/// How long a target may be silent before another one is tried, as a multiple of the route's latency goal; for a
 /// resumable stream that has started, as a multiple of the expected gap between two events.
-const TIMEOUT_GOALS: u32 = 3;
-/// The bounds of both timeouts.
-const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(200);
-const MAX_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(800);
+const TAKEOVER_GOALS: u32 = 3;
+/// The bounds of both delays.
+const MIN_TAKEOVER_DELAY: Duration = Duration::from_millis(200);
+const MAX_TAKEOVER_DELAY: Duration = Duration::from_millis(800);
 /// The maximum number of attempts that did not run, because the target refused them or could not be reached.
 const MAX_NOT_RUN_ATTEMPTS: u32 = 6;
 
@@ -21,6 +22,8 @@
 pub struct Attempts {
     /// The number of failed attempts that may have run.
     pub may_have_run: u32,
+    /// The number of attempts that have started and have not failed.
+    in_flight: u32,
     not_run: u32,
     verdict: Verdict,
     last: Reason,
@@ -30,6 +33,7 @@
     fn default() -> Self {
         Self {
             may_have_run: 0,
+            in_flight: 0,
             not_run: 0,
             verdict: Verdict::NotRun,
             last: Reason::NoTarget,
@@ -38,8 +42,14 @@
 }
 
 impl Attempts {
+    /// Records the start of an attempt.
+    pub fn on_start(&mut self) {
+        self.in_flight += 1;
+    }
+
     /// Records a failed attempt.
     pub fn on_failure(&mut self, failure: AttemptFailure) {
+        self.in_flight = self.in_flight.saturating_sub(1);
         let verdict = failure.verdict();
         self.verdict = self.verdict.and(verdict);
         self.last = match failure {
@@ -56,35 +66,31 @@
         }
     }
 
-    /// Returns whether the request may be retried at another target.
+    /// Returns whether the request may be sent to another target, also while earlier attempts are in flight.
     #[must_use]
-    pub fn may_retry(&self, route: &Route) -> bool {
-        let is_allowed = self.verdict.allows_retry(route.kind.is_repeatable());
-        is_allowed && self.may_have_run < route.max_attempts && self.not_run < MAX_NOT_RUN_ATTEMPTS
+    pub fn may_start(&self, route: &Route) -> bool {
+        let is_allowed = self.verdict().allows_retry(route.kind.is_repeatable());
+        let used = self.may_have_run + self.in_flight;
+        is_allowed && used < route.max_attempts.max(1) && self.not_run < MAX_NOT_RUN_ATTEMPTS
     }
 
-    /// Returns how long the next attempt may take until the head of its response; `None` if only the caller's deadline
-    /// limits it.
+    /// Returns how long an attempt may stay without the head of its response before another target is tried beside it.
     #[must_use]
-    pub fn attempt_timeout(&self, route: &Route) -> Option<Duration> {
-        let can_retry = route.kind.is_repeatable() && self.may_have_run + 1 < route.max_attempts;
-        let goal = Duration::from_millis(route.goal_ms);
-        can_retry.then(|| (goal * TIMEOUT_GOALS).clamp(MIN_ATTEMPT_TIMEOUT, MAX_ATTEMPT_TIMEOUT))
+    pub fn takeover_delay(route: &Route) -> Duration {
+        takeover_delay(route.goal_ms)
     }
 
-    /// Returns how long a resumable stream may stay without data; `None` if only the caller's deadline limits it.
+    /// Returns how long a stream may stay without a complete event before another target is tried beside it; `None` if no
+    /// other target can resume it.
     #[must_use]
-    pub fn event_timeout(&self, route: &Route) -> Option<Duration> {
-        let RouteKind::Stream {
-            resumable: true,
-            event_gap_ms,
-        } = route.kind
-        else {
-            return None;
-        };
-        let gap = Duration::from_millis(event_gap_ms);
-        let can_retry = self.may_have_run + 1 < route.max_attempts;
-        can_retry.then(|| (gap * TIMEOUT_GOALS).clamp(MIN_ATTEMPT_TIMEOUT, MAX_ATTEMPT_TIMEOUT))
+    pub fn event_takeover_delay(route: &Route) -> Option<Duration> {
+        match route.kind {
+            RouteKind::Stream {
+                resumable: true,
+                event_gap_ms,
+            } => Some(takeover_delay(event_gap_ms)),
+            _ => None,
+        }
     }
 
     /// Returns the refusal of a request whose attempts are used up.
@@ -105,9 +111,19 @@
         self.refuse(Reason::DeadlineExceeded, None)
     }
 
+    /// Returns whether the request may have run at any target so far.
+    fn verdict(&self) -> Verdict {
+        if self.in_flight > 0 {
+            self.verdict.and(Verdict::MayHaveRun)
+        } else {
+            self.verdict
+        }
+    }
+
     /// Builds a refusal. A status that promises "not run" is used only if no attempt can have run.
     fn refuse(&self, reason: Reason, retry_after_ms: Option<u64>) -> Refusal {
-        let has_run = self.verdict != Verdict::NotRun;
+        let verdict = self.verdict();
+        let has_run = verdict != Verdict::NotRun;
         let promises = matches!(reason.http_status(), 408 | 421 | 429 | 503);
         let reason = if has_run && promises {
             Reason::TargetFailed
@@ -115,9 +131,14 @@
             reason
         };
         Refusal {
-            verdict: self.verdict,
+            verdict,
             reason,
             retry_after_ms: retry_after_ms.filter(|_| !has_run),
         }
     }
 }
+
+fn takeover_delay(expected_ms: u64) -> Duration {
+    let delay = Duration::from_millis(expected_ms) * TAKEOVER_GOALS;
+    delay.clamp(MIN_TAKEOVER_DELAY, MAX_TAKEOVER_DELAY)
+}
--- a/eel-gateway/src/online/request.rs
+++ b/eel-gateway/src/online/request.rs
@@ -24,12 +24,14 @@
     pub context: Arc<Context>,
     pub route: Arc<Route>,
     pub service: Name,
-    pub outgoing: OutgoingRequest,
+    pub outgoing: Arc<OutgoingRequest>,
     pub arrived: Instant,
     /// The time by which the final response must be sent.
     pub deadline: Instant,
     /// The last event that the caller already has, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Whether the caller has got the start of a response, so that the request can be neither rejected nor refused.
+    pub has_response: bool,
     excluded: Vec<TargetKey>,
     /// The total time spent waiting for slots.
     pub waited: Duration,
@@ -48,23 +50,25 @@
             context,
             route,
             service,
-            outgoing: OutgoingRequest {
+            outgoing: Arc::new(OutgoingRequest {
                 method: head.method,
                 uri: origin_form(head.uri),
                 headers: head.headers,
                 body,
                 request_id: request_id.as_str().to_owned(),
                 adds_id: false,
-            },
+            }),
             arrived,
             deadline: arrived + allowed,
             last_event_id: fields.last_event_id,
+            has_response: false,
             excluded: Vec::new(),
             waited: Duration::ZERO,
         })
     }
 
-    /// Acquires a slot at a target that is not excluded; waits at most until [`FIRST_OUTPUT_MS`] before the deadline.
+    /// Acquires a slot at a target that is not excluded; waits at most until [`FIRST_OUTPUT_MS`] before the deadline. A
+    /// request that has a response waits that long rather than being rejected.
     pub async fn acquire_slot(&mut self) -> Result<SlotGuard, Rejection> {
         let now = Instant::now();
         let now_ms = self.context.clock.now_ms();
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -99,7 +99,7 @@
             }
             Err(failure) => {
                 attempts.on_failure(failure);
-                if !attempts.may_retry(&request.route) {
+                if !attempts.may_start(&request.route) {
                     return Err(attempts.give_up());
                 }
             }
@@ -112,7 +112,7 @@
 fn should_retry(request: &Request, attempts: &Attempts) -> bool {
     let mut after = *attempts;
     after.on_failure(AttemptFailure::InvalidResponse);
-    after.may_retry(&request.route) && Instant::now() < request.deadline
+    after.may_start(&request.route) && Instant::now() < request.deadline
 }
 
 fn is_large(target_response: &TargetResponse) -> bool {
--- a/eel-gateway/src/online/stream.rs
+++ b/eel-gateway/src/online/stream.rs
@@ -1,6 +1,6 @@
 //! Relays streams to callers and resumes an interrupted stream of events at another target if the route allows it.
 
-use std::time::Instant;
+use std::{sync::Arc, time::Instant};
 
 use bytes::Bytes;
 use eel_events::{EventBuffer, EventScanner, each, event_id};
@@ -9,18 +9,33 @@
 use http::Response;
 use tokio::{sync::mpsc, time::timeout_at};
 
-use super::{attempts::Attempts, request::Request, run::run_attempts, serve::to_response};
+use super::{
+    attempts::Attempts,
+    request::Request,
+    run::{First, InFlight, run_beside},
+    serve::to_response,
+};
 use crate::{
+    context::Context,
     http::{Body, TruncatedResponse, streamed},
-    target::{AttemptFailure, BodyFraming, TargetResponse, has_events},
+    target::{AttemptFailure, BodyFraming, OutgoingRequest, TargetResponse, has_events},
 };
 
 /// A stream that is relayed to the caller; dropping it closes the connection to the target, which stops its work.
 struct Relay {
     request: Request,
     attempts: Attempts,
-    target_response: Option<TargetResponse>,
+    source: Option<Source>,
+}
+
+/// The stream of the current target.
+struct Source {
+    target_response: TargetResponse,
     content: Content,
+    /// Whether the stream has failed.
+    has_ended: bool,
+    context: Arc<Context>,
+    outgoing: Arc<OutgoingRequest>,
 }
 
 /// What the current target sends.
@@ -38,17 +53,18 @@
 
 /// Relays the stream whose head is `target_response`, after `start`, the part of its body that was read before.
 pub fn relay(
-    request: Request,
+    mut request: Request,
     attempts: Attempts,
     target_response: TargetResponse,
     start: Bytes,
 ) -> Response<Body> {
     let (status, headers) = (target_response.status, target_response.headers.clone());
+    request.has_response = true;
+    let content = Content::of(&request, &target_response);
     let relay = Relay {
-        content: Content::of(&request, &target_response),
+        source: Some(Source::new(&request, target_response, content)),
         request,
         attempts,
-        target_response: Some(target_response),
     };
     let (sender, receiver) = mpsc::channel(1);
     tokio::spawn(relay.run(sender));
@@ -122,6 +138,19 @@
         }
     }
 
+    /// Returns the last event that the caller has got.
+    fn last_event_id(&self) -> Option<u64> {
+        match self {
+            Self::Resumable { last_event_id, .. } => *last_event_id,
+            Self::Events { .. } | Self::Bytes => None,
+        }
+    }
+
+    /// Returns whether another target can continue the response.
+    fn is_resumable(&self) -> bool {
+        matches!(self, Self::Resumable { .. })
+    }
+
     /// Returns whether the response is complete if its body ends here, without an error.
     fn is_complete(&self, framing: BodyFraming) -> bool {
         match self {
@@ -154,108 +183,119 @@
             match sent {
                 Ok(Ok(())) => {}
                 Ok(Err(_)) => return,
-                Err(_) => return self.record_end("not_read"),
+                Err(_) => {
+                    if let Some(source) = &self.source {
+                        source.record_end("not_read");
+                    }
+                    return;
+                }
             }
         }
     }
 
-    /// Returns the next bytes for the caller; `None` at the end of the stream.
+    /// Returns the next bytes for the caller; `None` at the end of the stream. An error truncates the caller's response.
     async fn next(&mut self) -> Result<Option<Bytes>, TruncatedResponse> {
-        // Bytes that complete no event do not extend the wait, and the time that the caller takes to read does not count.
-        let mut waiting_since = Instant::now();
-        loop {
-            let Some(target_response) = &mut self.target_response else {
-                return Ok(None);
-            };
-            let event_timeout = match self.content {
-                Content::Resumable { .. } => self.attempts.event_timeout(&self.request.route),
-                Content::Events { .. } | Content::Bytes => None,
+        while let Some(source) = &mut self.source {
+            let route = &self.request.route;
+            let delay = Attempts::event_takeover_delay(route);
+            let delay = delay.filter(|_| source.content.is_resumable());
+            let last_event_id = source.content.last_event_id();
+            // Bytes that complete no event do not extend the wait, and the time that the caller takes to read does not
+            // count.
+            let in_flight = InFlight {
+                read: source.next(self.request.deadline),
+                takeover_at: delay.map(|delay| Instant::now() + delay),
             };
-            let deadline = self.request.deadline;
-            let until = event_timeout.map_or(deadline, |event_timeout| {
-                (waiting_since + event_timeout).min(deadline)
-            });
-            let failure = match target_response.next(until).await {
+            let (request, attempts) = (&mut self.request, &mut self.attempts);
+            match run_beside(request, attempts, last_event_id, Some(in_flight)).await {
+                Ok(First::InFlight(Some(bytes))) => return Ok(Some(bytes)),
+                Ok(First::InFlight(None)) => self.finish(),
+                Ok(First::Response(target_response)) => {
+                    self.take_over(*target_response, last_event_id);
+                }
+                Err(refusal) => {
+                    log::info!(
+                        target: "online", request_id = self.request.outgoing.request_id.as_str();
+                        "A stream cannot be finished: {refusal}."
+                    );
+                    return Err(TruncatedResponse);
+                }
+            }
+        }
+        Ok(None)
+    }
+
+    /// Continues the stream with the response of another target, after the event `last_event_id`.
+    fn take_over(&mut self, target_response: TargetResponse, last_event_id: Option<u64>) {
+        if let Some(mut silent) = self.source.take()
+            && !silent.has_ended
+        {
+            self.attempts.on_failure(AttemptFailure::TimedOut);
+            silent.end(AttemptFailure::TimedOut);
+        }
+        let content = Content::resumable(last_event_id);
+        self.source = Some(Source::new(&self.request, target_response, content));
+    }
+
+    fn finish(&mut self) {
+        if let Some(source) = self.source.take() {
+            source.target_response.finish(&self.request.context.pool);
+        }
+    }
+}
+
+impl Source {
+    fn new(request: &Request, target_response: TargetResponse, content: Content) -> Self {
+        Self {
+            target_response,
+            content,
+            has_ended: false,
+            context: request.context.clone(),
+            outgoing: request.outgoing.clone(),
+        }
+    }
+
+    /// Returns the next bytes for the caller; `None` at the end of a complete response.
+    async fn next(&mut self, deadline: Instant) -> Result<Option<Bytes>, AttemptFailure> {
+        loop {
+            let failure = match self.target_response.next(deadline).await {
                 Ok(Some(bytes)) => match self.content.push(bytes) {
                     Ok(None) => continue,
                     Ok(events) => return Ok(events),
                     Err(failure) => failure,
                 },
-                Ok(None) if self.content.is_complete(target_response.framing) => {
+                Ok(None) if self.content.is_complete(self.target_response.framing) => {
                     self.record_end("complete");
-                    self.finish();
                     return Ok(None);
                 }
                 Ok(None) => AttemptFailure::Truncated,
                 Err(failure) => failure,
             };
-            self.record_end(match failure {
-                AttemptFailure::Truncated => "inside_event",
-                AttemptFailure::TimedOut => "timed_out",
-                _ => "failed",
-            });
-            self.resume(failure).await?;
-            waiting_since = Instant::now();
+            return Err(self.end(failure));
         }
     }
 
-    /// Counts and logs how the current target's stream ended.
+    /// Records the failure of the target's stream and returns it.
+    fn end(&mut self, failure: AttemptFailure) -> AttemptFailure {
+        self.has_ended = true;
+        self.record_end(match failure {
+            AttemptFailure::Truncated => "inside_event",
+            AttemptFailure::TimedOut => "timed_out",
+            _ => "failed",
+        });
+        self.target_response.fail(failure)
+    }
+
+    /// Counts and logs how the target's stream ended.
     fn record_end(&self, end: &'static str) {
-        let Some(target_response) = &self.target_response else {
-            return;
-        };
-        let framing = target_response.framing;
-        let metrics = &self.request.context.metrics;
-        metrics.count_stream_end(framing.as_str(), end);
+        let framing = self.target_response.framing;
+        self.context.metrics.count_stream_end(framing.as_str(), end);
         if end != "complete" || framing == BodyFraming::Connection {
             log::info!(
-                target: "online", request_id = self.request.outgoing.request_id.as_str(),
-                target_id = target_response.slot.target.id.as_str(), framing = framing.as_str(), end;
+                target: "online", request_id = self.outgoing.request_id.as_str(),
+                target_id = self.target_response.slot.target.id.as_str(), framing = framing.as_str(), end;
                 "A stream from a target ended."
             );
         }
     }
-
-    fn finish(&mut self) {
-        if let Some(target_response) = self.target_response.take() {
-            target_response.finish(&self.request.context.pool);
-        }
-    }
-
-    /// Resumes the stream at another target after the last complete event. An error truncates the caller's response.
-    async fn resume(&mut self, failure: AttemptFailure) -> Result<(), TruncatedResponse> {
-        self.attempts.on_failure(failure);
-        if let Some(mut target_response) = self.target_response.take() {
-            self.request.exclude(target_response.slot.key);
-            target_response.fail(failure);
-        }
-        let (is_resumable, last_event_id) = match self.content {
-            Content::Resumable { last_event_id, .. } => (true, last_event_id),
-            Content::Events { .. } | Content::Bytes => (false, None),
-        };
-        let may_retry = is_resumable && self.attempts.may_retry(&self.request.route);
-        log::info!(
-            target: "online", request_id = self.request.outgoing.request_id.as_str(),
-            last_event_id = last_event_id.unwrap_or(0), resumes = may_retry;
-            "A stream from a target was interrupted: {failure}."
-        );
-        if !may_retry || Instant::now() >= self.request.deadline {
-            return Err(TruncatedResponse);
-        }
-        let target_response =
-            run_attempts(&mut self.request, &mut self.attempts, last_event_id).await;
-        let target_response = target_response.map_err(|refusal| {
-            log::info!(
-                target: "online", request_id = self.request.outgoing.request_id.as_str();
-                "Cannot resume a stream: {refusal}."
-            );
-            TruncatedResponse
-        })?;
-        if !target_response.status.is_success() || !has_events(&target_response.headers) {
-            return Err(TruncatedResponse);
-        }
-        self.content = Content::resumable(last_event_id);
-        self.target_response = Some(target_response);
-        Ok(())
-    }
 }
--- a/eel-gateway/src/slots.rs
+++ b/eel-gateway/src/slots.rs
@@ -126,6 +126,13 @@
         read(&self.lock().dispatcher)
     }
 
+    /// Records that a target has sent nothing for a long time.
+    pub(crate) fn on_silence(&self, key: TargetKey) {
+        let now_ms = self.clock.now_ms();
+        let mut inner = self.lock();
+        inner.dispatcher.selector_mut().on_silence(now_ms, key);
+    }
+
     /// Returns the shortest time until the next report to `receivers` peers.
     pub(crate) fn report_interval(&self, receivers: usize) -> Duration {
         let is_busy = self.lock().dispatcher.is_busy(self.clock.now_ms());
@@ -212,12 +219,7 @@
 
     /// Records that the target has sent nothing for a long time.
     pub(crate) fn on_silence(&self) {
-        let now_ms = self.slots.clock.now_ms();
-        self.slots
-            .lock()
-            .dispatcher
-            .selector_mut()
-            .on_silence(now_ms, self.key);
+        self.slots.on_silence(self.key);
     }
 
     /// Records that the target has said that it is leaving.
