fix(gateway,fleet): let a response that has started wait for a slot

Callers of resumable streams saw their connection cut at the moment at which their target failed, if no other target had an idle slot just then.

Cause: a request that looks for another target is past its latency goal, and a request that cannot start in time is rejected on arrival. That is right where the caller can be told 'not run' and come back. A response that has started can only be cut.

Such requests now wait for a slot until their deadline, also while no target is usable, behind the requests that can still be in time.

broken_stream_waits_for_a_slot failed before with events 1 and 2 and a cut connection.

--- a/eel-fleet/src/dispatch.rs
+++ b/eel-fleet/src/dispatch.rs
@@ -34,6 +34,9 @@
     pub start_by_ms: u64,
     /// The latest start that is still of use to the caller.
     pub give_up_ms: u64,
+    /// Whether the request waits until `give_up_ms` even if it is not expected to start in time, because its caller cannot
+    /// be told any more that it did not run.
+    pub accepts_late: bool,
     /// Targets that must not be chosen, because the request was sent to them before.
     pub excluded: Vec<TargetKey>,
     /// Breaks ties between equally ranked targets; differs between requests.
@@ -119,6 +122,7 @@
             priority: arrival.priority,
             start_by_ms: arrival.start_by_ms,
             give_up_ms: arrival.give_up_ms,
+            accepts_late: arrival.accepts_late,
             excluded: arrival.excluded,
             tie_breaker: arrival.tie_breaker,
         };
@@ -133,7 +137,7 @@
         }
         let rejection = self.rejection(now_ms, &service, ahead);
         let starts_at_ms = now_ms.saturating_add(rejection.expected_wait_ms);
-        if starts_at_ms > waiting.start_by_ms.min(waiting.give_up_ms) {
+        if starts_at_ms > waiting.reject_after_ms() {
             return Decision::Reject(rejection);
         }
         let state = self.services.entry(service).or_default();
@@ -163,8 +167,8 @@
         Some(target)
     }
 
-    /// Starts the queued requests that find a slot. Rejects those whose start is no longer of use, and late ones whose
-    /// service has no usable target.
+    /// Starts the queued requests that find a slot. Rejects those whose start is no longer of use, and those whose service
+    /// has no usable target after the time until which they wait.
     ///
     /// Call it after every change of targets or load, and as time passes.
     pub fn dispatch_waiting(&mut self, now_ms: u64) -> Vec<Dequeued> {
@@ -311,9 +315,9 @@
         Some(target)
     }
 
-    /// Returns whether a late request waits for a service without any usable target.
+    /// Returns whether a request that may be rejected waits for a service without any usable target.
     fn is_unservable(&self, now_ms: u64, service: &Name, waiting: &QueuedRequest) -> bool {
-        now_ms > waiting.start_by_ms && self.selector.slots(now_ms, service) == 0
+        now_ms > waiting.reject_after_ms() && self.selector.slots(now_ms, service) == 0
     }
 
     /// Builds a rejection. The expected wait assumes that a slot becomes free every `run_time / slots`.
--- a/eel-fleet/src/queue.rs
+++ b/eel-fleet/src/queue.rs
@@ -21,6 +21,8 @@
     pub start_by_ms: u64,
     /// The latest start that is still of use to the caller.
     pub give_up_ms: u64,
+    /// Whether the request waits until `give_up_ms` even if it is not expected to start in time.
+    pub accepts_late: bool,
     /// Targets that must not be chosen, because the request was sent to them before.
     pub excluded: Vec<TargetKey>,
     /// Breaks ties between equally ranked targets; differs between requests.
@@ -72,6 +74,15 @@
 }
 
 impl QueuedRequest {
+    /// Returns the time after which the request is rejected rather than kept waiting.
+    pub fn reject_after_ms(&self) -> u64 {
+        if self.accepts_late {
+            self.give_up_ms
+        } else {
+            self.start_by_ms.min(self.give_up_ms)
+        }
+    }
+
     fn rank(&self, now_ms: u64) -> (bool, u8, u64) {
         let is_late = now_ms > self.start_by_ms;
         let by_ms = if is_late {
--- a/eel-fleet/tests/fleet/fixture.rs
+++ b/eel-fleet/tests/fleet/fixture.rs
@@ -67,6 +67,7 @@
         priority: 0,
         start_by_ms,
         give_up_ms,
+        accepts_late: false,
         excluded: Vec::new(),
         tie_breaker: 1,
     }
--- a/eel-fleet/tests/fleet/waiting_requests.rs
+++ b/eel-fleet/tests/fleet/waiting_requests.rs
@@ -4,7 +4,8 @@
 //! cannot start in time, and against wrong retry delays.
 
 use eel_fleet::{
-    AttemptOutcome, Decision, Dequeued, Dispatcher, Rejection, TargetKey, TicketKey, WorkKind,
+    Arrival, AttemptOutcome, Decision, Dequeued, Dispatcher, Rejection, TargetKey, TicketKey,
+    WorkKind,
 };
 use eel_types::Name;
 
@@ -246,3 +247,40 @@
         "the request cannot start in time: {decision:?}"
     );
 }
+
+#[test]
+fn started_response_waits_until_its_deadline() {
+    let service = Name::from(SERVICE);
+    let started = || Arrival {
+        accepts_late: true,
+        ..arrival(&service, 0, 2_000)
+    };
+    let mut dispatcher = dispatcher(1);
+    let key = start(&mut dispatcher, 0);
+    let Decision::Wait(ticket) = dispatcher.arrive(10, started()) else {
+        panic!("the request is rejected");
+    };
+    dispatcher.end(
+        20,
+        SERVICE,
+        key,
+        WorkKind::Online,
+        AttemptOutcome::Failed,
+        20,
+    );
+    assert!(
+        dispatcher.dispatch_waiting(30).is_empty(),
+        "no usable target"
+    );
+    assert_eq!(
+        tickets(dispatcher.dispatch_waiting(1_000)),
+        [(ticket, true)]
+    );
+    let Decision::Wait(ticket) = dispatcher.arrive(1_010, started()) else {
+        panic!("the request is rejected");
+    };
+    assert_eq!(
+        tickets(dispatcher.dispatch_waiting(2_000)),
+        [(ticket, false)]
+    );
+}
--- a/eel-gateway/src/online/request.rs
+++ b/eel-gateway/src/online/request.rs
@@ -83,6 +83,7 @@
             priority: self.route.priority,
             start_by_ms: now_ms + goal_left_ms.min(left_ms),
             give_up_ms: now_ms + left_ms.saturating_sub(FIRST_OUTPUT_MS),
+            accepts_late: self.has_response,
             excluded: self.excluded.clone(),
             tie_breaker: stable_hash(&self.outgoing.request_id),
         };
--- a/eel-gateway/tests/gateway/resumed_stream.rs
+++ b/eel-gateway/tests/gateway/resumed_stream.rs
@@ -1,13 +1,16 @@
 //! Streams that a target interrupts.
 //!
-//! Guards against lost or repeated events after a resume, against a truncated stream that looks complete, and against a
-//! target that keeps a stream open without end by bytes that complete no event.
+//! Guards against lost or repeated events after a resume, against a truncated stream that looks complete, against a
+//! target that keeps a stream open without end by bytes that complete no event, and against a stream that is cut because no
+//! other target has an idle slot at that moment.
+
+use std::time::Duration;
 
 use eel_platform::standin::{Behaviour, StandInTarget};
 
 use crate::fixture::{events, fleet};
 
-use Behaviour::{DisconnectsAfter, DripsAfter, Full, Responds};
+use Behaviour::{DisconnectsAfter, DripsAfter, Full, PausesAfter, Responds};
 
 #[tokio::test]
 async fn resumed_at_another_target() {
@@ -62,6 +65,24 @@
     assert_eq!(events(response).await, (vec![1, 2, 3, 4, 5], true));
 }
 
+#[tokio::test]
+async fn broken_stream_waits_for_a_slot() {
+    let fleet = fleet(1, 2).await;
+    let busy = PausesAfter(1, Duration::from_millis(600));
+    fleet.targets[0].share_script(
+        &fleet.targets[1],
+        &[busy, busy, busy, DisconnectsAfter(2), Responds],
+    );
+    let mut others = Vec::new();
+    for id in ["r1", "r2", "r3"] {
+        let sent = fleet.post(0, "/once-stream/1", id).send().await;
+        others.push(sent.expect("a response"));
+    }
+    let sent = fleet.post(0, "/resumable-stream/1", "r4").send().await;
+    let received = events(sent.expect("a response")).await;
+    assert_eq!(received, (vec![1, 2, 3, 4, 5], true));
+}
+
 #[tokio::test]
 async fn truncated_stream_is_aborted() {
     // The route allows two runs, and both are interrupted.
