fix(gateway): wait longer for an item whose earlier runs were silent

Items of jobs did not complete while their targets paused for longer than 1,500 ms in each run: each run was interrupted before it brought an event, at every target.

The idle timeout of an item doubles with each run that was interrupted for silence. Its first runs still leave a target that is gone as soon as before.

--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -15,8 +15,11 @@
     target::{AttemptFailure, OutgoingRequest, TargetResponse, exchange},
 };
 
-/// How long a run may receive no complete event before it is interrupted, to be tried at another target.
+/// How long a run may receive no complete event before it is interrupted, to be tried at another target; doubled for each
+/// earlier run that was silent for too long, since all targets may be slow.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The maximum number of doublings; the deadline of a run comes first.
+const MAX_IDLE_DOUBLINGS: u32 = 6;
 /// The maximum time from the start of a run to its deadline.
 const MAX_RUN_TIME: Duration = Duration::from_mins(1);
 
@@ -56,22 +59,28 @@
         let left_ms = self.head.give_up_unix_ms.saturating_sub(now_unix_ms());
         let deadline = now + Duration::from_millis(left_ms).min(MAX_RUN_TIME);
         let pool = &self.context.pool;
-        let until = now + IDLE_TIMEOUT;
+        let idle_timeout = self.idle_timeout();
+        let until = (now + idle_timeout).min(deadline);
         let last_event = self.progress.lock().last_event;
         match exchange(pool, slot, &outgoing, last_event, until, deadline).await {
-            Ok(target_response) => self.read(target_response, deadline).await,
+            Ok(target_response) => self.read(target_response, idle_timeout, deadline).await,
             Err(failure) => {
                 log::debug!(target: "jobs", "A run of item {} got no response: {failure}.", self.item.id);
-                self.interrupted()
+                self.failed(failure)
             }
         }
     }
 
-    async fn read(&mut self, mut target_response: TargetResponse, deadline: Instant) -> RunOutcome {
+    async fn read(
+        &mut self,
+        mut target_response: TargetResponse,
+        idle_timeout: Duration,
+        deadline: Instant,
+    ) -> RunOutcome {
         let status = target_response.status;
         let resumes = self.progress.lock().last_event.is_some();
         let mut buffer = EventBuffer::default();
-        let mut until = Instant::now() + IDLE_TIMEOUT;
+        let mut until = Instant::now() + idle_timeout;
         loop {
             match target_response.next(until.min(deadline)).await {
                 Ok(Some(bytes)) if status.is_success() => {
@@ -84,7 +93,7 @@
                             return self.interrupted();
                         }
                     };
-                    until = Instant::now() + IDLE_TIMEOUT;
+                    until = Instant::now() + idle_timeout;
                     let mut progress = self.progress.lock();
                     each(&complete).for_each(|event| append_event(&mut progress, event));
                     if progress.text.len() > MAX_TEXT_BYTES {
@@ -98,7 +107,7 @@
                 Ok(None) => break,
                 Err(failure) => {
                     log::debug!(target: "jobs", "A run of item {} was interrupted: {failure}.", self.item.id);
-                    return self.interrupted();
+                    return self.failed(failure);
                 }
             }
         }
@@ -120,6 +129,19 @@
         }
     }
 
+    fn idle_timeout(&self) -> Duration {
+        let doublings = self.progress.lock().silences.min(MAX_IDLE_DOUBLINGS);
+        IDLE_TIMEOUT * (1 << doublings)
+    }
+
+    /// Returns the outcome of a run whose target failed or was silent.
+    fn failed(&mut self, failure: AttemptFailure) -> RunOutcome {
+        if failure == AttemptFailure::TimedOut {
+            self.progress.lock().silences += 1;
+        }
+        self.interrupted()
+    }
+
     /// Returns the outcome of an interrupted run, with the item's progress.
     pub fn interrupted(&mut self) -> RunOutcome {
         RunOutcome::Interrupted(self.progress.take())
--- a/eel-gateway/tests/gateway/silent_target.rs
+++ b/eel-gateway/tests/gateway/silent_target.rs
@@ -118,7 +118,7 @@
 #[tokio::test]
 async fn two_silent_targets_do_not_run_on_together() {
     let fleet = fleet(1, 2).await;
-    let long = Duration::from_millis(2_000);
+    let long = Duration::from_secs(2);
     fleet.targets[0].share_script(
         &fleet.targets[1],
         &[PausesAfter(2, long), PausesBeforeHead(long)],
@@ -132,7 +132,7 @@
         fleet
             .targets
             .iter()
-            .map(|it| it.open_requests())
+            .map(StandInTarget::open_requests)
             .sum::<u32>()
             == 1
     })
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -37,6 +37,8 @@
     pub last_event: Option<u64>,
     /// The number of failed runs.
     pub failures: u32,
+    /// The number of runs that were interrupted because their target was silent.
+    pub silences: u32,
 }
 
 /// How a run of an item ended.
--- a/eel-ledger/tests/ledger/next_item.rs
+++ b/eel-ledger/tests/ledger/next_item.rs
@@ -24,6 +24,7 @@
         text: text.into(),
         last_event: Some(last_event),
         failures: 0,
+        silences: 0,
     }
 }
 
--- a/eel-ledger/tests/ledger/partial_texts.rs
+++ b/eel-ledger/tests/ledger/partial_texts.rs
@@ -22,6 +22,7 @@
         text: words.join("\n"),
         last_event: (events > 0).then_some(events),
         failures: 0,
+        silences: 0,
     }
 }
 
@@ -190,6 +191,7 @@
         text: "w".repeat(bytes),
         last_event: Some(1),
         failures: 0,
+        silences: 0,
     };
     let running = [(long, progress(700_000)), (short, progress(10))];
     for (item, _) in &running {
