fix(entry): read replies that were received before their link closed

Callers of a target node that ended after a drain now and then got a cut stream or the verdict may-have-run, although the complete reply had arrived: `graceful_stop::no_request_is_cut` failed once in a whole run with `Disconnected`.

The target node waits until its replies are acknowledged and then closes its links. The entry node's transport acknowledges a reply before it is read. The close ends the control stream, which marks the connection as lost, and an attempt whose reply could be read then chose at random between the reply and the loss: once for each message that was left.

Ruled out: that the target node closes before its last bytes are acknowledged.

An attempt now reads what was received before it takes notice of the loss. The transport returns received data before its own error, so a reply that is incomplete still ends at once.

--- a/eel-entry/src/link/attempt.rs
+++ b/eel-entry/src/link/attempt.rs
@@ -11,6 +11,7 @@
 };
 use error_stack::Report;
 use quinn::RecvStream;
+use tokio_util::sync::CancellationToken;
 
 use super::{Link, Session, settle::settle};
 
@@ -65,10 +66,7 @@
         let Some((mut send, mut recv)) = opened else {
             return Err(Refusal::not_run(Reason::TargetFailed));
         };
-        let exchanged = tokio::select! {
-            head = exchange(&mut send, &mut recv, request) => head,
-            () = lost.cancelled() => Err(Report::new(eel_wire::Error::Closed)),
-        };
+        let exchanged = unless_lost(&lost, exchange(&mut send, &mut recv, request)).await;
         match exchanged {
             Ok(ServeReply::Head(head)) if head.key == self.key => Ok(Reply {
                 head,
@@ -92,6 +90,19 @@
     }
 }
 
+/// Waits for `reply` until the connection is lost. A reply that was received before then is still returned: the target
+/// node closes the connection once its transport has the acknowledgements, not once its replies have been read.
+async fn unless_lost(
+    lost: &CancellationToken,
+    reply: impl Future<Output = Result<ServeReply, Report<eel_wire::Error>>>,
+) -> Result<ServeReply, Report<eel_wire::Error>> {
+    tokio::select! {
+        biased;
+        reply = reply => reply,
+        () = lost.cancelled() => Err(Report::new(eel_wire::Error::Closed)),
+    }
+}
+
 async fn exchange(
     send: &mut quinn::SendStream,
     recv: &mut RecvStream,
@@ -115,13 +126,8 @@
     /// The target node's refusal, or [`Reason::Truncated`] if the reply ends before its end marker or belongs to
     /// another attempt.
     pub(crate) async fn next(&mut self) -> Result<ReplyPart, Refusal> {
-        let read = tokio::select! {
-            reply = read_reply(&mut self.recv) => reply,
-            () = self.attempt.session.lost.cancelled() => {
-                Err(Report::new(eel_wire::Error::Closed))
-            }
-        };
-        match read {
+        let lost = &self.attempt.session.lost;
+        match unless_lost(lost, read_reply(&mut self.recv)).await {
             Ok(ServeReply::Data(data)) => {
                 self.body_bytes += data.len() as u64;
                 Ok(ReplyPart::Data(data))
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -19,4 +19,5 @@
 mod resent_request;
 mod silent_link;
 mod store_outage;
+mod unread_reply;
 mod whole_path;
