fix(gateway): answer a stream that fails before its first byte

The connection of a caller was closed without any part of the body, after the head of a success at the most, when the target's stream failed before its first byte on a route that is not resumable, or at the last target of a resumable one.

Cause: the response to the caller began with the head of the target's response, after which a failure can only cut it.

A stream is now passed on from its first bytes on. Before that, it is retried where the route allows it, and a failure has a status that says whether the request may have run.

--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -74,7 +74,8 @@
     last_event_id: Option<u64>,
     in_flight: Option<InFlight<impl Future<Output = Result<T, AttemptFailure>>>>,
 ) -> Result<First<T>, Refusal> {
-    let mut has_in_flight = in_flight.is_some();
+    let continues = in_flight.is_some();
+    let mut has_in_flight = continues;
     let first_start_at = in_flight
         .as_ref()
         .map_or_else(|| Some(Instant::now()), |it| it.takeover_at);
@@ -116,7 +117,7 @@
             },
             (ended, response) = next_response(&mut running), if !running.is_empty() => {
                 let is_last = running.is_empty() && !has_in_flight;
-                match check(request, response, is_last) {
+                match check(response, continues, is_last) {
                     Ok(target_response) => {
                         for silent in &running {
                             request.context.slots.on_silence(silent.key);
@@ -199,16 +200,16 @@
     (running.remove(index), response)
 }
 
-/// Checks whether a response ends the other attempts: it continues what the caller has already got, or is no failure while
+/// Checks whether a response ends the other attempts: it can continue the stream if one has started, and is no failure if
 /// another attempt is in flight.
 fn check(
-    request: &Request,
     response: Result<TargetResponse, AttemptFailure>,
+    continues: bool,
     is_last: bool,
 ) -> Result<Box<TargetResponse>, AttemptFailure> {
     let mut target_response = response?;
     let status = target_response.status;
-    let is_usable = if request.has_response {
+    let is_usable = if continues {
         status.is_success() && has_events(&target_response.headers)
     } else {
         is_last || !status.is_server_error()
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -12,7 +12,7 @@
     attempts::Attempts,
     request::{Request, whole_ms},
     run::run_attempts,
-    stream,
+    stream::Relay,
 };
 use crate::{
     context::Context,
@@ -49,22 +49,36 @@
             response
         }
         Ok(Served::Stream(target_response, start)) => {
-            log_end(&request, &attempts, target_response.status, "streaming");
-            stream::relay(request, attempts, *target_response, start)
+            serve_stream(Relay::new(request, attempts, *target_response, start)).await
         }
-        Err(refusal) => {
-            let response = refuse(&refusal);
-            log_end(
-                &request,
-                &attempts,
-                response.status(),
-                refusal.reason.as_str(),
-            );
-            response
+        Err(refusal) => log_refusal(&request, &attempts, &refusal),
+    }
+}
+
+/// Responds once the stream has started: before that, a failure still has a status.
+async fn serve_stream(mut relay: Relay) -> Response<Body> {
+    let started = relay.read_start().await;
+    let (request, attempts) = (&relay.request, &relay.attempts);
+    match started {
+        Ok(()) => {
+            log_end(request, attempts, relay.status, "streaming");
+            relay.into_response()
         }
+        Err(refusal) => log_refusal(request, attempts, &refusal),
     }
 }
 
+fn log_refusal(request: &Request, attempts: &Attempts, refusal: &Refusal) -> Response<Body> {
+    let response = refuse(refusal);
+    log_end(
+        request,
+        attempts,
+        response.status(),
+        refusal.reason.as_str(),
+    );
+    response
+}
+
 enum Served {
     Complete(Response<Body>),
     /// A response that is passed on as it arrives, and the start of its body.
--- a/eel-gateway/src/online/stream.rs
+++ b/eel-gateway/src/online/stream.rs
@@ -5,8 +5,9 @@
 use bytes::Bytes;
 use eel_events::{EventBuffer, EventScanner, each, event_id};
 use eel_table::RouteKind;
+use eel_verdict::Refusal;
 use futures_util::{StreamExt as _, stream};
-use http::Response;
+use http::{HeaderMap, Response, StatusCode};
 use tokio::{sync::mpsc, time::timeout_at};
 
 use super::{
@@ -22,9 +23,14 @@
 };
 
 /// A stream that is relayed to the caller; dropping it closes the connection to the target, which stops its work.
-struct Relay {
-    request: Request,
-    attempts: Attempts,
+pub struct Relay {
+    pub request: Request,
+    pub attempts: Attempts,
+    /// The status and headers of the first target's response.
+    pub status: StatusCode,
+    headers: HeaderMap,
+    /// The part of the body that was read before.
+    start: Bytes,
     source: Option<Source>,
 }
 
@@ -51,28 +57,6 @@
     Bytes,
 }
 
-/// Relays the stream whose head is `target_response`, after `start`, the part of its body that was read before.
-pub fn relay(
-    mut request: Request,
-    attempts: Attempts,
-    target_response: TargetResponse,
-    start: Bytes,
-) -> Response<Body> {
-    let (status, headers) = (target_response.status, target_response.headers.clone());
-    request.has_response = true;
-    let content = Content::of(&request, &target_response);
-    let relay = Relay {
-        source: Some(Source::new(&request, target_response, content)),
-        request,
-        attempts,
-    };
-    let (sender, receiver) = mpsc::channel(1);
-    tokio::spawn(relay.run(sender));
-    let start = (!start.is_empty()).then_some(Ok(start));
-    let pieces = stream::iter(start).chain(stream::unfold(Some(receiver), receive));
-    to_response(status, &headers, streamed(pieces))
-}
-
 type Piece = Result<Option<Bytes>, TruncatedResponse>;
 
 /// Receives the next piece. A relay that ends without having sent the end of the stream truncates the response.
@@ -165,13 +149,56 @@
 }
 
 impl Relay {
+    /// Creates the relay of the stream whose head is `target_response`; `start` is the part of its body that was read
+    /// before.
+    pub fn new(
+        request: Request,
+        attempts: Attempts,
+        target_response: TargetResponse,
+        start: Bytes,
+    ) -> Self {
+        let content = Content::of(&request, &target_response);
+        Self {
+            status: target_response.status,
+            headers: target_response.headers.clone(),
+            start,
+            source: Some(Source::new(&request, target_response, content)),
+            request,
+            attempts,
+        }
+    }
+
+    /// Waits for the first bytes of the body.
+    ///
+    /// # Errors
+    ///
+    /// The refusal to send to the caller if no target's stream starts.
+    pub async fn read_start(&mut self) -> Result<(), Refusal> {
+        if self.start.is_empty() {
+            self.start = self.next().await?.unwrap_or_default();
+        }
+        Ok(())
+    }
+
+    /// Returns the response to the caller and relays the rest of its body.
+    pub fn into_response(mut self) -> Response<Body> {
+        self.request.has_response = true;
+        let start = std::mem::take(&mut self.start);
+        let start = (!start.is_empty()).then_some(Ok(start));
+        let (status, headers) = (self.status, std::mem::take(&mut self.headers));
+        let (sender, receiver) = mpsc::channel(1);
+        tokio::spawn(self.run(sender));
+        let pieces = stream::iter(start).chain(stream::unfold(Some(receiver), receive));
+        to_response(status, &headers, streamed(pieces))
+    }
+
     /// Sends the stream to `sender` until it ends, the caller leaves or the deadline passes. The deadline holds as well
     /// while the caller does not read.
     async fn run(mut self, sender: mpsc::Sender<Piece>) {
         let deadline = self.request.deadline;
         loop {
             let piece = tokio::select! {
-                piece = self.next() => piece,
+                piece = self.next() => piece.map_err(|_| TruncatedResponse),
                 () = sender.closed() => return,
             };
             if !matches!(piece, Ok(Some(_))) {
@@ -193,8 +220,9 @@
         }
     }
 
-    /// Returns the next bytes for the caller; `None` at the end of the stream. An error truncates the caller's response.
-    async fn next(&mut self) -> Result<Option<Bytes>, TruncatedResponse> {
+    /// Returns the next bytes for the caller; `None` at the end of the stream. An error truncates a response that has
+    /// started.
+    async fn next(&mut self) -> Result<Option<Bytes>, Refusal> {
         while let Some(source) = &mut self.source {
             let route = &self.request.route;
             let delay = Attempts::event_takeover_delay(route);
@@ -218,7 +246,7 @@
                         target: "online", request_id = self.request.outgoing.request_id.as_str();
                         "A stream cannot be finished: {refusal}."
                     );
-                    return Err(TruncatedResponse);
+                    return Err(refusal);
                 }
             }
         }
--- a/eel-gateway/tests/gateway/body_ends.rs
+++ b/eel-gateway/tests/gateway/body_ends.rs
@@ -52,11 +52,13 @@
     for (response, is_truncated) in stream_cases() {
         let raw = raw_fleet(&[response]).await;
         let sent = raw.fleet.post(0, "/once-stream/1", "r1").send().await;
-        // A stream that fails before its first byte may have no response at all.
-        let (mut ids, is_whole) = match sent {
-            Ok(response) => events(response).await,
-            Err(_) => (Vec::new(), false),
-        };
+        let received = sent.expect("a response");
+        // A stream that fails before its first byte has a status that says so.
+        let fails_at_start = is_truncated && response.cut == Empty;
+        let status = if fails_at_start { 502 } else { 200 };
+        assert_eq!(received.status().as_u16(), status, "{response:?}");
+        let (mut ids, is_whole) = events(received).await;
+        let is_whole = is_whole && !fails_at_start;
         ids.truncate(sent_events(response.cut).len());
         if is_whole == is_truncated || ids != sent_events(response.cut) {
             wrong.push((response, ids, is_whole));
