test(known-red): a part of a prompt on which targets crash takes one after the other down

Requests that share a part of their prompt crash every target that begins to respond to them. The nodes know nothing of parts: they send each such request to the next target, and a broken one that may be retried to a second, until all are down; sound requests then get 503. Six tests show it on four nodes and twelve targets, which restart after a second, mostly under new ids:

- three seconds after the fifth crash, 24 or 25 of 40 more requests with the part reach targets; 25 after a restart of all nodes, and 8 while the store is away, which is each target that the nodes still know;
- 14 to 19 of 40 sound requests that share the other parts fail;
- 192 to 363 runs of 20 items with the part reach targets: a run that breaks off counts as no failure, so such an item is run again until its job is given up.

At most three may reach targets in each case, and no sound request may fail.

Three tests pass and hold the other side: parts that sound requests share are not blamed when four targets crash at once, twice, or when targets reset connections early in responses and stay up.

--- a/eel-gateway/tests/gateway/fixture.rs
+++ b/eel-gateway/tests/gateway/fixture.rs
@@ -143,10 +143,25 @@
 
     /// Submits a job through a route, with one item per path; returns the status.
     pub async fn submit_to(&self, route: &str, node: usize, id: &str, paths: &[&str]) -> u16 {
+        let items: Vec<(String, Value)> = paths
+            .iter()
+            .map(|path| (format!("/{route}/{path}"), json!({})))
+            .collect();
+        self.submit_items(route, node, id, &items).await
+    }
+
+    /// Submits a job through a route, with one item per path and headers; returns the status.
+    pub async fn submit_items(
+        &self,
+        route: &str,
+        node: usize,
+        id: &str,
+        items: &[(String, Value)],
+    ) -> u16 {
         let items: Vec<Value> = (0..)
-            .zip(paths)
-            .map(|(number, path): (usize, _)| {
-                json!({"id": format!("{id}-{number}"), "path": format!("/{route}/{path}"), "headers": {}, "body": "cQ=="})
+            .zip(items)
+            .map(|(number, (path, headers)): (usize, _)| {
+                json!({"id": format!("{id}-{number}"), "path": path, "headers": headers, "body": "cQ=="})
             })
             .collect();
         let body = json!({"items": items}).to_string();
--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod batch_takeover;
 mod body_ends;
 mod endless_bytes;
+mod fatal_part;
 mod fixture;
 mod graceful_stop;
 mod leaving_caller;
