feat(quarantine,gateway): keep prompts that crash targets from targets

Callers of a service lost all of its targets, one after the other: requests that share one part of their prompt crashed each target that began a response on it. Nodes retried them at the next target, took the target for the culprit, and knew nothing of the parts of prompts.

A set of parts that three crashes of different targets, under two requests or more, have in common is blocked, unless a response with the part was completed meanwhile; a part that completed responses within a minute before needs eight. Crashes at the same moment count once. Requests with all parts of a blocked set are rejected with 'not run', and items wait, until they are given up. Blocked sets are kept in the store, where restarted nodes find them before they take requests; one request may be tried after a minute, then ever more rarely, by the node whose write to the store succeeds. A completed response with the parts ends the block everywhere.

Ruled out: to blame single parts (a part that only stands beside the guilty one would block sound requests), to ask only the store (it may be away), and to add the crashes to load reports, whose size bounds the targets that they can hold.

--- a/eel-batch/src/runner/slot.rs
+++ b/eel-batch/src/runner/slot.rs
@@ -108,8 +108,10 @@
         | Reason::UnknownService
         | Reason::RequestTimeout
         | Reason::Conflict => RefusalKind::Failed,
-        Reason::BadRequest | Reason::Unauthorized | Reason::Forbidden | Reason::TooLarge => {
-            RefusalKind::Permanent
-        }
+        Reason::BadRequest
+        | Reason::Unauthorized
+        | Reason::Forbidden
+        | Reason::TooLarge
+        | Reason::Quarantined => RefusalKind::Permanent,
     }
 }
--- a/eel-events/src/scanner.rs
+++ b/eel-events/src/scanner.rs
@@ -12,7 +12,7 @@
     line: Line,
     is_after_cr: bool,
     has_fields: bool,
-    has_events: bool,
+    events: u64,
     /// How many bytes follow the last complete event.
     open_bytes: usize,
 }
@@ -52,7 +52,13 @@
     /// Returns whether an event is complete.
     #[must_use]
     pub fn has_events(&self) -> bool {
-        self.has_events
+        self.events > 0
+    }
+
+    /// Returns the number of complete events.
+    #[must_use]
+    pub fn events(&self) -> u64 {
+        self.events
     }
 
     /// Returns whether more bytes follow the last complete event than one event may have, 256 KiB.
@@ -76,7 +82,7 @@
             (b'\n', _) if is_after_cr => {}
             (b'\n' | b'\r', Line::Start) => {
                 let ends_event = std::mem::take(&mut self.has_fields);
-                self.has_events |= ends_event;
+                self.events += u64::from(ends_event);
                 return ends_event;
             }
             (b'\n' | b'\r', Line::Comment | Line::Field) => self.line = Line::Start,
--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -6,11 +6,15 @@
 };
 
 use eel_events::{EventBuffer, each, event_data, event_id};
+use eel_fleet::{TargetEntry, stable_hash};
 use eel_ledger::{Item, JobHead, MAX_TEXT_BYTES, Progress, RunOutcome};
+use eel_platform::shared_parts_of;
+use eel_quarantine::{MAX_FIRST_EVENTS, Prompt};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 
 use crate::{
     context::{Context, now_unix_ms},
+    quarantine,
     slots::SlotGuard,
     target::{AttemptFailure, OutgoingRequest, TargetResponse, exchange},
 };
@@ -59,6 +63,7 @@
         let left_ms = self.head.give_up_unix_ms.saturating_sub(now_unix_ms());
         let deadline = now + Duration::from_millis(left_ms).min(MAX_RUN_TIME);
         let pool = &self.context.pool;
+        let target = slot.target.clone();
         let idle_timeout = self.idle_timeout();
         let until = (now + idle_timeout).min(deadline);
         let last_event = self.progress.lock().last_event;
@@ -66,7 +71,7 @@
             Ok(target_response) => self.read(target_response, idle_timeout, deadline).await,
             Err(failure) => {
                 log::debug!(target: "jobs", "A run of item {} got no response: {failure}.", self.item.id);
-                self.failed(failure)
+                self.failed(failure, &target, 0).await
             }
         }
     }
@@ -107,7 +112,10 @@
                 Ok(None) => break,
                 Err(failure) => {
                     log::debug!(target: "jobs", "A run of item {} was interrupted: {failure}.", self.item.id);
-                    return self.failed(failure);
+                    let target = target_response.slot.target.clone();
+                    drop(target_response);
+                    let events = buffer.scanner().events();
+                    return self.failed(failure, &target, events).await;
                 }
             }
         }
@@ -116,10 +124,16 @@
             .is_complete(buffer.scanner(), resumes);
         if status.is_success() && !is_complete {
             log::debug!(target: "jobs", "A run of item {} ended early.", self.item.id);
-            target_response.fail(AttemptFailure::Truncated);
-            return self.interrupted();
+            let failure = target_response.fail(AttemptFailure::Truncated);
+            let target = target_response.slot.target.clone();
+            drop(target_response);
+            let events = buffer.scanner().events();
+            return self.failed(failure, &target, events).await;
         }
         target_response.finish(&self.context.pool);
+        if status.is_success() {
+            quarantine::on_completed(&self.context, &prompt_of(&self.item));
+        }
         let progress = self.progress.take();
         match status {
             StatusCode::UNPROCESSABLE_ENTITY => RunOutcome::Rejected,
@@ -134,10 +148,22 @@
         IDLE_TIMEOUT * (1 << doublings)
     }
 
-    /// Returns the outcome of a run whose target failed or was silent.
-    fn failed(&mut self, failure: AttemptFailure) -> RunOutcome {
-        if failure == AttemptFailure::TimedOut {
-            self.progress.lock().silences += 1;
+    /// Returns the outcome of a run whose `target` failed or was silent after so many events.
+    async fn failed(
+        &mut self,
+        failure: AttemptFailure,
+        target: &TargetEntry,
+        events: u64,
+    ) -> RunOutcome {
+        match failure {
+            AttemptFailure::TimedOut => self.progress.lock().silences += 1,
+            AttemptFailure::InvalidResponse | AttemptFailure::Truncated
+                if events <= MAX_FIRST_EVENTS =>
+            {
+                quarantine::on_early_end_of_item(&self.context, target, prompt_of(&self.item))
+                    .await;
+            }
+            _ => {}
         }
         self.interrupted()
     }
@@ -148,6 +174,18 @@
     }
 }
 
+/// Returns what can crash targets in an item.
+pub fn prompt_of(item: &Item) -> Prompt {
+    let headers = item
+        .headers
+        .iter()
+        .map(|(name, value)| (name.as_str(), value.as_str()));
+    Prompt {
+        request: stable_hash(&item.id),
+        parts: shared_parts_of(headers),
+    }
+}
+
 fn to_outgoing(head: &JobHead, item: &Item) -> Option<OutgoingRequest> {
     let mut headers = HeaderMap::new();
     for (name, value) in &item.headers {
--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -13,6 +13,7 @@
 use eel_fleet::{Peers, Registry};
 use eel_ledger::{Ledger, Partials, owner_of};
 use eel_platform::PlatformStore;
+use eel_quarantine::Quarantine;
 use eel_store::Txn;
 use eel_table::RouteTable;
 use eel_types::{Clock, Name, Revision};
@@ -40,6 +41,9 @@
     pub(crate) metrics: Arc<Metrics>,
     registry: Mutex<Registry>,
     peers: Mutex<Peers>,
+    quarantine: Mutex<Quarantine>,
+    /// Notified when peers should get a notice at once.
+    pub(crate) quarantine_changed: Notify,
     ledger: Mutex<Ledger>,
     /// The newest store revision that this node may have shown to callers.
     shown_revision: AtomicU64,
@@ -92,6 +96,8 @@
             metrics,
             registry: Mutex::default(),
             peers: Mutex::default(),
+            quarantine: Mutex::default(),
+            quarantine_changed: Notify::new(),
             ledger: Mutex::new(Ledger::new(keys)),
             shown_revision: AtomicU64::new(0),
             partials: Mutex::default(),
@@ -115,6 +121,12 @@
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn ledger(&self) -> MutexGuard<'_, Ledger> {
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/eel-gateway/src/lib.rs
+++ b/eel-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod node;
 mod online;
+mod quarantine;
 mod reports;
 mod slots;
 mod store;
--- a/eel-gateway/src/metrics.rs
+++ b/eel-gateway/src/metrics.rs
@@ -32,6 +32,10 @@
     pub items: Family<OutcomeLabel, Counter>,
     /// Streams from targets, by the framing of their body and by how they ended.
     pub stream_ends: Family<StreamEndLabels, Counter>,
+    /// Targets that ended as they began a response.
+    pub early_ends: Counter,
+    /// The sets of parts with which requests are rejected.
+    pub blocked_parts: Gauge,
     pub store_failures: Counter,
     /// Result calls for which the watch was behind, so that the results were read from the store.
     pub result_reads: Counter,
@@ -76,6 +80,16 @@
             "Streams from targets by the framing of their body and by how they ended",
             self.stream_ends.clone(),
         );
+        registry.register(
+            "early_ends",
+            "Targets that ended as they began a response",
+            self.early_ends.clone(),
+        );
+        registry.register(
+            "blocked_parts",
+            "Sets of prompt parts with which requests are rejected",
+            self.blocked_parts.clone(),
+        );
         registry.register(
             "store_failures",
             "Failed calls to the store",
--- a/eel-gateway/src/node.rs
+++ b/eel-gateway/src/node.rs
@@ -19,7 +19,7 @@
     batch::Worker,
     context::{Context, ContextOptions},
     http::{serve_callers, serve_readiness},
-    reports,
+    quarantine, reports,
     store::{follow, keep_entry},
 };
 
@@ -200,10 +200,24 @@
         }
     });
     let receiver = socket.clone();
+    let sender = socket.clone();
     spawn(supervisor, "reports out", context, stop, move |context| {
         let socket = socket.clone();
         async move { reports::send_reports(&context, &socket).await }
     });
+    spawn(supervisor, "notices out", context, stop, move |context| {
+        let socket = sender.clone();
+        async move { quarantine::send_notices(&context, &socket).await }
+    });
+    spawn(
+        supervisor,
+        "blocked parts",
+        context,
+        stop,
+        |context| async move {
+            quarantine::keep_records(&context).await;
+        },
+    );
     spawn(supervisor, "reports in", context, stop, move |context| {
         let socket = receiver.clone();
         async move { reports::receive_reports(&context, &socket).await }
--- a/eel-gateway/src/online/attempts.rs
+++ b/eel-gateway/src/online/attempts.rs
@@ -42,6 +42,12 @@
 }
 
 impl Attempts {
+    /// Returns whether no attempt has started.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.may_have_run + self.in_flight + self.not_run == 0
+    }
+
     /// Records the start of an attempt.
     pub fn on_start(&mut self) {
         self.in_flight += 1;
@@ -105,6 +111,12 @@
         self.refuse(Reason::Overloaded, Some(retry_after_ms))
     }
 
+    /// Returns the refusal of a request whose prompt crashes targets.
+    #[must_use]
+    pub fn block(&self) -> Refusal {
+        self.refuse(Reason::Quarantined, None)
+    }
+
     /// Returns the refusal of a request whose deadline has passed.
     #[must_use]
     pub fn time_out(&self) -> Refusal {
--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -11,9 +11,8 @@
     time::{Duration, Instant},
 };
 
-use eel_fleet::{Rejection, TargetKey};
+use eel_fleet::{Rejection, TargetEntry, TargetKey};
 use eel_table::RouteKind;
-use eel_types::Name;
 use eel_verdict::Refusal;
 use futures_util::future::{BoxFuture, FutureExt as _, select_all};
 use tokio::time::sleep_until;
@@ -23,6 +22,7 @@
     request::{Request, whole_ms},
 };
 use crate::{
+    quarantine::on_early_end,
     slots::SlotGuard,
     target::{AttemptFailure, TargetResponse, exchange, has_events},
 };
@@ -94,8 +94,14 @@
         if is_idle && Instant::now() >= request.deadline {
             return Err(attempts.time_out());
         }
+        let is_blocked = is_blocked(request, attempts);
+        let may_start = may_start && !is_blocked;
         if is_idle && !may_start {
-            return Err(attempts.give_up());
+            return Err(if is_blocked {
+                attempts.block()
+            } else {
+                attempts.give_up()
+            });
         }
         let overlap_end = overlap_end(request, &running, has_in_flight);
         let wake_at = overlap_end.unwrap_or(request.deadline);
@@ -127,11 +133,16 @@
                     Err(failure) => {
                         attempts.on_failure(failure);
                         log_failure(request, attempts, &ended, failure);
+                        if failure == AttemptFailure::InvalidResponse {
+                            on_early_end(&request.context, &ended.target, &request.prompt).await;
+                        }
                         start_at = Instant::now();
                     }
                 }
             }
             acquired = acquire_slot_at(start_at, request), if may_start => match acquired {
+                // It may have been blocked while it waited.
+                Ok(_) if self::is_blocked(request, attempts) => {}
                 Ok(slot) => {
                     attempts.on_start();
                     running.push(Running::start(request, slot, last_event_id));
@@ -159,14 +170,14 @@
 /// An attempt that has no response yet.
 struct Running {
     key: TargetKey,
-    target_id: Name,
+    target: TargetEntry,
     started: Instant,
     response: BoxFuture<'static, Result<TargetResponse, AttemptFailure>>,
 }
 
 impl Running {
     fn start(request: &mut Request, slot: SlotGuard, last_event_id: Option<u64>) -> Self {
-        let (key, target_id) = (slot.key, slot.target.id.clone());
+        let (key, target) = (slot.key, slot.target.clone());
         request.exclude(key);
         let context = request.context.clone();
         let outgoing = Arc::clone(&request.outgoing);
@@ -177,13 +188,21 @@
         };
         Self {
             key,
-            target_id,
+            target,
             started: Instant::now(),
             response: response.boxed(),
         }
     }
 }
 
+/// Returns whether the request must not be sent to another target because its prompt crashes targets.
+fn is_blocked(request: &Request, attempts: &Attempts) -> bool {
+    let is_trial = request.is_trial && attempts.is_empty();
+    !is_trial
+        && !request.prompt.parts.is_empty()
+        && request.context.quarantine().blocks(&request.prompt)
+}
+
 /// Returns when the newest attempt must have a response because a stream is in flight at two targets.
 fn overlap_end(request: &Request, running: &[Running], has_in_flight: bool) -> Option<Instant> {
     let is_stream = matches!(request.route.kind, RouteKind::Stream { .. });
@@ -228,7 +247,7 @@
 
 fn log_failure(request: &Request, attempts: &Attempts, ended: &Running, failure: AttemptFailure) {
     log::info!(
-        target: "online", request_id = request.outgoing.request_id.as_str(), target_id = ended.target_id.as_str(),
+        target: "online", request_id = request.outgoing.request_id.as_str(), target_id = ended.target.id.as_str(),
         attempt_ms = whole_ms(ended.started.elapsed()),
         verdict = failure.verdict().as_str(), again = attempts.may_start(&request.route);
         "An attempt brought no answer: {failure}."
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -17,6 +17,7 @@
 use crate::{
     context::Context,
     http::{Body, full, refuse},
+    quarantine::{self, Admission},
     target::{AttemptFailure, TargetResponse},
 };
 
@@ -36,6 +37,11 @@
         return refuse(&Refusal::not_run(Reason::NoTarget));
     };
     let mut attempts = Attempts::default();
+    match quarantine::admit(&request.context, &request.prompt).await {
+        Admission::Pass => {}
+        Admission::Trial => request.is_trial = true,
+        Admission::Block => return log_refusal(&request, &attempts, &attempts.block()),
+    }
     let served = match obtain_response(&mut request, &mut attempts).await {
         // In HTTP/1.0 a truncated response looks complete unless its length is stated.
         Ok(Served::Stream(..)) if version < Version::HTTP_11 => {
@@ -105,6 +111,9 @@
                 let response =
                     to_response(target_response.status, &target_response.headers, full(body));
                 let is_failure = target_response.status.is_server_error();
+                if target_response.status.is_success() {
+                    quarantine::on_completed(&request.context, &request.prompt);
+                }
                 target_response.finish(&request.context.pool);
                 if !is_failure || !should_retry(request, attempts) {
                     return Ok(Served::Complete(response));
@@ -113,6 +122,10 @@
             }
             Err(failure) => {
                 attempts.on_failure(failure);
+                if failure == AttemptFailure::InvalidResponse {
+                    let target = &target_response.slot.target;
+                    quarantine::on_early_end(&request.context, target, &request.prompt).await;
+                }
                 if !attempts.may_start(&request.route) {
                     return Err(attempts.give_up());
                 }
--- a/eel-gateway/src/online/stream.rs
+++ b/eel-gateway/src/online/stream.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use eel_events::{EventBuffer, EventScanner, each, event_id};
+use eel_quarantine::{MAX_FIRST_EVENTS, Prompt};
 use eel_table::RouteKind;
 use eel_verdict::Refusal;
 use futures_util::{StreamExt as _, stream};
@@ -19,6 +20,7 @@
 use crate::{
     context::Context,
     http::{Body, TruncatedResponse, streamed},
+    quarantine::{on_completed, on_early_end},
     target::{AttemptFailure, BodyFraming, OutgoingRequest, TargetResponse, has_events},
 };
 
@@ -42,6 +44,7 @@
     has_ended: bool,
     context: Arc<Context>,
     outgoing: Arc<OutgoingRequest>,
+    prompt: Prompt,
 }
 
 /// What the current target sends.
@@ -135,6 +138,15 @@
         matches!(self, Self::Resumable { .. })
     }
 
+    /// Returns whether only the first few events of the response have arrived.
+    fn has_only_begun(&self) -> bool {
+        match self {
+            Self::Resumable { buffer, .. } => buffer.scanner().events() <= MAX_FIRST_EVENTS,
+            Self::Events { scanner } => scanner.events() <= MAX_FIRST_EVENTS,
+            Self::Bytes => false,
+        }
+    }
+
     /// Returns whether the response is complete if its body ends here, without an error.
     fn is_complete(&self, framing: BodyFraming) -> bool {
         match self {
@@ -280,6 +292,7 @@
             has_ended: false,
             context: request.context.clone(),
             outgoing: request.outgoing.clone(),
+            prompt: request.prompt.clone(),
         }
     }
 
@@ -294,24 +307,36 @@
                 },
                 Ok(None) if self.content.is_complete(self.target_response.framing) => {
                     self.record_end("complete");
+                    if self.target_response.status.is_success() {
+                        on_completed(&self.context, &self.prompt);
+                    }
                     return Ok(None);
                 }
                 Ok(None) => AttemptFailure::Truncated,
                 Err(failure) => failure,
             };
-            return Err(self.end(failure));
+            self.end(failure);
+            let is_broken = matches!(
+                failure,
+                AttemptFailure::InvalidResponse | AttemptFailure::Truncated
+            );
+            if is_broken && self.content.has_only_begun() {
+                let target = &self.target_response.slot.target;
+                on_early_end(&self.context, target, &self.prompt).await;
+            }
+            return Err(failure);
         }
     }
 
-    /// Records the failure of the target's stream and returns it.
-    fn end(&mut self, failure: AttemptFailure) -> AttemptFailure {
+    /// Records the failure of the target's stream.
+    fn end(&mut self, failure: AttemptFailure) {
         self.has_ended = true;
         self.record_end(match failure {
             AttemptFailure::Truncated => "inside_event",
             AttemptFailure::TimedOut => "timed_out",
             _ => "failed",
         });
-        self.target_response.fail(failure)
+        self.target_response.fail(failure);
     }
 
     /// Counts and logs how the target's stream ended.
--- /dev/null
+++ b/eel-gateway/src/quarantine/crashes.rs
@@ -0,0 +1,69 @@
+//! Finds out whether a target has ended as it began a response, and what that says about the request.
+
+use eel_fleet::{TargetEntry, stable_hash};
+use eel_quarantine::{Crash, PartSet, Prompt};
+
+use crate::{context::Context, target::Connection};
+
+/// Records that the response of `target` to an online request failed as it began, if the target has ended as well.
+pub(crate) async fn on_early_end(context: &Context, target: &TargetEntry, prompt: &Prompt) {
+    // Each attempt of a caller has an id of its own, so that only parts can recur.
+    if !prompt.parts.is_empty() {
+        on_early_end_of_item(context, target, prompt.clone()).await;
+    }
+}
+
+/// Records that the response of `target` to an item failed as it began, if the target has ended as well: one that accepts
+/// connections has only lost one of them.
+pub(crate) async fn on_early_end_of_item(context: &Context, target: &TargetEntry, prompt: Prompt) {
+    if Connection::open(target.address).await.is_ok() {
+        return;
+    }
+    let started_unix_ms = target.started_unix_ms.unwrap_or_default();
+    context.metrics.early_ends.inc();
+    log::info!(
+        target: "quarantine", target_id = target.id.as_str(), request = prompt.request,
+        parts:% = PartSet::new(prompt.parts.clone());
+        "A target ended as it began a response."
+    );
+    let crash = Crash {
+        target: stable_hash(&format!("{}/{started_unix_ms}", target.id)),
+        prompt,
+    };
+    let now_ms = context.clock.now_ms();
+    let blocked = context.quarantine().on_crash(now_ms, crash);
+    on_blocked(context, &blocked);
+    context.quarantine_changed.notify_waiters();
+}
+
+/// Records a completed response to `prompt`.
+pub(crate) fn on_completed(context: &Context, prompt: &Prompt) {
+    if prompt.parts.is_empty() {
+        return;
+    }
+    let now_ms = context.clock.now_ms();
+    let mut quarantine = context.quarantine();
+    let lifted = quarantine.on_completed(now_ms, &prompt.parts);
+    let has_news = quarantine.has_news();
+    drop(quarantine);
+    for parts in &lifted {
+        log::warn!(target: "quarantine", parts:% = parts; "A response with blocked parts was completed; they are not blocked any more.");
+    }
+    on_change(context);
+    if has_news {
+        context.quarantine_changed.notify_waiters();
+    }
+}
+
+/// Logs the sets that are blocked from now on.
+pub(super) fn on_blocked(context: &Context, blocked: &[PartSet]) {
+    for parts in blocked {
+        log::warn!(target: "quarantine", parts:% = parts; "Prompts with these parts crash targets; requests with all of them are rejected.");
+    }
+    on_change(context);
+}
+
+pub(super) fn on_change(context: &Context) {
+    let count = i64::try_from(context.quarantine().len()).unwrap_or(i64::MAX);
+    context.metrics.blocked_parts.set(count);
+}
--- /dev/null
+++ b/eel-gateway/src/quarantine/mod.rs
@@ -0,0 +1,11 @@
+//! Keeps requests whose prompts crash targets from targets: detects crashes, tells peers and the store, admits requests.
+
+mod admit;
+mod crashes;
+mod notices;
+mod records;
+
+pub(crate) use admit::{Admission, admit};
+pub(crate) use crashes::{on_completed, on_early_end, on_early_end_of_item};
+pub(crate) use notices::{on_datagram, send_notices};
+pub(crate) use records::{id_of, keep_records, key_prefix, on_record};
--- a/eel-gateway/src/reports.rs
+++ b/eel-gateway/src/reports.rs
@@ -1,4 +1,4 @@
-//! Exchanges load reports between nodes as UDP datagrams.
+//! Exchanges load reports between nodes as UDP datagrams, and receives notices of crashes.
 //!
 //! Each report replaces the sender's previous one, so a lost datagram is made up for by the next one, and there is no
 //! connection that could hang.
@@ -11,12 +11,12 @@
     time::{Instant, sleep, sleep_until},
 };
 
-use crate::context::Context;
+use crate::{context::Context, quarantine};
 
 /// The time between two reports while the load does not change.
 const REPORT_INTERVAL: Duration = Duration::from_millis(MAX_REPORT_INTERVAL_MS);
 /// The size of the largest report, so that a datagram fits into one packet.
-const MAX_DATAGRAM_BYTES: usize = 1_400;
+pub(crate) const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// The size of the receive buffer: no report is larger, and no datagram is cut to the size of a valid one.
 const MAX_RECEIVED_BYTES: usize = 2 * MAX_DATAGRAM_BYTES;
 /// The pause after a receive error of the socket.
@@ -71,8 +71,9 @@
         match socket.recv_from(&mut buffer).await {
             Ok((length, sender)) => match PeerReport::decode(&buffer[..length]) {
                 Ok(report) if report.token == context.token => on_report(context, &report),
+                _ if quarantine::on_datagram(context, &buffer[..length]) => {}
                 _ => {
-                    log::debug!(target: "peers", "A datagram from {sender} is not a load report for this node.");
+                    log::debug!(target: "peers", "A datagram from {sender} is neither a load report nor a notice for this node.");
                 }
             },
             Err(error) => {
--- a/eel-gateway/src/store/apply.rs
+++ b/eel-gateway/src/store/apply.rs
@@ -7,7 +7,7 @@
 use eel_store::KeyValuePair;
 use eel_types::Name;
 
-use crate::context::Context;
+use crate::{context::Context, quarantine};
 
 const NODES: &str = "nodes/";
 
@@ -38,6 +38,9 @@
     match classify_key(key) {
         KeyKind::Target(id) => remove_target(context, id),
         KeyKind::RouteTable | KeyKind::Retirement(_) => {}
+        KeyKind::Other if let Some(id) = quarantine::id_of(&context.prefix, key) => {
+            context.quarantine().on_removed(now_ms, id);
+        }
         KeyKind::Other => match node_of(&context.prefix, key) {
             Some(node) if *node == *context.name => context.entry_lost.notify_one(),
             Some(node) => context.peers().on_removed(now_ms, node),
@@ -52,7 +55,7 @@
     }
 }
 
-/// Removes the targets and nodes that are missing from `pairs`, which hold all of their entries in the store. Notifies
+/// Removes the targets, nodes and blocked parts that are missing from `pairs`, which hold all of their entries in the store. Notifies
 /// `entry_lost` if the entry of this node is missing.
 pub(crate) fn retain_listed(context: &Context, pairs: &[KeyValuePair]) {
     let now_ms = context.clock.now_ms();
@@ -75,6 +78,11 @@
     if !nodes.contains(&context.name) {
         context.entry_lost.notify_one();
     }
+    let blocked_parts = pairs
+        .iter()
+        .filter_map(|pair| quarantine::id_of(&context.prefix, &pair.key));
+    let blocked_parts: Vec<u64> = blocked_parts.collect();
+    context.quarantine().retain_listed(now_ms, &blocked_parts);
 }
 
 /// Removes the targets whose entries did not reappear after an outage of the store.
@@ -154,6 +162,10 @@
 }
 
 fn put_node_or_job(context: &Context, pair: &KeyValuePair) {
+    if quarantine::id_of(&context.prefix, &pair.key).is_some() {
+        quarantine::on_record(context, pair);
+        return;
+    }
     if let Some(node) = node_of(&context.prefix, &pair.key) {
         match NodeEntry::decode(&pair.value) {
             Some(entry) if entry.incarnation != context.incarnation => {
--- a/eel-gateway/src/store/follow.rs
+++ b/eel-gateway/src/store/follow.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 
 use super::apply;
-use crate::context::Context;
+use crate::{context::Context, quarantine};
 
 /// The pauses between two tries of the initial read, doubled up to the maximum.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
@@ -86,13 +86,16 @@
     std::future::pending::<()>().await;
 }
 
-/// Reads routes, targets and nodes; returns the revision of the first read, after which the watch has to start.
+/// Reads blocked parts, routes, targets and nodes; returns the revision of the first read, after which the watch has to start.
 async fn read_fleet(context: &Context) -> StoreResult<Revision> {
     let nodes = apply::node_key(&context.prefix, "");
+    let blocked_parts = quarantine::key_prefix(&context.prefix);
     let mut pairs = Vec::new();
     let mut first = None;
-    for prefix in OPERATOR_AND_TARGET_PREFIXES
+    // Blocked parts come first: the routes let requests in.
+    for prefix in [blocked_parts.as_str()]
         .into_iter()
+        .chain(OPERATOR_AND_TARGET_PREFIXES)
         .chain([nodes.as_str()])
     {
         let outcome = context.store.range(&RangeRequest::prefix(prefix)).await?;
--- a/eel-gateway/src/target/mod.rs
+++ b/eel-gateway/src/target/mod.rs
@@ -5,6 +5,7 @@
 mod framing;
 mod pool;
 
+pub(crate) use connection::Connection;
 pub(crate) use exchange::{AttemptFailure, OutgoingRequest, TargetResponse, exchange};
 pub(crate) use framing::{BodyFraming, has_events};
 pub(crate) use pool::Pool;
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -8,7 +8,7 @@
 use eel_store::{Compare, Op, Txn};
 use eel_types::Name;
 
-use crate::{Job, Ledger, ListedResult, ResultState};
+use crate::{Item, Job, Ledger, ListedResult, ResultState};
 
 /// The maximum number of chunks in one transaction: each takes a condition and a write of the 32 entries allowed.
 const MAX_CHUNKS_PER_COMMIT: usize = 16;
@@ -65,13 +65,16 @@
 impl Worklist {
     /// Returns the first item of a job that has no result and is not running; `None` if there is none.
     #[must_use]
-    pub fn next(&self, id: &Name, job: &Job) -> Option<ItemRef> {
+    pub fn next(&self, id: &Name, job: &Job, may_run: impl Fn(&Item) -> bool) -> Option<ItemRef> {
         let indices = 0..u32::try_from(job.items().len()).unwrap_or(u32::MAX);
         let mut items = indices.map(|item| ItemRef {
             job: id.clone(),
             item,
         });
-        items.find(|it| !job.is_listed(it.item) && self.is_free(it))
+        items.find(|it| {
+            let item = job.items().get(it.item as usize);
+            !job.is_listed(it.item) && self.is_free(it) && item.is_some_and(&may_run)
+        })
     }
 
     /// Marks an item as running and returns its progress.
--- a/eel-ledger/tests/ledger/next_item.rs
+++ b/eel-ledger/tests/ledger/next_item.rs
@@ -16,7 +16,7 @@
 /// Returns the next item of the open job that is due first.
 fn next(worklist: &Worklist, ledger: &Ledger) -> Option<ItemRef> {
     let (id, job) = *ledger.open_by_due(|_| true).first()?;
-    worklist.next(id, job)
+    worklist.next(id, job, |_| true)
 }
 
 fn progress(text: &str, last_event: u64) -> Progress {
--- /dev/null
+++ b/eel-quarantine/src/evidence.rs
@@ -0,0 +1,175 @@
+//! The crashes and completed responses from which parts are blamed.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+
+use crate::{Crash, Part, PartSet};
+
+/// How long a crash counts.
+const CRASH_TTL_MS: u64 = 600_000;
+/// The number of crashes that are kept; the oldest are dropped.
+const MAX_CRASHES: usize = 256;
+/// The number of crashes after which a part is blamed.
+const MIN_CRASHES: usize = 3;
+/// The same for a part of responses that were completed shortly before.
+const MIN_CRASHES_OF_TRUSTED: usize = 8;
+/// How long before a crash a completed response still speaks for its parts.
+const TRUST_MS: u64 = 60_000;
+/// The number of different requests that must have crashed targets.
+const MIN_REQUESTS: usize = 2;
+/// The time between crashes that count apart. Targets that end at once have another cause than their requests.
+const MIN_SPACING_MS: u64 = 50;
+/// The number of parts with completed responses that are remembered, twice at the most.
+const MAX_COMPLETED_PARTS: usize = 2_048;
+
+/// A crash, and when it was seen.
+#[derive(Clone, Debug)]
+pub struct Record {
+    pub crash: Crash,
+    pub at_ms: u64,
+    /// Whether this node has seen it.
+    pub is_own: bool,
+}
+
+#[derive(Debug, Default)]
+pub struct Evidence {
+    records: VecDeque<Record>,
+    /// When a response with a part was last completed; the newest parts, and those before them.
+    completed: [HashMap<Part, u64>; 2],
+}
+
+impl Evidence {
+    /// Adds a crash. Returns `false` if it is known.
+    pub fn add(&mut self, now_ms: u64, record: Record) -> bool {
+        self.records.retain(|it| now_ms < it.at_ms + CRASH_TTL_MS);
+        if self.records.iter().any(|it| it.crash == record.crash) {
+            return false;
+        }
+        if self.records.len() >= MAX_CRASHES {
+            self.records.pop_front();
+        }
+        self.records.push_back(record);
+        true
+    }
+
+    /// Records that a response with `part` was completed.
+    pub fn on_completed(&mut self, at_ms: u64, part: Part) {
+        if self.completed[0].len() >= MAX_COMPLETED_PARTS {
+            self.completed[1] = std::mem::take(&mut self.completed[0]);
+        }
+        let known_ms = self.completed_ms(part).unwrap_or(0);
+        self.completed[0].insert(part, at_ms.max(known_ms));
+    }
+
+    /// Returns whether a crash with `part` is known.
+    pub fn is_suspect(&self, part: Part) -> bool {
+        let mut records = self.records.iter();
+        records.any(|it| it.crash.prompt.parts.contains(&part))
+    }
+
+    pub fn records(&self) -> impl DoubleEndedIterator<Item = &Record> {
+        self.records.iter()
+    }
+
+    /// Returns how many targets ended under the request.
+    pub fn crashes_of(&self, request: u64) -> usize {
+        let of_request = self
+            .records
+            .iter()
+            .filter(|it| it.crash.prompt.request == request);
+        of_request.count()
+    }
+
+    /// Forgets the crashes that `parts` explains.
+    pub fn forget(&mut self, parts: &PartSet) {
+        self.records
+            .retain(|it| !parts.is_within(&it.crash.prompt.parts));
+    }
+
+    /// Returns the parts that explain crashes which the sets `known` do not.
+    pub fn blame(&self, now_ms: u64, known: impl Iterator<Item = PartSet>) -> Vec<PartSet> {
+        let mut sets: Vec<PartSet> = known.collect();
+        let known_count = sets.len();
+        while let Some(set) = self.next_blamed(now_ms, &sets) {
+            sets.push(set);
+        }
+        sets.split_off(known_count)
+    }
+
+    /// Returns the largest set of parts that explains enough crashes: the more parts it has, the fewer other requests it
+    /// blocks.
+    fn next_blamed(&self, now_ms: u64, known: &[PartSet]) -> Option<PartSet> {
+        let is_explained = |record: &&Record| {
+            known
+                .iter()
+                .any(|it| it.is_within(&record.crash.prompt.parts))
+        };
+        let ended: HashSet<u64> = self
+            .records
+            .iter()
+            .filter(is_explained)
+            .map(|it| it.crash.target)
+            .collect();
+        let mut by_part: HashMap<Part, Vec<&Record>> = HashMap::new();
+        for record in &self.records {
+            if ended.contains(&record.crash.target) || now_ms >= record.at_ms + CRASH_TTL_MS {
+                continue;
+            }
+            for &part in &record.crash.prompt.parts {
+                if self
+                    .completed_ms(part)
+                    .is_none_or(|at_ms| at_ms < record.at_ms)
+                {
+                    by_part.entry(part).or_default().push(record);
+                }
+            }
+        }
+        let sets = by_part
+            .into_iter()
+            .filter_map(|(part, records)| self.common_parts(part, records));
+        sets.max_by(|a, b| a.len().cmp(&b.len()).then_with(|| b.cmp(a)))
+    }
+
+    /// Returns the parts that all of `records`, the crashes with `part`, have in common; `None` if they are too few.
+    fn common_parts(&self, part: Part, mut records: Vec<&Record>) -> Option<PartSet> {
+        records.sort_by_key(|it| it.at_ms);
+        let first = records.first()?;
+        let trusted_until_ms = self.completed_ms(part).map(|at_ms| at_ms + TRUST_MS);
+        let is_trusted = trusted_until_ms.is_some_and(|until_ms| first.at_ms < until_ms);
+        let needed = if is_trusted {
+            MIN_CRASHES_OF_TRUSTED
+        } else {
+            MIN_CRASHES
+        };
+        let requests: HashSet<u64> = records.iter().map(|it| it.crash.prompt.request).collect();
+        if requests.len() < MIN_REQUESTS || spaced_crashes(&records) < needed {
+            return None;
+        }
+        let mut common = PartSet::new(first.crash.prompt.parts.clone());
+        for record in &records {
+            common.retain(&record.crash.prompt.parts);
+        }
+        Some(common)
+    }
+
+    fn completed_ms(&self, part: Part) -> Option<u64> {
+        let mut maps = self.completed.iter();
+        maps.find_map(|completed| completed.get(&part)).copied()
+    }
+}
+
+/// Counts the different targets of `records`, which are in order of time, that did not end at the same moment. Attempts of
+/// one request follow one another in any case.
+fn spaced_crashes(records: &[&Record]) -> usize {
+    let mut targets = HashSet::new();
+    let mut last: Option<&Record> = None;
+    for record in records {
+        let is_apart = last.is_none_or(|last| {
+            record.at_ms >= last.at_ms + MIN_SPACING_MS
+                || record.crash.prompt.request == last.crash.prompt.request
+        });
+        if is_apart && targets.insert(record.crash.target) {
+            last = Some(record);
+        }
+    }
+    targets.len()
+}
--- /dev/null
+++ b/eel-quarantine/src/quarantine.rs
@@ -0,0 +1,298 @@
+//! The parts that are blocked, and what is told to peers.
+
+use std::collections::HashMap;
+
+use crate::{
+    Crash, Notice, Part, PartSet, Prompt, StoredBlock,
+    evidence::{Evidence, Record},
+};
+
+/// How long a crash is told to peers.
+const TELL_CRASH_MS: u64 = 5_000;
+/// How long a completed response is told to peers.
+const TELL_COMPLETED_MS: u64 = 2_000;
+/// How long a block or its end is told to peers; the store tells of it as well.
+const TELL_BLOCK_MS: u64 = 30_000;
+/// How long a set that was lifted is not blocked again by the word of a peer.
+const LIFTED_TTL_MS: u64 = 60_000;
+/// How long a node that has not seen the crashes waits for others to store a block.
+const STORE_DELAY_MS: u64 = 2_000;
+/// The number of targets that may end under one request before it is blocked by itself.
+const MAX_CRASHES_OF_REQUEST: usize = 3;
+/// The number of sets that are blocked at the most.
+const MAX_BLOCKED: usize = 64;
+
+/// How to proceed with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Check {
+    /// It may be sent to targets.
+    Pass,
+    /// It must not be sent to targets.
+    Block,
+    /// It must not be sent to targets unless the trial is stored first.
+    Trial(Trial),
+}
+
+/// A trial of blocked parts that is due.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Trial {
+    /// The record to write.
+    pub record: StoredBlock,
+    /// The revision at which the record must still be.
+    pub revision: u64,
+}
+
+#[derive(Debug)]
+struct Blocked {
+    parts: PartSet,
+    since_ms: u64,
+    /// Whether this node has seen one of the crashes.
+    is_own: bool,
+    stored: Option<(StoredBlock, u64)>,
+}
+
+/// The crashes seen by this node and its peers, and the parts that are blocked because of them.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    evidence: Evidence,
+    blocked: Vec<Blocked>,
+    /// When responses with parts of known crashes were completed at this node.
+    cleared: HashMap<Part, u64>,
+    /// The ids of sets that are no longer blocked, and since when.
+    lifted: HashMap<u64, u64>,
+    /// The ids of sets that this node has disproved and whose records it has to remove from the store.
+    unremoved: Vec<u64>,
+    /// Whether something happened since the last notice that peers should know at once.
+    has_news: bool,
+}
+
+impl Quarantine {
+    /// Decides whether a request may be sent to targets.
+    #[must_use]
+    pub fn check(&self, now_unix_ms: u64, prompt: &Prompt) -> Check {
+        if self.evidence.crashes_of(prompt.request) >= MAX_CRASHES_OF_REQUEST {
+            return Check::Block;
+        }
+        let mut matching = self
+            .blocked
+            .iter()
+            .filter(|it| it.parts.is_within(&prompt.parts));
+        let Some(first) = matching.next() else {
+            return Check::Pass;
+        };
+        match &first.stored {
+            // A request that is blocked twice would say nothing about either set.
+            Some((record, revision))
+                if now_unix_ms >= record.next_trial_unix_ms && matching.next().is_none() =>
+            {
+                Check::Trial(Trial {
+                    record: record.after_trial(now_unix_ms),
+                    revision: *revision,
+                })
+            }
+            _ => Check::Block,
+        }
+    }
+
+    /// Returns whether a request must not be sent to targets, whether or not a trial is due.
+    #[must_use]
+    pub fn blocks(&self, prompt: &Prompt) -> bool {
+        let mut blocked = self.blocked.iter();
+        blocked.any(|it| it.parts.is_within(&prompt.parts))
+            || self.evidence.crashes_of(prompt.request) >= MAX_CRASHES_OF_REQUEST
+    }
+
+    /// Returns whether no request is blocked: there are neither blocked sets nor known crashes.
+    #[must_use]
+    pub fn is_quiet(&self) -> bool {
+        self.blocked.is_empty() && self.evidence.records().next().is_none()
+    }
+
+    /// Returns the number of sets that are blocked.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.blocked.len()
+    }
+
+    /// Returns whether no set is blocked.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.blocked.is_empty()
+    }
+
+    /// Records a crash that this node has seen. Returns the sets that are blocked because of it.
+    pub fn on_crash(&mut self, now_ms: u64, crash: Crash) -> Vec<PartSet> {
+        self.add_crash(now_ms, now_ms, crash, true)
+    }
+
+    /// Records a completed response. Returns the sets that it disproves, which are no longer blocked.
+    pub fn on_completed(&mut self, now_ms: u64, parts: &[Part]) -> Vec<PartSet> {
+        for &part in parts {
+            self.evidence.on_completed(now_ms, part);
+            if self.evidence.is_suspect(part) {
+                self.has_news |= self.cleared.insert(part, now_ms).is_none();
+            }
+        }
+        let disproved: Vec<PartSet> = self
+            .blocked
+            .iter()
+            .filter(|it| it.parts.is_within(parts))
+            .map(|it| it.parts.clone())
+            .collect();
+        for set in &disproved {
+            self.lift(now_ms, set.id());
+            self.unremoved.push(set.id());
+            self.has_news = true;
+        }
+        disproved
+    }
+
+    /// Applies the notice of a peer. Returns the sets that are blocked because of it.
+    pub fn on_notice(&mut self, now_ms: u64, notice: Notice) -> Vec<PartSet> {
+        for id in notice.lifted {
+            if !self.lifted.contains_key(&id) {
+                self.lift(now_ms, id);
+            }
+        }
+        for (age_ms, part) in notice.completed {
+            self.evidence
+                .on_completed(now_ms.saturating_sub(age_ms), part);
+        }
+        let mut added = Vec::new();
+        for (age_ms, crash) in notice.crashes {
+            let at_ms = now_ms.saturating_sub(age_ms);
+            added.extend(self.add_crash(now_ms, at_ms, crash, false));
+        }
+        for set in notice.blocked {
+            let is_lifted = self.lifted.contains_key(&set.id());
+            if !is_lifted && self.block(now_ms, &set, false) {
+                added.push(set);
+            }
+        }
+        added
+    }
+
+    /// Returns what to tell peers now; it is empty if there is nothing recent.
+    pub fn notice(&mut self, now_ms: u64) -> Notice {
+        self.has_news = false;
+        self.cleared
+            .retain(|_, at_ms| now_ms < *at_ms + TELL_COMPLETED_MS);
+        self.lifted
+            .retain(|_, at_ms| now_ms < *at_ms + LIFTED_TTL_MS);
+        let own = self.evidence.records().filter(|it| it.is_own).rev();
+        let crashes = own
+            .map(|it| (now_ms.saturating_sub(it.at_ms), it.crash.clone()))
+            .take_while(|(age_ms, _)| *age_ms < TELL_CRASH_MS);
+        let blocked = self.blocked.iter().rev();
+        let blocked = blocked.filter(|it| now_ms < it.since_ms + TELL_BLOCK_MS);
+        let lifted = self.lifted.iter();
+        let lifted = lifted.filter(|(_, at_ms)| now_ms < **at_ms + TELL_BLOCK_MS);
+        Notice {
+            token: 0,
+            crashes: crashes.collect(),
+            completed: self
+                .cleared
+                .iter()
+                .map(|(&part, &at_ms)| (now_ms.saturating_sub(at_ms), part))
+                .collect(),
+            blocked: blocked.map(|it| it.parts.clone()).collect(),
+            lifted: lifted.map(|(&id, _)| id).collect(),
+        }
+    }
+
+    /// Returns whether a response was completed since the last notice that peers should know of at once.
+    #[must_use]
+    pub fn has_news(&self) -> bool {
+        self.has_news
+    }
+
+    /// Returns the ids of disproved sets whose records this node has to remove from the store.
+    #[must_use]
+    pub fn unremoved(&self) -> Vec<u64> {
+        self.unremoved.clone()
+    }
+
+    /// Records that the store has no record of a disproved set any more.
+    pub fn on_record_removed(&mut self, id: u64) {
+        self.unremoved.retain(|it| *it != id);
+    }
+
+    /// Returns the blocked sets that this node should write to the store.
+    #[must_use]
+    pub fn unstored(&self, now_ms: u64) -> Vec<PartSet> {
+        let unstored = self.blocked.iter().filter(|it| {
+            it.stored.is_none() && (it.is_own || now_ms >= it.since_ms + STORE_DELAY_MS)
+        });
+        unstored.map(|it| it.parts.clone()).collect()
+    }
+
+    /// Applies a record of the store, last written at `revision`. Returns whether its parts were not blocked before.
+    pub fn on_stored(&mut self, now_ms: u64, record: &StoredBlock, revision: u64) -> bool {
+        self.lifted.remove(&record.parts.id());
+        let is_new = self.block(now_ms, &record.parts, false);
+        let known = self.blocked.iter_mut();
+        for known in known.filter(|it| it.parts == record.parts) {
+            known.stored = Some((record.clone(), revision));
+        }
+        is_new
+    }
+
+    /// Applies the removal of a record from the store.
+    pub fn on_removed(&mut self, now_ms: u64, id: u64) {
+        self.lift(now_ms, id);
+    }
+
+    /// Ceases to block the stored sets that are missing from `listed`, which holds the ids of all records.
+    pub fn retain_listed(&mut self, now_ms: u64, listed: &[u64]) {
+        let missing: Vec<u64> = self
+            .blocked
+            .iter()
+            .filter(|it| it.stored.is_some() && !listed.contains(&it.parts.id()))
+            .map(|it| it.parts.id())
+            .collect();
+        for id in missing {
+            self.lift(now_ms, id);
+        }
+    }
+
+    fn add_crash(&mut self, now_ms: u64, at_ms: u64, crash: Crash, is_own: bool) -> Vec<PartSet> {
+        let record = Record {
+            crash,
+            at_ms,
+            is_own,
+        };
+        if !self.evidence.add(now_ms, record) {
+            return Vec::new();
+        }
+        let known = self.blocked.iter().map(|it| it.parts.clone());
+        let mut blamed = self.evidence.blame(now_ms, known);
+        blamed.retain(|set| self.block(now_ms, set, is_own));
+        blamed
+    }
+
+    /// Blocks a set. Returns `false` if it is blocked already or there are too many.
+    fn block(&mut self, now_ms: u64, parts: &PartSet, is_own: bool) -> bool {
+        let is_known = self.blocked.iter().any(|it| it.parts == *parts);
+        if is_known || parts.is_empty() || self.blocked.len() >= MAX_BLOCKED {
+            return false;
+        }
+        self.blocked.push(Blocked {
+            parts: parts.clone(),
+            since_ms: now_ms,
+            is_own,
+            stored: None,
+        });
+        true
+    }
+
+    fn lift(&mut self, now_ms: u64, id: u64) {
+        self.lifted.insert(id, now_ms);
+        let (lifted, blocked) = std::mem::take(&mut self.blocked)
+            .into_iter()
+            .partition(|it| it.parts.id() == id);
+        self.blocked = blocked;
+        for set in lifted {
+            self.evidence.forget(&set.parts);
+        }
+    }
+}
--- /dev/null
+++ b/eel-quarantine/tests/quarantine/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the quarantine.
+
+mod blamed_parts;
+mod fixture;
+mod peer_notices;
+mod trials;
--- a/eel-route/src/attempts.rs
+++ b/eel-route/src/attempts.rs
@@ -174,6 +174,7 @@
         | Reason::DeadlineExceeded
         | Reason::Cancelled
         | Reason::Conflict
-        | Reason::StoreUnavailable => false,
+        | Reason::StoreUnavailable
+        | Reason::Quarantined => false,
     }
 }
--- a/eel-route/src/pool.rs
+++ b/eel-route/src/pool.rs
@@ -290,7 +290,8 @@
             | Reason::DeadlineExceeded
             | Reason::Cancelled
             | Reason::Conflict
-            | Reason::StoreUnavailable => self.on_neutral(running),
+            | Reason::StoreUnavailable
+            | Reason::Quarantined => self.on_neutral(running),
         }
     }
 
--- a/eel-verdict/src/refusal.rs
+++ b/eel-verdict/src/refusal.rs
@@ -42,6 +42,8 @@
     Conflict,
     /// The request needs the key-value service, which is unavailable.
     StoreUnavailable,
+    /// The prompt has a part that crashes targets.
+    Quarantined,
 }
 
 impl Reason {
@@ -65,6 +67,7 @@
             Self::Truncated => "truncated",
             Self::Conflict => "conflict",
             Self::StoreUnavailable => "store-unavailable",
+            Self::Quarantined => "quarantined",
         }
     }
 
@@ -85,7 +88,8 @@
             | Self::NoTarget
             | Self::Leaving
             | Self::Cancelled
-            | Self::StoreUnavailable => 503,
+            | Self::StoreUnavailable
+            | Self::Quarantined => 503,
             Self::DeadlineExceeded => 504,
         }
     }
