fix(target): end the drain after a reply that was blocked

A target node that had reset a reply, because its caller did not read until the deadline, took the whole drain timeout to end: 120 s by default, for which its VM's slot was held.

After the reset the task of the request waited for `SendStream::stopped`, which the transport never wakes for the acknowledgement of a reset. The task stayed as long as its link, and the drain waits for all tasks.

A request whose stream was reset now ends without that wait.

--- a/eel-target/src/link.rs
+++ b/eel-target/src/link.rs
@@ -195,7 +195,9 @@
     let stream_request = codec::read::<StreamRequest>(&mut recv).await?;
     codec::consume_fin(&mut recv);
     match stream_request {
-        Some(StreamRequest::Serve(request)) => serve::serve(link, *request, &mut send).await?,
+        Some(StreamRequest::Serve(request)) => {
+            return serve::serve(link, *request, &mut send).await;
+        }
         Some(StreamRequest::Settle(key)) => {
             link.context.metrics.settlements.inc();
             let settlement = into_message(link.context.admission.settle(key));
--- a/eel-target/src/serve.rs
+++ b/eel-target/src/serve.rs
@@ -43,7 +43,8 @@
 
 type WireResult<T> = Result<T, Report<eel_wire::Error>>;
 
-/// Serves `request` and writes the reply or refusal to `send`.
+/// Serves `request`, writes the reply or refusal to `send` and waits until the entry node has received it, so that a
+/// shutdown cannot truncate it.
 ///
 /// # Errors
 ///
@@ -53,6 +54,29 @@
     request: ServeRequest,
     send: &mut SendStream,
 ) -> WireResult<()> {
+    let replied = try_serve(link, request, send).await?;
+    let _ = send.finish();
+    match replied {
+        Replied::InWhole => drop(send.stopped().await),
+        // The transport reports no acknowledgement of a reset.
+        Replied::Reset => {}
+    }
+    Ok(())
+}
+
+/// How the stream of a request ends.
+enum Replied {
+    /// With a complete reply or a refusal.
+    InWhole,
+    /// With a reset, since the entry node did not read.
+    Reset,
+}
+
+async fn try_serve(
+    link: &Arc<Link>,
+    request: ServeRequest,
+    send: &mut SendStream,
+) -> WireResult<Replied> {
     let parent = trace::parent_context(request.traceparent.as_deref(), false);
     let span = trace::start_span("target", parent);
     let arrived = Instant::now();
@@ -85,16 +109,17 @@
     };
     record_outcome(link, &request, &result);
     match result {
-        AttemptResult::Answered => Ok(()),
+        AttemptResult::Answered => Ok(Replied::InWhole),
         AttemptResult::Blocked(refusal) => {
             span.set_attribute(|| ("refusal", refusal.to_string()));
             // The stream may be closed already.
             let _ = send.reset(BLOCKED_CODE.into());
-            Ok(())
+            Ok(Replied::Reset)
         }
         AttemptResult::Refused(refusal) | AttemptResult::Failed(refusal) => {
             span.set_attribute(|| ("refusal", refusal.to_string()));
-            refuse(link, send, request.key, refusal).await
+            refuse(link, send, request.key, refusal).await?;
+            Ok(Replied::InWhole)
         }
     }
 }
--- a/tests/process/graceful_stop.rs
+++ b/tests/process/graceful_stop.rs
@@ -3,13 +3,13 @@
 //! Guards against interrupted, rejected or repeated requests, which happen when an entry or target node ends, or drops
 //! its queue, while requests are open.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use nix::sys::signal::Signal;
 
 use crate::{
-    fleet::{Platform, Service, eventually},
-    outcome::{CallerOutcome, outcome_of},
+    fleet::{Platform, RawTarget, Service, eventually},
+    outcome::{CallerOutcome, SHORT_DEADLINE_MS, call, outcome_of},
 };
 
 const LONG: &str = r#"{"model":"scribe","prompt":"x","max_tokens":300,"stream":true}"#;
@@ -67,3 +67,24 @@
         assert_eq!(target.engine.counts().repeated_tags(), 0, "{stopped:?}");
     }
 }
+
+/// A caller that does not read blocks its reply until the deadline; the stream is then reset.
+#[tokio::test]
+async fn after_a_blocked_reply() {
+    const EVENTS: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: a\n\n";
+    let mut platform = Platform::start(&[Service::Dispatch]).await;
+    let raw = RawTarget::start(EVENTS, true).await;
+    let (target, _) = platform
+        .start_target_at("t1", "dispatch-runners", &raw.url)
+        .await;
+    let entry = platform.start_ready_entry("e1").await;
+    let _unread = call(&entry, false, "a", SHORT_DEADLINE_MS).send().await;
+    eventually("the target's connection is closed", async || {
+        raw.closed.load(Ordering::Relaxed) > 0
+    })
+    .await;
+    target.signal(Signal::SIGTERM);
+    assert!(target.wait_exit().await.success());
+    let log = target.log();
+    assert!(log.contains("Drained."), "{log}");
+}
