fix(entry,target): give requests that meet a drained node a true verdict

Requests that are not repeatable failed with `target-failed (may-have-run)`, some after a settlement timeout of 2 s, when a target node with little or nothing to do got SIGTERM: it ended at once, while requests to it were on their way. They had not run.

The announcement that a target node is leaving and its requests cross on the way. A node with running requests usually outlives the crossing; an idle one closes its links in the millisecond of the signal.

Ruled out: to let the target node wait until its entry nodes close their links. They can only do so once slow callers have read their replies, which is what the drain must not wait for, and it needs a new message that nodes of the present version would refuse.

A target node that has drained now closes its links with a code of its own. It states that no request over the link has started without its whole reply having been acknowledged, and that none will start, so what got no reply has not run and is tried at another target. Links over which a reply was lost, such as one that was reset, are closed with the old code and the requests are settled as before. An entry node that does not know the code does as before.

--- a/eel-entry/src/link/attempt.rs
+++ b/eel-entry/src/link/attempt.rs
@@ -6,7 +6,7 @@
 use eel_types::{LoadReport, RequestKey};
 use eel_verdict::{Reason, Refusal, Verdict};
 use eel_wire::{
-    codec,
+    codec, is_drained,
     message::{ReplyHead, ServeReply, ServeRequest, StreamRequest},
 };
 use error_stack::Report;
@@ -55,8 +55,9 @@
     ///
     /// # Errors
     ///
-    /// The target node's refusal; or [`Reason::TargetFailed`], as not run if no stream could be opened, else with the
-    /// verdict of the settlement.
+    /// The target node's refusal; [`Reason::Leaving`], as not run, if the target node drained before the request
+    /// reached it; or [`Reason::TargetFailed`], as not run if no stream could be opened, else with the verdict of the
+    /// settlement.
     pub(crate) async fn send(self, request: ServeRequest) -> Result<Reply, Refusal> {
         let lost = self.session.lost.clone();
         let opened = tokio::select! {
@@ -75,6 +76,7 @@
                 body_bytes: 0,
             }),
             Ok(ServeReply::Refused(refused)) if refused.key == self.key => Err(refused.refusal),
+            Err(error) if is_drained(&error) => Err(Refusal::not_run(Reason::Leaving)),
             Ok(_) | Err(_) => Err(self.settled_refusal(Reason::TargetFailed).await),
         }
     }
--- a/eel-target/src/link.rs
+++ b/eel-target/src/link.rs
@@ -1,10 +1,13 @@
 //! Accepts links from entry nodes and serves their control and request streams.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{
+    Arc, Mutex, PoisonError,
+    atomic::{AtomicU64, Ordering},
+};
 
 use eel_admit::{LinkClock, LinkHello, LinkKey};
 use eel_wire::{
-    codec,
+    close_drained, codec,
     message::{
         EntryControl, Hello, PROTOCOL_VERSION, Ping, Pong, Settlement, StreamRequest,
         TargetControl, Welcome,
@@ -21,6 +24,36 @@
     pub(crate) key: LinkKey,
     pub(crate) context: Arc<Context>,
     clock: Mutex<LinkClock>,
+    /// The number of requests that were started and whose replies the entry node has not received in whole.
+    unreceived: AtomicU64,
+}
+
+/// A request of a link, counted as unreceived from its start until its reply has been received.
+pub(crate) struct UnreceivedReply<'a> {
+    link: &'a Link,
+    is_started: bool,
+}
+
+impl<'a> UnreceivedReply<'a> {
+    pub(crate) fn new(link: &'a Link) -> Self {
+        Self {
+            link,
+            is_started: false,
+        }
+    }
+
+    /// The request starts.
+    pub(crate) fn start(&mut self) {
+        self.is_started = true;
+        self.link.unreceived.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The entry node has received the whole reply, or waits for no more of it.
+    pub(crate) fn end(self) {
+        if self.is_started {
+            self.link.unreceived.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
 }
 
 impl Link {
@@ -36,6 +69,14 @@
         self.lock_clock().observe(now_ms, sent_ms);
     }
 
+    /// Closes `connection` once the node has drained.
+    async fn close_when_drained(&self, connection: &Connection) {
+        self.context.drained.cancelled().await;
+        if self.unreceived.load(Ordering::Relaxed) == 0 {
+            close_drained(connection);
+        }
+    }
+
     fn lock_clock(&self) -> std::sync::MutexGuard<'_, LinkClock> {
         self.clock.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -59,8 +100,13 @@
             return;
         };
         let context = context.clone();
-        tokio::spawn(async move {
-            match incoming.await {
+        let tracker = context.links.clone();
+        tracker.spawn(async move {
+            let accepted = tokio::select! {
+                accepted = incoming.into_future() => accepted,
+                () = context.drained.cancelled() => return,
+            };
+            match accepted {
                 Ok(connection) => run(connection, context).await,
                 Err(error) => log::warn!(target: "link", "Cannot accept a link: {error}."),
             }
@@ -81,11 +127,10 @@
     connection: &Connection,
     context: Arc<Context>,
 ) -> Result<(), Report<eel_wire::Error>> {
-    let (mut send, mut recv) = connection
-        .accept_bi()
-        .await
-        .change_context(eel_wire::Error::Closed)?;
-    let hello = read_hello(&mut recv).await?;
+    let (mut send, mut recv, hello) = tokio::select! {
+        opened = accept_hello(connection) => opened?,
+        () = context.drained.cancelled() => return Ok(()),
+    };
     log::info!(target: "link", "Entry node {} has opened link {}.", hello.vm, hello.generation);
     let key = context.admission.open_link(LinkHello {
         entry: hello.vm,
@@ -98,17 +143,27 @@
         key,
         context,
         clock: Mutex::default(),
+        unreceived: AtomicU64::new(0),
     });
     codec::write(&mut send, &TargetControl::Welcome(welcome(&link))).await?;
     tokio::select! {
         ended = control(&link, &mut send, &mut recv) => ended,
         () = accept_requests(connection, &link) => Ok(()),
+        () = link.close_when_drained(connection) => Ok(()),
     }
 }
 
-async fn read_hello(recv: &mut RecvStream) -> Result<Hello, Report<eel_wire::Error>> {
-    match codec::read(recv).await? {
-        Some(EntryControl::Hello(hello)) if hello.protocol_version == PROTOCOL_VERSION => Ok(hello),
+async fn accept_hello(
+    connection: &Connection,
+) -> Result<(SendStream, RecvStream, Hello), Report<eel_wire::Error>> {
+    let (send, mut recv) = connection
+        .accept_bi()
+        .await
+        .change_context(eel_wire::Error::Closed)?;
+    match codec::read(&mut recv).await? {
+        Some(EntryControl::Hello(hello)) if hello.protocol_version == PROTOCOL_VERSION => {
+            Ok((send, recv, hello))
+        }
         _ => Err(Report::new(eel_wire::Error::Malformed)),
     }
 }
--- a/eel-target/src/node.rs
+++ b/eel-target/src/node.rs
@@ -34,6 +34,10 @@
     pub(crate) draining: CancellationToken,
     /// Tracks the tasks of open request streams.
     pub(crate) requests: TaskTracker,
+    /// Cancelled once all requests have ended and no further one can start.
+    pub(crate) drained: CancellationToken,
+    /// Tracks the tasks of open links.
+    pub(crate) links: TaskTracker,
 }
 
 /// A target node whose listeners are bound and that does not serve yet.
@@ -137,6 +141,8 @@
         metrics,
         draining: CancellationToken::new(),
         requests: TaskTracker::new(),
+        drained: CancellationToken::new(),
+        links: TaskTracker::new(),
     })
 }
 
@@ -176,8 +182,8 @@
     });
 }
 
-/// Waits for the shutdown request, then until running requests have ended, `timeout` has passed or an immediate
-/// shutdown is requested.
+/// Waits for the shutdown request, then until running requests have ended and links are closed, `timeout` has passed or
+/// an immediate shutdown is requested.
 async fn drain(context: Arc<Context>, shutdown: Shutdown, timeout: Duration) {
     tokio::select! {
         () = shutdown.drain.cancelled() => {}
@@ -190,6 +196,9 @@
         context.admission.drained().await;
         context.requests.close();
         context.requests.wait().await;
+        context.drained.cancel();
+        context.links.close();
+        context.links.wait().await;
     };
     tokio::select! {
         () = finished => log::info!(target: "node", "Drained."),
--- a/eel-target/src/serve.rs
+++ b/eel-target/src/serve.rs
@@ -21,7 +21,7 @@
 use crate::{
     admission::{Decision, SharedAdmission, Ticket},
     engine::response_headers,
-    link::Link,
+    link::{Link, UnreceivedReply},
     metrics::{AttemptLabels, ClassLabel, Outcome},
 };
 
@@ -54,14 +54,19 @@
     request: ServeRequest,
     send: &mut SendStream,
 ) -> WireResult<()> {
-    let replied = try_serve(link, request, send).await?;
+    let mut unreceived = UnreceivedReply::new(link);
+    let replied = try_serve(link, request, send, &mut unreceived).await;
     let _ = send.finish();
-    match replied {
-        Replied::InWhole => drop(send.stopped().await),
+    let is_received = match &replied {
+        Ok(Replied::InWhole) => send.stopped().await.is_ok(),
         // The transport reports no acknowledgement of a reset.
-        Replied::Reset => {}
+        Ok(Replied::Reset) => false,
+        Err(_) => matches!(send.stopped().now_or_never(), Some(Ok(Some(_)))),
+    };
+    if is_received {
+        unreceived.end();
     }
-    Ok(())
+    replied.map(drop)
 }
 
 /// How the stream of a request ends.
@@ -76,6 +81,7 @@
     link: &Arc<Link>,
     request: ServeRequest,
     send: &mut SendStream,
+    unreceived: &mut UnreceivedReply<'_>,
 ) -> WireResult<Replied> {
     let parent = trace::parent_context(request.traceparent.as_deref(), false);
     let span = trace::start_span("target", parent);
@@ -100,6 +106,7 @@
     let result = match decision {
         Decision::Refuse(refusal) => AttemptResult::Refused(refusal),
         Decision::Start => {
+            unreceived.start();
             let waited = arrived.elapsed().as_secs_f64();
             link.context.metrics.wait_seconds.observe(waited);
             Attempt::new(link, &request, &ticket, deadline_ms)
--- a/eel-wire/src/endpoint.rs
+++ b/eel-wire/src/endpoint.rs
@@ -4,7 +4,8 @@
 
 use error_stack::{Report, ResultExt as _};
 use quinn::{
-    ClientConfig, Connection, Endpoint, IdleTimeout, ServerConfig, TransportConfig, VarInt,
+    ClientConfig, Connection, ConnectionError, Endpoint, IdleTimeout, ReadError, ReadExactError,
+    ServerConfig, TransportConfig, VarInt, WriteError,
     crypto::rustls::{QuicClientConfig, QuicServerConfig},
 };
 use rustls::{
@@ -27,6 +28,9 @@
 /// The flow-control window of a link, shared by its streams.
 const LINK_WINDOW_BYTES: u32 = 16 * 1024 * 1024;
 
+/// The code with which [`close_drained`] closes a link.
+const DRAINED_CODE: VarInt = VarInt::from_u32(1);
+
 /// Transport limits of the links of an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct EndpointOptions {
@@ -92,6 +96,29 @@
         .change_context(Error::Connect)
 }
 
+/// Closes a link of a target node that has drained. This states that no request over the link has started without its
+/// reply having been received by the entry node's transport in whole, and that none will start.
+pub fn close_drained(connection: &Connection) {
+    connection.close(DRAINED_CODE, b"");
+}
+
+/// Returns whether an exchange failed because its link was closed by [`close_drained`] before any of the reply arrived.
+#[must_use]
+pub fn is_drained(error: &Report<Error>) -> bool {
+    let read = match error.downcast_ref::<ReadExactError>() {
+        Some(ReadExactError::ReadError(ReadError::ConnectionLost(lost))) => Some(lost),
+        _ => None,
+    };
+    let write = match error.downcast_ref::<WriteError>() {
+        Some(WriteError::ConnectionLost(lost)) => Some(lost),
+        _ => None,
+    };
+    match read.or(write) {
+        Some(ConnectionError::ApplicationClosed(close)) => close.error_code == DRAINED_CODE,
+        _ => false,
+    }
+}
+
 fn server_config(
     credentials: &Credentials,
     options: EndpointOptions,
--- a/eel-wire/src/lib.rs
+++ b/eel-wire/src/lib.rs
@@ -10,5 +10,5 @@
 mod error;
 pub mod message;
 
-pub use endpoint::{EndpointOptions, bind_client, bind_server, connect};
+pub use endpoint::{EndpointOptions, bind_client, bind_server, close_drained, connect, is_drained};
 pub use error::Error;
--- a/tests/process/fleet/mod.rs
+++ b/tests/process/fleet/mod.rs
@@ -175,6 +175,12 @@
         self.vm_list.set_vms(self.listed.clone());
     }
 
+    /// Removes `target` from the VM list.
+    pub fn remove(&mut self, target: &Target) {
+        self.listed.retain(|vm| vm.name != target.vm.name);
+        self.vm_list.set_vms(self.listed.clone());
+    }
+
     /// Returns the path of `file` in the fleet's temporary directory.
     pub fn path(&self, file: &str) -> PathBuf {
         self.directory.path().join(file)
--- a/tests/process/leaving_target.rs
+++ b/tests/process/leaving_target.rs
@@ -3,9 +3,19 @@
 //! Guards against failed requests and truncated streams, which happen when entry nodes go on choosing a target that is
 //! listed as leaving or got SIGTERM, or when the target ends before its requests do.
 
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
 use nix::sys::signal::Signal;
 
-use crate::fleet::{Entry, Platform, Service, Target, eventually};
+use crate::{
+    fleet::{Entry, Platform, Service, Target, eventually},
+    outcome::{CallerOutcome, call, outcome_of},
+};
+
+const DEADLINE_MS: u64 = 20_000;
 
 const STREAM: &str = r#"{"model":"scribe","prompt":"x","max_tokens":400,"stream":true}"#;
 const SHORT: &str = r#"{"model":"scribe","prompt":"x","max_tokens":1}"#;
@@ -63,3 +73,55 @@
     assert!(body.ends_with("data: [DONE]\n\n"));
     assert!(leaving.node.wait_exit().await.success());
 }
+
+/// Requests are sent without a pause while targets leave one after the other.
+#[tokio::test]
+async fn requests_on_the_way() {
+    const ROUNDS: usize = 10;
+    const CALLERS: usize = 8;
+    let mut platform = Platform::start(&[Service::Dispatch]).await;
+    let mut leaving = platform.start_target("t0", "dispatch-runners").await;
+    let entry = Arc::new(platform.start_ready_entry("e1").await);
+    for round in 1..=ROUNDS {
+        let next = platform
+            .start_target(&format!("t{round}"), "dispatch-runners")
+            .await;
+        entry.wait_targets(2).await;
+        let stop = Arc::new(AtomicBool::new(false));
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|caller| {
+                let (entry, stop) = (entry.clone(), stop.clone());
+                tokio::spawn(async move {
+                    let mut outcomes = Vec::new();
+                    while !stop.load(Ordering::Relaxed) {
+                        let tag = format!("{round}-{caller}-{}", outcomes.len());
+                        let request = call(&entry, false, &tag, DEADLINE_MS);
+                        outcomes.push(outcome_of(request).await);
+                    }
+                    outcomes
+                })
+            })
+            .collect();
+        eventually("both targets are busy", async || {
+            let busy = |target: &Target| target.engine.counts().total().finished > 0;
+            busy(&leaving) && busy(&next)
+        })
+        .await;
+        leaving.node.signal(Signal::SIGTERM);
+        assert!(leaving.node.wait_exit().await.success());
+        stop.store(true, Ordering::Relaxed);
+        for caller in callers {
+            for outcome in caller.await.expect("outcomes") {
+                assert_eq!(
+                    outcome,
+                    CallerOutcome::Success,
+                    "round {round}:\n{}",
+                    entry.node.log()
+                );
+            }
+        }
+        platform.remove(&leaving);
+        entry.wait_targets(1).await;
+        leaving = next;
+    }
+}
