fix(gateway): keep connections to targets that read nothing for a second

Callers of requests that are longer than a target's receive window got 502 while their sound target paused for 1,200 ms before it read them.

Cause: data that stays unsent because the receiver's window is closed counts for TCP_USER_TIMEOUT as data that is not acknowledged does, and after 900 ms the connection was closed. The same limit holds for a target whose machine pauses and acknowledges nothing; that case has no test, since it needs a network that drops packets.

Ruled out: the takeover by another target. Routes that are not repeatable have none, and the connection failed by itself.

The timeout is 3 s now. Requests that may be repeated have been sent to another target long before; others learn later than before that their target's machine is gone, at the latest at their deadline.

long_request_is_answered and stream_of_a_long_request_is_complete failed before (502 in place of 200).

--- a/eel-gateway/src/target/connection.rs
+++ b/eel-gateway/src/target/connection.rs
@@ -11,8 +11,9 @@
 
 /// How long connecting may take: TCP retransmits a lost SYN after a second, and a new attempt is faster than that.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long sent data may stay unacknowledged before the connection counts as broken.
-const USER_TIMEOUT: Duration = Duration::from_millis(900);
+/// How long sent data may stay unacknowledged, or unsent because the target does not read, before the connection counts as
+/// broken: longer than a sound target may be silent.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// The size of a response's head from which it counts as broken.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// The interval of TCP keep-alive probes on a connection that waits for a response.
--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -18,3 +18,4 @@
 mod stale_watch;
 mod start_up;
 mod target_lifecycle;
+mod unread_request;
