fix(gateway): release the slot of a broken stream before another target is looked for

Callers got 503 although no slot of the target was in use: streams that had been interrupted and had no other target held their slots until their deadlines. The failure of their target was not recorded meanwhile, and a target whose stream was invalid, but still open, worked on beside its successor for as long as that one took to respond.

Cause: since silent attempts go on beside others, the source of a stream was dropped only once another target had taken over.

Now the source of a stream that has ended is released at once. A silent one is still kept.

--- a/eel-gateway/src/online/stream.rs
+++ b/eel-gateway/src/online/stream.rs
@@ -38,10 +38,10 @@
 
 /// The stream of the current target.
 struct Source {
-    target_response: TargetResponse,
+    /// `None` once the stream has ended, so that neither its slot nor its connection is held while another target is
+    /// looked for.
+    target_response: Option<TargetResponse>,
     content: Content,
-    /// Whether the stream has failed.
-    has_ended: bool,
     context: Arc<Context>,
     outgoing: Arc<OutgoingRequest>,
     prompt: Prompt,
@@ -268,7 +268,7 @@
     /// Continues the stream with the response of another target, after the event `last_event_id`.
     fn take_over(&mut self, target_response: TargetResponse, last_event_id: Option<u64>) {
         if let Some(mut silent) = self.source.take()
-            && !silent.has_ended
+            && silent.target_response.is_some()
         {
             self.attempts.on_failure(AttemptFailure::TimedOut);
             silent.end(AttemptFailure::TimedOut);
@@ -278,8 +278,9 @@
     }
 
     fn finish(&mut self) {
-        if let Some(source) = self.source.take() {
-            source.target_response.finish(&self.request.context.pool);
+        let target_response = self.source.take().and_then(|it| it.target_response);
+        if let Some(target_response) = target_response {
+            target_response.finish(&self.request.context.pool);
         }
     }
 }
@@ -287,9 +288,8 @@
 impl Source {
     fn new(request: &Request, target_response: TargetResponse, content: Content) -> Self {
         Self {
-            target_response,
+            target_response: Some(target_response),
             content,
-            has_ended: false,
             context: request.context.clone(),
             outgoing: request.outgoing.clone(),
             prompt: request.prompt.clone(),
@@ -298,16 +298,17 @@
 
     /// Returns the next bytes for the caller; `None` at the end of a complete response.
     async fn next(&mut self, deadline: Instant) -> Result<Option<Bytes>, AttemptFailure> {
-        loop {
-            let failure = match self.target_response.next(deadline).await {
+        while let Some(target_response) = &mut self.target_response {
+            let failure = match target_response.next(deadline).await {
                 Ok(Some(bytes)) => match self.content.push(bytes) {
                     Ok(None) => continue,
                     Ok(events) => return Ok(events),
                     Err(failure) => failure,
                 },
-                Ok(None) if self.content.is_complete(self.target_response.framing) => {
+                Ok(None) if self.content.is_complete(target_response.framing) => {
+                    let is_success = target_response.status.is_success();
                     self.record_end("complete");
-                    if self.target_response.status.is_success() {
+                    if is_success {
                         on_completed(&self.context, &self.prompt);
                     }
                     return Ok(None);
@@ -315,38 +316,43 @@
                 Ok(None) => AttemptFailure::Truncated,
                 Err(failure) => failure,
             };
+            let target = target_response.slot.target.clone();
             self.end(failure);
             let is_broken = matches!(
                 failure,
                 AttemptFailure::InvalidResponse | AttemptFailure::Truncated
             );
             if is_broken && self.content.has_only_begun() {
-                let target = &self.target_response.slot.target;
-                on_early_end(&self.context, target, &self.prompt).await;
+                on_early_end(&self.context, &target, &self.prompt).await;
             }
             return Err(failure);
         }
+        Ok(None)
     }
 
-    /// Records the failure of the target's stream.
+    /// Records the failure of the target's stream and releases its slot.
     fn end(&mut self, failure: AttemptFailure) {
-        self.has_ended = true;
         self.record_end(match failure {
             AttemptFailure::Truncated => "inside_event",
             AttemptFailure::TimedOut => "timed_out",
             _ => "failed",
         });
-        self.target_response.fail(failure);
+        if let Some(mut target_response) = self.target_response.take() {
+            target_response.fail(failure);
+        }
     }
 
     /// Counts and logs how the target's stream ended.
     fn record_end(&self, end: &'static str) {
-        let framing = self.target_response.framing;
+        let Some(target_response) = &self.target_response else {
+            return;
+        };
+        let framing = target_response.framing;
         self.context.metrics.count_stream_end(framing.as_str(), end);
         if end != "complete" || framing == BodyFraming::Connection {
             log::info!(
                 target: "online", request_id = self.outgoing.request_id.as_str(),
-                target_id = self.target_response.slot.target.id.as_str(), framing = framing.as_str(), end;
+                target_id = target_response.slot.target.id.as_str(), framing = framing.as_str(), end;
                 "A stream from a target ended."
             );
         }
