fix(gateway): let an attempt that has just begun not count as silent

Callers got 503 beside idle targets, after an earlier request had been sent to two targets and the older one had responded.

Cause: all attempts that end with the first response counted as silent, also one that began shortly before it.

Now only the attempts that are older than the one that has responded count. A newer one that is silent for 500 ms still counts by itself.

--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -125,7 +125,8 @@
                 let is_last = running.is_empty() && !has_in_flight;
                 match check(response, continues, is_last) {
                     Ok(target_response) => {
-                        for silent in &running {
+                        let older = running.iter().filter(|it| it.started < ended.started);
+                        for silent in older {
                             request.context.slots.on_silence(silent.key);
                         }
                         return Ok(First::Response(target_response));
--- a/eel-gateway/tests/gateway/silent_target.rs
+++ b/eel-gateway/tests/gateway/silent_target.rs
@@ -144,6 +144,30 @@
     );
 }
 
+#[tokio::test]
+async fn newer_attempt_does_not_count_as_silent() {
+    // The second target gets the request shortly before the first one responds.
+    let fleet = fleet(1, 2).await;
+    let script = [
+        PausesBeforeHead(Duration::from_millis(550)),
+        PausesBeforeHead(PAUSE),
+    ];
+    fleet.targets[0].share_script(&fleet.targets[1], &script);
+    let sent = fleet.post(0, "/idempotent/1", "r1").send().await;
+    assert_eq!(sent.expect("a response").status(), 200);
+    assert_eq!(fleet.runs("r1"), 2);
+    let busy = PausesBeforeHead(Duration::from_millis(100));
+    fleet
+        .targets
+        .iter()
+        .for_each(|it| it.set_default_behaviour(busy));
+    let ids = ["r2", "r3", "r4", "r5"];
+    let sent = ids.map(|id| fleet.post(0, "/once/1", id).send());
+    for response in futures_util::future::join_all(sent).await {
+        assert_eq!(response.expect("a response").status(), 200);
+    }
+}
+
 async fn stream_of(request: reqwest::RequestBuilder) -> (Vec<u64>, bool) {
     events(request.send().await.expect("a response")).await
 }
