fix(entry): look for a received reply once more after its link is lost

A reply can arrive between the last poll of its stream and the notice that the link is lost. The stream is polled once more after that notice, which returns what was received, or the cause of the loss.

--- a/eel-entry/src/link/attempt.rs
+++ b/eel-entry/src/link/attempt.rs
@@ -10,6 +10,7 @@
     message::{ReplyHead, ServeReply, ServeRequest, StreamRequest},
 };
 use error_stack::Report;
+use futures_util::FutureExt as _;
 use quinn::RecvStream;
 use tokio_util::sync::CancellationToken;
 
@@ -98,11 +99,15 @@
     lost: &CancellationToken,
     reply: impl Future<Output = Result<ServeReply, Report<eel_wire::Error>>>,
 ) -> Result<ServeReply, Report<eel_wire::Error>> {
+    tokio::pin!(reply);
     tokio::select! {
-        biased;
-        reply = reply => reply,
-        () = lost.cancelled() => Err(Report::new(eel_wire::Error::Closed)),
+        reply = &mut reply => return reply,
+        () = lost.cancelled() => {}
     }
+    // The reply, or the cause of the loss, may have arrived since it was last polled.
+    reply
+        .now_or_never()
+        .unwrap_or_else(|| Err(Report::new(eel_wire::Error::Closed)))
 }
 
 async fn exchange(
