fix(gateway): refuse requests without a response when the drain times out

Callers whose requests took longer than the drain got neither an answer nor a refusal: their connections were cut when the process ended. That held for requests at a target and for those that waited for a slot.

Cause: after the drain timeout the node ended without a word to the connections that were still open.

Now requests that have no response yet are refused at that time, 503 if they were sent to no target and 502 otherwise, and the node waits up to 200 ms of its exit margin until the refusals are sent. Streams that have started are cut as before.

Ruled out: refusing after a response may be at hand. The refusal comes first, since the slot that one refusal releases would start the next request, which then may have run (seen in a run of this test).

requests_without_a_response_at_the_drain_timeout failed before ("r0 is cut"). The three tests of graceful_stop passed in 3 of 3 runs after.

--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -66,6 +66,8 @@
     pub(crate) is_retiring: AtomicBool,
     /// Cancelled when the node starts to drain; the node is not ready from then on.
     pub(crate) draining: CancellationToken,
+    /// Cancelled when the drain times out; requests without a response are refused from then on.
+    pub(crate) refusing: CancellationToken,
 }
 
 /// Identity and settings from which a [`Context`] is created.
@@ -110,6 +112,7 @@
             retirements: Mutex::default(),
             is_retiring: AtomicBool::new(false),
             draining: CancellationToken::new(),
+            refusing: CancellationToken::new(),
         }
     }
 
--- a/eel-gateway/src/node.rs
+++ b/eel-gateway/src/node.rs
@@ -35,6 +35,8 @@
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// The part of the drain timeout that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// The part of [`EXIT_MARGIN`] in which refusals are sent to the requests that have no response yet.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// A gateway node with bound listeners that is not serving yet.
 pub struct GatewayNode {
@@ -303,12 +305,18 @@
         connections.close();
         connections.wait().await;
     };
-    tokio::select! {
-        done = timeout(limit, finished) => {
-            if done.is_err() {
-                log::warn!(target: "node", open = connections.len(); "The drain timed out before all connections were closed.");
-            }
+    let drained = async {
+        if timeout(limit, finished).await.is_err() {
+            log::warn!(target: "node", open = connections.len(); "The drain timed out before all connections were closed.");
+            context.refusing.cancel();
+            closing.cancel();
+            connections.close();
+            // Streams that are still open are cut when the process ends.
+            let _ = timeout(REFUSAL_TIMEOUT, connections.wait()).await;
         }
+    };
+    tokio::select! {
+        () = drained => {}
         () = shutdown.now.cancelled() => {}
     }
 }
--- a/eel-gateway/src/online/attempts.rs
+++ b/eel-gateway/src/online/attempts.rs
@@ -123,6 +123,12 @@
         self.refuse(Reason::DeadlineExceeded, None)
     }
 
+    /// Returns the refusal of a request whose node ends before there is a response.
+    #[must_use]
+    pub fn leave(&self) -> Refusal {
+        self.refuse(Reason::Leaving, None)
+    }
+
     /// Returns whether the request may have run at any target so far.
     fn verdict(&self) -> Verdict {
         if self.in_flight > 0 {
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -7,6 +7,7 @@
 use eel_table::{Route, RouteKind};
 use eel_verdict::{Reason, Refusal};
 use http::{HeaderMap, Response, StatusCode, Version, header, request::Parts};
+use tokio_util::sync::CancellationToken;
 
 use super::{
     attempts::Attempts,
@@ -37,12 +38,9 @@
         return refuse(&Refusal::not_run(Reason::NoTarget));
     };
     let mut attempts = Attempts::default();
-    match quarantine::admit(&request.context, &request.prompt).await {
-        Admission::Pass => {}
-        Admission::Trial => request.is_trial = true,
-        Admission::Block => return log_refusal(&request, &attempts, &attempts.block()),
-    }
-    let served = match obtain_response(&mut request, &mut attempts).await {
+    let refusing = request.context.refusing.clone();
+    let obtained = unless_cancelled(&refusing, obtain_response(&mut request, &mut attempts)).await;
+    let served = match obtained.unwrap_or_else(|| Err(attempts.leave())) {
         // In HTTP/1.0 a truncated response looks complete unless its length is stated.
         Ok(Served::Stream(..)) if version < Version::HTTP_11 => {
             Err(Refusal::may_have_run(Reason::TargetFailed))
@@ -63,7 +61,9 @@
 
 /// Responds once the stream has started: before that, a failure still has a status.
 async fn serve_stream(mut relay: Relay) -> Response<Body> {
-    let started = relay.read_start().await;
+    let refusing = relay.request.context.refusing.clone();
+    let started = unless_cancelled(&refusing, relay.read_start()).await;
+    let started = started.unwrap_or_else(|| Err(relay.attempts.leave()));
     let (request, attempts) = (&relay.request, &relay.attempts);
     match started {
         Ok(()) => {
@@ -74,6 +74,19 @@
     }
 }
 
+/// Waits for `outcome`; `None` once `cancelled` is cancelled, so that no request starts in a slot that the refusal of
+/// another one has released.
+async fn unless_cancelled<T>(
+    cancelled: &CancellationToken,
+    outcome: impl Future<Output = T>,
+) -> Option<T> {
+    tokio::select! {
+        biased;
+        () = cancelled.cancelled() => None,
+        outcome = outcome => Some(outcome),
+    }
+}
+
 fn log_refusal(request: &Request, attempts: &Attempts, refusal: &Refusal) -> Response<Body> {
     let response = refuse(refusal);
     log_end(
@@ -95,6 +108,11 @@
     request: &mut Request,
     attempts: &mut Attempts,
 ) -> Result<Served, Refusal> {
+    match quarantine::admit(&request.context, &request.prompt).await {
+        Admission::Pass => {}
+        Admission::Trial => request.is_trial = true,
+        Admission::Block => return Err(attempts.block()),
+    }
     loop {
         let last_event_id = request.last_event_id;
         let mut target_response = run_attempts(request, attempts, last_event_id).await?;
