test(known-red): streams lost beside a slow successor and beside a target that is full for a moment

A stalled stream whose successor takes more than 300 ms to the head of its response is cut at its deadline if its first target is gone: the newer attempt is left each time, and counts.

A broken stream whose last target refuses it once as full is cut, since a target that did not run the request is excluded as one that did.

--- a/eel-gateway/tests/gateway/resumed_stream.rs
+++ b/eel-gateway/tests/gateway/resumed_stream.rs
@@ -65,6 +65,16 @@
     assert_eq!(events(response).await, (vec![1, 2, 3, 4, 5], true));
 }
 
+#[tokio::test]
+async fn last_target_is_full_for_a_moment() {
+    // The second target refuses the first attempt to resume the stream, which it did not run, and has room right after.
+    let fleet = fleet(1, 2).await;
+    fleet.targets[0].share_script(&fleet.targets[1], &[DisconnectsAfter(2), Full, Responds]);
+    let sent = fleet.post(0, "/resumable-stream/1", "r1").send().await;
+    let received = events(sent.expect("a response")).await;
+    assert_eq!(received, (vec![1, 2, 3, 4, 5], true));
+}
+
 #[tokio::test]
 async fn broken_stream_waits_for_a_slot() {
     let fleet = fleet(1, 2).await;
--- a/eel-gateway/tests/gateway/silent_target.rs
+++ b/eel-gateway/tests/gateway/silent_target.rs
@@ -144,6 +144,16 @@
     );
 }
 
+#[tokio::test]
+async fn slow_successor_of_a_stalled_stream() {
+    // The first target is gone and says nothing; the second one is sound and takes long to respond.
+    let fleet = fleet(1, 2).await;
+    let slow = PausesBeforeHead(Duration::from_millis(500));
+    fleet.targets[0].share_script(&fleet.targets[1], &[StallsAfter(2), slow]);
+    let received = stream(&fleet, "/resumable-stream/1", "r1").await;
+    assert_eq!(received, (ALL_EVENTS.to_vec(), true));
+}
+
 #[tokio::test]
 async fn newer_attempt_does_not_count_as_silent() {
     // The second target gets the request shortly before the first one responds.
