fix(gateway): leave the older of two silent attempts at a stream

Cause: at the end of the time for which a stream may be in flight at two targets the newer attempt was left, and both were used up.

Now the older one is left, which has been silent for longer, and the newer one has the time until the deadline. The race of attempts is a type of its own, with a method for each thing that happens to it.

--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -1,7 +1,7 @@
 //! Runs the attempts of one request until a target responds or the request is refused.
 //!
-//! A silent target may be sound. Its attempt therefore goes on while another target is tried beside it, and ends only when
-//! that one has responded.
+//! A silent target may be sound. Its attempt therefore goes on while another target is tried beside it, and ends when that
+//! one has responded, or, for a stream, has had the request for a while.
 
 use std::{
     convert::Infallible,
@@ -16,6 +16,7 @@
 use eel_verdict::Refusal;
 use futures_util::future::{BoxFuture, FutureExt as _, select_all};
 use tokio::time::sleep_until;
+use tokio_util::sync::CancellationToken;
 
 use super::{
     attempts::Attempts,
@@ -32,8 +33,10 @@
 
 /// An attempt whose response has started.
 pub struct InFlight<F> {
-    /// Reads what follows.
+    /// Reads what follows; fails once `left` is cancelled.
     pub read: F,
+    /// Ends the attempt.
+    pub left: CancellationToken,
     /// When another target is tried beside it; `None` if no other one can continue the response.
     pub takeover_at: Option<Instant>,
 }
@@ -75,99 +78,167 @@
     in_flight: Option<InFlight<impl Future<Output = Result<T, AttemptFailure>>>>,
 ) -> Result<First<T>, Refusal> {
     let continues = in_flight.is_some();
-    let mut has_in_flight = continues;
-    let first_start_at = in_flight
-        .as_ref()
-        .map_or_else(|| Some(Instant::now()), |it| it.takeover_at);
-    let mut start_at = first_start_at.unwrap_or(request.deadline);
-    let read = async {
+    let may_take_over = in_flight.as_ref().is_none_or(|it| it.takeover_at.is_some());
+    let takeover_at = in_flight.as_ref().and_then(|it| it.takeover_at);
+    let mut left = in_flight.as_ref().map(|it| it.left.clone());
+    let mut race = Race {
+        start_at: takeover_at.unwrap_or_else(Instant::now),
+        running: Vec::new(),
+        request,
+        attempts,
+        last_event_id,
+    };
+    let mut read = pin!(async {
         match in_flight {
             Some(in_flight) => in_flight.read.await,
             None => pending().await,
         }
-    };
-    let mut read = pin!(read);
-    let mut running: Vec<Running> = Vec::new();
+    });
     loop {
-        let is_idle = running.is_empty() && !has_in_flight;
-        let may_start = first_start_at.is_some() && attempts.may_start(&request.route);
-        if is_idle && Instant::now() >= request.deadline {
-            return Err(attempts.time_out());
-        }
-        let is_blocked = is_blocked(request, attempts);
-        let may_start = may_start && !is_blocked;
-        if is_idle && !may_start {
-            return Err(if is_blocked {
-                attempts.block()
-            } else {
-                attempts.give_up()
-            });
+        let is_idle = race.running.is_empty() && left.is_none();
+        let is_blocked = race.is_blocked();
+        let may_start = may_take_over && !is_blocked && race.may_start();
+        if is_idle && (!may_start || Instant::now() >= race.request.deadline) {
+            return Err(race.refusal(is_blocked));
         }
-        let overlap_end = overlap_end(request, &running, has_in_flight);
-        let wake_at = overlap_end.unwrap_or(request.deadline);
+        let overlap_end = race.overlap_end(left.is_some());
+        let wake_at = overlap_end.unwrap_or(race.request.deadline);
         tokio::select! {
             biased;
-            brought = read.as_mut(), if has_in_flight => match brought {
+            brought = read.as_mut(), if left.is_some() => match brought {
                 Ok(brought) => return Ok(First::InFlight(brought)),
                 Err(failure) => {
-                    attempts.on_failure(failure);
-                    has_in_flight = false;
-                    start_at = Instant::now();
-                    log::info!(
-                        target: "online", request_id = request.outgoing.request_id.as_str(),
-                        last_event_id = last_event_id.unwrap_or(0),
-                        resumes = first_start_at.is_some() && attempts.may_start(&request.route);
-                        "A stream from a target was interrupted: {failure}."
-                    );
+                    left = None;
+                    race.on_interrupted(failure, may_take_over);
                 }
             },
-            (ended, response) = next_response(&mut running), if !running.is_empty() => {
-                let is_last = running.is_empty() && !has_in_flight;
+            (ended, response) = next_response(&mut race.running), if !race.running.is_empty() => {
+                let is_last = race.running.is_empty() && left.is_none();
                 match check(response, continues, is_last) {
                     Ok(target_response) => {
-                        let older = running.iter().filter(|it| it.started < ended.started);
-                        for silent in older {
-                            request.context.slots.on_silence(silent.key);
-                        }
+                        race.leave_older_than(ended.started);
                         return Ok(First::Response(target_response));
                     }
-                    Err(failure) => {
-                        attempts.on_failure(failure);
-                        log_failure(request, attempts, &ended, failure);
-                        if failure == AttemptFailure::InvalidResponse {
-                            on_early_end(&request.context, &ended.target, &request.prompt).await;
-                        }
-                        start_at = Instant::now();
-                    }
+                    Err(failure) => race.on_failure(ended, failure).await,
                 }
             }
-            acquired = acquire_slot_at(start_at, request), if may_start => match acquired {
-                // It may have been blocked while it waited.
-                Ok(_) if self::is_blocked(request, attempts) => {}
-                Ok(slot) => {
-                    attempts.on_start();
-                    running.push(Running::start(request, slot, last_event_id));
-                    start_at = Instant::now() + Attempts::takeover_delay(&request.route);
-                }
+            acquired = acquire_slot_at(race.start_at, race.request), if may_start => match acquired {
+                Ok(slot) => race.start(slot),
                 Err(rejection) if is_idle => {
-                    log_rejection(request, &rejection);
-                    return Err(attempts.reject(rejection.retry_after_ms));
+                    log_rejection(race.request, &rejection);
+                    return Err(race.attempts.reject(rejection.retry_after_ms));
                 }
                 Err(rejection) => {
-                    start_at = Instant::now() + Duration::from_millis(rejection.retry_after_ms);
+                    race.start_at = Instant::now() + Duration::from_millis(rejection.retry_after_ms);
                 }
             },
-            () = sleep_until(wake_at.into()), if overlap_end.is_some() => {
-                if let Some(newest) = running.pop() {
-                    attempts.on_failure(AttemptFailure::TimedOut);
-                    request.context.slots.on_silence(newest.key);
-                    log_failure(request, attempts, &newest, AttemptFailure::TimedOut);
-                }
-            }
+            () = sleep_until(wake_at.into()), if overlap_end.is_some() => match &left {
+                Some(left) => left.cancel(),
+                None => race.leave_oldest(),
+            },
         }
     }
 }
 
+/// The attempts of a request that have no response yet.
+struct Race<'a> {
+    request: &'a mut Request,
+    attempts: &'a mut Attempts,
+    last_event_id: Option<u64>,
+    /// The attempts, the oldest first.
+    running: Vec<Running>,
+    /// When the next attempt may start.
+    start_at: Instant,
+}
+
+impl Race<'_> {
+    fn may_start(&self) -> bool {
+        self.attempts.may_start(&self.request.route)
+    }
+
+    /// Returns whether the request must not be sent to another target because its prompt crashes targets.
+    fn is_blocked(&self) -> bool {
+        let is_trial = self.request.is_trial && self.attempts.is_empty();
+        let prompt = &self.request.prompt;
+        !is_trial && !prompt.parts.is_empty() && self.request.context.quarantine().blocks(prompt)
+    }
+
+    /// Returns the refusal to send to the caller now that no attempt is left.
+    fn refusal(&self, is_blocked: bool) -> Refusal {
+        if is_blocked {
+            self.attempts.block()
+        } else if Instant::now() >= self.request.deadline {
+            self.attempts.time_out()
+        } else {
+            self.attempts.give_up()
+        }
+    }
+
+    /// Starts an attempt, unless the request was blocked while it waited for the slot.
+    fn start(&mut self, slot: SlotGuard) {
+        if self.is_blocked() {
+            return;
+        }
+        self.attempts.on_start();
+        let attempt = Running::start(self.request, slot, self.last_event_id);
+        self.running.push(attempt);
+        self.start_at = Instant::now() + Attempts::takeover_delay(&self.request.route);
+    }
+
+    /// Records the failure of an attempt that had no response.
+    async fn on_failure(&mut self, ended: Running, failure: AttemptFailure) {
+        self.attempts.on_failure(failure);
+        if self.running.is_empty() {
+            self.start_at = Instant::now();
+        }
+        log_failure(self.request, self.attempts, &ended, failure);
+        if failure == AttemptFailure::InvalidResponse {
+            on_early_end(&self.request.context, &ended.target, &self.request.prompt).await;
+        }
+    }
+
+    /// Records the failure of the attempt whose response had started.
+    fn on_interrupted(&mut self, failure: AttemptFailure, may_take_over: bool) {
+        self.attempts.on_failure(failure);
+        if self.running.is_empty() {
+            self.start_at = Instant::now();
+        }
+        log::info!(
+            target: "online", request_id = self.request.outgoing.request_id.as_str(),
+            last_event_id = self.last_event_id.unwrap_or(0),
+            resumes = may_take_over && (self.may_start() || !self.running.is_empty());
+            "A stream from a target was interrupted: {failure}."
+        );
+    }
+
+    /// Leaves the attempts that started before the one that has responded.
+    fn leave_older_than(&self, started: Instant) {
+        let older = self.running.iter().filter(|it| it.started < started);
+        older.for_each(|it| self.request.context.slots.on_silence(it.key));
+    }
+
+    /// Leaves the oldest attempt.
+    fn leave_oldest(&mut self) {
+        let oldest = self.running.remove(0);
+        self.attempts.on_failure(AttemptFailure::TimedOut);
+        self.request.context.slots.on_silence(oldest.key);
+        log_failure(
+            self.request,
+            self.attempts,
+            &oldest,
+            AttemptFailure::TimedOut,
+        );
+    }
+
+    /// Returns when the oldest attempt is left because a stream is in flight at two targets.
+    fn overlap_end(&self, has_in_flight: bool) -> Option<Instant> {
+        let is_stream = matches!(self.request.route.kind, RouteKind::Stream { .. });
+        let is_shared = self.running.len() + usize::from(has_in_flight) > 1;
+        let newest = self.running.last().filter(|_| is_stream && is_shared)?;
+        Some(newest.started + MAX_STREAM_OVERLAP)
+    }
+}
+
 /// An attempt that has no response yet.
 struct Running {
     key: TargetKey,
@@ -196,22 +267,6 @@
     }
 }
 
-/// Returns whether the request must not be sent to another target because its prompt crashes targets.
-fn is_blocked(request: &Request, attempts: &Attempts) -> bool {
-    let is_trial = request.is_trial && attempts.is_empty();
-    !is_trial
-        && !request.prompt.parts.is_empty()
-        && request.context.quarantine().blocks(&request.prompt)
-}
-
-/// Returns when the newest attempt must have a response because a stream is in flight at two targets.
-fn overlap_end(request: &Request, running: &[Running], has_in_flight: bool) -> Option<Instant> {
-    let is_stream = matches!(request.route.kind, RouteKind::Stream { .. });
-    let is_shared = running.len() + usize::from(has_in_flight) > 1;
-    let newest = running.last().filter(|_| is_stream && is_shared)?;
-    Some(newest.started + MAX_STREAM_OVERLAP)
-}
-
 /// Waits for the next response and removes its attempt from `running`, which must not be empty.
 async fn next_response(
     running: &mut Vec<Running>,
--- a/eel-gateway/src/online/stream.rs
+++ b/eel-gateway/src/online/stream.rs
@@ -10,6 +10,7 @@
 use futures_util::{StreamExt as _, stream};
 use http::{HeaderMap, Response, StatusCode};
 use tokio::{sync::mpsc, time::timeout_at};
+use tokio_util::sync::CancellationToken;
 
 use super::{
     attempts::Attempts,
@@ -242,8 +243,10 @@
             let last_event_id = source.content.last_event_id();
             // Bytes that complete no event do not extend the wait, and the time that the caller takes to read does not
             // count.
+            let left = CancellationToken::new();
             let in_flight = InFlight {
-                read: source.next(self.request.deadline),
+                read: source.next(self.request.deadline, left.clone()),
+                left,
                 takeover_at: delay.map(|delay| Instant::now() + delay),
             };
             let (request, attempts) = (&mut self.request, &mut self.attempts);
@@ -296,10 +299,19 @@
         }
     }
 
-    /// Returns the next bytes for the caller; `None` at the end of a complete response.
-    async fn next(&mut self, deadline: Instant) -> Result<Option<Bytes>, AttemptFailure> {
+    /// Returns the next bytes for the caller; `None` at the end of a complete response. Fails once `left` is cancelled.
+    async fn next(
+        &mut self,
+        deadline: Instant,
+        left: CancellationToken,
+    ) -> Result<Option<Bytes>, AttemptFailure> {
         while let Some(target_response) = &mut self.target_response {
-            let failure = match target_response.next(deadline).await {
+            let read = tokio::select! {
+                biased;
+                read = target_response.next(deadline) => read,
+                () = left.cancelled() => Err(AttemptFailure::TimedOut),
+            };
+            let failure = match read {
                 Ok(Some(bytes)) => match self.content.push(bytes) {
                     Ok(None) => continue,
                     Ok(events) => return Ok(events),
