test(gateway): let targets that are full share one script

The case of full targets called share_script twice on one target, which made two scripts, so that two targets could play the one behaviour. The pausing behaviour is now in one script, and all requests after it meet full targets.

--- a/eel-gateway/tests/gateway/silent_target.rs
+++ b/eel-gateway/tests/gateway/silent_target.rs
@@ -38,9 +38,7 @@
         });
     }
     if matches!(others, Others::AreFull) {
-        let script = [vec![behaviour], vec![Full; 40]].concat();
-        fleet.targets[0].share_script(&fleet.targets[1], &script);
-        fleet.targets[0].share_script(&fleet.targets[2], &script);
+        fleet.targets[0].share_script(&fleet.targets[1], &[behaviour]);
     }
     fleet
 }
