fix(gateway): go on asking full targets for a response that has started

Callers of resumable streams got a cut stream at their deadline although a target had room: it had been full at the moment at which it was asked first, or six attempts had not run, at targets that were full or gone.

Cause: a target that refuses a request as full was excluded for that request, and the number of attempts that did not run is limited, which is right where the caller can be told 'not run'.

A full target is asked again, no sooner than its backoff allows, and the limit does not hold for a response that has started: each attempt after the sixth is delayed by 100 ms.

--- a/eel-gateway/src/online/attempts.rs
+++ b/eel-gateway/src/online/attempts.rs
@@ -14,8 +14,11 @@
 /// The bounds of both delays.
 const MIN_TAKEOVER_DELAY: Duration = Duration::from_millis(200);
 const MAX_TAKEOVER_DELAY: Duration = Duration::from_millis(800);
-/// The maximum number of attempts that did not run, because the target refused them or could not be reached.
+/// The number of attempts that did not run, because the target refused them or could not be reached, after which a request
+/// is refused, or delayed if its response has started.
 const MAX_NOT_RUN_ATTEMPTS: u32 = 6;
+/// The delay of each further one.
+const NOT_RUN_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// The outcomes of a request's attempts so far.
 #[derive(Clone, Copy, Debug)]
@@ -72,12 +75,24 @@
         }
     }
 
-    /// Returns whether the request may be sent to another target, also while earlier attempts are in flight.
+    /// Returns whether the request may be sent to another target, also while earlier attempts are in flight. The number of
+    /// attempts that did not run is not limited if the caller has the start of a response.
     #[must_use]
-    pub fn may_start(&self, route: &Route) -> bool {
+    pub fn may_start(&self, route: &Route, has_response: bool) -> bool {
         let is_allowed = self.verdict().allows_retry(route.kind.is_repeatable());
         let used = self.may_have_run + self.in_flight;
-        is_allowed && used < route.max_attempts.max(1) && self.not_run < MAX_NOT_RUN_ATTEMPTS
+        let has_tries = has_response || self.not_run < MAX_NOT_RUN_ATTEMPTS;
+        is_allowed && used < route.max_attempts.max(1) && has_tries
+    }
+
+    /// Returns how long the next attempt is delayed because many did not run.
+    #[must_use]
+    pub fn retry_delay(&self) -> Duration {
+        if self.not_run < MAX_NOT_RUN_ATTEMPTS {
+            Duration::ZERO
+        } else {
+            NOT_RUN_RETRY_DELAY
+        }
     }
 
     /// Returns how long an attempt may stay without the head of its response before another target is tried beside it.
--- a/eel-gateway/src/online/request.rs
+++ b/eel-gateway/src/online/request.rs
@@ -107,6 +107,11 @@
     pub fn exclude(&mut self, key: TargetKey) {
         self.excluded.push(key);
     }
+
+    /// Allows further attempts at a target that was excluded.
+    pub fn readmit(&mut self, key: TargetKey) {
+        self.excluded.retain(|it| *it != key);
+    }
 }
 
 fn origin_form(uri: Uri) -> Uri {
--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -153,7 +153,8 @@
 
 impl Race<'_> {
     fn may_start(&self) -> bool {
-        self.attempts.may_start(&self.request.route)
+        self.attempts
+            .may_start(&self.request.route, self.request.has_response)
     }
 
     /// Returns whether the request must not be sent to another target because its prompt crashes targets.
@@ -188,8 +189,12 @@
     /// Records the failure of an attempt that had no response.
     async fn on_failure(&mut self, ended: Running, failure: AttemptFailure) {
         self.attempts.on_failure(failure);
+        if failure == AttemptFailure::Full {
+            // It may have room again.
+            self.request.readmit(ended.key);
+        }
         if self.running.is_empty() {
-            self.start_at = Instant::now();
+            self.start_at = Instant::now() + self.attempts.retry_delay();
         }
         log_failure(self.request, self.attempts, &ended, failure);
         if failure == AttemptFailure::InvalidResponse {
@@ -305,7 +310,7 @@
     log::info!(
         target: "online", request_id = request.outgoing.request_id.as_str(), target_id = ended.target.id.as_str(),
         attempt_ms = whole_ms(ended.started.elapsed()),
-        verdict = failure.verdict().as_str(), again = attempts.may_start(&request.route);
+        verdict = failure.verdict().as_str(), again = attempts.may_start(&request.route, request.has_response);
         "An attempt brought no answer: {failure}."
     );
 }
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -144,7 +144,7 @@
                     let target = &target_response.slot.target;
                     quarantine::on_early_end(&request.context, target, &request.prompt).await;
                 }
-                if !attempts.may_start(&request.route) {
+                if !attempts.may_start(&request.route, request.has_response) {
                     return Err(attempts.give_up());
                 }
             }
@@ -157,7 +157,7 @@
 fn should_retry(request: &Request, attempts: &Attempts) -> bool {
     let mut after = *attempts;
     after.on_failure(AttemptFailure::InvalidResponse);
-    after.may_start(&request.route) && Instant::now() < request.deadline
+    after.may_start(&request.route, request.has_response) && Instant::now() < request.deadline
 }
 
 fn is_large(target_response: &TargetResponse) -> bool {
