fix(jobs): release the claim of a chunk that was dropped under a living lease

Seen: two tests over processes (entry_killed_with_claims, store_down_past_the_lease) hung once. An entry node had dropped its chunk (chunks_lost 1, chunks_held 0), its claim stood in the store under the node's lease, and the node went on to renew that lease. No node could claim the chunk, so its job did not end while that node lived.

Cause: a chunk ends once the time is over for which its lease is relied on. The lease itself goes on if a renewal that was sent before succeeds after that. Nothing deleted the claim: a lost claim was left to the end of the lease.

Ruled out: giving up the whole lease, which drops the sound chunks under it too, and does not cover a chunk that reads its old time just after the renewal was published. With renewals each third of the lease a single slow response is not enough: one that is late for the chunk is late for the next renewal as well, and the lease is lost.

Change: after a chunk has lost its claim and its items were aborted, the holder deletes the claim, compared with its create revision, so that a late or repeated deletion cannot touch the claim of another holder. It repeats this until the store has responded or the lease is given up. Marks and history stay, so an item that is not repeatable and was marked is not sent again; late writes of the dropped holder are refused as before.

Test: dropped_chunk_is_released holds the response of a renewal past the time of the lease by a clock that the test sets, with and without lost responses to the deletion.

--- a/eel-batch/src/runner/mod.rs
+++ b/eel-batch/src/runner/mod.rs
@@ -136,6 +136,12 @@
         matches!(self.phase, Phase::Finished | Phase::Lost)
     }
 
+    /// Returns `true` if the runner stopped because its claim was lost or may have been.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        self.phase == Phase::Lost
+    }
+
     fn add_item(&mut self, item: ItemIndex) {
         let repeatable = self.claimed.repeatable;
         let sent_before = repeatable && self.claimed.history.sent;
--- a/eel-batch/src/store/claim_writes.rs
+++ b/eel-batch/src/store/claim_writes.rs
@@ -115,17 +115,37 @@
         history: History,
     ) -> StoreResult<FencedWrite> {
         let OpenChunk { job, chunk } = claim_token.open;
+        let ops = vec![
+            Op::put(self.keys.history(job, chunk), to_json(&history)?),
+            Op::DeletePrefix {
+                prefix: self.keys.marks(job, chunk),
+            },
+        ];
+        self.delete_claim(claim_token, ops).await
+    }
+
+    /// Deletes the claim of a holder that has lost it by its own clock: a lease that is renewed late keeps it. The
+    /// started marks and the history remain, as items may have been sent. The holder must write no more under the claim.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Store`] if the store did not respond; the deletion may be repeated, or the claim ends with the lease.
+    pub async fn abandon(&self, claim_token: &ClaimToken) -> StoreResult<FencedWrite> {
+        self.delete_claim(claim_token, Vec::new()).await
+    }
+
+    /// Deletes the claim and applies `ops` if the claim is still held.
+    async fn delete_claim(
+        &self,
+        claim_token: &ClaimToken,
+        mut ops: Vec<Op>,
+    ) -> StoreResult<FencedWrite> {
+        ops.push(Op::Delete {
+            key: claim_token.claim_key.clone(),
+        });
         let txn = Txn {
             compares: vec![claim_token.compare()],
-            success: vec![
-                Op::Delete {
-                    key: claim_token.claim_key.clone(),
-                },
-                Op::put(self.keys.history(job, chunk), to_json(&history)?),
-                Op::DeletePrefix {
-                    prefix: self.keys.marks(job, chunk),
-                },
-            ],
+            success: ops,
             failure: Vec::new(),
         };
         let outcome = self.commit_with_retry(&txn).await?;
--- a/eel-batch/tests/batch/claim_faults.rs
+++ b/eel-batch/tests/batch/claim_faults.rs
@@ -46,7 +46,10 @@
         (false, Until::Sent(1), 0),
         (false, Until::Sent(20), 0),
     ];
-    for (repeatable, until, expected) in cases {
+    let cases = cases
+        .into_iter()
+        .flat_map(|case| [(case, false), (case, true)]);
+    for ((repeatable, until, expected), abandoned) in cases {
         let server = KvServer::start().await.unwrap();
         let (left, right) = (open(&server), open(&server));
         let plan = plan("k", 20, repeatable);
@@ -57,7 +60,13 @@
         };
         let lost = must_claim(&left, chunk, &plan.head, lease(&left).await).await;
         let sent = drive(&left, &lost, until).await;
-        server.revoke_leases();
+        if abandoned {
+            // The lease of the lost holder lives on.
+            let deleted = left.abandon(&lost.claim_token).await;
+            assert_eq!(deleted.unwrap(), FencedWrite::Written);
+        } else {
+            server.revoke_leases();
+        }
         let next = must_claim(&right, chunk, &plan.head, lease(&right).await).await;
         let resent = drive(&right, &next, Until::Done).await;
         assert_eq!(resent.len(), expected, "{repeatable} {until:?}");
@@ -82,6 +91,8 @@
             .release(&lost.claim_token, eel_batch::History::default())
             .await;
         assert_eq!(release.unwrap(), FencedWrite::Refused);
+        let abandon = left.abandon(&lost.claim_token).await;
+        assert_eq!(abandon.unwrap(), FencedWrite::Refused);
         let read = right.results(plan.job, &plan.head, FIRST, 0).await.unwrap();
         assert!(read.complete);
         assert_eq!(read.lines.len(), 20);
--- a/eel-jobs/src/claim.rs
+++ b/eel-jobs/src/claim.rs
@@ -150,7 +150,12 @@
         open,
     };
     chunks.spawn(async move {
-        work::run(&guard.node, work, &head, lease, &active).await;
+        let lost_claim = work::run(&guard.node, work, &head, lease, &active).await;
+        let node = guard.node.clone();
+        drop(guard);
+        if let Some(claim_token) = lost_claim {
+            work::abandon(&node, &claim_token, lease.id).await;
+        }
     });
 }
 
@@ -173,9 +178,8 @@
     open: OpenChunk,
     holder: Holder,
 ) {
-    let is_current = |held: &Option<HeldLease>| held.is_some_and(|held| held.id == holder.lease);
     let mut deleted = 0;
-    while deleted < REQUIRED_DELETES && is_current(&node.lease.borrow()) {
+    while deleted < REQUIRED_DELETES && node.is_current(holder.lease) {
         if node.jobs.delete_own_claim(open, &holder).await.is_ok() {
             deleted += 1;
         }
--- a/eel-jobs/src/node.rs
+++ b/eel-jobs/src/node.rs
@@ -10,7 +10,7 @@
 };
 
 use eel_batch::{Keys, LiveJobs, OpenChunk, store::JobStore};
-use eel_store::KeyValue;
+use eel_store::{KeyValue, LeaseId};
 use eel_types::Name;
 use tokio::sync::{Semaphore, watch};
 use tokio_util::sync::CancellationToken;
@@ -128,6 +128,11 @@
         self.active.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns `true` if `lease` is the lease that the node maintains.
+    pub(crate) fn is_current(&self, lease: LeaseId) -> bool {
+        self.lease.borrow().is_some_and(|held| held.id == lease)
+    }
+
     pub(crate) fn set_cancels_read_ms(&self, started_at_ms: u64) {
         self.cancels_read_ms.store(started_at_ms, Ordering::Relaxed);
     }
--- a/eel-jobs/src/work.rs
+++ b/eel-jobs/src/work.rs
@@ -79,14 +79,15 @@
     aborted_at: Option<Instant>,
 }
 
-/// Runs the chunk of `work` until it is done, released or its claim is lost.
+/// Runs the chunk of `work`, claimed under `lease`, until it is done, released or its claim is lost. Returns the token of
+/// a lost claim, which the store may still hold; no item of the chunk is in flight any more.
 pub(crate) async fn run<S: KeyValue, H: Host>(
     node: &Arc<JobNode<S, H>>,
     work: ClaimedWork,
     head: &Head,
     lease: HeldLease,
     active: &ActiveChunk,
-) {
+) -> Option<ClaimToken> {
     let now_ms = node.now_ms();
     let deadline_ms = now_ms + head.deadline_unix_ms.saturating_sub(unix_ms());
     let claimed = ClaimedChunk {
@@ -112,6 +113,24 @@
     chunk.abort.cancel();
     let ended = async { while chunk.sends.join_next().await.is_some() {} };
     let _ = tokio::time::timeout(ABORT_TIMEOUT, ended).await;
+    chunk.sends.shutdown().await;
+    chunk.runner.is_lost().then_some(chunk.claim_token)
+}
+
+/// Deletes a lost claim, until the store has responded or `lease` is given up too. A renewal that was sent before the
+/// lease could no longer be relied on may have kept it, and with it the claim.
+pub(crate) async fn abandon<S: KeyValue, H: Host>(
+    node: &Arc<JobNode<S, H>>,
+    claim_token: &ClaimToken,
+    lease: LeaseId,
+) {
+    while let Err(error) = node.jobs.abandon(claim_token).await {
+        log::warn!(target: "jobs", "Cannot delete a lost claim: {error}.");
+        if !node.is_current(lease) {
+            return;
+        }
+        tokio::time::sleep(WRITE_RETRY_DELAY).await;
+    }
 }
 
 impl<S: KeyValue, H: Host> Chunk<S, H> {
--- a/eel-jobs/tests/jobs/fixture.rs
+++ b/eel-jobs/tests/jobs/fixture.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -33,6 +33,8 @@
     pub run_ms: u64,
     /// While `true`, blocks the node's thread in its next send.
     pub pause: Arc<AtomicBool>,
+    /// The time that the node sees, in milliseconds, if the test sets it.
+    pub clock_ms: Option<Arc<AtomicU64>>,
 }
 
 impl FakeHost {
@@ -44,6 +46,7 @@
             running: AtomicU32::new(0),
             run_ms: 1,
             pause: Arc::default(),
+            clock_ms: None,
         }
     }
 }
@@ -101,6 +104,9 @@
     }
 
     fn now_ms(&self) -> u64 {
+        if let Some(clock_ms) = &self.clock_ms {
+            return clock_ms.load(Ordering::Relaxed);
+        }
         u64::try_from(self.started.elapsed().as_millis()).unwrap()
     }
 }
@@ -117,15 +123,22 @@
 }
 
 pub fn new_node(server: &KvServer, vm: &str, host: FakeHost) -> Arc<Node> {
-    let options = Options {
+    JobNode::new(options(vm), open_store(server), Arc::new(host))
+}
+
+pub fn options(vm: &str) -> Options {
+    Options {
         lease_ttl_ms: 2_000,
         ..Options::new(vm.into(), "/eel")
-    };
+    }
+}
+
+pub fn open_store(server: &KvServer) -> EtcdJson {
     let store = EtcdOptions {
         call_timeout_ms: 500,
         ..EtcdOptions::new(server.url())
     };
-    JobNode::new(options, EtcdJson::new(&store).unwrap(), Arc::new(host))
+    EtcdJson::new(&store).unwrap()
 }
 
 impl Entry {
--- a/eel-jobs/tests/jobs/main.rs
+++ b/eel-jobs/tests/jobs/main.rs
@@ -5,4 +5,6 @@
 mod entry_killed;
 mod entry_paused;
 mod fixture;
+mod gated_store;
+mod late_lease;
 mod store_outage;
