fix(jobs): use the present time of the lease for new chunks

Seen, by tests with a clock that they set: a chunk was dropped although its lease was held and renewed.

Cause: two places kept an older time than the lease had. A chunk took the time that was read before its claim was written, and missed a renewal that came through meanwhile: with renewals each third of the lease, a next renewal that was late by a twelfth of the lease (167 ms of 2 s) was enough. And the first period was counted from the response to the grant by the task that renews, from the request by the chunks: after a slow grant the task went on to renew a lease that the chunks no longer relied on, and chunks were still claimed under it, each to be dropped at once.

Change: a chunk starts with the time of the lease at its start, or is dropped if the lease is gone by then. The first period counts from the request for all. A lease whose time has passed is not used for new claims.

Tests: renewal_during_a_claim_counts and lapsed_grant_is_not_used.

--- a/eel-jobs/src/claim.rs
+++ b/eel-jobs/src/claim.rs
@@ -6,13 +6,12 @@
     OpenChunk,
     store::{ClaimOutcome, ClaimedWork, Holder},
 };
-use eel_store::KeyValue;
+use eel_store::{KeyValue, LeaseId};
 use eel_types::Name;
 use tokio::task::JoinSet;
 
 use crate::{
     Host, JobNode,
-    lease::HeldLease,
     node::unix_ms,
     work::{self, ActiveChunk},
 };
@@ -106,7 +105,11 @@
     open: OpenChunk,
     chunks: &mut JoinSet<()>,
 ) {
-    let Some(lease) = *node.lease.borrow() else {
+    let Some(lease) = node
+        .lease
+        .borrow()
+        .filter(|held| node.now_ms() < held.hold_until_ms)
+    else {
         return;
     };
     let Some(head) = node.live_jobs().head(open.job).cloned() else {
@@ -121,7 +124,7 @@
         Ok(ClaimOutcome::Won(work)) => {
             node.metrics.chunks_claimed.inc();
             log::debug!(target: "jobs", "Claimed chunk {} of job {}.", open.chunk, open.job);
-            spawn(node, *work, head, lease, chunks);
+            spawn(node, *work, head, lease.id, chunks);
         }
         Ok(ClaimOutcome::Taken) => node.live_jobs().pause(node.now_ms(), open),
         Ok(ClaimOutcome::Unknown) => {
@@ -139,7 +142,7 @@
     node: &Arc<JobNode<S, H>>,
     work: ClaimedWork,
     head: eel_batch::Head,
-    lease: HeldLease,
+    lease: LeaseId,
     chunks: &mut JoinSet<()>,
 ) {
     let open = work.claim_token.chunk();
@@ -154,7 +157,7 @@
         let node = guard.node.clone();
         drop(guard);
         if let Some(claim_token) = lost_claim {
-            work::abandon(&node, &claim_token, lease.id).await;
+            work::abandon(&node, &claim_token, lease).await;
         }
     });
 }
--- a/eel-jobs/src/lease.rs
+++ b/eel-jobs/src/lease.rs
@@ -31,12 +31,13 @@
             continue;
         };
         log::info!(target: "jobs", "Lease {} was granted.", granted.id);
-        lease.send_replace(Some(HeldLease {
+        let held = HeldLease {
             id: granted.id,
             hold_until_ms: hold_until_ms(requested_at_ms, granted.ttl_ms),
-        }));
+        };
+        lease.send_replace(Some(held));
         node.metrics.lease_held.set(1);
-        extend(node, lease, granted.id, granted.ttl_ms).await;
+        extend(node, lease, held, granted.ttl_ms).await;
         lease.send_replace(None);
         node.metrics.lease_held.set(0);
         log::warn!(target: "jobs", "Lease {} was lost.", granted.id);
@@ -47,25 +48,21 @@
 async fn extend<S: KeyValue, H: Host>(
     node: &Arc<JobNode<S, H>>,
     lease: &watch::Sender<Option<HeldLease>>,
-    id: LeaseId,
+    mut held: HeldLease,
     ttl_ms: u64,
 ) {
-    let mut until_ms = hold_until_ms(node.now_ms(), ttl_ms);
     let mut pause = Duration::from_millis(ttl_ms / 3);
     loop {
         tokio::time::sleep(pause).await;
         let requested_at_ms = node.now_ms();
-        if requested_at_ms >= until_ms {
+        if requested_at_ms >= held.hold_until_ms {
             return;
         }
-        match node.jobs.store().keep_alive(id).await {
+        match node.jobs.store().keep_alive(held.id).await {
             Ok(extended) => {
-                until_ms = hold_until_ms(requested_at_ms, extended.ttl_ms);
+                held.hold_until_ms = hold_until_ms(requested_at_ms, extended.ttl_ms);
                 pause = Duration::from_millis(extended.ttl_ms / 3);
-                lease.send_replace(Some(HeldLease {
-                    id,
-                    hold_until_ms: until_ms,
-                }));
+                lease.send_replace(Some(held));
             }
             Err(error) => {
                 let not_found = StoreError::Rejected(RejectReason::LeaseNotFound);
--- a/eel-jobs/src/work.rs
+++ b/eel-jobs/src/work.rs
@@ -85,13 +85,16 @@
     node: &Arc<JobNode<S, H>>,
     work: ClaimedWork,
     head: &Head,
-    lease: HeldLease,
+    lease: LeaseId,
     active: &ActiveChunk,
 ) -> Option<ClaimToken> {
+    let mut renewals = node.lease.subscribe();
+    // The lease may have been renewed or lost while the chunk was claimed.
+    let current = renewals.borrow_and_update().filter(|held| held.id == lease);
     let now_ms = node.now_ms();
     let deadline_ms = now_ms + head.deadline_unix_ms.saturating_sub(unix_ms());
     let claimed = ClaimedChunk {
-        hold_until_ms: lease.hold_until_ms,
+        hold_until_ms: current.map_or(now_ms, |held| held.hold_until_ms),
         deadline_ms,
         ..work.claimed
     };
@@ -101,7 +104,7 @@
         head: head.clone(),
         items: work.items,
         runner: Runner::new(now_ms, claimed, node.options.policy),
-        lease: lease.id,
+        lease,
         deadline_ms,
         sends: JoinSet::new(),
         sent_items: HashMap::new(),
@@ -109,7 +112,7 @@
         abort: CancellationToken::new(),
         aborted_at: None,
     };
-    chunk.drive(active).await;
+    chunk.drive(active, renewals).await;
     chunk.abort.cancel();
     let ended = async { while chunk.sends.join_next().await.is_some() {} };
     let _ = tokio::time::timeout(ABORT_TIMEOUT, ended).await;
@@ -134,8 +137,7 @@
 }
 
 impl<S: KeyValue, H: Host> Chunk<S, H> {
-    async fn drive(&mut self, active: &ActiveChunk) {
-        let mut lease = self.node.lease.subscribe();
+    async fn drive(&mut self, active: &ActiveChunk, mut lease: watch::Receiver<Option<HeldLease>>) {
         let draining = self.node.draining.clone();
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/eel-jobs/tests/jobs/late_lease.rs
+++ b/eel-jobs/tests/jobs/late_lease.rs
@@ -1,4 +1,5 @@
-//! Guards against chunks that no node can claim, when a call for the lease takes longer than the lease is relied on.
+//! Guards against chunks that no node can claim or that are dropped without need, when calls for the lease or the claim
+//! take longer than the lease is relied on.
 //!
 //! A node drops its chunks when that time is over by its own clock. If a renewal that it sent before succeeds after that,
 //! the lease lives on, and with it the claims on the dropped chunks.
@@ -23,6 +24,14 @@
     entry
 }
 
+/// Returns a host with credits for all items, so that none is delayed: the clock of the test does not run.
+fn sends_all(executions: &Executions) -> FakeHost {
+    let host = FakeHost::new(executions);
+    let credits = u32::try_from(ITEMS).unwrap();
+    host.credits.store(credits, Ordering::Relaxed);
+    host
+}
+
 #[tokio::test]
 async fn dropped_chunk_is_released() {
     for repeatable in [true, false] {
@@ -65,3 +74,57 @@
         }
     }
 }
+
+#[tokio::test]
+async fn renewal_during_a_claim_counts() {
+    let server = KvServer::start().await.unwrap();
+    let executions = Executions::default();
+    let second = start_idle(&server, &executions).await;
+    let mut first = GatedNode::new(&server, "entry-a", sends_all(&executions));
+    first.gates.claims.hold_from(0);
+    first.start();
+    let job = job_id(second.submit("k", lines(ITEMS), true).await).await;
+    first.gates.claims.reached().await;
+    // The lease is renewed while the claim is on its way. The next renewal takes long.
+    first.gates.renewals.hold_from(HOLD_MS - 100);
+    first.set_clock_ms(HOLD_MS - 200);
+    renewed(&server).await;
+    first.set_clock_ms(HOLD_MS - 100);
+    first.gates.renewals.reached().await;
+    first.set_clock_ms(HOLD_MS + 100);
+    first.gates.claims.open();
+    let done = || first.counter("jobs_chunks_done") == 1;
+    wait_until(|| done() || first.counter("jobs_chunks_lost") > 0).await;
+    assert!(done(), "the chunk is dropped under a renewed lease");
+    first.gates.renewals.open();
+    assert_eq!(check_complete(&second.results(&job).await, ITEMS), ITEMS);
+    first.drain().await;
+}
+
+/// Waits until a lease was renewed that was requested after this call.
+async fn renewed(server: &KvServer) {
+    let renewals = server.counts().keep_alives;
+    wait_until(|| server.counts().keep_alives >= renewals + 2).await;
+}
+
+#[tokio::test]
+async fn lapsed_grant_is_not_used() {
+    let server = KvServer::start().await.unwrap();
+    let executions = Executions::default();
+    let second = start_idle(&server, &executions).await;
+    let job = job_id(second.submit("k", lines(ITEMS), true).await).await;
+    let mut first = GatedNode::new(&server, "entry-a", sends_all(&executions));
+    first.gates.grants.hold_from(0);
+    first.start();
+    first.gates.grants.reached().await;
+    first.set_clock_ms(HOLD_MS + 100);
+    first.gates.grants.open();
+    let done = || first.counter("jobs_chunks_done") == 1;
+    wait_until(|| done() || first.counter("jobs_chunks_lost") > 0).await;
+    assert!(
+        done(),
+        "a chunk is claimed under a lease that is not relied on"
+    );
+    assert_eq!(check_complete(&second.results(&job).await, ITEMS), ITEMS);
+    first.drain().await;
+}
