fix(entry): go on waiting for a target node that was only paused

Callers got a cut stream, or an error such as `target-failed (may-have-run)` or `(ran)`, when a target node was paused for 1.5 to 2.5 s and went on, although the target answered in full. Results of batch items that may not be repeated were lost likewise.

A link that is silent for 1.5 s was marked as lost, which ended all its attempts. The new link then fenced the old one, so the target node, once it went on, refused what was queued and cancelled what could be repeated.

A silent link now gets no new attempts and is reported to the membership as before, but its control stream and its attempts go on. It is given up when the connection fails (10 s without a packet), when a later link reaches another process, or when a later link has worked for the silence timeout while this one is still silent. While it is kept, the later link does not fence it; what is settled is still held off by its barred key and its deadline. An attempt that may be repeated and has no response is still given up at once, but only if another target has a free slot.

The price: where a target node is gone for good, streams and requests that may not be repeated end after some 10 s in place of 1.5 s.

--- a/eel-entry/src/link/attempt.rs
+++ b/eel-entry/src/link/attempt.rs
@@ -12,7 +12,6 @@
 use error_stack::Report;
 use futures_util::FutureExt as _;
 use quinn::RecvStream;
-use tokio_util::sync::CancellationToken;
 
 use super::{Link, Session, settle::settle};
 
@@ -52,23 +51,39 @@
         Ok(Self { link, session, key })
     }
 
-    /// Sends `request` and waits for the head of its reply.
+    /// Sends `request` and waits for the head of its reply. If the connection goes silent, a request that may be repeated
+    /// is given up if another target could run it.
     ///
     /// # Errors
     ///
     /// The target node's refusal; [`Reason::Leaving`], as not run, if the target node drained before the request
     /// reached it; or [`Reason::TargetFailed`], as not run if no stream could be opened, else with the verdict of the
     /// settlement.
-    pub(crate) async fn send(self, request: ServeRequest) -> Result<Reply, Refusal> {
-        let lost = self.session.lost.clone();
+    pub(crate) async fn send(
+        self,
+        request: ServeRequest,
+        has_other_target: impl Fn() -> bool,
+    ) -> Result<Reply, Refusal> {
+        let session = self.session.clone();
+        let repeatable = request.repeatable;
+        let given_up = async {
+            if repeatable {
+                session.silent.cancelled().await;
+                if has_other_target() {
+                    return;
+                }
+            }
+            session.lost.cancelled().await;
+        };
+        tokio::pin!(given_up);
         let opened = tokio::select! {
             opened = self.session.connection.open_bi() => opened.ok(),
-            () = lost.cancelled() => None,
+            () = &mut given_up => None,
         };
         let Some((mut send, mut recv)) = opened else {
             return Err(Refusal::not_run(Reason::TargetFailed));
         };
-        let exchanged = unless_lost(&lost, exchange(&mut send, &mut recv, request)).await;
+        let exchanged = unless_lost(given_up, exchange(&mut send, &mut recv, request)).await;
         match exchanged {
             Ok(ServeReply::Head(head)) if head.key == self.key => Ok(Reply {
                 head,
@@ -96,13 +111,13 @@
 /// Waits for `reply` until the connection is lost. A reply that was received before then is still returned: the target
 /// node closes the connection once its transport has the acknowledgements, not once its replies have been read.
 async fn unless_lost(
-    lost: &CancellationToken,
+    lost: impl Future<Output = ()>,
     reply: impl Future<Output = Result<ServeReply, Report<eel_wire::Error>>>,
 ) -> Result<ServeReply, Report<eel_wire::Error>> {
     tokio::pin!(reply);
     tokio::select! {
         reply = &mut reply => return reply,
-        () = lost.cancelled() => {}
+        () = lost => {}
     }
     // The reply, or the cause of the loss, may have arrived since it was last polled.
     reply
@@ -133,7 +148,7 @@
     /// The target node's refusal, or [`Reason::Truncated`] if the reply ends before its end marker or belongs to
     /// another attempt.
     pub(crate) async fn next(&mut self) -> Result<ReplyPart, Refusal> {
-        let lost = &self.attempt.session.lost;
+        let lost = self.attempt.session.lost.cancelled();
         match unless_lost(lost, read_reply(&mut self.recv)).await {
             Ok(ServeReply::Data(data)) => {
                 self.body_bytes += data.len() as u64;
--- a/eel-entry/src/link/maintain.rs
+++ b/eel-entry/src/link/maintain.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -50,6 +50,8 @@
     generation: AtomicU64,
     /// Whether the next connection is opened from a dedicated local port.
     needs_dedicated_port: AtomicBool,
+    /// The number of silent connections on which attempts still run.
+    lingering: AtomicU32,
     current: watch::Sender<Option<Arc<Session>>>,
 }
 
@@ -59,6 +61,7 @@
             vm,
             generation: AtomicU64::new(0),
             needs_dedicated_port: AtomicBool::new(false),
+            lingering: AtomicU32::new(0),
             current: watch::Sender::new(None),
         }
     }
@@ -93,11 +96,11 @@
     /// Makes `session` the current connection. The attempts of an earlier one are then settled over `session`.
     fn publish(&self, session: Arc<Session>) {
         if let Some(earlier) = self.current.send_replace(Some(session)) {
-            earlier.lost.cancel();
+            earlier.lose();
         }
     }
 
-    /// Marks `session` as lost and removes it if it is the current connection.
+    /// Removes `session` if it is the current connection.
     fn withdraw(&self, session: &Arc<Session>) {
         self.current.send_if_modified(|current| {
             let is_current = current.as_ref().is_some_and(|it| Arc::ptr_eq(it, session));
@@ -106,7 +109,12 @@
             }
             is_current
         });
-        session.lost.cancel();
+    }
+
+    /// Returns whether the next connection fences the earlier ones. It does not as long as attempts run on one of them,
+    /// since these may still be answered.
+    fn supersedes(&self) -> bool {
+        self.lingering.load(Ordering::Relaxed) == 0
     }
 
     /// Waits for an open connection other than `old`.
@@ -140,19 +148,15 @@
 ) {
     let identity = &context.identity;
     let endpoint = link.endpoint(&context.endpoints);
-    let hello = hello_message(&identity.vm, identity.incarnation, link.next_generation());
+    let generation = link.next_generation();
+    let supersedes = link.supersedes();
+    let hello = hello_message(&identity.vm, identity.incarnation, generation, supersedes);
     let opened = tokio::select! {
         opened = open(&endpoint, address, hello) => opened,
         () = stop.cancelled() => return,
     };
     match opened {
-        Ok(opened) => {
-            let incarnation = opened.session.incarnation;
-            let reason = maintain(&link, opened, identity.clock, &events, &stop).await;
-            link.set_needs_dedicated_port(reason == DisconnectReason::Silent);
-            log::info!(target: "link", "The link to {} ended: {reason}.", link.vm);
-            events.on_disconnected(Some(incarnation), reason);
-        }
+        Ok(opened) => maintain(&link, opened, identity.clock, &events, &stop).await,
         Err(error) => {
             link.set_needs_dedicated_port(true);
             log::debug!(target: "link", "Cannot open the link to {}: {error}.", link.vm);
@@ -182,33 +186,83 @@
     }
 }
 
-/// Maintains an open connection and returns the reason for which it ended.
+/// Maintains an open connection until it ends. If it has gone silent, this is reported at once, and the connection is kept
+/// as long as its attempts may still be answered.
 async fn maintain(
     link: &Link,
     opened: OpenedSession,
     clock: Clock,
     events: &impl LinkEvents,
     stop: &CancellationToken,
-) -> DisconnectReason {
+) {
     let session = Arc::new(opened.session);
     let incarnation = session.incarnation;
     let welcome = opened.welcome;
     link.publish(session.clone());
     events.on_heartbeat(incarnation, welcome.load, welcome.revision);
     let last_received = watch::Sender::new(clock.now_ms());
+    let control = async {
+        tokio::select! {
+            _ = receive(opened.recv, clock, &session, events, &last_received) => {}
+            _ = transmit(opened.send, clock, &session, events) => {}
+        }
+    };
+    tokio::pin!(control);
     let reason = tokio::select! {
-        _ = receive(opened.recv, clock, incarnation, events, &last_received) => DisconnectReason::Closed,
-        _ = transmit(opened.send, clock, events) => DisconnectReason::Closed,
+        () = &mut control => DisconnectReason::Closed,
         () = wait_for_silence(&last_received, clock) => DisconnectReason::Silent,
         () = stop.cancelled() => DisconnectReason::Stopped,
     };
+    if reason == DisconnectReason::Silent {
+        link.lingering.fetch_add(1, Ordering::Relaxed);
+        session.silent.cancel();
+    }
     link.withdraw(&session);
+    link.set_needs_dedicated_port(reason == DisconnectReason::Silent);
+    log::info!(target: "link", "The link to {} ended: {reason}.", link.vm);
+    events.on_disconnected(Some(incarnation), reason);
+    if reason == DisconnectReason::Silent {
+        tokio::select! {
+            () = control => {}
+            () = wait_for_replacement(link, &session, &last_received, clock) => {}
+            () = wait_for_attempts(&session) => {}
+        }
+        link.lingering.fetch_sub(1, Ordering::Relaxed);
+    }
+    session.lose();
     if reason == DisconnectReason::Stopped {
         session.connection.close(0u32.into(), b"");
     } else {
-        close_later(session);
+        close_later(session.clone());
+    }
+}
+
+/// Returns once a silent connection can bring no more replies: a later one has reached another process, or has worked for
+/// the silence timeout while `session` remained silent.
+async fn wait_for_replacement(
+    link: &Link,
+    session: &Arc<Session>,
+    last_received: &watch::Sender<u64>,
+    clock: Clock,
+) {
+    while let Some(later) = link.session_after(session).await {
+        if later.incarnation != session.incarnation {
+            return;
+        }
+        last_received.send_modify(|last_ms| *last_ms = (*last_ms).max(clock.now_ms()));
+        wait_for_silence(last_received, clock).await;
+        let current = link.session();
+        if current.is_some_and(|current| Arc::ptr_eq(&current, &later)) {
+            return;
+        }
+    }
+}
+
+/// Returns once no attempt runs on a connection that gets no new ones.
+async fn wait_for_attempts(session: &Arc<Session>) {
+    while Arc::strong_count(session) > 1 {
+        tokio::time::sleep(PING_INTERVAL).await;
     }
-    reason
 }
 
 /// Closes a lost connection after the time in which its attempts are settled over a new one.
@@ -223,12 +277,16 @@
 async fn receive(
     mut recv: RecvStream,
     clock: Clock,
-    incarnation: Incarnation,
+    session: &Session,
     events: &impl LinkEvents,
     last_received: &watch::Sender<u64>,
 ) -> Result<(), Report<eel_wire::Error>> {
     while let Some(message) = codec::read(&mut recv).await? {
         last_received.send_replace(clock.now_ms());
+        if session.silent.is_cancelled() {
+            continue;
+        }
+        let incarnation = session.incarnation;
         match message {
             TargetControl::Pong(pong) => {
                 events.on_heartbeat(incarnation, pong.load, pong.revision);
@@ -246,6 +304,7 @@
 async fn transmit(
     mut send: SendStream,
     clock: Clock,
+    session: &Session,
     events: &impl LinkEvents,
 ) -> Result<(), Report<eel_wire::Error>> {
     let mut configuration = events.configuration();
@@ -266,7 +325,7 @@
                 let ping = Ping {
                     sequence,
                     sent_ms: clock.now_ms(),
-                    wants_credits: events.wants_credits(),
+                    wants_credits: !session.silent.is_cancelled() && events.wants_credits(),
                 };
                 codec::write(&mut send, &EntryControl::Ping(ping)).await?;
             }
--- a/eel-entry/src/link/session.rs
+++ b/eel-entry/src/link/session.rs
@@ -19,10 +19,21 @@
     pub(crate) connection: Connection,
     /// The incarnation of the target node's process.
     pub(crate) incarnation: Incarnation,
-    /// Cancelled once either side has closed the connection, or it has gone silent or been replaced.
+    /// Cancelled once no message has been received for the silence timeout, or the connection is lost. It gets no new
+    /// attempts then.
+    pub(crate) silent: CancellationToken,
+    /// Cancelled once either side has closed the connection, or it stays silent while a later one works.
     pub(crate) lost: CancellationToken,
 }
 
+impl Session {
+    /// Ends the attempts that still run on the connection.
+    pub(crate) fn lose(&self) {
+        self.silent.cancel();
+        self.lost.cancel();
+    }
+}
+
 /// A new connection with its control stream and the target node's welcome.
 pub(crate) struct OpenedSession {
     pub(crate) session: Session,
@@ -31,8 +42,8 @@
     pub(crate) welcome: Welcome,
 }
 
-/// Opens a connection, which fences the earlier ones of this process to the same target node: requests that arrived
-/// over them and have not started must not start any more.
+/// Opens a connection. If `hello` supersedes the earlier ones of this process to the same target node, these are fenced:
+/// requests that arrived over them and have not started must not start any more.
 ///
 /// # Errors
 ///
@@ -66,6 +77,7 @@
     let session = Session {
         connection,
         incarnation: welcome.incarnation,
+        silent: CancellationToken::new(),
         lost: CancellationToken::new(),
     };
     Ok(OpenedSession {
@@ -77,12 +89,17 @@
 }
 
 /// Returns the first message of a connection.
-pub(crate) fn hello_message(vm: &Name, incarnation: Incarnation, generation: u64) -> Hello {
+pub(crate) fn hello_message(
+    vm: &Name,
+    incarnation: Incarnation,
+    generation: u64,
+    supersedes: bool,
+) -> Hello {
     Hello {
         protocol_version: PROTOCOL_VERSION,
         vm: vm.clone(),
         incarnation,
         generation,
-        supersedes: true,
+        supersedes,
     }
 }
--- a/eel-entry/src/link/settle.rs
+++ b/eel-entry/src/link/settle.rs
@@ -35,7 +35,7 @@
     old: &Arc<Session>,
     key: RequestKey,
 ) -> Option<Settlement> {
-    let session = if old.lost.is_cancelled() {
+    let session = if old.silent.is_cancelled() || old.lost.is_cancelled() {
         link.session_after(old).await?
     } else {
         old.clone()
--- a/eel-entry/src/serve/run.rs
+++ b/eel-entry/src/serve/run.rs
@@ -211,7 +211,15 @@
     let started = Instant::now();
     let message = to_message(context, request, key, attempt_span);
     let deadline = context.clock.instant(request.deadline_ms) + DEADLINE_GRACE;
-    let reply = async { Attempt::new(link, key)?.send(message).await };
+    // The load leaves out targets that are silent.
+    let has_other_target = || {
+        let load = context.routing.load(&request.pool);
+        load.in_flight < load.slots
+    };
+    let reply = async {
+        let attempt = Attempt::new(link, key)?;
+        attempt.send(message, has_other_target).await
+    };
     let reply = match tokio::time::timeout_at(deadline.into(), reply).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(refusal)) => {
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -14,6 +14,7 @@
 mod killed_target;
 mod leaving_target;
 mod outcome;
+mod paused_target;
 #[cfg(feature = "quickstart")]
 mod quickstart;
 mod resent_request;
