test(gateway): targets that pause, crash, or crash on a part of a prompt in the soak

The soak had no target whose process goes away, and none that is sound but slow. One request of 16 now holds a part of a prompt; by draws from a generator of their own, so that the other faults of a seed stay as they were, targets pause for a second before the head or between two events, crash, or crash on that part after none or two events.

--- a/tests/gateway/callers.rs
+++ b/tests/gateway/callers.rs
@@ -15,6 +15,9 @@
 use tokio::time::sleep;
 
 const EVENTS: [u64; 5] = [1, 2, 3, 4, 5];
+/// The part of a prompt on which targets crash; one request of [`FATAL_INTERVAL`] has it.
+pub const FATAL_PART: &str = "91bd3f06";
+const FATAL_INTERVAL: u64 = 16;
 const PATHS: [(&str, bool); 4] = [
     ("/idempotent/1", true),
     ("/once/1", false),
@@ -61,6 +64,7 @@
             .header("host", HOST)
             .header("x-eelgrassgap-attempt-id", &id)
             .header("x-eelgrassgap-deadline-ms", "2000")
+            .header("x-eelgrassgap-prefix-hash", parts(caller, number))
             .timeout(Duration::from_secs(4))
             .body(id.clone());
         let status = match request.send().await {
@@ -77,6 +81,16 @@
     observed
 }
 
+/// Returns the parts of a request's prompt, whose last one belongs to it alone.
+fn parts(caller: u64, number: u64) -> String {
+    let fatal = if number % FATAL_INTERVAL == caller % FATAL_INTERVAL {
+        format!("{FATAL_PART}:410,")
+    } else {
+        String::new()
+    };
+    format!("5c1e07a2:800,{fatal}{caller:x}{number:06x}:250")
+}
+
 /// Reads and checks a response; returns its status.
 async fn check(mut response: Response, path: &str, id: &str) -> u16 {
     let status = response.status().as_u16();
--- a/tests/gateway/faults.rs
+++ b/tests/gateway/faults.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use crate::{
+    callers::FATAL_PART,
     proxy::{Proxy, ProxyMode},
     soak::Soak,
 };
@@ -25,6 +26,9 @@
     Behaviour::DisconnectsAfter(2),
 ];
 
+/// How long sound targets pause within a response.
+const PAUSE: Duration = Duration::from_secs(1);
+
 /// Injects one fault, waits for a random time and restarts the nodes that have ended.
 pub async fn inject(soak: &mut Soak, rng: &mut SmallRng) {
     match rng.random_range(0..11) {
@@ -100,13 +104,32 @@
     target.set_default_behaviour(*BEHAVIOURS.choose(rng).expect("a behaviour"));
 }
 
+/// Injects at most one fault of a target's process, and restarts some of the targets that have crashed.
+pub async fn inject_in_targets(soak: &Soak, rng: &mut SmallRng) {
+    let target = soak.targets.choose(rng).expect("a target");
+    match rng.random_range(0..10) {
+        0 => target.set_default_behaviour(Behaviour::PausesBeforeHead(PAUSE)),
+        1 => target.set_default_behaviour(Behaviour::PausesAfter(2, PAUSE)),
+        2 => target.set_fatal_part(FATAL_PART, 0),
+        3 => target.set_fatal_part(FATAL_PART, 2),
+        4 => target.clear_fatal_part(),
+        5 => target.crash(),
+        _ => {}
+    }
+    for index in 0..soak.targets.len() {
+        if rng.random_bool(0.2) {
+            soak.restart_crashed(index).await;
+        }
+    }
+}
+
 /// Sets a target's entry in the store to draining or to ready, or removes it.
 fn change_listing(soak: &Soak, rng: &mut SmallRng) {
     let index = rng.random_range(0..soak.targets.len());
     let (target, address) = (&soak.targets[index], soak.target_proxies[index].address);
     match rng.random_range(0..3) {
         0 => target.announce_at(&soak.store, "draining", address),
-        1 => soak.store.remove(&format!("servers/i-{index}")),
+        1 => soak.store.remove(&format!("servers/{}", target.id())),
         _ => target.announce_at(&soak.store, "ready", address),
     }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -24,7 +24,7 @@
 /// Seeds that run in CI, with the number of nodes.
 const SEEDS: [(u64, usize); 2] = [(1, 3), (2, 4)];
 /// Seeds that have failed, with the number of nodes and the cause of the failure.
-const REGRESSIONS: [(u64, usize, &str); 2] = [
+const REGRESSIONS: [(u64, usize, &str); 3] = [
     (
         27_004,
         8,
@@ -35,6 +35,11 @@
         5,
         "of the soak: both batch nodes were draining when the faults ended, and were not started again",
     ),
+    (
+        26_007,
+        5,
+        "of the soak: a crashing target sent events past the end of a resumed stream",
+    ),
 ];
 /// The time in which one run injects faults.
 const FAULT_PERIOD: Duration = Duration::from_secs(8);
--- a/tests/gateway/proxy.rs
+++ b/tests/gateway/proxy.rs
@@ -26,9 +26,10 @@
     HoldsAll,
 }
 
-/// A proxy to one server. It stops when dropped.
+/// A proxy to one server at a time. It stops when dropped.
 pub struct Proxy {
     pub address: SocketAddr,
+    server: watch::Sender<SocketAddr>,
     mode: watch::Sender<ProxyMode>,
     task: JoinHandle<()>,
 }
@@ -38,13 +39,16 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address");
         let (mode, state) = watch::channel(ProxyMode::Forwards);
+        let (server, current) = watch::channel(server);
         let task = tokio::spawn(async move {
             while let Ok((downstream, _)) = listener.accept().await {
+                let server = *current.borrow();
                 tokio::spawn(relay(downstream, server, state.clone()));
             }
         });
         Self {
             address,
+            server,
             mode,
             task,
         }
@@ -53,6 +57,11 @@
     pub fn set(&self, mode: ProxyMode) {
         self.mode.send_replace(mode);
     }
+
+    /// Sets the server of the connections that are opened from now on.
+    pub fn set_server(&self, server: SocketAddr) {
+        self.server.send_replace(server);
+    }
 }
 
 impl Drop for Proxy {
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -99,10 +99,13 @@
         let jobs = tokio::spawn(submit_until(stop.clone(), addresses, rng));
         let until = Instant::now() + length;
         let mut rng = SmallRng::seed_from_u64(self.seed);
+        let seed = self.seed.wrapping_mul(1_000).wrapping_add(count + 1);
+        let mut target_rng = SmallRng::seed_from_u64(seed);
         while Instant::now() < until {
             faults::inject(&mut self, &mut rng).await;
+            faults::inject_in_targets(&self, &mut target_rng).await;
         }
-        self.end_faults();
+        self.end_faults().await;
         stop.store(true, Ordering::Relaxed);
         let observed: Observations = callers.join_all().await.into_iter().flatten().collect();
         let jobs = jobs.await.expect("the jobs were submitted");
@@ -111,11 +114,15 @@
     }
 
     /// Ends all faults.
-    fn end_faults(&mut self) {
+    async fn end_faults(&mut self) {
         self.store.set_fault(StoreFault::None);
         for proxy in self.store_proxies.iter().chain(&self.target_proxies) {
             proxy.set(ProxyMode::Forwards);
         }
+        for target in &self.targets {
+            target.clear_fatal_part();
+        }
+        self.restart_all_crashed().await;
         for (target, proxy) in self.targets.iter().zip(&self.target_proxies) {
             target.set_default_behaviour(Behaviour::Responds);
             target.announce_at(&self.store, "ready", proxy.address);
@@ -135,10 +142,32 @@
         }
     }
 
+    async fn restart_all_crashed(&self) {
+        for index in 0..self.targets.len() {
+            self.restart_crashed(index).await;
+        }
+    }
+
+    /// Starts a target that has crashed again, with a new id, as the platform does.
+    pub async fn restart_crashed(&self, index: usize) {
+        let (target, proxy) = (&self.targets[index], &self.target_proxies[index]);
+        if !target.is_down() {
+            return;
+        }
+        self.store.remove(&format!("servers/{}", target.id()));
+        let crashes = target.crashes();
+        let id = format!("i-{index}-{crashes}");
+        let restarted = target.restart_unlisted(&id, 1 + u64::from(crashes)).await;
+        restarted.expect("a restarted target");
+        proxy.set_server(target.address());
+        target.announce_at(&self.store, "ready", proxy.address);
+    }
+
     fn check_requests(&self, observed: &Observations) {
         let answered = observed.iter().filter(|it| it.status == Some(200)).count();
+        let crashes: u32 = self.targets.iter().map(|target| target.crashes()).sum();
         println!(
-            "seed {}: {} requests, {answered} answered",
+            "seed {}: {} requests, {answered} answered, {crashes} targets crashed",
             self.seed,
             observed.len()
         );
@@ -166,8 +195,9 @@
                 jobs.incomplete(),
                 self.logs()
             );
-            // Nodes that were draining when the faults ended end only now.
+            // Nodes that were draining when the faults ended end only now, and a request of then may crash its target.
             self.restart_ended();
+            self.restart_all_crashed().await;
             jobs.read_incomplete().await;
             sleep(Duration::from_millis(200)).await;
         }
