fix(gateway): wait once for the end of an attempt that is left

While the end of a left attempt was looked into (up to 300 ms, if its target does not respond to a new connection), the race of attempts left it again without a pause. Found by reading; no test shows it. An attempt that has been left does not count as shared any more. Blocked parts are looked up only where another attempt could start.

--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -96,12 +96,14 @@
     });
     loop {
         let is_idle = race.running.is_empty() && left.is_none();
-        let is_blocked = race.is_blocked();
-        let may_start = may_take_over && !is_blocked && race.may_start();
+        let has_attempts = may_take_over && race.may_start();
+        let is_blocked = has_attempts && race.is_blocked();
+        let may_start = has_attempts && !is_blocked;
         if is_idle && (!may_start || Instant::now() >= race.request.deadline) {
             return Err(race.refusal(is_blocked));
         }
-        let overlap_end = race.overlap_end(left.is_some());
+        let goes_on = left.as_ref().is_some_and(|left| !left.is_cancelled());
+        let overlap_end = race.overlap_end(goes_on);
         let wake_at = overlap_end.unwrap_or(race.request.deadline);
         tokio::select! {
             biased;
