perf(quarantine): count crashes of a single request for items only

Each attempt of a caller has an id of its own, so that the crashes under one id say something about items alone; online requests scanned up to 256 crashes for each event of their streams.

--- a/eel-quarantine/src/quarantine.rs
+++ b/eel-quarantine/src/quarantine.rs
@@ -17,8 +17,8 @@
 const LIFTED_TTL_MS: u64 = 60_000;
 /// How long a node that has not seen the crashes waits for others to store a block.
 const STORE_DELAY_MS: u64 = 2_000;
-/// The number of targets that may end under one request before it is blocked by itself.
-const MAX_CRASHES_OF_REQUEST: usize = 3;
+/// The number of targets that may end under one item before it is blocked by itself.
+const MAX_CRASHES_OF_ITEM: usize = 3;
 /// The number of sets that are blocked at the most.
 const MAX_BLOCKED: usize = 64;
 
@@ -70,9 +70,6 @@
     /// Decides whether a request may be sent to targets.
     #[must_use]
     pub fn check(&self, now_unix_ms: u64, prompt: &Prompt) -> Check {
-        if self.evidence.crashes_of(prompt.request) >= MAX_CRASHES_OF_REQUEST {
-            return Check::Block;
-        }
         let mut matching = self
             .blocked
             .iter()
@@ -99,7 +96,12 @@
     pub fn blocks(&self, prompt: &Prompt) -> bool {
         let mut blocked = self.blocked.iter();
         blocked.any(|it| it.parts.is_within(&prompt.parts))
-            || self.evidence.crashes_of(prompt.request) >= MAX_CRASHES_OF_REQUEST
+    }
+
+    /// Like [`Self::blocks`] for an item, which is sent again under the same id and may crash targets by itself.
+    #[must_use]
+    pub fn blocks_item(&self, prompt: &Prompt) -> bool {
+        self.blocks(prompt) || self.evidence.crashes_of(prompt.request) >= MAX_CRASHES_OF_ITEM
     }
 
     /// Returns whether no request is blocked: there are neither blocked sets nor known crashes.
