--- a/eel-fleet/src/dispatch.rs
+++ b/eel-fleet/src/dispatch.rs
@@ -34,8 +34,8 @@
     pub start_by_ms: u64,
     /// The latest start that is still of use to the caller.
     pub give_up_ms: u64,
-    /// Whether the request waits until `give_up_ms` even if it is not expected to start in time, because its caller cannot
-    /// be told any more that it did not run.
+    /// Whether the request waits until `give_up_ms` even if it is not expected to start in time, because it can no
+    /// longer be refused as not run.
     pub accepts_late: bool,
     /// Targets that must not be chosen, because the request was sent to them before.
     pub excluded: Vec<TargetKey>,
--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -160,8 +160,9 @@
             AttemptFailure::InvalidResponse | AttemptFailure::Truncated
                 if events <= MAX_FIRST_EVENTS =>
             {
-                quarantine::on_early_end_of_item(&self.context, target, prompt_of(&self.item))
-                    .await;
+                let prompt = prompt_of(&self.item);
+                let id = self.item.id.as_str();
+                quarantine::on_early_end_of_item(&self.context, target, id, prompt).await;
             }
             _ => {}
         }
--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -1,6 +1,6 @@
 //! Runs the attempts of one request until a target responds or the request is refused.
 //!
-//! A silent target may be sound. Its attempt therefore goes on while another target is tried beside it, and ends when that
+//! A silent target may be sound. Its attempt therefore continues while another target is tried beside it, and ends when that
 //! one has responded, or, for a stream, has had the request for a while.
 
 use std::{
@@ -200,7 +200,9 @@
         }
         log_failure(self.request, self.attempts, &ended, failure);
         if failure == AttemptFailure::InvalidResponse {
-            on_early_end(&self.request.context, &ended.target, &self.request.prompt).await;
+            let request_id = self.request.outgoing.request_id.as_str();
+            let context = &self.request.context;
+            on_early_end(context, &ended.target, request_id, &self.request.prompt).await;
         }
     }
 
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -142,7 +142,9 @@
                 attempts.on_failure(failure);
                 if failure == AttemptFailure::InvalidResponse {
                     let target = &target_response.slot.target;
-                    quarantine::on_early_end(&request.context, target, &request.prompt).await;
+                    let request_id = request.outgoing.request_id.as_str();
+                    let (context, prompt) = (&request.context, &request.prompt);
+                    quarantine::on_early_end(context, target, request_id, prompt).await;
                 }
                 if !attempts.may_start(&request.route, request.has_response) {
                     return Err(attempts.give_up());
--- a/eel-gateway/src/online/stream.rs
+++ b/eel-gateway/src/online/stream.rs
@@ -335,7 +335,8 @@
                 AttemptFailure::InvalidResponse | AttemptFailure::Truncated
             );
             if is_broken && self.content.has_only_begun() {
-                on_early_end(&self.context, &target, &self.prompt).await;
+                let request_id = self.outgoing.request_id.as_str();
+                on_early_end(&self.context, &target, request_id, &self.prompt).await;
             }
             return Err(failure);
         }
--- a/eel-gateway/src/quarantine/crashes.rs
+++ b/eel-gateway/src/quarantine/crashes.rs
@@ -6,23 +6,33 @@
 use crate::{context::Context, target::Connection};
 
 /// Records that the response of `target` to an online request failed as it began, if the target has ended as well.
-pub(crate) async fn on_early_end(context: &Context, target: &TargetEntry, prompt: &Prompt) {
+pub(crate) async fn on_early_end(
+    context: &Context,
+    target: &TargetEntry,
+    request_id: &str,
+    prompt: &Prompt,
+) {
     // Each attempt of a caller has an id of its own, so that only parts can recur.
     if !prompt.parts.is_empty() {
-        on_early_end_of_item(context, target, prompt.clone()).await;
+        on_early_end_of_item(context, target, request_id, prompt.clone()).await;
     }
 }
 
 /// Records that the response of `target` to an item failed as it began, if the target has ended as well: one that accepts
 /// connections has only lost one of them.
-pub(crate) async fn on_early_end_of_item(context: &Context, target: &TargetEntry, prompt: Prompt) {
+pub(crate) async fn on_early_end_of_item(
+    context: &Context,
+    target: &TargetEntry,
+    request_id: &str,
+    prompt: Prompt,
+) {
     if Connection::open(target.address).await.is_ok() {
         return;
     }
     let started_unix_ms = target.started_unix_ms.unwrap_or_default();
     context.metrics.early_ends.inc();
     log::info!(
-        target: "quarantine", target_id = target.id.as_str(), request = prompt.request,
+        target: "quarantine", request_id, target_id = target.id.as_str(),
         parts:% = PartSet::new(prompt.parts.clone());
         "A target ended as it began a response."
     );
--- a/eel-quarantine/src/evidence.rs
+++ b/eel-quarantine/src/evidence.rs
@@ -13,7 +13,7 @@
 /// The same for a part of responses that were completed shortly before.
 const MIN_CRASHES_OF_TRUSTED: usize = 8;
 /// How long before a crash a completed response still speaks for its parts.
-const TRUST_MS: u64 = 60_000;
+const TRUST_TTL_MS: u64 = 60_000;
 /// The number of different requests that must have crashed targets.
 const MIN_REQUESTS: usize = 2;
 /// The time between crashes that count apart. Targets that end at once have another cause than their requests.
@@ -133,7 +133,7 @@
     fn common_parts(&self, part: Part, mut records: Vec<&Record>) -> Option<PartSet> {
         records.sort_by_key(|it| it.at_ms);
         let first = records.first()?;
-        let trusted_until_ms = self.completed_ms(part).map(|at_ms| at_ms + TRUST_MS);
+        let trusted_until_ms = self.completed_ms(part).map(|at_ms| at_ms + TRUST_TTL_MS);
         let is_trusted = trusted_until_ms.is_some_and(|until_ms| first.at_ms < until_ms);
         let needed = if is_trusted {
             MIN_CRASHES_OF_TRUSTED
--- a/eel-quarantine/src/notice.rs
+++ b/eel-quarantine/src/notice.rs
@@ -1,4 +1,4 @@
-//! What a node tells its peers of crashes and blocked parts, in one datagram.
+//! The notice of crashes and blocked parts that a node sends to its peers in one datagram.
 
 use serde::{Deserialize, Serialize};
 
@@ -12,7 +12,7 @@
 #[error("cannot encode or decode a notice of crashes")]
 pub struct NoticeError;
 
-/// What a node tells its peers. Notices repeat what is recent, so that a lost one is made up for.
+/// Recent crashes and changes of blocked parts. Notices repeat them, so that a lost one is made up for.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Notice {
     /// The secret that the receiver published for its peers; a notice without it is dropped.
--- a/eel-quarantine/src/quarantine.rs
+++ b/eel-quarantine/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! The parts that are blocked, and what is told to peers.
+//! The parts that are blocked, and the notices to peers.
 
 use std::collections::HashMap;
 
@@ -7,16 +7,16 @@
     evidence::{Evidence, Record},
 };
 
-/// How long a crash is told to peers.
-const TELL_CRASH_MS: u64 = 5_000;
-/// How long a completed response is told to peers.
-const TELL_COMPLETED_MS: u64 = 2_000;
-/// How long a block or its end is told to peers; the store tells of it as well.
-const TELL_BLOCK_MS: u64 = 30_000;
-/// How long a set that was lifted is not blocked again by the word of a peer.
+/// How long notices repeat a crash.
+const CRASH_NOTICE_TTL_MS: u64 = 5_000;
+/// How long notices repeat a completed response.
+const COMPLETED_NOTICE_TTL_MS: u64 = 2_000;
+/// How long notices repeat a block or its end, which the store holds as well.
+const BLOCK_NOTICE_TTL_MS: u64 = 30_000;
+/// How long a set that was lifted is not blocked again by a notice.
 const LIFTED_TTL_MS: u64 = 60_000;
 /// How long a node that has not seen the crashes waits for others to store a block.
-const STORE_DELAY_MS: u64 = 2_000;
+const MIN_STORE_DELAY_MS: u64 = 2_000;
 /// The number of targets that may end under one item before it is blocked by itself.
 const MAX_CRASHES_OF_ITEM: usize = 3;
 /// The number of sets that are blocked at the most.
@@ -62,7 +62,7 @@
     lifted: HashMap<u64, u64>,
     /// The ids of sets that this node has disproved and whose records it has to remove from the store.
     unremoved: Vec<u64>,
-    /// Whether something happened since the last notice that peers should know at once.
+    /// Whether peers should get a notice at once.
     has_news: bool,
 }
 
@@ -174,21 +174,21 @@
         added
     }
 
-    /// Returns what to tell peers now; it is empty if there is nothing recent.
+    /// Returns the notice to send to peers now; it is empty if there is nothing recent.
     pub fn notice(&mut self, now_ms: u64) -> Notice {
         self.has_news = false;
         self.cleared
-            .retain(|_, at_ms| now_ms < *at_ms + TELL_COMPLETED_MS);
+            .retain(|_, at_ms| now_ms < *at_ms + COMPLETED_NOTICE_TTL_MS);
         self.lifted
             .retain(|_, at_ms| now_ms < *at_ms + LIFTED_TTL_MS);
         let own = self.evidence.records().filter(|it| it.is_own).rev();
         let crashes = own
             .map(|it| (now_ms.saturating_sub(it.at_ms), it.crash.clone()))
-            .take_while(|(age_ms, _)| *age_ms < TELL_CRASH_MS);
+            .take_while(|(age_ms, _)| *age_ms < CRASH_NOTICE_TTL_MS);
         let blocked = self.blocked.iter().rev();
-        let blocked = blocked.filter(|it| now_ms < it.since_ms + TELL_BLOCK_MS);
+        let blocked = blocked.filter(|it| now_ms < it.since_ms + BLOCK_NOTICE_TTL_MS);
         let lifted = self.lifted.iter();
-        let lifted = lifted.filter(|(_, at_ms)| now_ms < **at_ms + TELL_BLOCK_MS);
+        let lifted = lifted.filter(|(_, at_ms)| now_ms < **at_ms + BLOCK_NOTICE_TTL_MS);
         Notice {
             token: 0,
             crashes: crashes.collect(),
@@ -202,7 +202,7 @@
         }
     }
 
-    /// Returns whether a response was completed since the last notice that peers should know of at once.
+    /// Returns whether peers should get a notice at once.
     #[must_use]
     pub fn has_news(&self) -> bool {
         self.has_news
@@ -223,7 +223,7 @@
     #[must_use]
     pub fn unstored(&self, now_ms: u64) -> Vec<PartSet> {
         let unstored = self.blocked.iter().filter(|it| {
-            it.stored.is_none() && (it.is_own || now_ms >= it.since_ms + STORE_DELAY_MS)
+            it.stored.is_none() && (it.is_own || now_ms >= it.since_ms + MIN_STORE_DELAY_MS)
         });
         unstored.map(|it| it.parts.clone()).collect()
     }
