fix(quarantine): drop crashes before completed responses from a full notice

A notice that was too large for a datagram lost the completed responses first, which speak for sound parts, and kept crashes that earlier notices had already. In a storm of crashes peers could blame a part that completes elsewhere.

full_notices_keep_what_clears_parts failed before (0 completed parts, expected 1).

--- a/eel-quarantine/src/notice.rs
+++ b/eel-quarantine/src/notice.rs
@@ -37,12 +37,13 @@
             && self.lifted.is_empty()
     }
 
-    /// Drops the oldest entries until the notice takes up at most `max_bytes` as a datagram.
+    /// Drops entries until the notice takes up at most `max_bytes` as a datagram: the oldest crashes first, which earlier
+    /// notices had, and last what speaks for parts.
     pub fn shrink(&mut self, max_bytes: usize) {
         while self.encode().map_or(0, |it| it.len()) > max_bytes {
-            let dropped = self.completed.pop().is_some()
-                || self.crashes.pop().is_some()
+            let dropped = self.crashes.pop().is_some()
                 || self.blocked.pop().is_some()
+                || self.completed.pop().is_some()
                 || self.lifted.pop().is_some();
             if !dropped {
                 return;
--- a/eel-quarantine/tests/quarantine/peer_notices.rs
+++ b/eel-quarantine/tests/quarantine/peer_notices.rs
@@ -78,3 +78,16 @@
         assert!(Notice::decode(&datagram[..length]).is_err());
     }
 }
+
+#[test]
+fn full_notices_keep_what_clears_parts() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..200 {
+        quarantine.on_crash(0, crash(number, number, "popular"));
+    }
+    quarantine.on_completed(200, &parts("popular"));
+    let mut notice = quarantine.notice(200);
+    notice.shrink(MAX_DATAGRAM_BYTES);
+    assert!(!notice.crashes.is_empty());
+    assert_eq!(notice.completed.len(), 1);
+}
