fix(quarantine): let each node that has seen a crash store a block at once

A block was written to the store after 2 s by nodes that had seen one of its crashes, but not the last one before their own judgement: the flag told whose crash completed the evidence. A restart of all nodes in that time forgot the parts.

The flag now follows from the crashes that the node has seen itself.

any_node_that_saw_a_crash_stores_at_once failed before (nothing to store).

--- a/eel-quarantine/src/evidence.rs
+++ b/eel-quarantine/src/evidence.rs
@@ -79,6 +79,12 @@
         of_request.count()
     }
 
+    /// Returns whether this node has seen a crash that `parts` explains.
+    pub fn has_own(&self, parts: &PartSet) -> bool {
+        let mut records = self.records.iter();
+        records.any(|it| it.is_own && parts.is_within(&it.crash.prompt.parts))
+    }
+
     /// Forgets the crashes that `parts` explains.
     pub fn forget(&mut self, parts: &PartSet) {
         self.records
--- a/eel-quarantine/src/quarantine.rs
+++ b/eel-quarantine/src/quarantine.rs
@@ -167,7 +167,7 @@
         }
         for set in notice.blocked {
             let is_lifted = self.lifted.contains_key(&set.id());
-            if !is_lifted && self.block(now_ms, &set, false) {
+            if !is_lifted && self.block(now_ms, &set) {
                 added.push(set);
             }
         }
@@ -231,7 +231,7 @@
     /// Applies a record of the store, last written at `revision`. Returns whether its parts were not blocked before.
     pub fn on_stored(&mut self, now_ms: u64, record: &StoredBlock, revision: u64) -> bool {
         self.lifted.remove(&record.parts.id());
-        let is_new = self.block(now_ms, &record.parts, false);
+        let is_new = self.block(now_ms, &record.parts);
         let known = self.blocked.iter_mut();
         for known in known.filter(|it| it.parts == record.parts) {
             known.stored = Some((record.clone(), revision));
@@ -268,12 +268,12 @@
         }
         let known = self.blocked.iter().map(|it| it.parts.clone());
         let mut blamed = self.evidence.blame(now_ms, known);
-        blamed.retain(|set| self.block(now_ms, set, is_own));
+        blamed.retain(|set| self.block(now_ms, set));
         blamed
     }
 
     /// Blocks a set. Returns `false` if it is blocked already or there are too many.
-    fn block(&mut self, now_ms: u64, parts: &PartSet, is_own: bool) -> bool {
+    fn block(&mut self, now_ms: u64, parts: &PartSet) -> bool {
         let is_known = self.blocked.iter().any(|it| it.parts == *parts);
         if is_known || parts.is_empty() || self.blocked.len() >= MAX_BLOCKED {
             return false;
@@ -281,7 +281,7 @@
         self.blocked.push(Blocked {
             parts: parts.clone(),
             since_ms: now_ms,
-            is_own,
+            is_own: self.evidence.has_own(parts),
             stored: None,
         });
         true
--- a/eel-quarantine/tests/quarantine/trials.rs
+++ b/eel-quarantine/tests/quarantine/trials.rs
@@ -68,3 +68,19 @@
         );
     }
 }
+
+#[test]
+fn any_node_that_saw_a_crash_stores_at_once() {
+    // The node has seen the first crash; the last one arrives in a notice.
+    let (mut one, mut other) = (Quarantine::default(), Quarantine::default());
+    one.on_crash(0, crash(0, 0, "bad"));
+    for number in 1..3 {
+        other.on_crash(number * 100, crash(number, number, "bad"));
+    }
+    one.on_notice(300, other.notice(300));
+    assert_eq!(one.unstored(300), [set("bad")]);
+    let mut stranger = Quarantine::default();
+    stranger.on_notice(300, one.notice(300));
+    assert!(stranger.unstored(300).is_empty());
+    assert_eq!(stranger.unstored(2_300), [set("bad")]);
+}
