refactor(gateway): keep the prompt with the request that is sent

The prompt was read and carried apart from the request: three times for a run of an item, and as a copy in each stream beside the shared request. OutgoingRequest holds it now, so that crashes and completed responses are recorded from that alone. The function for items no longer serves online requests under its name, and marking silent targets is called so.

--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -68,16 +68,21 @@
         let until = (now + idle_timeout).min(deadline);
         let last_event = self.progress.lock().last_event;
         match exchange(pool, slot, &outgoing, last_event, until, deadline).await {
-            Ok(target_response) => self.read(target_response, idle_timeout, deadline).await,
+            Ok(target_response) => {
+                let outgoing = &outgoing;
+                self.read(outgoing, target_response, idle_timeout, deadline)
+                    .await
+            }
             Err(failure) => {
                 log::debug!(target: "jobs", "A run of item {} got no response: {failure}.", self.item.id);
-                self.failed(failure, &target, 0).await
+                self.failed(&outgoing, failure, &target, 0).await
             }
         }
     }
 
     async fn read(
         &mut self,
+        outgoing: &OutgoingRequest,
         mut target_response: TargetResponse,
         idle_timeout: Duration,
         deadline: Instant,
@@ -115,7 +120,7 @@
                     let target = target_response.slot.target.clone();
                     drop(target_response);
                     let events = buffer.scanner().events();
-                    return self.failed(failure, &target, events).await;
+                    return self.failed(outgoing, failure, &target, events).await;
                 }
             }
         }
@@ -128,11 +133,11 @@
             let target = target_response.slot.target.clone();
             drop(target_response);
             let events = buffer.scanner().events();
-            return self.failed(failure, &target, events).await;
+            return self.failed(outgoing, failure, &target, events).await;
         }
         target_response.finish(&self.context.pool);
         if status.is_success() {
-            quarantine::on_completed(&self.context, &prompt_of(&self.item));
+            quarantine::on_completed(&self.context, &outgoing.prompt);
         }
         let progress = self.progress.take();
         match status {
@@ -151,6 +156,7 @@
     /// Returns the outcome of a run whose `target` failed or was silent after so many events.
     async fn failed(
         &mut self,
+        outgoing: &OutgoingRequest,
         failure: AttemptFailure,
         target: &TargetEntry,
         events: u64,
@@ -160,9 +166,7 @@
             AttemptFailure::InvalidResponse | AttemptFailure::Truncated
                 if events <= MAX_FIRST_EVENTS =>
             {
-                let prompt = prompt_of(&self.item);
-                let id = self.item.id.as_str();
-                quarantine::on_early_end_of_item(&self.context, target, id, prompt).await;
+                quarantine::on_early_end_of_item(&self.context, target, outgoing).await;
             }
             _ => {}
         }
@@ -201,6 +205,7 @@
         body: item.body.clone(),
         request_id: item.id.as_str().to_owned(),
         adds_id: true,
+        prompt: prompt_of(item),
     })
 }
 
--- a/eel-gateway/src/online/request.rs
+++ b/eel-gateway/src/online/request.rs
@@ -33,8 +33,6 @@
     pub last_event_id: Option<u64>,
     /// Whether the caller has got the start of a response, so that the request can be neither rejected nor refused.
     pub has_response: bool,
-    /// What can crash targets in the request.
-    pub prompt: Prompt,
     /// Whether the request is the trial of a blocked part, which is sent to one target only.
     pub is_trial: bool,
     excluded: Vec<TargetKey>,
@@ -49,10 +47,6 @@
         let request_id = fields.request_id.unwrap_or_else(|| "".into());
         let service = route.service_for(&request_id)?.clone();
         let arrived = Instant::now();
-        let prompt = Prompt {
-            request: stable_hash(&request_id),
-            parts: shared_parts(&head.headers),
-        };
         let allowed_ms = fields.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
         let allowed = Duration::from_millis(allowed_ms).saturating_sub(DEADLINE_MARGIN);
         Some(Self {
@@ -62,6 +56,10 @@
             outgoing: Arc::new(OutgoingRequest {
                 method: head.method,
                 uri: origin_form(head.uri),
+                prompt: Prompt {
+                    request: stable_hash(&request_id),
+                    parts: shared_parts(&head.headers),
+                },
                 headers: head.headers,
                 body,
                 request_id: request_id.as_str().to_owned(),
@@ -71,7 +69,6 @@
             deadline: arrived + allowed,
             last_event_id: fields.last_event_id,
             has_response: false,
-            prompt,
             is_trial: false,
             excluded: Vec::new(),
             waited: Duration::ZERO,
--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -118,7 +118,7 @@
                 let is_last = race.running.is_empty() && left.is_none();
                 match check(response, continues, is_last) {
                     Ok(target_response) => {
-                        race.leave_older_than(ended.started);
+                        race.mark_silent_before(ended.started);
                         return Ok(First::Response(target_response));
                     }
                     Err(failure) => race.on_failure(ended, failure).await,
@@ -162,7 +162,7 @@
     /// Returns whether the request must not be sent to another target because its prompt crashes targets.
     fn is_blocked(&self) -> bool {
         let is_trial = self.request.is_trial && self.attempts.is_empty();
-        let prompt = &self.request.prompt;
+        let prompt = &self.request.outgoing.prompt;
         !is_trial && !prompt.parts.is_empty() && self.request.context.quarantine().blocks(prompt)
     }
 
@@ -200,9 +200,8 @@
         }
         log_failure(self.request, self.attempts, &ended, failure);
         if failure == AttemptFailure::InvalidResponse {
-            let request_id = self.request.outgoing.request_id.as_str();
-            let context = &self.request.context;
-            on_early_end(context, &ended.target, request_id, &self.request.prompt).await;
+            let (context, outgoing) = (&self.request.context, &self.request.outgoing);
+            on_early_end(context, &ended.target, outgoing).await;
         }
     }
 
@@ -220,8 +219,8 @@
         );
     }
 
-    /// Leaves the attempts that started before the one that has responded.
-    fn leave_older_than(&self, started: Instant) {
+    /// Records as silent the targets whose attempts started before the one that has responded.
+    fn mark_silent_before(&self, started: Instant) {
         let older = self.running.iter().filter(|it| it.started < started);
         older.for_each(|it| self.request.context.slots.on_silence(it.key));
     }
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -108,7 +108,7 @@
     request: &mut Request,
     attempts: &mut Attempts,
 ) -> Result<Served, Refusal> {
-    match quarantine::admit(&request.context, &request.prompt).await {
+    match quarantine::admit(&request.context, &request.outgoing.prompt).await {
         Admission::Pass => {}
         Admission::Trial => request.is_trial = true,
         Admission::Block => return Err(attempts.block()),
@@ -130,7 +130,7 @@
                     to_response(target_response.status, &target_response.headers, full(body));
                 let is_failure = target_response.status.is_server_error();
                 if target_response.status.is_success() {
-                    quarantine::on_completed(&request.context, &request.prompt);
+                    quarantine::on_completed(&request.context, &request.outgoing.prompt);
                 }
                 target_response.finish(&request.context.pool);
                 if !is_failure || !should_retry(request, attempts) {
@@ -142,9 +142,8 @@
                 attempts.on_failure(failure);
                 if failure == AttemptFailure::InvalidResponse {
                     let target = &target_response.slot.target;
-                    let request_id = request.outgoing.request_id.as_str();
-                    let (context, prompt) = (&request.context, &request.prompt);
-                    quarantine::on_early_end(context, target, request_id, prompt).await;
+                    let (context, outgoing) = (&request.context, &request.outgoing);
+                    quarantine::on_early_end(context, target, outgoing).await;
                 }
                 if !attempts.may_start(&request.route, request.has_response) {
                     return Err(attempts.give_up());
--- a/eel-gateway/src/online/stream.rs
+++ b/eel-gateway/src/online/stream.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use eel_events::{EventBuffer, EventScanner, each, event_id};
-use eel_quarantine::{MAX_FIRST_EVENTS, Prompt};
+use eel_quarantine::MAX_FIRST_EVENTS;
 use eel_table::RouteKind;
 use eel_verdict::Refusal;
 use futures_util::{StreamExt as _, stream};
@@ -45,7 +45,6 @@
     content: Content,
     context: Arc<Context>,
     outgoing: Arc<OutgoingRequest>,
-    prompt: Prompt,
 }
 
 /// What the current target sends.
@@ -295,7 +294,6 @@
             content,
             context: request.context.clone(),
             outgoing: request.outgoing.clone(),
-            prompt: request.prompt.clone(),
         }
     }
 
@@ -321,7 +319,7 @@
                     let is_success = target_response.status.is_success();
                     self.record_end("complete");
                     if is_success {
-                        on_completed(&self.context, &self.prompt);
+                        on_completed(&self.context, &self.outgoing.prompt);
                     }
                     return Ok(None);
                 }
@@ -335,8 +333,7 @@
                 AttemptFailure::InvalidResponse | AttemptFailure::Truncated
             );
             if is_broken && self.content.has_only_begun() {
-                let request_id = self.outgoing.request_id.as_str();
-                on_early_end(&self.context, &target, request_id, &self.prompt).await;
+                on_early_end(&self.context, &target, &self.outgoing).await;
             }
             return Err(failure);
         }
--- a/eel-gateway/src/quarantine/crashes.rs
+++ b/eel-gateway/src/quarantine/crashes.rs
@@ -3,42 +3,48 @@
 use eel_fleet::{TargetEntry, stable_hash};
 use eel_quarantine::{Crash, PartSet, Prompt};
 
-use crate::{context::Context, target::Connection};
+use crate::{
+    context::Context,
+    target::{Connection, OutgoingRequest},
+};
 
 /// Records that the response of `target` to an online request failed as it began, if the target has ended as well.
 pub(crate) async fn on_early_end(
     context: &Context,
     target: &TargetEntry,
-    request_id: &str,
-    prompt: &Prompt,
+    outgoing: &OutgoingRequest,
 ) {
     // Each attempt of a caller has an id of its own, so that only parts can recur.
-    if !prompt.parts.is_empty() {
-        on_early_end_of_item(context, target, request_id, prompt.clone()).await;
+    if !outgoing.prompt.parts.is_empty() {
+        record_if_ended(context, target, outgoing).await;
     }
 }
 
-/// Records that the response of `target` to an item failed as it began, if the target has ended as well: one that accepts
-/// connections has only lost one of them.
+/// Like [`on_early_end`] for an item, whose id recurs.
 pub(crate) async fn on_early_end_of_item(
     context: &Context,
     target: &TargetEntry,
-    request_id: &str,
-    prompt: Prompt,
+    outgoing: &OutgoingRequest,
 ) {
+    record_if_ended(context, target, outgoing).await;
+}
+
+async fn record_if_ended(context: &Context, target: &TargetEntry, outgoing: &OutgoingRequest) {
+    // A target that accepts connections has only lost one of them.
     if Connection::open(target.address).await.is_ok() {
         return;
     }
+    let prompt = &outgoing.prompt;
     let started_unix_ms = target.started_unix_ms.unwrap_or_default();
     context.metrics.early_ends.inc();
     log::info!(
-        target: "quarantine", request_id, target_id = target.id.as_str(),
+        target: "quarantine", request_id = outgoing.request_id.as_str(), target_id = target.id.as_str(),
         parts:% = PartSet::new(prompt.parts.clone());
         "A target ended as it began a response."
     );
     let crash = Crash {
         target: stable_hash(&format!("{}/{started_unix_ms}", target.id)),
-        prompt,
+        prompt: prompt.clone(),
     };
     let now_ms = context.clock.now_ms();
     let blocked = context.quarantine().on_crash(now_ms, crash);
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -11,6 +11,7 @@
 use eel_platform::{
     AttemptFields, ResponseFields, ResponseKind, copy_request_headers, response_fields,
 };
+use eel_quarantine::Prompt;
 use eel_verdict::Verdict;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt as _, Full};
@@ -33,6 +34,8 @@
     pub request_id: String,
     /// Whether the request's id has to be added because `headers` do not carry it.
     pub adds_id: bool,
+    /// What can crash targets in the request.
+    pub prompt: Prompt,
 }
 
 /// The head of a target's response, with the connection and slot that are needed to read its body.
