fix(gateway): count and log blocked parts when their record is removed

After an operator or another node had removed a record, the gauge of blocked parts kept its value until a response was completed, and no line said that the block had ended. Each completed response set the gauge again instead, though it had not changed.

The gauge is set where blocked parts change. Peers are notified with notify_one, as elsewhere, whose permit is kept while the sender is busy. Found by reading; the gauge has no test.

--- a/eel-gateway/src/quarantine/crashes.rs
+++ b/eel-gateway/src/quarantine/crashes.rs
@@ -49,7 +49,7 @@
     let now_ms = context.clock.now_ms();
     let blocked = context.quarantine().on_crash(now_ms, crash);
     on_blocked(context, &blocked);
-    context.quarantine_changed.notify_waiters();
+    context.quarantine_changed.notify_one();
 }
 
 /// Records a completed response to `prompt`.
@@ -65,21 +65,27 @@
     for parts in &lifted {
         log::warn!(target: "quarantine", parts:% = parts; "A response with blocked parts was completed; they are not blocked any more.");
     }
-    on_change(context);
+    if !lifted.is_empty() {
+        update_gauge(context);
+    }
     if has_news {
-        context.quarantine_changed.notify_waiters();
+        context.quarantine_changed.notify_one();
     }
 }
 
 /// Logs the sets that are blocked from now on.
 pub(super) fn on_blocked(context: &Context, blocked: &[PartSet]) {
+    if blocked.is_empty() {
+        return;
+    }
     for parts in blocked {
         log::warn!(target: "quarantine", parts:% = parts; "Prompts with these parts crash targets; requests with all of them are rejected.");
     }
-    on_change(context);
+    update_gauge(context);
 }
 
-pub(super) fn on_change(context: &Context) {
+/// Sets the metric of blocked parts.
+pub(super) fn update_gauge(context: &Context) {
     let count = i64::try_from(context.quarantine().len()).unwrap_or(i64::MAX);
     context.metrics.blocked_parts.set(count);
 }
--- a/eel-gateway/src/quarantine/notices.rs
+++ b/eel-gateway/src/quarantine/notices.rs
@@ -8,7 +8,7 @@
     time::{Instant, sleep_until, timeout_at},
 };
 
-use super::crashes::on_blocked;
+use super::crashes::{on_blocked, update_gauge};
 use crate::{context::Context, reports::MAX_DATAGRAM_BYTES};
 
 /// The time between two notices while there is something recent to tell, so that a lost one is made up for.
@@ -55,6 +55,8 @@
             let now_ms = context.clock.now_ms();
             let blocked = context.quarantine().on_notice(now_ms, notice);
             on_blocked(context, &blocked);
+            // The notice may have ended blocks as well.
+            update_gauge(context);
             true
         }
         _ => false,
--- a/eel-gateway/src/quarantine/records.rs
+++ b/eel-gateway/src/quarantine/records.rs
@@ -6,7 +6,7 @@
 use eel_store::{Compare, KeyValue as _, KeyValuePair, Op, StoreResult, Txn};
 use tokio::time::sleep;
 
-use super::crashes::{on_blocked, on_change};
+use super::crashes::{on_blocked, update_gauge};
 use crate::context::{Context, now_unix_ms};
 
 const RECORDS: &str = "quarantine/";
@@ -42,6 +42,27 @@
     }
 }
 
+/// Applies the removal of a record.
+pub(crate) fn on_record_removed(context: &Context, id: u64) {
+    let now_ms = context.clock.now_ms();
+    if context.quarantine().on_removed(now_ms, id) {
+        on_unblocked(context);
+    }
+}
+
+/// Ceases to block the parts whose records are missing from `listed`, which holds the ids of all records in the store.
+pub(crate) fn retain_listed(context: &Context, listed: &[u64]) {
+    let now_ms = context.clock.now_ms();
+    if context.quarantine().retain_listed(now_ms, listed) {
+        on_unblocked(context);
+    }
+}
+
+fn on_unblocked(context: &Context) {
+    log::warn!(target: "quarantine", "The store has no record of blocked parts any more; they are not blocked any more.");
+    update_gauge(context);
+}
+
 /// Writes blocked parts to the store and removes those that are not blocked any more; does not return.
 pub(crate) async fn keep_records(context: &Context) {
     loop {
@@ -92,6 +113,5 @@
         ..Txn::default()
     };
     context.store.commit(&txn).await?;
-    on_change(context);
     Ok(())
 }
--- a/eel-gateway/src/store/apply.rs
+++ b/eel-gateway/src/store/apply.rs
@@ -39,7 +39,7 @@
         KeyKind::Target(id) => remove_target(context, id),
         KeyKind::RouteTable | KeyKind::Retirement(_) => {}
         KeyKind::Other if let Some(id) = quarantine::id_of(&context.prefix, key) => {
-            context.quarantine().on_removed(now_ms, id);
+            quarantine::on_record_removed(context, id);
         }
         KeyKind::Other => match node_of(&context.prefix, key) {
             Some(node) if *node == *context.name => context.entry_lost.notify_one(),
@@ -55,8 +55,8 @@
     }
 }
 
-/// Removes the targets, nodes and blocked parts that are missing from `pairs`, which hold all of their entries in the store. Notifies
-/// `entry_lost` if the entry of this node is missing.
+/// Removes the targets, nodes and blocked parts that are missing from `pairs`, which hold all of their entries in the
+/// store. Notifies `entry_lost` if the entry of this node is missing.
 pub(crate) fn retain_listed(context: &Context, pairs: &[KeyValuePair]) {
     let now_ms = context.clock.now_ms();
     let targets: Vec<Name> = pairs
@@ -82,7 +82,7 @@
         .iter()
         .filter_map(|pair| quarantine::id_of(&context.prefix, &pair.key));
     let blocked_parts: Vec<u64> = blocked_parts.collect();
-    context.quarantine().retain_listed(now_ms, &blocked_parts);
+    quarantine::retain_listed(context, &blocked_parts);
 }
 
 /// Removes the targets whose entries did not reappear after an outage of the store.
--- a/eel-gateway/src/store/follow.rs
+++ b/eel-gateway/src/store/follow.rs
@@ -86,7 +86,8 @@
     std::future::pending::<()>().await;
 }
 
-/// Reads blocked parts, routes, targets and nodes; returns the revision of the first read, after which the watch has to start.
+/// Reads blocked parts, routes, targets and nodes; returns the revision of the first read, after which the watch has to
+/// start.
 async fn read_fleet(context: &Context) -> StoreResult<Revision> {
     let nodes = apply::node_key(&context.prefix, "");
     let blocked_parts = quarantine::key_prefix(&context.prefix);
--- a/eel-quarantine/src/quarantine.rs
+++ b/eel-quarantine/src/quarantine.rs
@@ -239,22 +239,24 @@
         is_new
     }
 
-    /// Applies the removal of a record from the store.
-    pub fn on_removed(&mut self, now_ms: u64, id: u64) {
-        self.lift(now_ms, id);
+    /// Applies the removal of a record from the store. Returns whether its parts were blocked.
+    pub fn on_removed(&mut self, now_ms: u64, id: u64) -> bool {
+        self.lift(now_ms, id)
     }
 
-    /// Ceases to block the stored sets that are missing from `listed`, which holds the ids of all records.
-    pub fn retain_listed(&mut self, now_ms: u64, listed: &[u64]) {
+    /// Ceases to block the stored sets that are missing from `listed`, which holds the ids of all records. Returns whether
+    /// there were any.
+    pub fn retain_listed(&mut self, now_ms: u64, listed: &[u64]) -> bool {
         let missing: Vec<u64> = self
             .blocked
             .iter()
             .filter(|it| it.stored.is_some() && !listed.contains(&it.parts.id()))
             .map(|it| it.parts.id())
             .collect();
-        for id in missing {
+        for &id in &missing {
             self.lift(now_ms, id);
         }
+        !missing.is_empty()
     }
 
     fn add_crash(&mut self, now_ms: u64, at_ms: u64, crash: Crash, is_own: bool) -> Vec<PartSet> {
@@ -287,14 +289,16 @@
         true
     }
 
-    fn lift(&mut self, now_ms: u64, id: u64) {
+    /// Ceases to block a set. Returns `false` if it was not blocked.
+    fn lift(&mut self, now_ms: u64, id: u64) -> bool {
         self.lifted.insert(id, now_ms);
-        let (lifted, blocked) = std::mem::take(&mut self.blocked)
+        let (lifted, blocked): (Vec<_>, Vec<_>) = std::mem::take(&mut self.blocked)
             .into_iter()
             .partition(|it| it.parts.id() == id);
         self.blocked = blocked;
-        for set in lifted {
+        for set in &lifted {
             self.evidence.forget(&set.parts);
         }
+        !lifted.is_empty()
     }
 }
