fix(gateway): count silent runs of an item from its last event on

The idle timeout of an item grew with each silent run of its whole life, so that a long item which had met a few pauses would wait at a target that is gone for up to a minute. An event ends the count now. Found by reading; no test shows it, as it would have to measure a time. paused_items_complete_once covers that items still complete.

--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -20,7 +20,7 @@
 };
 
 /// How long a run may receive no complete event before it is interrupted, to be tried at another target; doubled for each
-/// earlier run that was silent for too long, since all targets may be slow.
+/// run before it that was silent for too long and brought no event since, as all targets may be slow.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The maximum number of doublings; the deadline of a run comes first.
 const MAX_IDLE_DOUBLINGS: u32 = 6;
@@ -224,4 +224,5 @@
         progress.text.push_str(&String::from_utf8_lossy(data));
     }
     progress.last_event = Some(id);
+    progress.silences = 0;
 }
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -37,7 +37,7 @@
     pub last_event: Option<u64>,
     /// The number of failed runs.
     pub failures: u32,
-    /// The number of runs that were interrupted because their target was silent.
+    /// The number of runs since the last event that were interrupted because their target was silent.
     pub silences: u32,
 }
 
