refactor(entry): track the attempts of a silent link with a task tracker

The end of the attempts on a silent link was found by polling the reference count of its session, which any other holder would have distorted. A token of a TaskTracker is held by each attempt, and its end is awaited.

--- a/eel-entry/src/link/attempt.rs
+++ b/eel-entry/src/link/attempt.rs
@@ -12,6 +12,7 @@
 use error_stack::Report;
 use futures_util::FutureExt as _;
 use quinn::RecvStream;
+use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use super::{Link, Session, settle::settle};
 
@@ -20,6 +21,7 @@
     link: Arc<Link>,
     session: Arc<Session>,
     key: RequestKey,
+    _tracked: TaskTrackerToken,
 }
 
 /// A reply whose head has been received and whose body is still to be read.
@@ -48,7 +50,12 @@
         let session = link
             .session()
             .ok_or(Refusal::not_run(Reason::TargetFailed))?;
-        Ok(Self { link, session, key })
+        Ok(Self {
+            _tracked: session.attempts.token(),
+            link,
+            session,
+            key,
+        })
     }
 
     /// Sends `request` and waits for the head of its reply. If the connection goes silent, a request that may be repeated
--- a/eel-entry/src/link/maintain.rs
+++ b/eel-entry/src/link/maintain.rs
@@ -222,10 +222,11 @@
     log::info!(target: "link", "The link to {} ended: {reason}.", link.vm);
     events.on_disconnected(Some(incarnation), reason);
     if reason == DisconnectReason::Silent {
+        session.attempts.close();
         tokio::select! {
             () = control => {}
             () = wait_for_replacement(link, &session, &last_received, clock) => {}
-            () = wait_for_attempts(&session) => {}
+            () = session.attempts.wait() => {}
         }
         link.lingering.fetch_sub(1, Ordering::Relaxed);
     }
@@ -258,13 +259,6 @@
     }
 }
 
-/// Returns once no attempt runs on a connection that gets no new ones.
-async fn wait_for_attempts(session: &Arc<Session>) {
-    while Arc::strong_count(session) > 1 {
-        tokio::time::sleep(PING_INTERVAL).await;
-    }
-}
-
 /// Closes a lost connection after the time in which its attempts are settled over a new one.
 fn close_later(session: Arc<Session>) {
     const CLOSE_DELAY: Duration = Duration::from_secs(5);
--- a/eel-entry/src/link/session.rs
+++ b/eel-entry/src/link/session.rs
@@ -9,7 +9,7 @@
 };
 use error_stack::{Report, ResultExt as _};
 use quinn::{Connection, Endpoint, RecvStream, SendStream};
-use tokio_util::sync::CancellationToken;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 /// The timeout for opening a connection, including the handshake.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
@@ -24,6 +24,8 @@
     pub(crate) silent: CancellationToken,
     /// Cancelled once either side has closed the connection, or it stays silent while a later one works.
     pub(crate) lost: CancellationToken,
+    /// Tracks the attempts on the connection.
+    pub(crate) attempts: TaskTracker,
 }
 
 impl Session {
@@ -79,6 +81,7 @@
         incarnation: welcome.incarnation,
         silent: CancellationToken::new(),
         lost: CancellationToken::new(),
+        attempts: TaskTracker::new(),
     };
     Ok(OpenedSession {
         session,
