--- a/tests/process/crossed_answers.rs
+++ b/tests/process/crossed_answers.rs
@@ -3,16 +3,14 @@
 //! Guards against the entry node passing such a response on to the caller.
 
 use bytes::Bytes;
-use eel_types::{Attempt, Incarnation, LoadReport, RequestId, RequestKey, Revision};
+use eel_types::{Attempt, RequestId, RequestKey};
 use eel_wire::{
     codec,
-    message::{
-        EntryControl, Pong, ReplyEnd, ReplyHead, ServeReply, StreamRequest, TargetControl, Welcome,
-    },
+    message::{ReplyEnd, ReplyHead, ServeReply, StreamRequest},
 };
 use quinn::{Connection, Endpoint, RecvStream, SendStream};
 
-use crate::fleet::{Platform, Service};
+use crate::fleet::{FAKE_LOAD, Platform, Service, serve_control};
 
 const BODY: &[u8] = b"the answer";
 
@@ -29,15 +27,6 @@
     NoEnd,
 }
 
-const LOAD: LoadReport = LoadReport {
-    slots: 8,
-    running_online: 0,
-    queued_online: 0,
-    running_batch: 0,
-    batch_credits: 0,
-    credit_valid_ms: 0,
-};
-
 impl ReplySequence {
     fn replies(self, key: RequestKey) -> Vec<ServeReply> {
         let other = RequestKey {
@@ -60,7 +49,7 @@
             ServeReply::End(ReplyEnd {
                 key,
                 body_bytes,
-                load: LOAD,
+                load: FAKE_LOAD,
             })
         };
         let length = BODY.len() as u64;
@@ -95,30 +84,6 @@
     }
 }
 
-async fn serve_control(mut send: SendStream, mut recv: RecvStream) {
-    while let Ok(Some(message)) = codec::read::<EntryControl>(&mut recv).await {
-        let reply = match message {
-            EntryControl::Hello(_) => TargetControl::Welcome(Welcome {
-                vm: "fake".into(),
-                incarnation: Incarnation(1),
-                pool: "dispatch-runners".into(),
-                load: LOAD,
-                revision: Revision(0),
-            }),
-            EntryControl::Ping(ping) => TargetControl::Pong(Pong {
-                sequence: ping.sequence,
-                load: LOAD,
-                revision: Revision(0),
-                leaving: false,
-            }),
-            EntryControl::Configure(_) => continue,
-        };
-        if codec::write(&mut send, &reply).await.is_err() {
-            return;
-        }
-    }
-}
-
 async fn serve_request(mut send: SendStream, mut recv: RecvStream, sequence: ReplySequence) {
     let Ok(Some(StreamRequest::Serve(request))) = codec::read(&mut recv).await else {
         return;
--- a/tests/process/fleet/mod.rs
+++ b/tests/process/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! The test fixture: stand-ins in the test process, entry and target nodes as processes.
 
+mod fake_target;
 mod node;
 mod raw;
 mod records;
@@ -16,6 +17,7 @@
     EndpointOptions, bind_server,
     credentials::{Credentials, PemPair, create_certificate_authority, issue_node_certificate},
 };
+pub use fake_target::{FAKE_LOAD, serve_control};
 pub use node::{Node, eventually};
 use quinn::Endpoint;
 pub use raw::RawTarget;
--- a/tests/process/unread_reply.rs
+++ b/tests/process/unread_reply.rs
@@ -6,15 +6,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eel_types::{Incarnation, LoadReport, RequestKey, Revision};
+use eel_types::RequestKey;
 use eel_wire::{
     codec,
-    message::{
-        EntryControl, Pong, ReplyEnd, ReplyHead, ServeReply, StreamRequest, TargetControl, Welcome,
-    },
+    message::{ReplyEnd, ReplyHead, ServeReply, StreamRequest},
 };
 use nix::sys::signal::Signal;
-use quinn::{Connection, Endpoint, RecvStream, SendStream};
+use quinn::{Connection, Endpoint, SendStream};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpStream,
@@ -22,7 +20,7 @@
 };
 
 use crate::{
-    fleet::{CALLER_KEY, Platform, RawTarget, Service},
+    fleet::{CALLER_KEY, FAKE_LOAD, Platform, RawTarget, Service, serve_control},
     outcome::{CallerOutcome, call, outcome_of},
 };
 
@@ -88,14 +86,6 @@
     }
 }
 
-const LOAD: LoadReport = LoadReport {
-    slots: 8,
-    running_online: 0,
-    queued_online: 0,
-    running_batch: 0,
-    batch_credits: 0,
-    credit_valid_ms: 0,
-};
 const BODY: &[u8] = b"the answer";
 const REQUESTS: usize = 8;
 
@@ -140,30 +130,6 @@
     }
 }
 
-async fn serve_control(mut send: SendStream, mut recv: RecvStream) {
-    while let Ok(Some(message)) = codec::read::<EntryControl>(&mut recv).await {
-        let reply = match message {
-            EntryControl::Hello(_) => TargetControl::Welcome(Welcome {
-                vm: "fake".into(),
-                incarnation: Incarnation(1),
-                pool: "dispatch-runners".into(),
-                load: LOAD,
-                revision: Revision(0),
-            }),
-            EntryControl::Ping(ping) => TargetControl::Pong(Pong {
-                sequence: ping.sequence,
-                load: LOAD,
-                revision: Revision(0),
-                leaving: false,
-            }),
-            EntryControl::Configure(_) => continue,
-        };
-        if codec::write(&mut send, &reply).await.is_err() {
-            return;
-        }
-    }
-}
-
 async fn write_reply(send: &mut SendStream, key: RequestKey) {
     let replies = [
         ServeReply::Head(ReplyHead {
@@ -175,7 +141,7 @@
         ServeReply::End(ReplyEnd {
             key,
             body_bytes: BODY.len() as u64,
-            load: LOAD,
+            load: FAKE_LOAD,
         }),
     ];
     for reply in &replies {
