--- a/eel-gateway/tests/gateway/fatal_part.rs
+++ b/eel-gateway/tests/gateway/fatal_part.rs
@@ -172,6 +172,17 @@
         restarted.expect("a restarted target");
     }
 
+    /// Lets targets crash until the part counts as found, runs `then`, and waits until all targets are up again.
+    async fn find_part(&self, then: impl AsyncFnOnce()) {
+        self.with_restarts(async {
+            self.crash_targets().await;
+            sleep(CONTACT_TIME).await;
+            then().await;
+            self.all_targets_are_up().await;
+        })
+        .await;
+    }
+
     async fn all_targets_are_up(&self) {
         wait_until("all targets are up", async || {
             !self.fleet.targets.iter().any(StandInTarget::is_down)
@@ -283,13 +294,7 @@
 #[tokio::test]
 async fn restarted_node_remembers_the_part() {
     let mut calls = calls(0).await;
-    calls
-        .with_restarts(async {
-            calls.crash_targets().await;
-            sleep(CONTACT_TIME).await;
-            calls.all_targets_are_up().await;
-        })
-        .await;
+    calls.find_part(async || {}).await;
     calls.assert_restarted_nodes_remember().await;
 }
 
@@ -321,12 +326,9 @@
     let mut calls = calls(0).await;
     calls.fleet.store.set_fault(StoreFault::Refuses);
     calls
-        .with_restarts(async {
-            calls.crash_targets().await;
-            sleep(CONTACT_TIME).await;
+        .find_part(async || {
             calls.fleet.store.set_fault(StoreFault::None);
             sleep(CONTACT_TIME).await;
-            calls.all_targets_are_up().await;
         })
         .await;
     calls.assert_restarted_nodes_remember().await;
