--- a/eel-entry/src/link/attempt.rs
+++ b/eel-entry/src/link/attempt.rs
@@ -58,8 +58,8 @@
         })
     }
 
-    /// Sends `request` and waits for the head of its reply. If the connection goes silent, a request that may be repeated
-    /// is given up if another target could run it.
+    /// Sends `request` and waits for the head of its reply. If the connection goes silent, the attempt ends if the
+    /// request may be repeated and another target could run it.
     ///
     /// # Errors
     ///
--- a/eel-gateway/tests/gateway/silent_target.rs
+++ b/eel-gateway/tests/gateway/silent_target.rs
@@ -135,7 +135,7 @@
             == 1
     })
     .await;
-    assert!(!received.is_finished(), "the other one goes on");
+    assert!(!received.is_finished(), "the other one continues");
     assert_eq!(
         received.await.expect("a stream"),
         (ALL_EVENTS.to_vec(), true)
--- a/eel-gateway/tests/gateway/unread_request.rs
+++ b/eel-gateway/tests/gateway/unread_request.rs
@@ -1,6 +1,6 @@
 //! Targets that pause before they have read the whole request.
 //!
-//! Guards against a connection that is given up while its target reads nothing for a second: a request that is longer than
+//! Guards against a connection that is closed while its target reads nothing for a second: a request that is longer than
 //! the target's receive window stays unsent for that time, and the caller gets an error in place of the response.
 
 use std::{net::SocketAddr, time::Duration};
--- a/eel-jobs/src/work.rs
+++ b/eel-jobs/src/work.rs
@@ -120,7 +120,7 @@
     chunk.runner.is_lost().then_some(chunk.claim_token)
 }
 
-/// Deletes a lost claim, until the store has responded or `lease` is given up too. A renewal that was sent before the
+/// Deletes a lost claim; repeats it until the store has responded or `lease` is not held any more. A renewal that was sent before the
 /// lease could no longer be relied on may have kept it, and with it the claim.
 pub(crate) async fn abandon<S: KeyValue, H: Host>(
     node: &Arc<JobNode<S, H>>,
--- a/eel-quarantine/tests/quarantine/blamed_parts.rs
+++ b/eel-quarantine/tests/quarantine/blamed_parts.rs
@@ -1,6 +1,6 @@
 //! Which parts are blamed for crashes.
 //!
-//! Guards against a guilty part that goes on to crash targets, against blame for parts that only stood beside it, for
+//! Guards against a guilty part that continues to crash targets, against blame for parts that only stood beside it, for
 //! crashes with another cause, and against callers that push a guilty part out by many other ones.
 
 use eel_quarantine::{Check, Quarantine};
--- a/tests/process/paused_target.rs
+++ b/tests/process/paused_target.rs
@@ -1,6 +1,6 @@
-//! A target node that is paused for longer than a link may be silent, and then goes on.
+//! A target node that is paused for longer than a link may be silent, and then continues.
 //!
-//! Guards against ending the answer of a sound target because nothing was heard of it for a while: the caller gets a cut
+//! Guards against ending the answer of a sound target because it sent nothing for a while: the caller gets a cut
 //! stream or an error although the answer is complete at the target.
 
 use std::time::Duration;
