--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod leaving_caller;
 mod leaving_target;
 mod lost_entry;
+mod named_limit;
 mod refused_requests;
 mod resumed_stream;
 mod silent_target;
