fix(fleet,gateway): keep the rates of requests that targets name, together

Callers saw nothing; targets in need got up to ten times the requests that they had said they take. No node read the limit, so that placement knew of slots, load and health alone (class: a limit of the whole fleet that no one accounts for). The test named_limit failed before: 180 requests of 17 allowed in 4 s, and 63 beside items.

Every attempt starts in one place, the selector, which now counts it in a bucket of its target. Nodes that do not hear one another keep shares. Requests go to other targets first, and are rejected with the time to return where all targets are limited and none takes them in time.

--- a/eel-fleet/src/dispatch.rs
+++ b/eel-fleet/src/dispatch.rs
@@ -9,7 +9,7 @@
 use eel_types::Name;
 
 use crate::{
-    AttemptOutcome, TargetKey, TargetQuery, TargetSelector, TicketKey, WorkKind,
+    AttemptOutcome, Capacity, TargetKey, TargetQuery, TargetSelector, TicketKey, WorkKind,
     queue::{Queue, QueuedRequest},
     report::{PeerReport, REPORT_TTL_MS, WaitingCount, stable_hash},
 };
@@ -20,6 +20,7 @@
 const INITIAL_RUN_TIME_MS: u64 = 300;
 /// Minimum of a run time sample: the resolution of the clock. With 0, a backlog of shorter runs would count as empty.
 const MIN_RUN_TIME_MS: u64 = 1;
+const MS_PER_1000_S: u64 = 1_000_000;
 /// Bounds of the retry delay that is sent to callers. Callers honour a delay of up to a third of their remaining time.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 100..=1_500;
 
@@ -63,8 +64,10 @@
     pub expected_wait_ms: u64,
     /// The waiting requests that would start before it, at this node and at its peers.
     pub ahead: u64,
-    /// The number of slots of the service's usable targets.
+    /// The number of slots of the service's usable targets that name no limit.
     pub slots: u32,
+    /// The number of the service's usable targets that name a limit.
+    pub limited_targets: u32,
 }
 
 /// A request that has left the queue.
@@ -151,14 +154,14 @@
         service: &Name,
         tie_breaker: u64,
     ) -> Option<TargetKey> {
-        let has_room = self.selector.has_batch_room(now_ms, service);
-        if !has_room || self.is_online_waiting(now_ms, service) {
+        if self.is_online_waiting(now_ms, service) {
             return None;
         }
         let query = TargetQuery {
             work: WorkKind::Batch,
             data_centre: &self.data_centre,
             excluded: &[],
+            is_limited: !self.selector.has_batch_room(now_ms, service),
             tie_breaker,
         };
         self.selector.drop_old_reports(now_ms);
@@ -278,8 +281,8 @@
             else {
                 continue;
             };
-            let is_over =
-                now_ms >= waiting.give_up_ms || self.is_unservable(now_ms, service, &waiting);
+            let is_over = now_ms >= waiting.give_up_ms
+                || self.is_unservable(now_ms, service, ahead, &waiting);
             let target = if is_over {
                 None
             } else {
@@ -308,6 +311,7 @@
             work: WorkKind::Online,
             data_centre: &self.data_centre,
             excluded: &waiting.excluded,
+            is_limited: false,
             tie_breaker: waiting.tie_breaker,
         };
         let target = self.selector.choose(now_ms, service, &query)?;
@@ -315,29 +319,40 @@
         Some(target)
     }
 
-    /// Returns whether a request that may be rejected waits for a service without any usable target.
-    fn is_unservable(&self, now_ms: u64, service: &Name, waiting: &QueuedRequest) -> bool {
-        now_ms > waiting.reject_after_ms() && self.selector.slots(now_ms, service) == 0
+    /// Returns whether a request that may be rejected waits for a service without any usable target, or with targets that
+    /// take so few requests that none of them takes this one in time.
+    fn is_unservable(
+        &self,
+        now_ms: u64,
+        service: &Name,
+        ahead: usize,
+        waiting: &QueuedRequest,
+    ) -> bool {
+        let capacity = self.selector.capacity(now_ms, service);
+        match (capacity.slots, capacity.limited_targets) {
+            (0, 0) => now_ms > waiting.reject_after_ms(),
+            (0, _) => {
+                let rejection = self.rejection(now_ms, service, ahead);
+                let starts_at_ms = now_ms.saturating_add(rejection.expected_wait_ms);
+                !waiting.accepts_late && starts_at_ms > waiting.give_up_ms
+            }
+            _ => false,
+        }
     }
 
-    /// Builds a rejection. The expected wait assumes that a slot becomes free every `run_time / slots`.
+    /// Builds a rejection with the expected wait.
     fn rejection(&self, now_ms: u64, service: &Name, ahead: usize) -> Rejection {
-        let slots = self.selector.slots(now_ms, service);
+        let capacity = self.selector.capacity(now_ms, service);
         let run_time_ms = self.run_time_ms(service);
         let ahead = u64::try_from(ahead).unwrap_or(u64::MAX);
         let ahead = ahead.saturating_add(self.waiting_at_peers(now_ms, service));
-        let expected_wait_ms = match u64::from(slots) {
-            0 => run_time_ms,
-            slots => ahead
-                .saturating_add(1)
-                .saturating_mul(run_time_ms)
-                .div_ceil(slots),
-        };
+        let expected_wait_ms = expected_wait_ms(now_ms, &capacity, run_time_ms, ahead);
         Rejection {
             retry_after_ms: clamp_retry_after(expected_wait_ms),
             expected_wait_ms,
             ahead,
-            slots,
+            slots: capacity.slots,
+            limited_targets: capacity.limited_targets,
         }
     }
 
@@ -354,6 +369,30 @@
     }
 }
 
+/// Returns how long a request waits behind `ahead` others. A slot becomes free every `run_time / slots`, and targets that
+/// name a limit take requests at that rate.
+fn expected_wait_ms(now_ms: u64, capacity: &Capacity, run_time_ms: u64, ahead: u64) -> u64 {
+    let slots = u64::from(capacity.slots);
+    match (slots, capacity.opens_at_ms) {
+        (0, None) => run_time_ms,
+        (0, Some(opens_at_ms)) => {
+            let behind_ms = ahead.saturating_mul(MS_PER_1000_S);
+            let behind_ms = behind_ms / capacity.limited_per_1000_s.max(1);
+            opens_at_ms.saturating_sub(now_ms).saturating_add(behind_ms)
+        }
+        (slots, _) => {
+            let run_time_ms = run_time_ms.max(MIN_RUN_TIME_MS);
+            // The requests that start in the run time of one, in millionths.
+            let at_limited = capacity.limited_per_1000_s.saturating_mul(run_time_ms);
+            let taken = slots
+                .saturating_mul(MS_PER_1000_S)
+                .saturating_add(at_limited);
+            let needed = ahead.saturating_add(1).saturating_mul(run_time_ms);
+            needed.saturating_mul(MS_PER_1000_S).div_ceil(taken)
+        }
+    }
+}
+
 fn clamp_retry_after(retry_after_ms: u64) -> u64 {
     retry_after_ms.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end())
 }
--- a/eel-fleet/src/entry.rs
+++ b/eel-fleet/src/entry.rs
@@ -4,6 +4,8 @@
 
 use eel_types::Name;
 
+use crate::stable_hash;
+
 /// What a target announces about itself. `id` and `started_unix_ms` together identify one incarnation.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetEntry {
@@ -24,6 +26,16 @@
 }
 
 impl TargetEntry {
+    /// Returns a hash of the incarnation, the same on every node.
+    #[must_use]
+    pub fn incarnation(&self) -> u64 {
+        let started_unix_ms = self.started_unix_ms.unwrap_or_default();
+        stable_hash(&format!(
+            "{} {started_unix_ms} {} {}",
+            self.id, self.address, self.service
+        ))
+    }
+
     /// Returns whether `other` announces the same incarnation for the same service at the same address.
     #[must_use]
     pub fn is_same_incarnation(&self, other: &Self) -> bool {
--- a/eel-fleet/src/lib.rs
+++ b/eel-fleet/src/lib.rs
@@ -11,6 +11,7 @@
 mod entry;
 mod health;
 mod leaving;
+mod limit;
 mod pace;
 mod peers;
 mod queue;
@@ -20,12 +21,16 @@
 
 pub use dispatch::{Arrival, Decision, Dequeued, Dispatcher, Rejection};
 pub use entry::TargetEntry;
+pub use limit::{
+    LimitChange, LimitNotice, LimitNoticeError, LimitPeer, LimitTable, NamedLimit, RateLimit,
+    TargetUsage,
+};
 pub use pace::{MAX_REPORT_INTERVAL_MS, report_interval_ms};
 pub use peers::{NodeEntry, Peers};
 pub use queue::TicketKey;
 pub use registry::Registry;
 pub use report::{PeerReport, ReportError, ReportPart, TargetLoad, WaitingCount, stable_hash};
-pub use selector::{AttemptOutcome, TargetQuery, TargetSelector, WorkKind};
+pub use selector::{AttemptOutcome, Capacity, TargetQuery, TargetSelector, WorkKind};
 
 slotmap::new_key_type! {
     /// Identifies one incarnation of a target in a [`TargetSelector`].
--- /dev/null
+++ b/eel-fleet/src/limit/limiter.rs
@@ -0,0 +1,233 @@
+//! The limit of one target, and the bucket of the requests sent to it.
+
+use std::collections::HashMap;
+
+use super::{RateLimit, TargetUsage};
+use crate::stable_hash;
+
+/// How much earlier than on average a request may follow the one before, in µs: waiting requests are dispatched in steps of
+/// that time.
+const TOLERANCE_US: u64 = 25_000;
+/// How long requests beyond the limit delay the following ones at the most, in µs.
+const MAX_DELAY_US: u64 = 60_000_000;
+/// The number of nodes that use a target, whatever its limit is.
+const MIN_USERS: u64 = 4;
+/// The rate, in requests per 1,000 s, for which one more node uses a target.
+const PER_1000_S_PER_USER: u64 = 3_200;
+/// The time in which each node that uses a target hears of a request that another one has sent, in µs.
+const TURN_US: u64 = 30_000;
+/// The part of the time between two requests that the turns of all nodes take up at the most.
+const MAX_TURNS_DIVISOR: u64 = 4;
+/// The time without a response after which the number of nodes that use a target doubles, in ms: those that use it may have
+/// no requests for it, and only a request finds out that a limit has ended.
+const SILENCE_MS: u64 = 10_000;
+const MAX_DOUBLINGS: u64 = 32;
+
+const US_PER_MS: u64 = 1_000;
+
+/// The limit that a response named. The target named it between the two times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Observation {
+    /// `None` if the response named none.
+    pub limit: Option<RateLimit>,
+    /// When the request was sent.
+    pub asked_ms: u64,
+    /// When the response arrived.
+    pub answered_ms: u64,
+}
+
+impl Observation {
+    /// Returns the limit as it was before any response.
+    pub const fn none() -> Self {
+        Self {
+            limit: None,
+            asked_ms: 0,
+            answered_ms: 0,
+        }
+    }
+
+    /// Returns whether this limit holds now that `known` was observed. Of two responses of which it is not certain which one
+    /// the target sent first, the stricter one holds.
+    fn replaces(&self, known: &Self) -> bool {
+        if self.asked_ms > known.answered_ms {
+            true
+        } else if self.answered_ms < known.asked_ms {
+            false
+        } else if self.limit == known.limit {
+            self.answered_ms > known.answered_ms
+        } else {
+            RateLimit::is_stricter(self.limit, known.limit)
+        }
+    }
+}
+
+/// The state of one target's limit at this node.
+#[derive(Debug)]
+pub struct Limiter {
+    observed: Observation,
+    /// When the requests that were counted so far have used up their share of the limit, in µs.
+    used_until_us: u64,
+    /// The number of requests that this node has sent under the limit.
+    sent: u32,
+    /// The counts of the peers, by their incarnation.
+    peers: HashMap<u64, u32>,
+    /// How many other nodes come before this one in using the target.
+    pub rank: u64,
+    /// Draws the order of the nodes that use the target; differs between nodes.
+    seed: u64,
+    /// The number of requests that were counted, of all nodes.
+    counted: u64,
+    /// Decides how long this node leaves the next request to the other nodes.
+    draw: u64,
+    /// Whether peers have not been told of the last change.
+    pub has_news: bool,
+}
+
+impl Limiter {
+    pub fn new(rank: u64, seed: u64) -> Self {
+        Self {
+            observed: Observation::none(),
+            used_until_us: 0,
+            sent: 0,
+            peers: HashMap::new(),
+            rank,
+            seed,
+            counted: 0,
+            draw: seed,
+            has_news: false,
+        }
+    }
+
+    /// Returns the limit in force; `None` if there is none.
+    pub fn limit(&self) -> Option<RateLimit> {
+        self.observed.limit
+    }
+
+    pub fn sent(&self) -> u32 {
+        self.sent
+    }
+
+    pub fn answered_ms(&self) -> u64 {
+        self.observed.answered_ms
+    }
+
+    /// Applies what a response named. Returns whether the limit has changed.
+    pub fn observe(&mut self, now_ms: u64, observation: Observation, share: Share) -> bool {
+        if !observation.replaces(&self.observed) {
+            return false;
+        }
+        let before = self.observed.limit;
+        self.observed = observation;
+        if before == observation.limit {
+            return false;
+        }
+        self.has_news = true;
+        let at_us = now_ms * US_PER_MS;
+        let delay_us = self.used_until_us.saturating_sub(at_us);
+        if let Some(limit) = observation.limit {
+            let delay_us = match before {
+                Some(before) => delay_us.saturating_mul(limit.interval_us()) / before.interval_us(),
+                None => self.first_delay_us(limit, share),
+            };
+            self.used_until_us = at_us + delay_us.min(MAX_DELAY_US);
+        }
+        true
+    }
+
+    /// Returns how long after a limit became known this node sends its first request. Nodes that do not hear one another
+    /// send theirs at different times.
+    fn first_delay_us(&self, limit: RateLimit, share: Share) -> u64 {
+        let unheard_us = share.interval_us(limit).saturating_sub(limit.interval_us());
+        limit.interval_us() + self.seed % unheard_us.max(1)
+    }
+
+    /// Counts a request of this node.
+    pub fn on_start(&mut self, now_ms: u64, share: Share) {
+        if self.observed.limit.is_some() {
+            self.sent = self.sent.wrapping_add(1);
+            self.has_news = true;
+            self.count(now_ms, 1, share);
+        }
+    }
+
+    /// Counts the requests that a peer has sent since its notice before. The first one only says where its count begins.
+    pub fn on_peer(&mut self, now_ms: u64, sender: u64, usage: &TargetUsage, share: Share) {
+        let before = self.peers.insert(sender, usage.sent);
+        let sent = before.map_or(0, |before| usage.sent.wrapping_sub(before));
+        // A notice that was overtaken by a later one has a lower count.
+        if sent > u32::MAX / 2 {
+            self.peers.extend(before.map(|before| (sender, before)));
+        } else {
+            self.count(now_ms, sent, share);
+        }
+    }
+
+    /// Forgets the counts of nodes that are not among `nodes`.
+    pub fn retain_peers(&mut self, is_known: impl Fn(u64) -> bool) {
+        self.peers.retain(|&peer, _| is_known(peer));
+    }
+
+    fn count(&mut self, now_ms: u64, requests: u32, share: Share) {
+        let Some(limit) = self.observed.limit else {
+            return;
+        };
+        self.counted += u64::from(requests);
+        self.draw = stable_hash(&format!("{:x} {}", self.seed, self.counted));
+        let at_us = now_ms * US_PER_MS;
+        let used_us = share.interval_us(limit).saturating_mul(u64::from(requests));
+        let until_us = self.used_until_us.max(at_us).saturating_add(used_us);
+        self.used_until_us = until_us.min(at_us + MAX_DELAY_US);
+    }
+
+    /// Returns when this node may send the next request, in ms; a time in the past if it may send one now.
+    pub fn opens_at_ms(&self) -> u64 {
+        let Some(limit) = self.observed.limit else {
+            return 0;
+        };
+        let users = MIN_USERS + limit.per_1000_s() / PER_1000_S_PER_USER;
+        let doublings = (0..MAX_DOUBLINGS).find(|it| users << it > self.rank);
+        let doublings = doublings.unwrap_or(MAX_DOUBLINGS);
+        let free_us = self.used_until_us.saturating_sub(TOLERANCE_US);
+        let free_us = free_us + self.turn_us(limit, users << doublings);
+        let silence_ms = doublings * SILENCE_MS;
+        let used_from_ms = match silence_ms {
+            0 => 0,
+            silence_ms => self.observed.answered_ms + silence_ms,
+        };
+        free_us.div_ceil(US_PER_MS).max(used_from_ms)
+    }
+
+    /// Returns how long this node leaves the next request to the other ones of `users`. Each request draws another order.
+    fn turn_us(&self, limit: RateLimit, users: u64) -> u64 {
+        let turns_us = users.saturating_mul(TURN_US);
+        let turns_us = turns_us.min(limit.interval_us() / MAX_TURNS_DIVISOR);
+        self.draw % turns_us.max(1)
+    }
+
+    /// Returns what peers should know.
+    pub fn usage(&self, now_ms: u64, incarnation: u64) -> TargetUsage {
+        TargetUsage {
+            incarnation,
+            limit: self.observed.limit,
+            asked_ago_ms: now_ms.saturating_sub(self.observed.asked_ms),
+            answered_ago_ms: now_ms.saturating_sub(self.observed.answered_ms),
+            sent: self.sent,
+        }
+    }
+}
+
+/// The part of a limit that this node and the nodes that it hears may use together: the others may use the rest unheard.
+#[derive(Clone, Copy, Debug)]
+pub struct Share {
+    /// The number of nodes that this node hears, with itself.
+    pub heard: u64,
+    /// The number of all nodes.
+    pub nodes: u64,
+}
+
+impl Share {
+    /// Returns the time from one request to the next under this part of the limit, in µs.
+    fn interval_us(self, limit: RateLimit) -> u64 {
+        limit.interval_us().saturating_mul(self.nodes) / self.heard.max(1)
+    }
+}
--- a/eel-fleet/src/peers.rs
+++ b/eel-fleet/src/peers.rs
@@ -8,7 +8,7 @@
 use eel_types::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::PeerReport;
+use crate::{LimitPeer, PeerReport, report::REPORT_TTL_MS};
 
 /// How long a node counts as alive after its last report: eight of the usual report intervals.
 const PEER_TTL_MS: u64 = 2_000;
@@ -126,6 +126,21 @@
             .map(|peer| (peer.entry.address(), peer.entry.token))
     }
 
+    /// Returns all other nodes, sorted by name, and whether they are heard.
+    #[must_use]
+    pub fn limit_peers(&self, now_ms: u64) -> Vec<LimitPeer> {
+        let peers = self.peers.iter().map(|(name, peer)| LimitPeer {
+            name: name.clone(),
+            incarnation: peer.entry.incarnation,
+            is_heard: peer
+                .last_report_ms
+                .is_some_and(|last_report_ms| now_ms < last_report_ms + REPORT_TTL_MS),
+        });
+        let mut peers: Vec<LimitPeer> = peers.collect();
+        peers.sort_by(|a, b| a.name.cmp(&b.name));
+        peers
+    }
+
     /// Returns the live nodes that currently accept items of batch jobs.
     pub fn batch_nodes(&self, now_ms: u64) -> impl Iterator<Item = &Name> {
         let live = self
--- a/eel-fleet/src/selector.rs
+++ b/eel-fleet/src/selector.rs
@@ -13,6 +13,7 @@
     TargetEntry, TargetKey,
     health::Health,
     leaving::LeavingTargets,
+    limit::{LimitChange, LimitNotice, LimitPeer, LimitTable, NamedLimit, TargetUsage},
     report::{MAX_PART_BITS, PeerReport, REPORT_TTL_MS, TargetLoad, finest_part, stable_hash},
 };
 
@@ -49,6 +50,8 @@
     pub data_centre: &'a str,
     /// Targets that must not be chosen, because the request was sent to them before.
     pub excluded: &'a [TargetKey],
+    /// Whether only targets that name a limit may be chosen, whose slots are of little use to other requests.
+    pub is_limited: bool,
     /// Breaks ties between equally ranked targets; differs between requests, so that a target that fails gets few of them.
     pub tie_breaker: u64,
 }
@@ -68,9 +71,24 @@
     Cancelled,
 }
 
+/// What the usable targets of a service can take.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Capacity {
+    /// The slots of the targets that name no limit.
+    pub slots: u32,
+    /// The number of targets that name a limit.
+    pub limited_targets: u32,
+    /// The sum of their limits, in requests per 1,000 s.
+    pub limited_per_1000_s: u64,
+    /// When this node may send a request to one of them; `None` if there are none.
+    pub opens_at_ms: Option<u64>,
+}
+
 struct Target {
     entry: TargetEntry,
     hash: u64,
+    /// Hash of the target's incarnation.
+    incarnation: u64,
     own: Load,
     peers: Vec<PeerLoad>,
     health: Health,
@@ -110,8 +128,10 @@
     by_id: HashMap<Name, TargetKey>,
     services: HashMap<Name, Vec<TargetKey>>,
     by_hash: HashMap<u64, TargetKey>,
+    by_incarnation: HashMap<u64, TargetKey>,
     senders: HashMap<u64, Sender>,
     leaving: LeavingTargets,
+    limits: LimitTable,
     /// When expired reports were last dropped.
     expired_ms: u64,
     /// The nodes that run batch items, this node first.
@@ -131,8 +151,10 @@
             self.remove_target(&entry.id.clone());
         }
         let (id, service) = (entry.id.clone(), entry.service.clone());
+        let incarnation = entry.incarnation();
         let key = self.targets.insert(Target {
             hash: stable_hash(&entry.id),
+            incarnation,
             is_leaving: self.leaving.contains(&entry),
             entry,
             own: Load::default(),
@@ -143,6 +165,7 @@
         });
         self.update_batch_rank(key);
         self.by_hash.insert(stable_hash(&id), key);
+        self.by_incarnation.insert(incarnation, key);
         self.by_id.insert(id, key);
         self.services.entry(service).or_default().push(key);
     }
@@ -156,6 +179,7 @@
             return;
         };
         self.by_hash.remove(&target.hash);
+        self.by_incarnation.remove(&target.incarnation);
         if let Some(keys) = self.services.get_mut(&target.entry.service) {
             keys.retain(|&it| it != key);
         }
@@ -178,7 +202,7 @@
         let avoids_batch = self.prefers_idle(now_ms, keys);
         let ranked = open.filter_map(|key| {
             let target = self.targets.get(key)?;
-            Some((target.rank(now_ms, query, avoids_batch)?, key))
+            Some((target.rank(now_ms, query, avoids_batch, &self.limits)?, key))
         });
         ranked.min_by_key(|&(rank, _)| rank).map(|(_, key)| key)
     }
@@ -189,13 +213,7 @@
     /// more requests than they have slots.
     fn prefers_idle(&self, now_ms: u64, keys: &[TargetKey]) -> bool {
         let targets = keys.iter().filter_map(|&key| self.targets.get(key));
-        let idle = targets.map(|target| {
-            let total = target.total(now_ms);
-            target
-                .entry
-                .slots
-                .saturating_sub(total.online + total.batch) as usize
-        });
+        let idle = targets.map(|target| target.idle_slots(now_ms, &self.limits) as usize);
         idle.sum::<usize>() > self.live_senders(now_ms) / NODES_PER_IDLE_SLOT
     }
 
@@ -230,13 +248,9 @@
         let targets = keys.filter_map(|&key| self.targets.get(key));
         let (mut idle, mut online, mut slots) = (0, 0, 0);
         for target in targets.filter(|target| target.is_usable(now_ms)) {
-            let total = target.total(now_ms);
             slots += target.entry.slots;
-            idle += target
-                .entry
-                .slots
-                .saturating_sub(total.online + total.batch);
-            online += total.online;
+            idle += target.idle_slots(now_ms, &self.limits);
+            online += target.total(now_ms).online;
         }
         let nodes = u32::try_from(self.live_senders(now_ms)).unwrap_or(u32::MAX);
         idle > online.isqrt().max(nodes.min(slots / MAX_RESERVE_DIVISOR))
@@ -251,7 +265,7 @@
             for target in targets.filter(|target| target.is_usable(now_ms)) {
                 let total = target.total(now_ms);
                 used += total.online + total.batch;
-                slots += target.entry.slots;
+                slots += total.online + total.batch + target.idle_slots(now_ms, &self.limits);
             }
             used > slots / 2
         })
@@ -268,9 +282,84 @@
             .sum()
     }
 
+    /// Returns what the usable targets of a service can take.
+    #[must_use]
+    pub fn capacity(&self, now_ms: u64, service: &str) -> Capacity {
+        let keys = self.services.get(service).into_iter().flatten();
+        let targets = keys.filter_map(|&key| self.targets.get(key));
+        let mut capacity = Capacity::default();
+        for target in targets.filter(|it| it.is_usable(now_ms)) {
+            match self.limits.limit(target.incarnation) {
+                None => capacity.slots += target.entry.slots,
+                Some(limit) => {
+                    let opens_at_ms = self.limits.opens_at_ms(target.incarnation);
+                    let earliest_ms = capacity.opens_at_ms.unwrap_or(u64::MAX);
+                    capacity.limited_targets += 1;
+                    capacity.limited_per_1000_s += limit.per_1000_s();
+                    capacity.opens_at_ms = Some(earliest_ms.min(opens_at_ms));
+                }
+            }
+        }
+        capacity
+    }
+
+    /// Returns whether a target limits the rate of requests.
+    #[must_use]
+    pub fn is_limited(&self, key: TargetKey) -> bool {
+        let target = self.targets.get(key);
+        target.is_some_and(|it| self.limits.limit(it.incarnation).is_some())
+    }
+
+    /// Returns the number of targets whose limits are in force.
+    #[must_use]
+    pub fn limited_targets(&self) -> usize {
+        self.limits.len()
+    }
+
+    /// Sets the nodes among which limits are shared: this one, `own`, and `peers`.
+    pub fn set_nodes(&mut self, own: &Name, peers: Vec<LimitPeer>) {
+        self.limits.set_nodes(own, peers);
+    }
+
+    /// Records the limit that a response of the target named to a request sent at `asked_ms`. Returns the change if there
+    /// is one.
+    pub fn on_limit(
+        &mut self,
+        now_ms: u64,
+        key: TargetKey,
+        asked_ms: u64,
+        named: NamedLimit,
+    ) -> Option<LimitChange> {
+        let incarnation = self.targets.get(key)?.incarnation;
+        self.limits
+            .on_response(now_ms, incarnation, asked_ms, named)
+    }
+
+    /// Applies a peer's notice of limits. Returns the changes.
+    pub fn on_limit_notice(&mut self, now_ms: u64, notice: &LimitNotice) -> Vec<LimitChange> {
+        let listed = &self.by_incarnation;
+        let is_listed = |incarnation: u64| listed.contains_key(&incarnation);
+        self.limits.on_notice(now_ms, notice, is_listed)
+    }
+
+    /// Returns what to tell peers of limits: what is new, or if `is_full`, all that they may have missed.
+    pub fn limit_news(&mut self, now_ms: u64, is_full: bool) -> Vec<TargetUsage> {
+        let listed = &self.by_incarnation;
+        let is_listed = |incarnation: u64| listed.contains_key(&incarnation);
+        self.limits.drop_old(now_ms, is_listed);
+        self.limits.news(now_ms, is_full)
+    }
+
+    /// Returns the target of the incarnation with this hash; `None` if it is not listed.
+    #[must_use]
+    pub fn key_of(&self, incarnation: u64) -> Option<TargetKey> {
+        self.by_incarnation.get(&incarnation).copied()
+    }
+
     /// Records the start of an attempt.
     pub fn start(&mut self, now_ms: u64, key: TargetKey, work: WorkKind) {
         if let Some(target) = self.targets.get_mut(key) {
+            self.limits.on_start(now_ms, target.incarnation);
             *target.own.of(work) += 1;
             target.health.on_start(now_ms);
             target.update_idle(now_ms);
@@ -434,11 +523,21 @@
     }
 }
 
+/// The slot that an attempt would take, the best one first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum SlotKind {
+    Any,
+    /// A slot at a target that limits the rate of requests.
+    Limited,
+    /// A slot that a batch item has to give up.
+    UnderBatch,
+}
+
 /// The rank of a target for an attempt. Lower is better, and a field takes precedence over all fields after it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
     is_suspect: bool,
-    takes_batch_slot: bool,
+    slot: SlotKind,
     is_remote: bool,
     /// For online requests how full the target is of these, otherwise all attempts in flight.
     level: u32,
@@ -447,13 +546,27 @@
 }
 
 impl Target {
-    fn rank(&self, now_ms: u64, query: &TargetQuery<'_>, avoids_batch: bool) -> Option<Rank> {
-        if !self.is_usable(now_ms) {
+    fn rank(
+        &self,
+        now_ms: u64,
+        query: &TargetQuery<'_>,
+        avoids_batch: bool,
+        limits: &LimitTable,
+    ) -> Option<Rank> {
+        let is_limited = limits.limit(self.incarnation).is_some();
+        let is_open = now_ms >= limits.opens_at_ms(self.incarnation);
+        if !self.is_usable(now_ms) || !is_open || (query.is_limited && !is_limited) {
             return None;
         }
         let total = self.total(now_ms);
         let load = total.online + total.batch;
-        let takes_batch_slot = avoids_batch && load >= self.entry.slots;
+        let slot = if avoids_batch && load >= self.entry.slots {
+            SlotKind::UnderBatch
+        } else if is_limited && query.work == WorkKind::Online {
+            SlotKind::Limited
+        } else {
+            SlotKind::Any
+        };
         let has_room = match query.work {
             WorkKind::Online => total.online < self.entry.slots,
             WorkKind::Batch => self.may_start_batch(now_ms),
@@ -466,13 +579,23 @@
         };
         has_room.then_some(Rank {
             is_suspect: self.health.is_suspect(now_ms),
-            takes_batch_slot,
+            slot,
             is_remote,
             level,
             tie,
         })
     }
 
+    /// Returns the number of idle slots that this node can use now.
+    fn idle_slots(&self, now_ms: u64, limits: &LimitTable) -> u32 {
+        let total = self.total(now_ms);
+        let idle = self.entry.slots.saturating_sub(total.online + total.batch);
+        match limits.limit(self.incarnation) {
+            None => idle,
+            Some(_) => idle.min(u32::from(now_ms >= limits.opens_at_ms(self.incarnation))),
+        }
+    }
+
     /// Returns how full the target is of online requests: 0 for less than half of its slots, 1 for more, 2 if only one is
     /// left. A finer scale would send all nodes to the same least loaded target before they know of one another.
     fn online_level(&self, online: u32) -> u32 {
--- a/eel-fleet/tests/fleet/waiting_requests.rs
+++ b/eel-fleet/tests/fleet/waiting_requests.rs
@@ -113,7 +113,8 @@
             retry_after_ms: 600,
             expected_wait_ms: 600,
             ahead: 1,
-            slots: 1
+            slots: 1,
+            limited_targets: 0,
         })
     );
 }
@@ -137,7 +138,8 @@
             retry_after_ms: 1_200,
             expected_wait_ms: 1_200,
             ahead: 3,
-            slots: 1
+            slots: 1,
+            limited_targets: 0,
         })
     );
     assert!(
--- a/eel-gateway/src/lib.rs
+++ b/eel-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod context;
 mod error;
 mod http;
+mod limits;
 mod metrics;
 mod node;
 mod online;
--- a/eel-gateway/src/metrics.rs
+++ b/eel-gateway/src/metrics.rs
@@ -36,6 +36,10 @@
     pub early_ends: Counter,
     /// The sets of parts with which requests are rejected.
     pub blocked_parts: Gauge,
+    /// The targets that limit the rate of requests.
+    pub limited_targets: Gauge,
+    /// Attempts at such targets.
+    pub limited_attempts: Counter,
     pub store_failures: Counter,
     /// Result calls for which the watch was behind, so that the results were read from the store.
     pub result_reads: Counter,
@@ -90,6 +94,16 @@
             "Sets of prompt parts with which requests are rejected",
             self.blocked_parts.clone(),
         );
+        registry.register(
+            "limited_targets",
+            "Targets that limit the rate of requests",
+            self.limited_targets.clone(),
+        );
+        registry.register(
+            "limited_attempts",
+            "Attempts at targets that limit the rate of requests",
+            self.limited_attempts.clone(),
+        );
         registry.register(
             "store_failures",
             "Failed calls to the store",
--- a/eel-gateway/src/node.rs
+++ b/eel-gateway/src/node.rs
@@ -19,7 +19,7 @@
     batch::Worker,
     context::{Context, ContextOptions},
     http::{serve_callers, serve_readiness},
-    quarantine, reports,
+    limits, quarantine, reports,
     store::{follow, keep_entry},
 };
 
@@ -203,6 +203,7 @@
     });
     let receiver = socket.clone();
     let sender = socket.clone();
+    let limits_sender = socket.clone();
     spawn(supervisor, "reports out", context, stop, move |context| {
         let socket = socket.clone();
         async move { reports::send_reports(&context, &socket).await }
@@ -211,6 +212,10 @@
         let socket = sender.clone();
         async move { quarantine::send_notices(&context, &socket).await }
     });
+    spawn(supervisor, "limits out", context, stop, move |context| {
+        let socket = limits_sender.clone();
+        async move { limits::send_notices(&context, &socket).await }
+    });
     spawn(
         supervisor,
         "blocked parts",
--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -322,6 +322,7 @@
     log::info!(
         target: "online", request_id = request.outgoing.request_id.as_str(), service = request.service.as_str(),
         expected_wait_ms = rejection.expected_wait_ms, ahead = rejection.ahead, slots = rejection.slots,
+        limited_targets = rejection.limited_targets,
         retry_after_ms = rejection.retry_after_ms;
         "A request found no slot in time."
     );
--- a/eel-gateway/src/slots.rs
+++ b/eel-gateway/src/slots.rs
@@ -7,8 +7,9 @@
 };
 
 use eel_fleet::{
-    Arrival, AttemptOutcome, Decision, Dequeued, Dispatcher, PeerReport, Rejection, TargetEntry,
-    TargetKey, TicketKey, WorkKind, report_interval_ms,
+    Arrival, AttemptOutcome, Decision, Dequeued, Dispatcher, LimitChange, LimitNotice, LimitPeer,
+    NamedLimit, PeerReport, Rejection, TargetEntry, TargetKey, TargetUsage, TicketKey, WorkKind,
+    report_interval_ms,
 };
 use eel_types::{Clock, Name};
 use tokio::sync::{Notify, oneshot};
@@ -22,6 +23,8 @@
     inner: Mutex<Inner>,
     /// Notified after each change of this node's load.
     pub(crate) load_changed: Notify,
+    /// Notified after each change of a target's limit or of what this node has sent under one.
+    pub(crate) limits_changed: Notify,
 }
 
 struct Inner {
@@ -35,6 +38,7 @@
     expected_wait_ms: 0,
     ahead: 0,
     slots: 0,
+    limited_targets: 0,
 };
 
 /// A slot at a target, released on drop.
@@ -58,6 +62,7 @@
                 waiters: HashMap::new(),
             }),
             load_changed: Notify::new(),
+            limits_changed: Notify::new(),
         })
     }
 
@@ -121,6 +126,55 @@
         inner.dispatcher.selector_mut().set_batch_nodes(own, others);
     }
 
+    /// Sets the nodes among which the limits of targets are shared.
+    pub(crate) fn set_nodes(&self, own: &Name, peers: Vec<LimitPeer>) {
+        let mut inner = self.lock();
+        inner.dispatcher.selector_mut().set_nodes(own, peers);
+    }
+
+    /// Returns what to tell peers of the limits of targets: what is new, or if `is_full`, all that they may have missed.
+    pub(crate) fn limit_news(&self, is_full: bool) -> Vec<TargetUsage> {
+        let now_ms = self.clock.now_ms();
+        let mut inner = self.lock();
+        inner.dispatcher.selector_mut().limit_news(now_ms, is_full)
+    }
+
+    /// Applies a peer's notice of the limits of targets.
+    pub(crate) fn on_limit_notice(self: &Arc<Self>, notice: &LimitNotice) {
+        let now_ms = self.clock.now_ms();
+        let changes = self.update(|it| it.selector_mut().on_limit_notice(now_ms, notice));
+        for change in &changes {
+            self.on_limit_change(change, "a peer");
+        }
+    }
+
+    /// Reports a change of a target's limit, which `source` has told of.
+    fn on_limit_change(&self, change: &LimitChange, source: &'static str) {
+        let inner = self.lock();
+        let selector = inner.dispatcher.selector();
+        let key = selector.key_of(change.incarnation);
+        let target = key.and_then(|key| selector.entry(key));
+        let target_id = target.map_or_else(|| "".into(), |it| it.id.clone());
+        let limited = i64::try_from(selector.limited_targets()).unwrap_or(i64::MAX);
+        drop(inner);
+        self.metrics.limited_targets.set(limited);
+        match change.limit {
+            Some(limit) => {
+                log::info!(
+                    target: "limits", target_id = target_id.as_str(), per_1000_s = limit.per_1000_s(), sent = change.sent, source;
+                    "A target limits the rate of requests."
+                );
+            }
+            None => {
+                log::info!(
+                    target: "limits", target_id = target_id.as_str(), sent = change.sent, source;
+                    "A target does not limit the rate of requests any more."
+                );
+            }
+        }
+        self.limits_changed.notify_one();
+    }
+
     /// Reads the state of the dispatcher.
     pub(crate) fn read<T>(&self, read: impl FnOnce(&Dispatcher) -> T) -> T {
         read(&self.lock().dispatcher)
@@ -158,6 +212,10 @@
         let target = inner.dispatcher.selector().entry(key).cloned();
         let target = target.ok_or(NO_TARGET)?;
         self.load_changed.notify_one();
+        if inner.dispatcher.selector().is_limited(key) {
+            self.metrics.limited_attempts.inc();
+            self.limits_changed.notify_one();
+        }
         Ok(SlotGuard {
             slots: self.clone(),
             key,
@@ -236,6 +294,22 @@
         }
     }
 
+    /// Records what the target's response says of the rate of requests that it takes.
+    pub(crate) fn on_limit(&self, limit: NamedLimit) {
+        if limit == NamedLimit::Invalid {
+            log::warn!(target: "limits", target_id = self.target.id.as_str(); "A target names a limit that is not one rate; it is ignored.");
+            return;
+        }
+        let (now_ms, asked_ms) = (self.slots.clock.now_ms(), self.started_ms);
+        let change = self.slots.update(|it| {
+            it.selector_mut()
+                .on_limit(now_ms, self.key, asked_ms, limit)
+        });
+        if let Some(change) = change {
+            self.slots.on_limit_change(&change, "a response");
+        }
+    }
+
     /// Records the head of a response from the target.
     pub(crate) fn on_response(&self) {
         let run_ms = self.slots.clock.now_ms().saturating_sub(self.started_ms);
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -117,6 +117,9 @@
     if fields.is_leaving {
         slot.on_leaving();
     }
+    if let Some(limit) = fields.limit {
+        slot.on_limit(limit);
+    }
     if let Err(failure) = check(fields.kind) {
         slot.set_outcome(failure.outcome());
         if !matches!(failure, AttemptFailure::InvalidResponse) && !fields.closes {
--- a/eel-gateway/tests/gateway/named_limit.rs
+++ b/eel-gateway/tests/gateway/named_limit.rs
@@ -113,3 +113,77 @@
     join(items, send_all(&fleet, "/resumable-stream/1")).await;
     assert_kept("items", &fleet.targets[0], LIMIT_PER_S, since);
 }
+
+#[tokio::test]
+async fn nodes_that_start_later() {
+    let mut fleet = limited_fleet(2).await;
+    let since = Instant::now() + NOTICE_TIME;
+    send_all(&fleet, "/idempotent/1").await;
+    for number in 0..2 {
+        let node = fleet.nodes.remove(0);
+        node.shutdown.on_signal();
+        node.task.await.expect("the node ends");
+        fleet.add_node(&format!("node-{number}"), true).await;
+    }
+    send_all(&fleet, "/idempotent/1").await;
+    assert_kept("restarted", &fleet.targets[0], LIMIT_PER_S, since);
+}
+
+#[tokio::test]
+async fn all_targets_limited() {
+    let fleet = fleet(NODES, 2).await;
+    for target in &fleet.targets {
+        target.set_limits(&[&LIMIT_PER_S.to_string()]);
+    }
+    sleep(SETTLE_TIME).await;
+    let since = Instant::now() + NOTICE_TIME;
+    let until = Instant::now() + SENDING_TIME;
+    let mut served = 0;
+    let mut number = 0;
+    while Instant::now() < until {
+        let sent = Instant::now();
+        let id = format!("r{number}");
+        let request = fleet.post(number % NODES, "/idempotent/1", &id);
+        let response = request.send().await.expect("a response");
+        match response.status().as_u16() {
+            200 => served += 1,
+            status => {
+                assert_eq!(status, 503, "{id}");
+                let again = response.headers().get("retry-after");
+                assert!(again.is_some(), "{id}");
+                // A request that is not served is rejected long before its deadline of 3 s.
+                assert!(sent.elapsed() < Duration::from_secs(1), "{id}");
+            }
+        }
+        number += 1;
+    }
+    for target in &fleet.targets {
+        assert_kept("all", target, LIMIT_PER_S, since);
+    }
+    // Half of what the two targets take.
+    let taken = 2 * LIMIT_PER_S * usize::try_from(SENDING_TIME.as_secs()).expect("seconds");
+    assert!(served >= taken / 2, "{served} of {taken}");
+}
+
+#[tokio::test]
+async fn limit_that_ends() {
+    let fleet = limited_fleet(1).await;
+    send_all(&fleet, "/idempotent/1").await;
+    fleet.targets[0].set_limits(&[]);
+    // At the limit, a node learns of its end with its next request.
+    let ended = Instant::now() + 2 * SETTLE_TIME;
+    send_all(&fleet, "/idempotent/1").await;
+    let most = most_in_window(&fleet.targets[0], ended);
+    assert!(most > 2 * allowed(LIMIT_PER_S), "{most}");
+}
+
+#[tokio::test]
+async fn values_that_are_no_rate() {
+    let fleet = fleet(NODES, 4).await;
+    fleet.targets[0].set_limits(&["2", "3"]);
+    sleep(SETTLE_TIME).await;
+    let since = Instant::now();
+    let statuses = send_all(&fleet, "/idempotent/1").await;
+    assert!(statuses.iter().all(|status| *status == 200));
+    assert!(most_in_window(&fleet.targets[0], since) > allowed(3));
+}
