--- a/eel-gateway/tests/gateway/fatal_part.rs
+++ b/eel-gateway/tests/gateway/fatal_part.rs
@@ -6,7 +6,7 @@
 
 use std::{
     sync::atomic::{AtomicUsize, Ordering},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use eel_platform::standin::{
@@ -31,8 +31,6 @@
 const MAX_FIRST_REQUESTS: usize = 40;
 /// The number of requests with the part sent after that.
 const LATER_REQUESTS: usize = 40;
-/// The time for which a crashed target is down.
-const DOWN_TIME: Duration = Duration::from_secs(1);
 const REQUEST_PAUSE: Duration = Duration::from_millis(50);
 /// The time in which nodes learn of each other and of restarted targets.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
@@ -125,7 +123,7 @@
     async fn crash_targets(&self) {
         let crashes = async {
             for number in 0..MAX_FIRST_REQUESTS {
-                if self.crashes() >= CRASHES {
+                if self.fleet.crashes() >= CRASHES {
                     break;
                 }
                 self.send(number, PATHS[number % PATHS.len()], Prompt::Fatal)
@@ -141,46 +139,19 @@
             }
         }));
         select(Box::pin(crashes), Box::pin(sound)).await;
-        println!("{} targets crashed at first", self.crashes());
-    }
-
-    /// Runs `scenario`, while each crashed target is restarted after [`DOWN_TIME`], mostly with a new id.
-    async fn with_restarts(&self, scenario: impl Future<Output = ()>) {
-        let restarts = join_all(self.fleet.targets.iter().enumerate().map(
-            async |(number, target)| {
-                loop {
-                    if target.is_down() {
-                        sleep(DOWN_TIME).await;
-                        self.restart(number, target).await;
-                    }
-                    sleep(Duration::from_millis(10)).await;
-                }
-            },
-        ));
-        select(Box::pin(scenario), Box::pin(restarts)).await;
-    }
-
-    async fn restart(&self, number: usize, target: &StandInTarget) {
-        let id = match number % 4 {
-            0 => format!("i-{number}"),
-            _ => format!("i-{number}-{}", target.crashes()),
-        };
-        let now = SystemTime::now().duration_since(UNIX_EPOCH);
-        let now_ms = now.expect("a time after 1970").as_millis();
-        let started_ms = u64::try_from(now_ms).expect("a time in ms");
-        let restarted = target.restart(&self.fleet.store, &id, started_ms).await;
-        restarted.expect("a restarted target");
+        println!("{} targets crashed at first", self.fleet.crashes());
     }
 
     /// Lets targets crash until the part counts as found, runs `then`, and waits until all targets are up again.
     async fn find_part(&self, then: impl AsyncFnOnce()) {
-        self.with_restarts(async {
-            self.crash_targets().await;
-            sleep(CONTACT_TIME).await;
-            then().await;
-            self.all_targets_are_up().await;
-        })
-        .await;
+        self.fleet
+            .with_restarts(async {
+                self.crash_targets().await;
+                sleep(CONTACT_TIME).await;
+                then().await;
+                self.all_targets_are_up().await;
+            })
+            .await;
     }
 
     async fn all_targets_are_up(&self) {
@@ -191,26 +162,10 @@
         sleep(SETTLE_TIME).await;
     }
 
-    /// Stops all nodes and starts new ones of the same names.
-    async fn restart_nodes(&mut self) {
-        for node in self.fleet.nodes.drain(..) {
-            node.shutdown.on_signal();
-            node.task.await.expect("the node ends");
-        }
-        for number in 0..NODES {
-            self.fleet.add_node(&format!("node-{number}"), true).await;
-        }
-        sleep(SETTLE_TIME).await;
-    }
-
-    fn crashes(&self) -> u32 {
-        self.fleet.targets.iter().map(StandInTarget::crashes).sum()
-    }
-
     /// Returns how many requests with the part have reached targets.
     fn reached(&self) -> u32 {
         let targets = self.fleet.targets.iter();
-        targets.map(StandInTarget::requests_with_fatal_part).sum()
+        targets.map(StandInTarget::fatal_requests).sum()
     }
 
     /// Checks that hardly any request with the part has reached a target since `before` had.
@@ -220,20 +175,22 @@
         assert!(
             more <= MAX_REACHING,
             "{more} more requests with the part reached targets, {} targets crashed",
-            self.crashes()
+            self.fleet.crashes()
         );
     }
 
     /// Restarts all nodes and checks that hardly any request with the part reaches a target from then on.
     async fn assert_restarted_nodes_remember(&mut self) {
         let before = self.reached();
-        self.restart_nodes().await;
-        self.with_restarts(async {
-            self.send_fatal(LATER_REQUESTS).await;
-            self.assert_few_reached_since(before);
-            self.assert_sound_are_served(NODES * PATHS.len()).await;
-        })
-        .await;
+        self.fleet.restart_nodes().await;
+        sleep(SETTLE_TIME).await;
+        self.fleet
+            .with_restarts(async {
+                self.send_fatal(LATER_REQUESTS).await;
+                self.assert_few_reached_since(before);
+                self.assert_sound_are_served(NODES * PATHS.len()).await;
+            })
+            .await;
     }
 
     /// Checks that sound requests on all paths are served by all nodes.
@@ -259,6 +216,7 @@
     for events in [0, 2] {
         let calls = calls(events).await;
         calls
+            .fleet
             .with_restarts(async {
                 calls.crash_targets().await;
                 sleep(CONTACT_TIME).await;
@@ -274,6 +232,7 @@
 async fn sound_requests_that_share_other_parts_are_served() {
     let calls = calls(0).await;
     calls
+        .fleet
         .with_restarts(async {
             calls.crash_targets().await;
             sleep(CONTACT_TIME).await;
@@ -304,6 +263,7 @@
         let calls = calls(0).await;
         calls.fleet.store.set_fault(fault);
         calls
+            .fleet
             .with_restarts(async {
                 calls.crash_targets().await;
                 sleep(CONTACT_TIME).await;
@@ -348,6 +308,7 @@
         });
     }
     calls
+        .fleet
         .with_restarts(async {
             for round in 0..2 {
                 let requests = join_all((0..REQUESTS).map(async |number| {
@@ -453,10 +414,12 @@
         assert_eq!(status, 202);
     };
     calls
+        .fleet
         .with_restarts(async {
             submit(0, "j1").await;
             wait_until("targets crash or the items have ended", async || {
-                calls.crashes() >= CRASHES || calls.fleet.results_now(0, "j1").await.len() == ITEMS
+                calls.fleet.crashes() >= CRASHES
+                    || calls.fleet.results_now(0, "j1").await.len() == ITEMS
             })
             .await;
             sleep(CONTACT_TIME).await;
--- a/eel-gateway/tests/gateway/fixture.rs
+++ b/eel-gateway/tests/gateway/fixture.rs
@@ -1,6 +1,10 @@
 //! A fleet in one process: stand-ins for the store and the targets, and gateway nodes.
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use eel_gateway::GatewayNode;
 use eel_platform::standin::{
@@ -8,10 +12,13 @@
 };
 use eel_settings::GatewaySettings;
 use eel_supervise::Shutdown;
+use futures_util::future::{join_all, select};
 use reqwest::{Client, RequestBuilder, Response};
 use serde_json::{Value, json};
 use tokio::{task::JoinHandle, time::sleep};
 
+/// The time for which a crashed target is down.
+const DOWN_TIME: Duration = Duration::from_secs(1);
 /// The time after which a test that waits for a condition fails.
 const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -201,6 +208,54 @@
         call.send().await.expect("a response")
     }
 
+    /// Runs `scenario`, while each crashed target is restarted after [`DOWN_TIME`], mostly with a new id.
+    pub async fn with_restarts(&self, scenario: impl Future<Output = ()>) {
+        let restarts = join_all(
+            self.targets
+                .iter()
+                .enumerate()
+                .map(async |(number, target)| {
+                    loop {
+                        if target.is_down() {
+                            sleep(DOWN_TIME).await;
+                            self.restart(number, target).await;
+                        }
+                        sleep(Duration::from_millis(10)).await;
+                    }
+                }),
+        );
+        select(Box::pin(scenario), Box::pin(restarts)).await;
+    }
+
+    async fn restart(&self, number: usize, target: &StandInTarget) {
+        let id = match number % 4 {
+            0 => format!("i-{number}"),
+            _ => format!("i-{number}-{}", target.crashes()),
+        };
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let now_ms = now.expect("a time after 1970").as_millis();
+        let started_ms = u64::try_from(now_ms).expect("a time in ms");
+        let restarted = target.restart(&self.store, &id, started_ms).await;
+        restarted.expect("a restarted target");
+    }
+
+    /// Stops all nodes and starts as many new ones of the same names.
+    pub async fn restart_nodes(&mut self) {
+        let count = self.nodes.len();
+        for node in self.nodes.drain(..) {
+            node.shutdown.on_signal();
+            node.task.await.expect("the node ends");
+        }
+        for number in 0..count {
+            self.add_node(&format!("node-{number}"), true).await;
+        }
+    }
+
+    /// Returns how often targets have crashed.
+    pub fn crashes(&self) -> u32 {
+        self.targets.iter().map(StandInTarget::crashes).sum()
+    }
+
     pub fn runs(&self, id: &str) -> u32 {
         self.targets.iter().map(|target| target.runs(id)).sum()
     }
--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod lost_entry;
 mod named_limit;
 mod refused_requests;
+mod repeated_request;
 mod resumed_stream;
 mod silent_target;
 mod stale_watch;
