fix(gateway): run items under which targets have ended

Callers of jobs waited for an item until its job gave it up. Blocks of parts hold for items as before.

--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -166,7 +166,7 @@
             AttemptFailure::InvalidResponse | AttemptFailure::Truncated
                 if events <= MAX_FIRST_EVENTS =>
             {
-                quarantine::on_early_end_of_item(&self.context, target, outgoing).await;
+                quarantine::on_early_end(&self.context, target, outgoing).await;
             }
             _ => {}
         }
--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -224,8 +224,7 @@
         let mut state = self.lock();
         state.worklist.give_up(now_unix_ms(), &ledger, is_mine);
         let quarantine = self.context.quarantine();
-        let may_run =
-            |item: &Item| quarantine.is_quiet() || !quarantine.blocks_item(&prompt_of(item));
+        let may_run = |item: &Item| quarantine.is_quiet() || !quarantine.blocks(&prompt_of(item));
         // A job whose next item gets no slot does not block jobs of other services.
         for (id, job) in ledger.open_by_due(is_mine) {
             while state.runs.len() < self.parallel_items
--- a/eel-gateway/src/quarantine/crashes.rs
+++ b/eel-gateway/src/quarantine/crashes.rs
@@ -8,28 +8,15 @@
     target::{Connection, OutgoingRequest},
 };
 
-/// Records that the response of `target` to an online request failed as it began, if the target has ended as well.
+/// Records that the response of `target` to a request or item failed as it began, if the target has ended as well.
 pub(crate) async fn on_early_end(
     context: &Context,
     target: &TargetEntry,
     outgoing: &OutgoingRequest,
 ) {
-    // Each attempt of a caller has an id of its own, so that only parts can recur.
-    if !outgoing.prompt.parts.is_empty() {
-        record_if_ended(context, target, outgoing).await;
+    if outgoing.prompt.parts.is_empty() {
+        return;
     }
-}
-
-/// Like [`on_early_end`] for an item, whose id recurs.
-pub(crate) async fn on_early_end_of_item(
-    context: &Context,
-    target: &TargetEntry,
-    outgoing: &OutgoingRequest,
-) {
-    record_if_ended(context, target, outgoing).await;
-}
-
-async fn record_if_ended(context: &Context, target: &TargetEntry, outgoing: &OutgoingRequest) {
     // A target that accepts connections has only lost one of them.
     if Connection::open(target.address).await.is_ok() {
         return;
--- a/eel-gateway/src/quarantine/mod.rs
+++ b/eel-gateway/src/quarantine/mod.rs
@@ -6,7 +6,7 @@
 mod records;
 
 pub(crate) use admit::{Admission, admit};
-pub(crate) use crashes::{on_completed, on_early_end, on_early_end_of_item};
+pub(crate) use crashes::{on_completed, on_early_end};
 pub(crate) use notices::{on_datagram, send_notices};
 pub(crate) use records::{
     id_of, keep_records, key_prefix, on_record, on_record_removed, retain_listed,
--- a/eel-quarantine/src/evidence.rs
+++ b/eel-quarantine/src/evidence.rs
@@ -70,15 +70,6 @@
         self.records.iter()
     }
 
-    /// Returns how many targets ended under the request.
-    pub fn crashes_of(&self, request: u64) -> usize {
-        let of_request = self
-            .records
-            .iter()
-            .filter(|it| it.crash.prompt.request == request);
-        of_request.count()
-    }
-
     /// Returns whether this node has seen a crash that `parts` explains.
     pub fn has_own(&self, parts: &PartSet) -> bool {
         let mut records = self.records.iter();
--- a/eel-quarantine/src/quarantine.rs
+++ b/eel-quarantine/src/quarantine.rs
@@ -17,8 +17,6 @@
 const LIFTED_TTL_MS: u64 = 60_000;
 /// How long a node that has not seen the crashes waits for others to store a block.
 const MIN_STORE_DELAY_MS: u64 = 2_000;
-/// The number of targets that may end under one item before it is blocked by itself.
-const MAX_CRASHES_OF_ITEM: usize = 3;
 /// The number of sets that are blocked at the most.
 const MAX_BLOCKED: usize = 64;
 
@@ -98,12 +96,6 @@
         blocked.any(|it| it.parts.is_within(&prompt.parts))
     }
 
-    /// Like [`Self::blocks`] for an item, which is sent again under the same id and may crash targets by itself.
-    #[must_use]
-    pub fn blocks_item(&self, prompt: &Prompt) -> bool {
-        self.blocks(prompt) || self.evidence.crashes_of(prompt.request) >= MAX_CRASHES_OF_ITEM
-    }
-
     /// Returns whether no request is blocked: there are neither blocked sets nor known crashes.
     #[must_use]
     pub fn is_quiet(&self) -> bool {
