fix(quarantine,gateway): recognise a request that crashes targets and comes again

A request is now also known by a hash of method, host, path, caller and body. Crashes of it are collected, told to peers and stored as those of parts are, in a quarantine of its own, so that neither pushes out evidence of the other. Three targets that end under two attempts of it block it, unless it completes in between; completed within a minute before, it takes eight. A crash counts after 200 ms, and of requests that explain the same crashes none is blocked before five: a sound request that broke off beside the guilty one is not taken for it. For parts, repeats of one request count as one request, so that the parts of a request that comes again are not blamed for it.

Harmless requests that are repeated while targets end for other causes, sound ones beside the guilty one, and requests that share its parts are served.

--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -6,15 +6,15 @@
 };
 
 use eel_events::{EventBuffer, each, event_data, event_id};
-use eel_fleet::{TargetEntry, stable_hash};
+use eel_fleet::TargetEntry;
 use eel_ledger::{Item, JobHead, MAX_TEXT_BYTES, Progress, RunOutcome};
 use eel_platform::shared_parts_of;
-use eel_quarantine::{MAX_FIRST_EVENTS, Prompt};
+use eel_quarantine::MAX_FIRST_EVENTS;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 
 use crate::{
     context::{Context, now_unix_ms},
-    quarantine,
+    quarantine::{self, Suspects},
     slots::SlotGuard,
     target::{AttemptFailure, OutgoingRequest, TargetResponse, exchange},
 };
@@ -137,7 +137,7 @@
         }
         target_response.finish(&self.context.pool);
         if status.is_success() {
-            quarantine::on_completed(&self.context, &outgoing.prompt);
+            quarantine::on_completed(&self.context, &outgoing.suspects);
         }
         let progress = self.progress.take();
         match status {
@@ -180,15 +180,12 @@
 }
 
 /// Returns what can crash targets in an item.
-pub fn prompt_of(item: &Item) -> Prompt {
+pub fn suspects_of(item: &Item) -> Suspects {
     let headers = item
         .headers
         .iter()
         .map(|(name, value)| (name.as_str(), value.as_str()));
-    Prompt {
-        request: stable_hash(&item.id),
-        parts: shared_parts_of(headers),
-    }
+    Suspects::of_item(&item.id, shared_parts_of(headers))
 }
 
 fn to_outgoing(head: &JobHead, item: &Item) -> Option<OutgoingRequest> {
@@ -205,7 +202,7 @@
         body: item.body.clone(),
         request_id: item.id.as_str().to_owned(),
         adds_id: true,
-        prompt: prompt_of(item),
+        suspects: suspects_of(item),
     })
 }
 
--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -8,6 +8,7 @@
 
 use eel_fleet::{TargetKey, stable_hash};
 use eel_ledger::{Item, ItemRef, Ledger, Progress, RunOutcome, SavedItems, Worklist, owner_of};
+use eel_quarantine::Scope;
 use eel_types::Name;
 use eel_verdict::Verdict;
 use slotmap::SlotMap;
@@ -16,7 +17,7 @@
 
 use super::{
     commit,
-    item::{Run, SharedProgress, prompt_of},
+    item::{Run, SharedProgress, suspects_of},
     retire, save,
 };
 use crate::{
@@ -223,8 +224,10 @@
         let ledger = self.context.ledger();
         let mut state = self.lock();
         state.worklist.give_up(now_unix_ms(), &ledger, is_mine);
-        let quarantine = self.context.quarantine();
-        let may_run = |item: &Item| quarantine.is_quiet() || !quarantine.blocks(&prompt_of(item));
+        let quarantine = self.context.quarantine(Scope::Parts);
+        let may_run = |item: &Item| {
+            quarantine.is_quiet() || !quarantine.blocks(suspects_of(item).of(Scope::Parts))
+        };
         // A job whose next item gets no slot does not block jobs of other services.
         for (id, job) in ledger.open_by_due(is_mine) {
             while state.runs.len() < self.parallel_items
--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -13,7 +13,7 @@
 use eel_fleet::{Peers, Registry};
 use eel_ledger::{Ledger, Partials, owner_of};
 use eel_platform::PlatformStore;
-use eel_quarantine::Quarantine;
+use eel_quarantine::{Quarantine, Scope};
 use eel_store::Txn;
 use eel_table::RouteTable;
 use eel_types::{Clock, Name, Revision};
@@ -41,7 +41,8 @@
     pub(crate) metrics: Arc<Metrics>,
     registry: Mutex<Registry>,
     peers: Mutex<Peers>,
-    quarantine: Mutex<Quarantine>,
+    blocked_parts: Mutex<Quarantine>,
+    blocked_requests: Mutex<Quarantine>,
     /// Notified when peers should get a notice at once.
     pub(crate) quarantine_changed: Notify,
     ledger: Mutex<Ledger>,
@@ -98,7 +99,8 @@
             metrics,
             registry: Mutex::default(),
             peers: Mutex::default(),
-            quarantine: Mutex::default(),
+            blocked_parts: Mutex::new(Quarantine::new(Scope::Parts)),
+            blocked_requests: Mutex::new(Quarantine::new(Scope::Requests)),
             quarantine_changed: Notify::new(),
             ledger: Mutex::new(Ledger::new(keys)),
             shown_revision: AtomicU64::new(0),
@@ -124,10 +126,12 @@
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
-        self.quarantine
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    pub(crate) fn quarantine(&self, scope: Scope) -> MutexGuard<'_, Quarantine> {
+        let quarantine = match scope {
+            Scope::Parts => &self.blocked_parts,
+            Scope::Requests => &self.blocked_requests,
+        };
+        quarantine.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(crate) fn ledger(&self) -> MutexGuard<'_, Ledger> {
--- a/eel-gateway/src/metrics.rs
+++ b/eel-gateway/src/metrics.rs
@@ -36,6 +36,8 @@
     pub early_ends: Counter,
     /// The sets of parts with which requests are rejected.
     pub blocked_parts: Gauge,
+    /// The requests that are rejected when they come again.
+    pub blocked_requests: Gauge,
     /// The targets that limit the rate of requests.
     pub limited_targets: Gauge,
     /// Attempts at such targets.
@@ -94,6 +96,11 @@
             "Sets of prompt parts with which requests are rejected",
             self.blocked_parts.clone(),
         );
+        registry.register(
+            "blocked_requests",
+            "Requests that are rejected when they come again",
+            self.blocked_requests.clone(),
+        );
         registry.register(
             "limited_targets",
             "Targets that limit the rate of requests",
--- a/eel-gateway/src/online/request.rs
+++ b/eel-gateway/src/online/request.rs
@@ -7,13 +7,12 @@
 
 use bytes::Bytes;
 use eel_fleet::{Arrival, Rejection, TargetKey, stable_hash};
-use eel_platform::{caller_fields, shared_parts};
-use eel_quarantine::Prompt;
+use eel_platform::caller_fields;
 use eel_table::Route;
 use eel_types::Name;
 use http::{Uri, request::Parts};
 
-use crate::{context::Context, slots::SlotGuard, target::OutgoingRequest};
+use crate::{context::Context, quarantine::Suspects, slots::SlotGuard, target::OutgoingRequest};
 
 /// The time from sending a request to a target until its first output, in ms: reading the prompt and one decoding step.
 const FIRST_OUTPUT_MS: u64 = 40;
@@ -33,7 +32,7 @@
     pub last_event_id: Option<u64>,
     /// Whether the caller has got the start of a response, so that the request can be neither rejected nor refused.
     pub has_response: bool,
-    /// Whether the request is the trial of a blocked part, which is sent to one target only.
+    /// Whether the request is the trial of what is blocked, which is sent to one target only.
     pub is_trial: bool,
     excluded: Vec<TargetKey>,
     /// The total time spent waiting for slots.
@@ -46,6 +45,7 @@
         let fields = caller_fields(&head.headers);
         let request_id = fields.request_id.unwrap_or_else(|| "".into());
         let service = route.service_for(&request_id)?.clone();
+        let suspects = Suspects::of_request(&request_id, &head, &body);
         let arrived = Instant::now();
         let allowed_ms = fields.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
         let allowed = Duration::from_millis(allowed_ms).saturating_sub(DEADLINE_MARGIN);
@@ -56,10 +56,7 @@
             outgoing: Arc::new(OutgoingRequest {
                 method: head.method,
                 uri: origin_form(head.uri),
-                prompt: Prompt {
-                    request: stable_hash(&request_id),
-                    parts: shared_parts(&head.headers),
-                },
+                suspects,
                 headers: head.headers,
                 body,
                 request_id: request_id.as_str().to_owned(),
--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -23,7 +23,7 @@
     request::{Request, whole_ms},
 };
 use crate::{
-    quarantine::on_early_end,
+    quarantine::{blocks, on_early_end},
     slots::SlotGuard,
     target::{AttemptFailure, TargetResponse, exchange, has_events},
 };
@@ -159,11 +159,10 @@
             .may_start(&self.request.route, self.request.has_response)
     }
 
-    /// Returns whether the request must not be sent to another target because its prompt crashes targets.
+    /// Returns whether the request must not be sent to another target because it or its prompt crashes targets.
     fn is_blocked(&self) -> bool {
         let is_trial = self.request.is_trial && self.attempts.is_empty();
-        let prompt = &self.request.outgoing.prompt;
-        !is_trial && !prompt.parts.is_empty() && self.request.context.quarantine().blocks(prompt)
+        !is_trial && blocks(&self.request.context, &self.request.outgoing.suspects)
     }
 
     /// Returns the refusal to send to the caller now that no attempt is left.
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -108,7 +108,7 @@
     request: &mut Request,
     attempts: &mut Attempts,
 ) -> Result<Served, Refusal> {
-    match quarantine::admit(&request.context, &request.outgoing.prompt).await {
+    match quarantine::admit(&request.context, &request.outgoing.suspects).await {
         Admission::Pass => {}
         Admission::Trial => request.is_trial = true,
         Admission::Block => return Err(attempts.block()),
@@ -130,7 +130,7 @@
                     to_response(target_response.status, &target_response.headers, full(body));
                 let is_failure = target_response.status.is_server_error();
                 if target_response.status.is_success() {
-                    quarantine::on_completed(&request.context, &request.outgoing.prompt);
+                    quarantine::on_completed(&request.context, &request.outgoing.suspects);
                 }
                 target_response.finish(&request.context.pool);
                 if !is_failure || !should_retry(request, attempts) {
--- a/eel-gateway/src/online/stream.rs
+++ b/eel-gateway/src/online/stream.rs
@@ -319,7 +319,7 @@
                     let is_success = target_response.status.is_success();
                     self.record_end("complete");
                     if is_success {
-                        on_completed(&self.context, &self.outgoing.prompt);
+                        on_completed(&self.context, &self.outgoing.suspects);
                     }
                     return Ok(None);
                 }
--- a/eel-gateway/src/quarantine/crashes.rs
+++ b/eel-gateway/src/quarantine/crashes.rs
@@ -1,8 +1,9 @@
 //! Finds out whether a target has ended as it began a response, and what that says about the request.
 
 use eel_fleet::{TargetEntry, stable_hash};
-use eel_quarantine::{Crash, PartSet, Prompt};
+use eel_quarantine::{Crash, PartSet, Scope};
 
+use super::Suspects;
 use crate::{
     context::Context,
     target::{Connection, OutgoingRequest},
@@ -14,65 +15,99 @@
     target: &TargetEntry,
     outgoing: &OutgoingRequest,
 ) {
-    if outgoing.prompt.parts.is_empty() {
+    let suspects = &outgoing.suspects;
+    let is_empty = |scope| suspects.of(scope).parts.is_empty();
+    if Scope::ALL.into_iter().all(is_empty) {
         return;
     }
     // A target that accepts connections has only lost one of them.
     if Connection::open(target.address).await.is_ok() {
         return;
     }
-    let prompt = &outgoing.prompt;
     let started_unix_ms = target.started_unix_ms.unwrap_or_default();
     context.metrics.early_ends.inc();
     log::info!(
         target: "quarantine", request_id = outgoing.request_id.as_str(), target_id = target.id.as_str(),
-        parts:% = PartSet::new(prompt.parts.clone());
+        parts:% = PartSet::new(suspects.of(Scope::Parts).parts.clone()),
+        request:% = PartSet::new(suspects.of(Scope::Requests).parts.clone());
         "A target ended as it began a response."
     );
-    let crash = Crash {
-        target: stable_hash(&format!("{}/{started_unix_ms}", target.id)),
-        prompt: prompt.clone(),
-    };
     let now_ms = context.clock.now_ms();
-    let blocked = context.quarantine().on_crash(now_ms, crash);
-    on_blocked(context, &blocked);
+    let target = stable_hash(&format!("{}/{started_unix_ms}", target.id));
+    let parts = suspects.of(Scope::Parts);
+    let is_explained = context.quarantine(Scope::Parts).blocks(parts);
+    for scope in Scope::ALL {
+        let prompt = suspects.of(scope);
+        let is_other_cause = scope == Scope::Requests && is_explained;
+        if prompt.parts.is_empty() || is_other_cause {
+            continue;
+        }
+        let crash = Crash {
+            target,
+            prompt: prompt.clone(),
+        };
+        let blocked = context.quarantine(scope).on_crash(now_ms, crash);
+        on_blocked(context, scope, &blocked);
+    }
     context.quarantine_changed.notify_one();
 }
 
-/// Records a completed response to `prompt`.
-pub(crate) fn on_completed(context: &Context, prompt: &Prompt) {
-    if prompt.parts.is_empty() {
-        return;
-    }
-    let now_ms = context.clock.now_ms();
-    let mut quarantine = context.quarantine();
-    let lifted = quarantine.on_completed(now_ms, &prompt.parts);
-    let has_news = quarantine.has_news();
-    drop(quarantine);
-    for parts in &lifted {
-        log::warn!(target: "quarantine", parts:% = parts; "A response with blocked parts was completed; they are not blocked any more.");
-    }
-    if !lifted.is_empty() {
-        update_gauge(context);
-    }
-    if has_news {
-        context.quarantine_changed.notify_one();
+/// Records a completed response.
+pub(crate) fn on_completed(context: &Context, suspects: &Suspects) {
+    for scope in Scope::ALL {
+        let prompt = suspects.of(scope);
+        if prompt.parts.is_empty() {
+            continue;
+        }
+        let now_ms = context.clock.now_ms();
+        let mut quarantine = context.quarantine(scope);
+        let lifted = quarantine.on_completed(now_ms, &prompt.parts);
+        let has_news = quarantine.has_news();
+        drop(quarantine);
+        for parts in &lifted {
+            log::warn!(target: "quarantine", scope = name_of(scope), parts:% = parts; "A response to a blocked request was completed; the block ends.");
+        }
+        if !lifted.is_empty() {
+            update_gauge(context, scope);
+        }
+        if has_news {
+            context.quarantine_changed.notify_one();
+        }
     }
 }
 
-/// Logs the sets that are blocked from now on.
-pub(super) fn on_blocked(context: &Context, blocked: &[PartSet]) {
+/// Logs what is blocked from now on.
+pub(super) fn on_blocked(context: &Context, scope: Scope, blocked: &[PartSet]) {
     if blocked.is_empty() {
         return;
     }
     for parts in blocked {
-        log::warn!(target: "quarantine", parts:% = parts; "Prompts with these parts crash targets; requests with all of them are rejected.");
+        match scope {
+            Scope::Parts => {
+                log::warn!(target: "quarantine", parts:% = parts; "Prompts with these parts crash targets; requests with all of them are rejected.");
+            }
+            Scope::Requests => {
+                log::warn!(target: "quarantine", request:% = parts; "A request crashes targets; it is rejected when it comes again.");
+            }
+        }
     }
-    update_gauge(context);
+    update_gauge(context, scope);
 }
 
-/// Sets the metric of blocked parts.
-pub(super) fn update_gauge(context: &Context) {
-    let count = i64::try_from(context.quarantine().len()).unwrap_or(i64::MAX);
-    context.metrics.blocked_parts.set(count);
+/// Sets the metric of what is blocked.
+pub(super) fn update_gauge(context: &Context, scope: Scope) {
+    let count = i64::try_from(context.quarantine(scope).len()).unwrap_or(i64::MAX);
+    let gauge = match scope {
+        Scope::Parts => &context.metrics.blocked_parts,
+        Scope::Requests => &context.metrics.blocked_requests,
+    };
+    gauge.set(count);
+}
+
+/// Returns the name of a scope in the log.
+pub(super) fn name_of(scope: Scope) -> &'static str {
+    match scope {
+        Scope::Parts => "parts",
+        Scope::Requests => "request",
+    }
 }
--- a/eel-gateway/src/quarantine/notices.rs
+++ b/eel-gateway/src/quarantine/notices.rs
@@ -1,8 +1,8 @@
-//! Exchanges notices of crashes and blocked parts between nodes, on the socket of the load reports.
+//! Exchanges notices of crashes and of what is blocked between nodes, on the socket of the load reports.
 
 use std::time::Duration;
 
-use eel_quarantine::Notice;
+use eel_quarantine::{Notice, Scope};
 use tokio::{
     net::UdpSocket,
     time::{Instant, sleep_until, timeout_at},
@@ -16,20 +16,26 @@
 /// The shortest time between two notices.
 const MIN_NOTICE_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Sends notices to all peers after a change and while there is something recent to tell; does not return.
+/// Judges crashes, and sends notices to all peers after a change and while there is something recent to tell; does not
+/// return.
 pub(crate) async fn send_notices(context: &Context, socket: &UdpSocket) {
     loop {
         let sent = Instant::now();
         let changed = context.quarantine_changed.notified();
-        send(context, socket).await;
+        for scope in Scope::ALL {
+            send(context, scope, socket).await;
+        }
         // A notice follows both a change and a timeout.
         let _ = timeout_at(sent + NOTICE_INTERVAL, changed).await;
         sleep_until(sent + MIN_NOTICE_INTERVAL).await;
     }
 }
 
-async fn send(context: &Context, socket: &UdpSocket) {
-    let mut notice = context.quarantine().notice(context.clock.now_ms());
+async fn send(context: &Context, scope: Scope, socket: &UdpSocket) {
+    let now_ms = context.clock.now_ms();
+    let blocked = context.quarantine(scope).judge(now_ms);
+    on_blocked(context, scope, &blocked);
+    let mut notice = context.quarantine(scope).notice(now_ms);
     if notice.is_empty() {
         return;
     }
@@ -53,10 +59,11 @@
     match Notice::decode(datagram) {
         Ok(notice) if notice.token == context.token => {
             let now_ms = context.clock.now_ms();
-            let blocked = context.quarantine().on_notice(now_ms, notice);
-            on_blocked(context, &blocked);
+            let scope = notice.scope;
+            let blocked = context.quarantine(scope).on_notice(now_ms, notice);
+            on_blocked(context, scope, &blocked);
             // The notice may have ended blocks as well.
-            update_gauge(context);
+            update_gauge(context, scope);
             true
         }
         _ => false,
--- a/eel-gateway/src/quarantine/records.rs
+++ b/eel-gateway/src/quarantine/records.rs
@@ -1,16 +1,18 @@
-//! Keeps the blocked parts in the store, where restarted nodes find them.
+//! Keeps what is blocked in the store, where restarted nodes find it.
 
 use std::time::Duration;
 
-use eel_quarantine::{PartSet, StoredBlock};
+use eel_quarantine::{PartSet, Scope, StoredBlock};
 use eel_store::{Compare, KeyValue as _, KeyValuePair, Op, StoreResult, Txn};
 use tokio::time::sleep;
 
-use super::crashes::{on_blocked, update_gauge};
+use super::crashes::{name_of, on_blocked, update_gauge};
 use crate::context::{Context, now_unix_ms};
 
 const RECORDS: &str = "quarantine/";
-/// The interval of checks for blocked parts that are not in the store.
+/// Precedes the id in the key of a record of a request; nodes that know only records of parts ignore it.
+const REQUEST: &str = "request-";
+/// The interval of checks for blocks that are not in the store.
 const STORE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Returns the prefix of the keys of all records.
@@ -18,77 +20,95 @@
     format!("{prefix}{RECORDS}")
 }
 
-pub(super) fn key(context: &Context, id: u64) -> String {
-    format!("{}{id:016x}", key_prefix(&context.prefix))
+pub(super) fn key(context: &Context, scope: Scope, id: u64) -> String {
+    let kind = match scope {
+        Scope::Parts => "",
+        Scope::Requests => REQUEST,
+    };
+    format!("{}{kind}{id:016x}", key_prefix(&context.prefix))
 }
 
-/// Returns the id of the set whose record is stored under `key`; `None` for other keys.
-pub(crate) fn id_of(prefix: &str, key: &str) -> Option<u64> {
-    let id = key.strip_prefix(prefix)?.strip_prefix(RECORDS)?;
-    u64::from_str_radix(id, 16).ok()
+/// Returns the scope and id of the set whose record is stored under `key`; `None` for other keys.
+pub(crate) fn id_of(prefix: &str, key: &str) -> Option<(Scope, u64)> {
+    let name = key.strip_prefix(prefix)?.strip_prefix(RECORDS)?;
+    let (scope, id) = match name.strip_prefix(REQUEST) {
+        Some(id) => (Scope::Requests, id),
+        None => (Scope::Parts, name),
+    };
+    Some((scope, u64::from_str_radix(id, 16).ok()?))
 }
 
 /// Applies a record of the store.
-pub(crate) fn on_record(context: &Context, pair: &KeyValuePair) {
+pub(crate) fn on_record(context: &Context, scope: Scope, pair: &KeyValuePair) {
     let Some(record) = StoredBlock::decode(&pair.value) else {
-        log::warn!(target: "quarantine", key = pair.key.as_str(); "Cannot decode a record of blocked parts.");
+        log::warn!(target: "quarantine", key = pair.key.as_str(); "Cannot decode a record of what is blocked.");
         return;
     };
     let now_ms = context.clock.now_ms();
     let revision = pair.mod_revision.0;
-    let is_new = context.quarantine().on_stored(now_ms, &record, revision);
+    let is_new = context
+        .quarantine(scope)
+        .on_stored(now_ms, &record, revision);
     if is_new {
-        on_blocked(context, &[record.parts]);
+        on_blocked(context, scope, &[record.parts]);
     }
 }
 
 /// Applies the removal of a record.
-pub(crate) fn on_record_removed(context: &Context, id: u64) {
+pub(crate) fn on_record_removed(context: &Context, scope: Scope, id: u64) {
     let now_ms = context.clock.now_ms();
-    if context.quarantine().on_removed(now_ms, id) {
-        on_unblocked(context);
+    if context.quarantine(scope).on_removed(now_ms, id) {
+        on_unblocked(context, scope);
     }
 }
 
-/// Ceases to block the parts whose records are missing from `listed`, which holds the ids of all records in the store.
-pub(crate) fn retain_listed(context: &Context, listed: &[u64]) {
+/// Ends the blocks whose records are missing from `listed`, which holds the ids of all records in the store.
+pub(crate) fn retain_listed(context: &Context, listed: &[(Scope, u64)]) {
     let now_ms = context.clock.now_ms();
-    if context.quarantine().retain_listed(now_ms, listed) {
-        on_unblocked(context);
+    for scope in Scope::ALL {
+        let of_scope = listed.iter().filter(|(it, _)| *it == scope);
+        let ids: Vec<u64> = of_scope.map(|&(_, id)| id).collect();
+        if context.quarantine(scope).retain_listed(now_ms, &ids) {
+            on_unblocked(context, scope);
+        }
     }
 }
 
-fn on_unblocked(context: &Context) {
-    log::warn!(target: "quarantine", "The store has no record of blocked parts any more; they are not blocked any more.");
-    update_gauge(context);
+fn on_unblocked(context: &Context, scope: Scope) {
+    log::warn!(target: "quarantine", scope = name_of(scope); "The store has no record of a block any more; the block ends.");
+    update_gauge(context, scope);
 }
 
-/// Writes blocked parts to the store and removes those that are not blocked any more; does not return.
+/// Writes what is blocked to the store and removes what is not blocked any more; does not return.
 pub(crate) async fn keep_records(context: &Context) {
     loop {
-        let now_ms = context.clock.now_ms();
-        let unstored = context.quarantine().unstored(now_ms);
-        for parts in unstored {
-            if let Err(error) = write(context, parts).await {
-                context.on_store_failure("store blocked parts", error.current_context());
-            }
-        }
-        let disproved = context.quarantine().unremoved();
-        for id in disproved {
-            match remove(context, id).await {
-                Ok(()) => context.quarantine().on_record_removed(id),
-                Err(error) => {
-                    context.on_store_failure("remove blocked parts", error.current_context());
-                }
-            }
+        for scope in Scope::ALL {
+            keep_records_of(context, scope).await;
         }
         sleep(STORE_INTERVAL).await;
     }
 }
 
+async fn keep_records_of(context: &Context, scope: Scope) {
+    let now_ms = context.clock.now_ms();
+    let unstored = context.quarantine(scope).unstored(now_ms);
+    for parts in unstored {
+        if let Err(error) = write(context, scope, parts).await {
+            context.on_store_failure("store a block", error.current_context());
+        }
+    }
+    let disproved = context.quarantine(scope).unremoved();
+    for id in disproved {
+        match remove(context, scope, id).await {
+            Ok(()) => context.quarantine(scope).on_record_removed(id),
+            Err(error) => context.on_store_failure("remove a block", error.current_context()),
+        }
+    }
+}
+
 /// Writes a record unless another node has written it.
-async fn write(context: &Context, parts: PartSet) -> StoreResult<()> {
-    let key = key(context, parts.id());
+async fn write(context: &Context, scope: Scope, parts: PartSet) -> StoreResult<()> {
+    let key = key(context, scope, parts.id());
     let record = StoredBlock::new(now_unix_ms(), parts);
     let txn = Txn {
         compares: vec![Compare::Absent { key: key.clone() }],
@@ -99,16 +119,16 @@
     if outcome.succeeded {
         let now_ms = context.clock.now_ms();
         context
-            .quarantine()
+            .quarantine(scope)
             .on_stored(now_ms, &record, outcome.revision.0);
     }
     Ok(())
 }
 
-async fn remove(context: &Context, id: u64) -> StoreResult<()> {
+async fn remove(context: &Context, scope: Scope, id: u64) -> StoreResult<()> {
     let txn = Txn {
         success: vec![Op::Delete {
-            key: key(context, id),
+            key: key(context, scope, id),
         }],
         ..Txn::default()
     };
--- a/eel-gateway/src/store/apply.rs
+++ b/eel-gateway/src/store/apply.rs
@@ -38,8 +38,8 @@
     match classify_key(key) {
         KeyKind::Target(id) => remove_target(context, id),
         KeyKind::RouteTable | KeyKind::Retirement(_) => {}
-        KeyKind::Other if let Some(id) = quarantine::id_of(&context.prefix, key) => {
-            quarantine::on_record_removed(context, id);
+        KeyKind::Other if let Some((scope, id)) = quarantine::id_of(&context.prefix, key) => {
+            quarantine::on_record_removed(context, scope, id);
         }
         KeyKind::Other => match node_of(&context.prefix, key) {
             Some(node) if *node == *context.name => context.entry_lost.notify_one(),
@@ -78,11 +78,11 @@
     if !nodes.contains(&context.name) {
         context.entry_lost.notify_one();
     }
-    let blocked_parts = pairs
+    let blocked = pairs
         .iter()
         .filter_map(|pair| quarantine::id_of(&context.prefix, &pair.key));
-    let blocked_parts: Vec<u64> = blocked_parts.collect();
-    quarantine::retain_listed(context, &blocked_parts);
+    let blocked: Vec<_> = blocked.collect();
+    quarantine::retain_listed(context, &blocked);
 }
 
 /// Removes the targets whose entries did not reappear after an outage of the store.
@@ -162,8 +162,8 @@
 }
 
 fn put_node_or_job(context: &Context, pair: &KeyValuePair) {
-    if quarantine::id_of(&context.prefix, &pair.key).is_some() {
-        quarantine::on_record(context, pair);
+    if let Some((scope, _id)) = quarantine::id_of(&context.prefix, &pair.key) {
+        quarantine::on_record(context, scope, pair);
         return;
     }
     if let Some(node) = node_of(&context.prefix, &pair.key) {
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -11,7 +11,6 @@
 use eel_platform::{
     AttemptFields, ResponseFields, ResponseKind, copy_request_headers, response_fields,
 };
-use eel_quarantine::Prompt;
 use eel_verdict::Verdict;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt as _, Full};
@@ -19,7 +18,7 @@
 use tokio::time::{sleep, timeout_at};
 
 use super::{connection::Connection, framing::BodyFraming, pool::Pool};
-use crate::slots::SlotGuard;
+use crate::{quarantine::Suspects, slots::SlotGuard};
 
 /// How long a target may leave a request without the head of a response before other requests avoid it.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -35,7 +34,7 @@
     /// Whether the request's id has to be added because `headers` do not carry it.
     pub adds_id: bool,
     /// What can crash targets in the request.
-    pub prompt: Prompt,
+    pub suspects: Suspects,
 }
 
 /// The head of a target's response, with the connection and slot that are needed to read its body.
--- a/eel-gateway/tests/gateway/repeated_request.rs
+++ b/eel-gateway/tests/gateway/repeated_request.rs
@@ -161,6 +161,85 @@
     .await;
 }
 
+#[tokio::test]
+async fn sent_to_all_nodes_at_once() {
+    let path = "/idempotent/1";
+    let calls = calls(2 * TARGETS, POINTS[0]).await;
+    calls
+        .fleet
+        .with_restarts(async {
+            wait_until("three targets have crashed", async || {
+                join_all((0..NODES).map(|node| calls.is_served(node, path, FATAL))).await;
+                calls.fleet.crashes() >= CRASHES
+            })
+            .await;
+            let until = Instant::now() + CONTACT_TIME;
+            while Instant::now() < until {
+                join_all((0..NODES).map(|node| calls.is_served(node, path, FATAL))).await;
+                sleep(REQUEST_PAUSE).await;
+            }
+            calls.assert_kept_from_targets("at once", path).await;
+            calls.assert_sound_are_served("at once", path).await;
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn sound_ones_beside_it_are_served() {
+    let path = "/idempotent/1";
+    let calls = calls(TARGETS, POINTS[0]).await;
+    for target in &calls.fleet.targets {
+        let pause = Duration::from_millis(100);
+        target.set_default_behaviour(Behaviour::PausesBeforeHead(pause));
+    }
+    calls
+        .fleet
+        .with_restarts(async {
+            let sound = join_all((0..NODES).map(async |node| {
+                loop {
+                    calls.is_served(node, path, SOUND).await;
+                }
+            }));
+            let fatal = async {
+                calls.crash_targets(path).await;
+                calls.assert_kept_from_targets("beside", path).await;
+            };
+            select(Box::pin(sound), Box::pin(fatal)).await;
+            calls.assert_sound_are_served("beside", path).await;
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn requests_that_share_its_parts_are_served() {
+    let path = "/resumable-stream/1";
+    let calls = calls(2 * TARGETS, CrashPoint::AfterEvents(0)).await;
+    let send = async |number: usize, body: &'static str| {
+        let request = calls
+            .fleet
+            .post(number % NODES, path, &format!("p{number}"));
+        let parts = "5c1e07a2:800,91bd3f06:410,e4402b7d:250";
+        let request = request.header("x-eelgrassgap-prefix-hash", parts);
+        let response = request.body(body).send().await.expect("a response");
+        response.status().is_success() && events(response).await.1
+    };
+    calls
+        .fleet
+        .with_restarts(async {
+            for number in 0..LATER_REQUESTS {
+                send(number, FATAL).await;
+                sleep(REQUEST_PAUSE).await;
+            }
+            let reached = calls.reached();
+            assert!(reached <= CRASHES + MAX_REACHING, "{reached}");
+            calls.assert_sound_are_served("parts", path).await;
+            for number in 0..2 * NODES {
+                assert!(send(100 + number, SOUND).await, "{number}");
+            }
+        })
+        .await;
+}
+
 #[tokio::test]
 async fn restarted_nodes_remember_it() {
     let path = "/idempotent/1";
--- a/eel-quarantine/src/evidence.rs
+++ b/eel-quarantine/src/evidence.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, HashSet, VecDeque};
 
-use crate::{Crash, Part, PartSet};
+use crate::{Crash, Part, PartSet, Scope};
 
 /// How long a crash counts.
 const CRASH_TTL_MS: u64 = 600_000;
@@ -14,6 +14,12 @@
 const MIN_CRASHES_OF_TRUSTED: usize = 8;
 /// How long before a crash a completed response still speaks for its parts.
 const TRUST_TTL_MS: u64 = 60_000;
+/// The number of crashes from which on several requests that explain them equally well are all blamed. Fewer may tell them
+/// apart later.
+const MIN_CRASHES_OF_EQUALS: usize = 5;
+/// How long a crash counts for no request yet, in ms: the time in which the nodes hear of the other requests that were
+/// broken off by it.
+const SETTLE_TIME_MS: u64 = 200;
 /// The number of different requests that must have crashed targets.
 const MIN_REQUESTS: usize = 2;
 /// The time between crashes that count apart. Targets that end at once have another cause than their requests.
@@ -83,18 +89,27 @@
     }
 
     /// Returns the parts that explain crashes which the sets `known` do not.
-    pub fn blame(&self, now_ms: u64, known: impl Iterator<Item = PartSet>) -> Vec<PartSet> {
+    pub fn blame(
+        &self,
+        now_ms: u64,
+        scope: Scope,
+        known: impl Iterator<Item = PartSet>,
+    ) -> Vec<PartSet> {
         let mut sets: Vec<PartSet> = known.collect();
         let known_count = sets.len();
-        while let Some(set) = self.next_blamed(now_ms, &sets) {
-            sets.push(set);
+        loop {
+            let blamed = self.next_blamed(now_ms, scope, &sets);
+            if blamed.is_empty() {
+                return sets.split_off(known_count);
+            }
+            sets.extend(blamed);
         }
-        sets.split_off(known_count)
     }
 
     /// Returns the largest set of parts that explains enough crashes: the more parts it has, the fewer other requests it
-    /// blocks.
-    fn next_blamed(&self, now_ms: u64, known: &[PartSet]) -> Option<PartSet> {
+    /// blocks. Of equally large ones, it returns the one that explains the most, and of requests that explain the same,
+    /// none or all.
+    fn next_blamed(&self, now_ms: u64, scope: Scope, known: &[PartSet]) -> Vec<PartSet> {
         let is_explained = |record: &&Record| {
             known
                 .iter()
@@ -106,9 +121,15 @@
             .filter(is_explained)
             .map(|it| it.crash.target)
             .collect();
+        let settle_time_ms = match scope {
+            Scope::Parts => 0,
+            Scope::Requests => SETTLE_TIME_MS,
+        };
+        let counted_ms = settle_time_ms..CRASH_TTL_MS;
         let mut by_part: HashMap<Part, Vec<&Record>> = HashMap::new();
         for record in &self.records {
-            if ended.contains(&record.crash.target) || now_ms >= record.at_ms + CRASH_TTL_MS {
+            let is_counted = counted_ms.contains(&now_ms.saturating_sub(record.at_ms));
+            if ended.contains(&record.crash.target) || !is_counted {
                 continue;
             }
             for &part in &record.crash.prompt.parts {
@@ -123,11 +144,29 @@
         let sets = by_part
             .into_iter()
             .filter_map(|(part, records)| self.common_parts(part, records));
-        sets.max_by(|a, b| a.len().cmp(&b.len()).then_with(|| b.cmp(a)))
+        let mut sets: Vec<(PartSet, usize)> = sets.collect();
+        sets.sort_by(|(a, a_crashes), (b, b_crashes)| {
+            let size = b.len().cmp(&a.len());
+            size.then(b_crashes.cmp(a_crashes)).then_with(|| a.cmp(b))
+        });
+        let Some(most) = sets.first().map(|&(_, crashes)| crashes) else {
+            return Vec::new();
+        };
+        let equals = match scope {
+            Scope::Parts => 1,
+            // A sound request may have been broken off beside the guilty one each time.
+            Scope::Requests => sets.iter().take_while(|(_, it)| *it == most).count(),
+        };
+        if equals > 1 && most < MIN_CRASHES_OF_EQUALS {
+            return Vec::new();
+        }
+        sets.truncate(equals);
+        sets.into_iter().map(|(set, _)| set).collect()
     }
 
-    /// Returns the parts that all of `records`, the crashes with `part`, have in common; `None` if they are too few.
-    fn common_parts(&self, part: Part, mut records: Vec<&Record>) -> Option<PartSet> {
+    /// Returns the parts that all of `records`, the crashes with `part`, have in common, and the number of these crashes;
+    /// `None` if they are too few.
+    fn common_parts(&self, part: Part, mut records: Vec<&Record>) -> Option<(PartSet, usize)> {
         records.sort_by_key(|it| it.at_ms);
         let first = records.first()?;
         let trusted_until_ms = self.completed_ms(part).map(|at_ms| at_ms + TRUST_TTL_MS);
@@ -138,14 +177,15 @@
             MIN_CRASHES
         };
         let requests: HashSet<u64> = records.iter().map(|it| it.crash.prompt.request).collect();
-        if requests.len() < MIN_REQUESTS || spaced_crashes(&records) < needed {
+        let crashes = spaced_crashes(&records);
+        if requests.len() < MIN_REQUESTS || crashes < needed {
             return None;
         }
         let mut common = PartSet::new(first.crash.prompt.parts.clone());
         for record in &records {
             common.retain(&record.crash.prompt.parts);
         }
-        Some(common)
+        Some((common, crashes))
     }
 
     fn completed_ms(&self, part: Part) -> Option<u64> {
--- a/eel-quarantine/src/lib.rs
+++ b/eel-quarantine/src/lib.rs
@@ -1,4 +1,4 @@
-//! Finds parts of prompts that crash the targets which run them, and keeps requests with these parts from targets.
+//! Finds requests and parts of prompts that crash the targets which run them, and keeps them from targets.
 //!
 //! A target that ends as it begins a response may have ended because of the request. One request cannot tell which of its
 //! parts it was; several requests with one part in common, each of which ended a target, can. [`Quarantine`] collects the
@@ -7,15 +7,19 @@
 
 mod crash;
 mod evidence;
+mod fingerprint;
 mod notice;
 mod part;
 mod part_set;
 mod quarantine;
+mod scope;
 mod stored;
 
 pub use crash::{Crash, MAX_FIRST_EVENTS, Prompt};
+pub use fingerprint::RequestIdentity;
 pub use notice::{Notice, NoticeError};
 pub use part::Part;
 pub use part_set::PartSet;
 pub use quarantine::{Check, Quarantine, Trial};
+pub use scope::Scope;
 pub use stored::StoredBlock;
--- a/eel-quarantine/src/notice.rs
+++ b/eel-quarantine/src/notice.rs
@@ -2,10 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Crash, Part, PartSet};
-
-/// Begins a notice. A load report begins with the receiver's token, so that nodes which know no notices drop them.
-const MARK: u64 = u64::from_le_bytes(*b"eelcrash");
+use crate::{Crash, Part, PartSet, Scope};
 
 /// A notice could not be encoded, or a datagram is not a notice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -25,6 +22,9 @@
     pub blocked: Vec<PartSet>,
     /// The ids of sets that the sender has ceased to block.
     pub lifted: Vec<u64>,
+    /// What the parts are.
+    #[serde(skip)]
+    pub scope: Scope,
 }
 
 impl Notice {
@@ -57,7 +57,7 @@
     ///
     /// [`NoticeError`] if it cannot be encoded.
     pub fn encode(&self) -> Result<Vec<u8>, NoticeError> {
-        postcard::to_stdvec(&(MARK, self)).map_err(|_| NoticeError)
+        postcard::to_stdvec(&(self.scope.mark(), self)).map_err(|_| NoticeError)
     }
 
     /// Decodes a datagram.
@@ -68,10 +68,9 @@
     pub fn decode(datagram: &[u8]) -> Result<Self, NoticeError> {
         let (mark, notice): (u64, Self) =
             postcard::from_bytes(datagram).map_err(|_| NoticeError)?;
-        if mark == MARK {
-            Ok(notice)
-        } else {
-            Err(NoticeError)
-        }
+        let scope = Scope::ALL.into_iter().find(|it| it.mark() == mark);
+        scope
+            .map(|scope| Self { scope, ..notice })
+            .ok_or(NoticeError)
     }
 }
--- a/eel-quarantine/src/part.rs
+++ b/eel-quarantine/src/part.rs
@@ -16,6 +16,16 @@
         Self(u64::from_str_radix(id, 16).unwrap_or_else(|_| xxh3_64(id.as_bytes())))
     }
 
+    pub(crate) fn from_bytes(bytes: [u8; 8]) -> Self {
+        Self(u64::from_le_bytes(bytes))
+    }
+
+    /// Returns the part as a number.
+    #[must_use]
+    pub fn number(self) -> u64 {
+        self.0
+    }
+
     pub(crate) fn to_bytes(self) -> [u8; 8] {
         self.0.to_le_bytes()
     }
--- a/eel-quarantine/src/quarantine.rs
+++ b/eel-quarantine/src/quarantine.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use crate::{
-    Crash, Notice, Part, PartSet, Prompt, StoredBlock,
+    Crash, Notice, Part, PartSet, Prompt, Scope, StoredBlock,
     evidence::{Evidence, Record},
 };
 
@@ -52,6 +52,7 @@
 /// The crashes seen by this node and its peers, and the parts that are blocked because of them.
 #[derive(Debug, Default)]
 pub struct Quarantine {
+    scope: Scope,
     evidence: Evidence,
     blocked: Vec<Blocked>,
     /// When responses with parts of known crashes were completed at this node.
@@ -65,6 +66,15 @@
 }
 
 impl Quarantine {
+    /// Creates a quarantine that blocks nothing.
+    #[must_use]
+    pub fn new(scope: Scope) -> Self {
+        Self {
+            scope,
+            ..Self::default()
+        }
+    }
+
     /// Decides whether a request may be sent to targets.
     #[must_use]
     pub fn check(&self, now_unix_ms: u64, prompt: &Prompt) -> Check {
@@ -183,6 +193,7 @@
         let lifted = lifted.filter(|(_, at_ms)| now_ms < **at_ms + BLOCK_NOTICE_TTL_MS);
         Notice {
             token: 0,
+            scope: self.scope,
             crashes: crashes.collect(),
             completed: self
                 .cleared
@@ -257,11 +268,17 @@
             at_ms,
             is_own,
         };
-        if !self.evidence.add(now_ms, record) {
-            return Vec::new();
+        if self.evidence.add(now_ms, record) {
+            self.judge(now_ms)
+        } else {
+            Vec::new()
         }
+    }
+
+    /// Blocks what the crashes so far blame. Call it as time passes. Returns the sets that are blocked from now on.
+    pub fn judge(&mut self, now_ms: u64) -> Vec<PartSet> {
         let known = self.blocked.iter().map(|it| it.parts.clone());
-        let mut blamed = self.evidence.blame(now_ms, known);
+        let mut blamed = self.evidence.blame(now_ms, self.scope, known);
         blamed.retain(|set| self.block(now_ms, set));
         blamed
     }
--- a/eel-quarantine/tests/quarantine/main.rs
+++ b/eel-quarantine/tests/quarantine/main.rs
@@ -3,4 +3,5 @@
 mod blamed_parts;
 mod fixture;
 mod peer_notices;
+mod repeated_requests;
 mod trials;
