fix(entry,route): let a silent attempt go on beside the next one

Silence was taken for the end of the attempt.

The next attempt now starts beside the silent one, within the limit of attempts and the retry budget, and the request is refused only once its last attempt has ended. Items of jobs are started again elsewhere as before.

--- a/eel-entry/src/link/attempt.rs
+++ b/eel-entry/src/link/attempt.rs
@@ -12,7 +12,7 @@
 use error_stack::Report;
 use futures_util::FutureExt as _;
 use quinn::RecvStream;
-use tokio_util::task::task_tracker::TaskTrackerToken;
+use tokio_util::{sync::CancellationToken, task::task_tracker::TaskTrackerToken};
 
 use super::{Link, Session, settle::settle};
 
@@ -58,8 +58,13 @@
         })
     }
 
-    /// Sends `request` and waits for the head of its reply. If the connection goes silent, the attempt ends if the
-    /// request may be repeated and another target could run it.
+    /// Returns the token that is cancelled once the connection is silent.
+    pub(crate) fn silent(&self) -> CancellationToken {
+        self.session.silent.clone()
+    }
+
+    /// Sends `request` and waits for the head of its reply. If the connection goes silent, the attempt ends if `ends_silent`
+    /// holds then.
     ///
     /// # Errors
     ///
@@ -69,18 +74,14 @@
     pub(crate) async fn send(
         self,
         request: ServeRequest,
-        has_other_target: impl Fn() -> bool,
+        ends_silent: impl Fn() -> bool,
     ) -> Result<Reply, Refusal> {
         let session = self.session.clone();
-        let repeatable = request.repeatable;
         let given_up = async {
-            if repeatable {
-                session.silent.cancelled().await;
-                if has_other_target() {
-                    return;
-                }
+            session.silent.cancelled().await;
+            if !ends_silent() {
+                session.lost.cancelled().await;
             }
-            session.lost.cancelled().await;
         };
         tokio::pin!(given_up);
         let opened = tokio::select! {
--- a/eel-entry/src/routing.rs
+++ b/eel-entry/src/routing.rs
@@ -221,6 +221,13 @@
         })
     }
 
+    /// Decides whether another attempt may start beside those in flight, the latest of which is silent.
+    pub(crate) fn may_start_beside(&self, service: &Name, attempts: &Attempts) -> bool {
+        let now_ms = self.clock.now_ms();
+        let mut inner = self.lock();
+        attempts.try_start_beside(now_ms, inner.budget(now_ms, service))
+    }
+
     /// Decides whether to retry after an attempt that ended without a complete response.
     pub(crate) fn on_attempt_failed(
         &self,
--- a/eel-entry/src/serve/run.rs
+++ b/eel-entry/src/serve/run.rs
@@ -1,6 +1,7 @@
 //! Sends a request to targets, with retries, and collects or streams the response.
 
 use std::{
+    future::pending,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -13,6 +14,8 @@
 use eel_types::{Attempt as AttemptNumber, LoadReport, Name, RequestKey};
 use eel_verdict::{Reason, Refusal};
 use eel_wire::message::{ReplyHead, ServeRequest};
+use futures_util::{FutureExt as _, StreamExt as _, future::BoxFuture, stream::FuturesUnordered};
+use tokio_util::sync::CancellationToken;
 
 use super::{request::Request, response::has_events};
 use crate::{
@@ -89,7 +92,8 @@
     }
 }
 
-/// Sends `request` to targets until one responds or no retry is allowed.
+/// Sends `request` to targets until one responds or no retry is allowed. A silent target may be sound: if the request may be
+/// repeated, another target is tried beside it, and the first complete response counts.
 ///
 /// # Errors
 ///
@@ -102,21 +106,64 @@
     let now_ms = context.clock.now_ms();
     let time_left_ms = request.deadline_ms.saturating_sub(now_ms);
     context.routing.load(&request.pool).admit(time_left_ms)?;
-    let mut attempts = Attempts::new(
-        RetryOptions::default(),
-        request.repeatable,
-        request.deadline_ms,
-    );
+    let mut race = Race {
+        context,
+        request,
+        span,
+        attempts: Attempts::new(
+            RetryOptions::default(),
+            request.repeatable,
+            request.deadline_ms,
+        ),
+        running: FuturesUnordered::new(),
+        silent: None,
+    };
+    race.start()?;
     loop {
+        tokio::select! {
+            biased;
+            Some(ended) = race.running.next() => {
+                let refusal = match ended {
+                    Ok(response) => return Ok(response),
+                    Err(refusal) => race.on_failure(refusal),
+                };
+                if let Some(refusal) = refusal.filter(|_| race.running.is_empty()) {
+                    return Err(refusal);
+                }
+            }
+            () = is_silent(race.silent.as_ref()) => race.start_beside(),
+        }
+    }
+}
+
+/// The attempts of one request that are in flight.
+struct Race<'a> {
+    context: &'a Arc<Context>,
+    request: &'a Request,
+    span: &'a Span,
+    attempts: Attempts,
+    running: FuturesUnordered<BoxFuture<'a, Result<TargetResponse, Refusal>>>,
+    /// Cancelled once the link of the latest attempt is silent; `None` if no other target is tried beside it.
+    silent: Option<CancellationToken>,
+}
+
+impl Race<'_> {
+    /// Starts an attempt at a target that was not tried.
+    ///
+    /// # Errors
+    ///
+    /// The final refusal if there is no target and no other attempt in flight.
+    fn start(&mut self) -> Result<(), Refusal> {
+        let (context, request) = (self.context, self.request);
         let query = TargetQuery {
             class: request.class,
             prefix_hash: request.prefix_hash,
             repeatable: request.repeatable,
-            excluded: attempts.excluded(),
+            excluded: self.attempts.excluded(),
         };
         let chosen = context.routing.choose(&request.pool, &query);
-        let chosen = chosen.map_err(|refusal| attempts.finish(refusal))?;
-        let number = attempts.on_start(chosen.target);
+        let chosen = chosen.map_err(|refusal| self.attempts.finish(refusal))?;
+        let number = self.attempts.on_start(chosen.target);
         if number.0 > 1 {
             context.metrics.retries.inc();
         }
@@ -124,21 +171,57 @@
             id: request.id,
             attempt: number,
         };
-        let attempt_span = trace::start_child_span("attempt", span);
-        let refusal = match attempt(context, request, key, chosen, &attempt_span).await {
-            Ok(response) => return Ok(response),
-            Err(refusal) => refusal,
+        let opened = Attempt::new(chosen.link.clone(), key);
+        let silent = opened.as_ref().ok().map(Attempt::silent);
+        self.silent = silent.filter(|_| request.repeatable);
+        let attempt_span = trace::start_child_span("attempt", self.span);
+        let running = async move {
+            let ended = attempt(context, request, opened, key, chosen, &attempt_span, || {
+                false
+            });
+            ended.await.inspect_err(|refusal| {
+                attempt_span.set_attribute(|| ("refusal", refusal.to_string()));
+            })
         };
-        attempt_span.set_attribute(|| ("refusal", refusal.to_string()));
-        let failed = FailedAttempt::from(refusal);
-        match context
-            .routing
-            .on_attempt_failed(&request.service, &mut attempts, failed)
+        self.running.push(running.boxed());
+        Ok(())
+    }
+
+    /// Starts an attempt beside those in flight, the latest of which is silent, if another target could run the request.
+    fn start_beside(&mut self) {
+        self.silent = None;
+        // The load leaves out targets that are silent.
+        let load = self.context.routing.load(&self.request.pool);
+        let routing = &self.context.routing;
+        if load.in_flight < load.slots
+            && routing.may_start_beside(&self.request.service, &self.attempts)
+            && let Err(refusal) = self.start()
         {
-            RetryDecision::Retry => {}
-            RetryDecision::Finish(refusal) => return Err(refusal),
+            log::debug!(target: "serve", "No other target is tried beside a silent one: {refusal}.");
         }
     }
+
+    /// Retries after a failed attempt, or returns the final refusal if no other attempt is in flight.
+    fn on_failure(&mut self, refusal: Refusal) -> Option<Refusal> {
+        let failed = FailedAttempt::from(refusal);
+        let decision = self.context.routing.on_attempt_failed(
+            &self.request.service,
+            &mut self.attempts,
+            failed,
+        );
+        match decision {
+            RetryDecision::Retry => self.start().err(),
+            RetryDecision::Finish(refusal) => Some(refusal),
+        }
+    }
+}
+
+/// Waits until a connection is silent; for ever if there is none.
+async fn is_silent(silent: Option<&CancellationToken>) {
+    match silent {
+        Some(silent) => silent.cancelled().await,
+        None => pending().await,
+    }
 }
 
 /// Sends `request` to one target without retries, and returns the status and the complete body of its response.
@@ -163,7 +246,13 @@
         id: request.id,
         attempt: number,
     };
-    match attempt(context, request, key, chosen, span).await? {
+    let opened = Attempt::new(chosen.link.clone(), key);
+    // The load leaves out targets that are silent.
+    let ends_silent = || {
+        let load = context.routing.load(&request.pool);
+        request.repeatable && load.in_flight < load.slots
+    };
+    match attempt(context, request, opened, key, chosen, span, ends_silent).await? {
         TargetResponse::Complete { head, body } => Ok((head.status, body)),
         TargetResponse::Stream(streaming) => collect_streamed(*streaming).await,
     }
@@ -195,12 +284,15 @@
     }
 }
 
+/// Sends one attempt and reads its response. If its link goes silent, it ends if `ends_silent` holds then.
 async fn attempt(
     context: &Arc<Context>,
     request: &Request,
+    opened: Result<Attempt, Refusal>,
     key: RequestKey,
     chosen: ChosenTarget,
     attempt_span: &Span,
+    ends_silent: impl Fn() -> bool,
 ) -> Result<TargetResponse, Refusal> {
     let ChosenTarget {
         target,
@@ -211,15 +303,7 @@
     let started = Instant::now();
     let message = to_message(context, request, key, attempt_span);
     let deadline = context.clock.instant(request.deadline_ms) + DEADLINE_GRACE;
-    // The load leaves out targets that are silent.
-    let has_other_target = || {
-        let load = context.routing.load(&request.pool);
-        load.in_flight < load.slots
-    };
-    let reply = async {
-        let attempt = Attempt::new(link, key)?;
-        attempt.send(message, has_other_target).await
-    };
+    let reply = async { opened?.send(message, ends_silent).await };
     let reply = match tokio::time::timeout_at(deadline.into(), reply).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(refusal)) => {
--- a/eel-route/src/attempts.rs
+++ b/eel-route/src/attempts.rs
@@ -100,6 +100,12 @@
         Attempt(self.count())
     }
 
+    /// Decides whether another attempt may start beside the ones in flight, because the latest of these is silent. It spends
+    /// from `budget`.
+    pub fn try_start_beside(&self, now_ms: u64, budget: &mut RetryBudget) -> bool {
+        self.repeatable && self.has_attempt_left(now_ms) && budget.try_spend(now_ms)
+    }
+
     /// Decides how to proceed after an attempt that gave no complete response. A retry spends from `budget`.
     pub fn on_end(
         &mut self,
@@ -135,11 +141,15 @@
     }
 
     fn may_retry(&self, now_ms: u64, end: FailedAttempt) -> bool {
-        let time_left_ms = self.deadline_ms.saturating_sub(now_ms);
         !end.response_started
             && is_transient(end.reason)
             && self.verdict.allows_retry(self.repeatable)
-            && self.count() < self.options.max_attempts
+            && self.has_attempt_left(now_ms)
+    }
+
+    fn has_attempt_left(&self, now_ms: u64) -> bool {
+        let time_left_ms = self.deadline_ms.saturating_sub(now_ms);
+        self.count() < self.options.max_attempts
             && time_left_ms >= self.options.min_time_left_ms.max(1)
     }
 
--- a/eel-route/tests/route/attempt_end.rs
+++ b/eel-route/tests/route/attempt_end.rs
@@ -29,6 +29,29 @@
     }
 }
 
+#[test]
+fn beside_silent_ones() {
+    let cases = [
+        ("the first one", true, 1, 0, true),
+        ("not repeatable", false, 1, 0, false),
+        ("all attempts used", true, 3, 0, false),
+        ("too late", true, 1, DEADLINE_MS - 19, false),
+    ];
+    for (case, repeatable, started, now_ms, expected) in cases {
+        let mut budget = RetryBudget::new(0, RetryBudgetOptions::default());
+        let mut attempts = Attempts::new(RetryOptions::default(), repeatable, DEADLINE_MS);
+        for _ in 0..started {
+            attempts.on_start(target());
+        }
+        let may_start = attempts.try_start_beside(now_ms, &mut budget);
+        assert_eq!(may_start, expected, "{case}");
+    }
+    let attempts = Attempts::new(RetryOptions::default(), true, DEADLINE_MS);
+    let mut budget = RetryBudget::new(0, RetryBudgetOptions::default());
+    let starts = (0..10_000).filter(|_| attempts.try_start_beside(0, &mut budget));
+    assert!(starts.count() < 10_000, "the budget is spent");
+}
+
 #[test]
 fn first_end() {
     use Reason::{BadRequest, Cancelled, Leaving, Overloaded, TargetFailed, Truncated};
