--- a/tests/gateway/faults.rs
+++ b/tests/gateway/faults.rs
@@ -114,6 +114,9 @@
         3 => target.set_fatal_part(FATAL_PART, 2),
         4 => target.clear_fatal_part(),
         5 => target.crash(),
+        6 => target.set_limits(&["3"]),
+        7 => target.set_limits(&["0.5"]),
+        8 => target.set_limits(&[]),
         _ => {}
     }
     for index in 0..soak.targets.len() {
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -121,6 +121,7 @@
         }
         for target in &self.targets {
             target.clear_fatal_part();
+            target.set_limits(&[]);
         }
         self.restart_all_crashed().await;
         for (target, proxy) in self.targets.iter().zip(&self.target_proxies) {
