--- a/eel-gateway/src/limits.rs
+++ b/eel-gateway/src/limits.rs
@@ -8,7 +8,10 @@
     time::{Instant, sleep_until, timeout_at},
 };
 
-use crate::{context::Context, reports::MAX_DATAGRAM_BYTES};
+use crate::{
+    context::Context,
+    reports::{MAX_DATAGRAM_BYTES, send_datagram},
+};
 
 /// The time between two notices of all that peers may have missed.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(500);
@@ -47,14 +50,7 @@
     for mut part in notice.split(MAX_DATAGRAM_BYTES) {
         for &(address, token) in &receivers {
             part.token = token;
-            match part.encode() {
-                Ok(datagram) => {
-                    if let Err(error) = socket.send_to(&datagram, address).await {
-                        log::debug!(target: "peers", "Cannot send a notice of limits to {address}: {error}.");
-                    }
-                }
-                Err(error) => log::error!(target: "peers", "{error}."),
-            }
+            send_datagram(socket, address, part.encode()).await;
         }
     }
 }
--- a/eel-gateway/src/quarantine/notices.rs
+++ b/eel-gateway/src/quarantine/notices.rs
@@ -9,7 +9,10 @@
 };
 
 use super::crashes::{on_blocked, update_gauge};
-use crate::{context::Context, reports::MAX_DATAGRAM_BYTES};
+use crate::{
+    context::Context,
+    reports::{MAX_DATAGRAM_BYTES, send_datagram},
+};
 
 /// The time between two notices while there is something recent to tell, so that a lost one is made up for.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(250);
@@ -43,14 +46,7 @@
     let receivers: Vec<_> = context.peers().receivers().collect();
     for (address, token) in receivers {
         notice.token = token;
-        match notice.encode() {
-            Ok(datagram) => {
-                if let Err(error) = socket.send_to(&datagram, address).await {
-                    log::debug!(target: "peers", "Cannot send a notice to {address}: {error}.");
-                }
-            }
-            Err(error) => log::error!(target: "peers", "{error}."),
-        }
+        send_datagram(socket, address, notice.encode()).await;
     }
 }
 
--- a/eel-gateway/src/reports.rs
+++ b/eel-gateway/src/reports.rs
@@ -3,7 +3,7 @@
 //! Each report replaces the sender's previous one, so a lost datagram is made up for by the next one, and there is no
 //! connection that could hang.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use eel_fleet::{MAX_REPORT_INTERVAL_MS, PeerReport};
 use tokio::{
@@ -41,7 +41,7 @@
         for &(address, token) in &receivers {
             for part in &mut parts {
                 part.token = token;
-                send(socket, part, address).await;
+                send_datagram(socket, address, part.encode()).await;
             }
         }
         tokio::select! {
@@ -53,11 +53,16 @@
     }
 }
 
-async fn send(socket: &UdpSocket, report: &PeerReport, address: std::net::SocketAddr) {
-    match report.encode() {
+/// Sends an encoded datagram to a peer; the next one makes up for one that is not sent.
+pub(crate) async fn send_datagram<E: fmt::Display>(
+    socket: &UdpSocket,
+    address: SocketAddr,
+    datagram: Result<Vec<u8>, E>,
+) {
+    match datagram {
         Ok(datagram) => {
             if let Err(error) = socket.send_to(&datagram, address).await {
-                log::debug!(target: "peers", "Cannot send a load report to {address}: {error}.");
+                log::debug!(target: "peers", "Cannot send a datagram to {address}: {error}.");
             }
         }
         Err(error) => log::error!(target: "peers", "{error}."),
@@ -101,6 +106,6 @@
 /// # Errors
 ///
 /// The error of the socket if `address` cannot be bound.
-pub(crate) async fn bind(address: std::net::SocketAddr) -> io::Result<Arc<UdpSocket>> {
+pub(crate) async fn bind(address: SocketAddr) -> io::Result<Arc<UdpSocket>> {
     UdpSocket::bind(address).await.map(Arc::new)
 }
--- a/eel-gateway/src/slots.rs
+++ b/eel-gateway/src/slots.rs
@@ -140,9 +140,12 @@
     }
 
     /// Applies a peer's notice of the limits of targets.
-    pub(crate) fn on_limit_notice(self: &Arc<Self>, notice: &LimitNotice) {
+    pub(crate) fn on_limit_notice(&self, notice: &LimitNotice) {
         let now_ms = self.clock.now_ms();
-        let changes = self.update(|it| it.selector_mut().on_limit_notice(now_ms, notice));
+        let mut inner = self.lock();
+        let selector = inner.dispatcher.selector_mut();
+        let changes = selector.on_limit_notice(now_ms, notice);
+        drop(inner);
         for change in &changes {
             self.on_limit_change(change, "a peer");
         }
