fix(fleet): take what a peer sent while it was not heard for no debt

Two groups of nodes that hear one another again after a partition stopped sending to limited targets for half of its length, as each counted at once what the other one had sent within its own share meanwhile (requests_of_a_partition_are_no_debt failed before). A notice now adds at most what the target takes in a second, and one.

--- a/eel-fleet/src/limit/limiter.rs
+++ b/eel-fleet/src/limit/limiter.rs
@@ -152,13 +152,17 @@
 
     /// Counts the requests that a peer has sent since its notice before. The first one only says where its count begins.
     pub fn on_peer(&mut self, now_ms: u64, sender: u64, usage: &TargetUsage, share: Share) {
-        let before = self.peers.insert(sender, usage.sent);
-        let sent = before.map_or(0, |before| usage.sent.wrapping_sub(before));
+        let Some(known) = self.peers.get_mut(&sender) else {
+            self.peers.insert(sender, usage.sent);
+            return;
+        };
+        let sent = usage.sent.wrapping_sub(*known);
         // A notice that was overtaken by a later one has a lower count.
-        if sent > u32::MAX / 2 {
-            self.peers.extend(before.map(|before| (sender, before)));
-        } else {
-            self.count(now_ms, sent, share);
+        if sent <= u32::MAX / 2 {
+            *known = usage.sent;
+            // A peer that was not heard for longer has kept its own share meanwhile.
+            let max_sent = 1 + self.limit().map_or(0, RateLimit::per_1000_s) / 1_000;
+            self.count(now_ms, u64::from(sent).min(max_sent), share);
         }
     }
 
@@ -167,14 +171,14 @@
         self.peers.retain(|&peer, _| is_known(peer));
     }
 
-    fn count(&mut self, now_ms: u64, requests: u32, share: Share) {
+    fn count(&mut self, now_ms: u64, requests: u64, share: Share) {
         let Some(limit) = self.observed.limit else {
             return;
         };
-        self.counted += u64::from(requests);
+        self.counted += requests;
         self.draw = stable_hash(&format!("{:x} {}", self.seed, self.counted));
         let at_us = now_ms * US_PER_MS;
-        let used_us = share.interval_us(limit).saturating_mul(u64::from(requests));
+        let used_us = share.interval_us(limit).saturating_mul(requests);
         let until_us = self.used_until_us.max(at_us).saturating_add(used_us);
         self.used_until_us = until_us.min(at_us + MAX_DELAY_US);
     }
--- a/eel-fleet/tests/fleet/shared_limits.rs
+++ b/eel-fleet/tests/fleet/shared_limits.rs
@@ -5,7 +5,7 @@
 
 use std::collections::VecDeque;
 
-use eel_fleet::{LimitNotice, LimitPeer, LimitTable, NamedLimit, RateLimit};
+use eel_fleet::{LimitNotice, LimitPeer, LimitTable, NamedLimit, RateLimit, TargetUsage};
 use eel_types::Name;
 use quickcheck::quickcheck;
 use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
@@ -219,6 +219,25 @@
     assert_eq!(tables[1].limit(TARGET), None);
 }
 
+#[test]
+fn requests_of_a_partition_are_no_debt() {
+    let mut table = table(0, 2, 2.0, |_, _| true);
+    let notice = |sent| LimitNotice {
+        token: 0,
+        sender: 1,
+        targets: vec![TargetUsage {
+            incarnation: TARGET,
+            limit: RateLimit::from_per_s(2.0),
+            asked_ago_ms: 10,
+            answered_ago_ms: 0,
+            sent,
+        }],
+    };
+    table.on_notice(1_000, &notice(1), |_| true);
+    table.on_notice(61_000, &notice(61), |_| true);
+    assert!(table.opens_at_ms(TARGET) < 63_000);
+}
+
 #[test]
 fn node_without_requests_is_not_in_the_way() {
     let nodes = 41;
