--- a/eel-entry/src/link/attempt.rs
+++ b/eel-entry/src/link/attempt.rs
@@ -63,8 +63,8 @@
         self.session.silent.clone()
     }
 
-    /// Sends `request` and waits for the head of its reply. If the connection goes silent, the attempt ends if `ends_silent`
-    /// holds then.
+    /// Sends `request` and waits for the head of its reply. If the connection goes silent, the attempt ends if
+    /// `ends_silent` holds then.
     ///
     /// # Errors
     ///
--- a/eel-entry/src/serve/run.rs
+++ b/eel-entry/src/serve/run.rs
@@ -92,8 +92,8 @@
     }
 }
 
-/// Sends `request` to targets until one responds or no retry is allowed. A silent target may be sound: if the request may be
-/// repeated, another target is tried beside it, and the first complete response counts.
+/// Sends `request` to targets until one responds or no retry is allowed. A silent target may be sound: if the request may
+/// be repeated, another target is tried beside it, and the first complete response counts.
 ///
 /// # Errors
 ///
--- a/eel-fleet/src/dispatch.rs
+++ b/eel-fleet/src/dispatch.rs
@@ -161,7 +161,7 @@
             work: WorkKind::Batch,
             data_centre: &self.data_centre,
             excluded: &[],
-            is_limited: !self.selector.has_batch_room(now_ms, service),
+            only_limited: !self.selector.has_batch_room(now_ms, service),
             tie_breaker,
         };
         self.selector.drop_old_reports(now_ms);
@@ -311,7 +311,7 @@
             work: WorkKind::Online,
             data_centre: &self.data_centre,
             excluded: &waiting.excluded,
-            is_limited: false,
+            only_limited: false,
             tie_breaker: waiting.tie_breaker,
         };
         let target = self.selector.choose(now_ms, service, &query)?;
--- a/eel-fleet/src/limit/limiter.rs
+++ b/eel-fleet/src/limit/limiter.rs
@@ -46,8 +46,8 @@
         }
     }
 
-    /// Returns whether this limit holds now that `known` was observed. Of two responses of which it is not certain which one
-    /// the target sent first, the stricter one holds.
+    /// Returns whether this limit holds now that `known` was observed. Of two responses whose order is not certain, the
+    /// stricter one holds.
     fn replaces(&self, known: &Self) -> bool {
         if self.asked_ms > known.answered_ms {
             true
@@ -166,7 +166,7 @@
         }
     }
 
-    /// Forgets the counts of nodes that are not among `nodes`.
+    /// Forgets the counts of nodes for which `is_known` does not hold.
     pub fn retain_peers(&mut self, is_known: impl Fn(u64) -> bool) {
         self.peers.retain(|&peer, _| is_known(peer));
     }
--- a/eel-fleet/src/selector.rs
+++ b/eel-fleet/src/selector.rs
@@ -51,7 +51,7 @@
     /// Targets that must not be chosen, because the request was sent to them before.
     pub excluded: &'a [TargetKey],
     /// Whether only targets that name a limit may be chosen, whose slots are of little use to other requests.
-    pub is_limited: bool,
+    pub only_limited: bool,
     /// Breaks ties between equally ranked targets; differs between requests, so that a target that fails gets few of them.
     pub tie_breaker: u64,
 }
@@ -555,7 +555,7 @@
     ) -> Option<Rank> {
         let is_limited = limits.limit(self.incarnation).is_some();
         let is_open = now_ms >= limits.opens_at_ms(self.incarnation);
-        if !self.is_usable(now_ms) || !is_open || (query.is_limited && !is_limited) {
+        if !self.is_usable(now_ms) || !is_open || (query.only_limited && !is_limited) {
             return None;
         }
         let total = self.total(now_ms);
--- a/eel-fleet/tests/fleet/burst_load.rs
+++ b/eel-fleet/tests/fleet/burst_load.rs
@@ -432,7 +432,7 @@
     loop {
         let query = TargetQuery {
             excluded: &keys,
-            is_limited: false,
+            only_limited: false,
             ..query(WorkKind::Online)
         };
         let Some(key) = selector.choose(0, SERVICE, &query) else {
--- a/eel-fleet/tests/fleet/failing_target.rs
+++ b/eel-fleet/tests/fleet/failing_target.rs
@@ -65,7 +65,7 @@
         let query = TargetQuery {
             tie_breaker: rng.random(),
             excluded: &ejected,
-            is_limited: false,
+            only_limited: false,
             ..query(WorkKind::Online)
         };
         let key = selector.choose(now_ms, SERVICE, &query).expect("a target");
--- a/eel-fleet/tests/fleet/fixture.rs
+++ b/eel-fleet/tests/fleet/fixture.rs
@@ -35,7 +35,7 @@
         work,
         data_centre: "dc-a",
         excluded: &[],
-        is_limited: false,
+        only_limited: false,
         tie_breaker: 7,
     }
 }
--- a/eel-fleet/tests/fleet/shared_limits.rs
+++ b/eel-fleet/tests/fleet/shared_limits.rs
@@ -142,7 +142,8 @@
                 let sent_ms = simulate(&shape, 3);
                 let (most, total) = (most_in_window(&sent_ms), sent_ms.len());
                 let case = format!(
-                    "{nodes} nodes in {groups} groups, {per_s} a second, {lost_percent}% lost, demand {demand_percent}%: {most} in 4 s, {total} in 16 s"
+                    "{nodes} nodes in {groups} groups, {per_s} a second, {lost_percent}% lost, \
+                     demand {demand_percent}%: {most} in 4 s, {total} in 16 s"
                 );
                 println!("{case}");
                 assert!(count(most) <= 1.5 * 4.0 * per_s + 5.0, "{case}");
--- a/eel-fleet/tests/fleet/target_choice.rs
+++ b/eel-fleet/tests/fleet/target_choice.rs
@@ -74,7 +74,7 @@
     let excluded = [first];
     let again = eel_fleet::TargetQuery {
         excluded: &excluded,
-        is_limited: false,
+        only_limited: false,
         ..query(WorkKind::Online)
     };
     assert_ne!(selector.choose(0, SERVICE, &again), Some(first));
--- a/eel-gateway/src/quarantine/mod.rs
+++ b/eel-gateway/src/quarantine/mod.rs
@@ -1,4 +1,5 @@
-//! Keeps requests that crash targets, or whose prompts do, from targets: detects crashes, tells peers and the store, admits requests.
+//! Keeps requests that crash targets, or whose prompts do, from targets: detects crashes, tells peers and the store, admits
+//! requests.
 
 mod admit;
 mod crashes;
--- a/eel-gateway/src/slots.rs
+++ b/eel-gateway/src/slots.rs
@@ -304,10 +304,10 @@
             return;
         }
         let (now_ms, asked_ms) = (self.slots.clock.now_ms(), self.started_ms);
-        let change = self.slots.update(|it| {
-            it.selector_mut()
-                .on_limit(now_ms, self.key, asked_ms, limit)
-        });
+        let mut inner = self.slots.lock();
+        let selector = inner.dispatcher.selector_mut();
+        let change = selector.on_limit(now_ms, self.key, asked_ms, limit);
+        drop(inner);
         if let Some(change) = change {
             self.slots.on_limit_change(&change, "a response");
         }
--- a/eel-route/src/attempts.rs
+++ b/eel-route/src/attempts.rs
@@ -100,8 +100,8 @@
         Attempt(self.count())
     }
 
-    /// Decides whether another attempt may start beside the ones in flight, because the latest of these is silent. It spends
-    /// from `budget`.
+    /// Decides whether another attempt may start beside those in flight, the latest of which is silent. It spends from
+    /// `budget`.
     pub fn try_start_beside(&self, now_ms: u64, budget: &mut RetryBudget) -> bool {
         self.repeatable && self.has_attempt_left(now_ms) && budget.try_spend(now_ms)
     }
