refactor(fleet): use the field's terms for shared limits, and fewer fields

Turns, draws and heard nodes are jitter, a seed and reachable nodes; the bucket is named as GCRA is. One seed replaces a seed, a count and a draw; the doublings of a subset follow from its size without a search. The same test of recent reports serves members and limits. Nothing on the wire changes.

--- a/eel-fleet/src/limit/limiter.rs
+++ b/eel-fleet/src/limit/limiter.rs
@@ -10,23 +10,22 @@
 const TOLERANCE_US: u64 = 25_000;
 /// How long requests beyond the limit delay the following ones at the most, in µs.
 const MAX_DELAY_US: u64 = 60_000_000;
-/// The number of nodes that use a target, whatever its limit is.
-const MIN_USERS: u64 = 4;
-/// The rate, in requests per 1,000 s, for which one more node uses a target.
-const PER_1000_S_PER_USER: u64 = 3_200;
-/// The time in which each node that uses a target hears of a request that another one has sent, in µs.
-const TURN_US: u64 = 30_000;
-/// The part of the time between two requests that the turns of all nodes take up at the most.
-const MAX_TURNS_DIVISOR: u64 = 4;
-/// The time without a response after which the number of nodes that use a target doubles, in ms: those that use it may have
-/// no requests for it, and only a request finds out that a limit has ended.
-const SILENCE_MS: u64 = 10_000;
-const MAX_DOUBLINGS: u64 = 32;
+/// The size of the subset of nodes that use a target, whatever its limit is.
+const MIN_SUBSET: u64 = 4;
+/// The rate, in requests per 1,000 s, for which the subset has one more node.
+const PER_1000_S_PER_NODE: u64 = 3_200;
+/// The maximum jitter for each node of the subset, in µs: the time in which the others learn of a request.
+const JITTER_PER_NODE_US: u64 = 30_000;
+/// The maximum jitter of all nodes, as a part of the time between two requests.
+const MAX_JITTER_DIVISOR: u64 = 4;
+/// The time without a response after which the subset doubles, in ms: its nodes may have no requests, and only a response
+/// shows that a limit has ended.
+const SUBSET_DOUBLING_MS: u64 = 10_000;
 
 const US_PER_MS: u64 = 1_000;
 
 /// The limit that a response named. The target named it between the two times.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Observation {
     /// `None` if the response named none.
     pub limit: Option<RateLimit>,
@@ -37,15 +36,6 @@
 }
 
 impl Observation {
-    /// Returns the limit as it was before any response.
-    pub const fn none() -> Self {
-        Self {
-            limit: None,
-            asked_ms: 0,
-            answered_ms: 0,
-        }
-    }
-
     /// Returns whether this limit holds now that `known` was observed. Of two responses whose order is not certain, the
     /// stricter one holds.
     fn replaces(&self, known: &Self) -> bool {
@@ -65,35 +55,29 @@
 #[derive(Debug)]
 pub struct Limiter {
     observed: Observation,
-    /// When the requests that were counted so far have used up their share of the limit, in µs.
-    used_until_us: u64,
+    /// When the next request would arrive at the rate of the limit (the theoretical arrival time of GCRA), in µs.
+    next_arrival_us: u64,
     /// The number of requests that this node has sent under the limit.
     sent: u32,
     /// The counts of the peers, by their incarnation.
     peers: HashMap<u64, u32>,
-    /// How many other nodes come before this one in using the target.
+    /// How many other nodes come before this one in the order in which they join the subset.
     pub rank: u64,
-    /// Draws the order of the nodes that use the target; differs between nodes.
-    seed: u64,
-    /// The number of requests that were counted, of all nodes.
-    counted: u64,
-    /// Decides how long this node leaves the next request to the other nodes.
-    draw: u64,
-    /// Whether peers have not been told of the last change.
+    /// Decides the jitter; differs between nodes and from one counted request to the next.
+    jitter_seed: u64,
+    /// Whether the last change is still to be sent to peers.
     pub has_news: bool,
 }
 
 impl Limiter {
-    pub fn new(rank: u64, seed: u64) -> Self {
+    pub fn new(rank: u64, jitter_seed: u64) -> Self {
         Self {
-            observed: Observation::none(),
-            used_until_us: 0,
+            observed: Observation::default(),
+            next_arrival_us: 0,
             sent: 0,
             peers: HashMap::new(),
             rank,
-            seed,
-            counted: 0,
-            draw: seed,
+            jitter_seed,
             has_news: false,
         }
     }
@@ -123,22 +107,22 @@
         }
         self.has_news = true;
         let at_us = now_ms * US_PER_MS;
-        let delay_us = self.used_until_us.saturating_sub(at_us);
+        let delay_us = self.next_arrival_us.saturating_sub(at_us);
         if let Some(limit) = observation.limit {
             let delay_us = match before {
                 Some(before) => delay_us.saturating_mul(limit.interval_us()) / before.interval_us(),
                 None => self.first_delay_us(limit, share),
             };
-            self.used_until_us = at_us + delay_us.min(MAX_DELAY_US);
+            self.next_arrival_us = at_us + delay_us.min(MAX_DELAY_US);
         }
         true
     }
 
-    /// Returns how long after a limit became known this node sends its first request. Nodes that do not hear one another
+    /// Returns how long after a limit became known this node sends its first request. Nodes that do not reach one another
     /// send theirs at different times.
     fn first_delay_us(&self, limit: RateLimit, share: Share) -> u64 {
-        let unheard_us = share.interval_us(limit).saturating_sub(limit.interval_us());
-        limit.interval_us() + self.seed % unheard_us.max(1)
+        let others_us = share.interval_us(limit).saturating_sub(limit.interval_us());
+        limit.interval_us() + self.jitter_seed % others_us.max(1)
     }
 
     /// Counts a request of this node.
@@ -160,7 +144,7 @@
         // A notice that was overtaken by a later one has a lower count.
         if sent <= u32::MAX / 2 {
             *known = usage.sent;
-            // A peer that was not heard for longer has kept its own share meanwhile.
+            // Bounds the debt after a partition, during which the peer kept to its own share.
             let max_sent = 1 + self.limit().map_or(0, RateLimit::per_1000_s) / 1_000;
             self.count(now_ms, u64::from(sent).min(max_sent), share);
         }
@@ -175,12 +159,11 @@
         let Some(limit) = self.observed.limit else {
             return;
         };
-        self.counted += requests;
-        self.draw = stable_hash(&format!("{:x} {}", self.seed, self.counted));
+        self.jitter_seed = stable_hash(&self.jitter_seed.to_string());
         let at_us = now_ms * US_PER_MS;
         let used_us = share.interval_us(limit).saturating_mul(requests);
-        let until_us = self.used_until_us.max(at_us).saturating_add(used_us);
-        self.used_until_us = until_us.min(at_us + MAX_DELAY_US);
+        let until_us = self.next_arrival_us.max(at_us).saturating_add(used_us);
+        self.next_arrival_us = until_us.min(at_us + MAX_DELAY_US);
     }
 
     /// Returns when this node may send the next request, in ms; a time in the past if it may send one now.
@@ -188,24 +171,20 @@
         let Some(limit) = self.observed.limit else {
             return 0;
         };
-        let users = MIN_USERS + limit.per_1000_s() / PER_1000_S_PER_USER;
-        let doublings = (0..MAX_DOUBLINGS).find(|it| users << it > self.rank);
-        let doublings = doublings.unwrap_or(MAX_DOUBLINGS);
-        let free_us = self.used_until_us.saturating_sub(TOLERANCE_US);
-        let free_us = free_us + self.turn_us(limit, users << doublings);
-        let silence_ms = doublings * SILENCE_MS;
-        let used_from_ms = match silence_ms {
-            0 => 0,
-            silence_ms => self.observed.answered_ms + silence_ms,
-        };
-        free_us.div_ceil(US_PER_MS).max(used_from_ms)
+        let subset = MIN_SUBSET + limit.per_1000_s() / PER_1000_S_PER_NODE;
+        // The subset contains this node once it has doubled so often.
+        let doublings = u64::BITS - (self.rank / subset).leading_zeros();
+        let joined_ms = self.observed.answered_ms + u64::from(doublings) * SUBSET_DOUBLING_MS;
+        let free_us = self.next_arrival_us.saturating_sub(TOLERANCE_US);
+        let free_us = free_us + self.jitter_us(limit, subset << doublings);
+        free_us.div_ceil(US_PER_MS).max(joined_ms)
     }
 
-    /// Returns how long this node leaves the next request to the other ones of `users`. Each request draws another order.
-    fn turn_us(&self, limit: RateLimit, users: u64) -> u64 {
-        let turns_us = users.saturating_mul(TURN_US);
-        let turns_us = turns_us.min(limit.interval_us() / MAX_TURNS_DIVISOR);
-        self.draw % turns_us.max(1)
+    /// Returns the jitter of the next request, by which the nodes of a subset rarely send it at the same time.
+    fn jitter_us(&self, limit: RateLimit, subset: u64) -> u64 {
+        let max_us = subset.saturating_mul(JITTER_PER_NODE_US);
+        let max_us = max_us.min(limit.interval_us() / MAX_JITTER_DIVISOR);
+        self.jitter_seed % max_us.max(1)
     }
 
     /// Returns what peers should know.
@@ -220,11 +199,11 @@
     }
 }
 
-/// The part of a limit that this node and the nodes that it hears may use together: the others may use the rest unheard.
+/// The part of a limit that this node and the nodes that it reaches may use together; the others use the rest.
 #[derive(Clone, Copy, Debug)]
 pub struct Share {
-    /// The number of nodes that this node hears, with itself.
-    pub heard: u64,
+    /// The number of nodes that this node reaches, with itself.
+    pub reachable: u64,
     /// The number of all nodes.
     pub nodes: u64,
 }
@@ -232,6 +211,6 @@
 impl Share {
     /// Returns the time from one request to the next under this part of the limit, in µs.
     fn interval_us(self, limit: RateLimit) -> u64 {
-        limit.interval_us().saturating_mul(self.nodes) / self.heard.max(1)
+        limit.interval_us().saturating_mul(self.nodes) / self.reachable.max(1)
     }
 }
--- a/eel-fleet/src/limit/mod.rs
+++ b/eel-fleet/src/limit/mod.rs
@@ -1,8 +1,8 @@
 //! Keeps the rates of requests that targets in need name, together with the other nodes.
 //!
-//! Every node counts all requests to such a target, its own and those that its peers tell it of, in one bucket, which is
-//! empty when the limit becomes known. A request that several nodes send at the same moment is made up for by a longer
-//! pause after it. How many of them that can be is bounded by the number of nodes that use the target.
+//! Every node counts all requests to such a target, its own and those that its peers report, in one bucket (GCRA), which is
+//! empty when the limit becomes known. Requests that several nodes send at the same moment are a debt that delays the next
+//! one. Only a subset of the nodes uses a target, which bounds the debt.
 
 mod limiter;
 mod notice;
--- a/eel-fleet/src/limit/table.rs
+++ b/eel-fleet/src/limit/table.rs
@@ -13,9 +13,9 @@
 /// How long a limit is kept whose target is not listed any more, and the end of a limit: much longer than an outage of the
 /// store, after which the target's entry can return, or a partition, after which a peer still has the limit.
 const UNLISTED_TTL_MS: u64 = 600_000;
-/// How long peers are told that a limit has ended.
+/// How long notices repeat the end of a limit.
 const ENDED_NOTICE_TTL_MS: u64 = 5_000;
-/// How long a node that need not use a target tells what the target named.
+/// How long notices repeat a limit that a node outside the subset has learned.
 const OBSERVED_NOTICE_TTL_MS: u64 = 1_000;
 
 /// A change of a target's limit.
@@ -37,7 +37,7 @@
     /// The node's incarnation.
     pub incarnation: u64,
     /// Whether a load report of the node arrived recently.
-    pub is_heard: bool,
+    pub is_reachable: bool,
 }
 
 /// The limits that targets have named, by the hash of their incarnations.
@@ -201,15 +201,15 @@
 
     fn share(&self) -> Share {
         let count = |peers: usize| u64::try_from(peers).unwrap_or(u64::MAX);
-        let heard = self.peers.iter().filter(|it| it.is_heard).count();
+        let reachable = self.peers.iter().filter(|it| it.is_reachable).count();
         Share {
-            heard: count(heard + 1),
+            reachable: count(reachable + 1),
             nodes: count(self.peers.len() + 1),
         }
     }
 }
 
-/// Returns how many of `peers` come before `own` in using a target. Each target has another order.
+/// Returns how many of `peers` join the subset of a target before `own`. Each target has another order.
 fn rank(own: Option<&Name>, peers: &[LimitPeer], incarnation: u64) -> u64 {
     let Some(own) = own.map(|own| weight(own, incarnation)) else {
         return 0;
--- a/eel-fleet/src/peers.rs
+++ b/eel-fleet/src/peers.rs
@@ -126,15 +126,13 @@
             .map(|peer| (peer.entry.address(), peer.entry.token))
     }
 
-    /// Returns all other nodes, sorted by name, and whether they are heard.
+    /// Returns all other nodes, sorted by name, with whether their load reports arrive.
     #[must_use]
     pub fn limit_peers(&self, now_ms: u64) -> Vec<LimitPeer> {
         let peers = self.peers.iter().map(|(name, peer)| LimitPeer {
             name: name.clone(),
             incarnation: peer.entry.incarnation,
-            is_heard: peer
-                .last_report_ms
-                .is_some_and(|last_report_ms| now_ms < last_report_ms + REPORT_TTL_MS),
+            is_reachable: peer.has_reported_within(now_ms, REPORT_TTL_MS),
         });
         let mut peers: Vec<LimitPeer> = peers.collect();
         peers.sort_by(|a, b| a.name.cmp(&b.name));
@@ -171,8 +169,12 @@
 
 impl Peer {
     fn has_recent_report(&self, now_ms: u64) -> bool {
+        self.has_reported_within(now_ms, PEER_TTL_MS)
+    }
+
+    fn has_reported_within(&self, now_ms: u64, ttl_ms: u64) -> bool {
         self.last_report_ms
-            .is_some_and(|last_report_ms| now_ms < last_report_ms + PEER_TTL_MS)
+            .is_some_and(|last_report_ms| now_ms < last_report_ms + ttl_ms)
     }
 
     /// Returns whether the node is listed or sent a report recently.
--- a/eel-fleet/tests/fleet/shared_limits.rs
+++ b/eel-fleet/tests/fleet/shared_limits.rs
@@ -1,6 +1,6 @@
-//! Nodes that keep the limits of targets together, and what becomes of a limit.
+//! Rate limits of targets that several nodes share, and their changes.
 //!
-//! Guards against nodes that exceed a limit together, because each one keeps it alone, counts too late or hears nothing of
+//! Guards against nodes that exceed a limit together, because each one keeps it alone, counts too late or does not reach
 //! the others, and against a target that stays limited after it has ceased to name a limit.
 
 use std::collections::VecDeque;
@@ -26,7 +26,7 @@
     delay_ms: u64,
     /// The share of lost notices, in percent.
     lost_percent: u32,
-    /// The number of groups that do not hear one another.
+    /// The number of groups that do not reach one another.
     groups: usize,
     /// The share of the steps at which a node has a request, in percent.
     demand_percent: u32,
@@ -40,13 +40,18 @@
     format!("node-{number}").into()
 }
 
-/// Returns the table of a node that has just heard of the limit.
-fn table(own: usize, nodes: usize, per_s: f64, hears: impl Fn(usize, usize) -> bool) -> LimitTable {
+/// Returns the table of a node that has just learned the limit.
+fn table(
+    own: usize,
+    nodes: usize,
+    per_s: f64,
+    reaches: impl Fn(usize, usize) -> bool,
+) -> LimitTable {
     let others = (0..nodes).filter(|other| *other != own);
     let peers = others.map(|other| LimitPeer {
         name: name(other),
         incarnation: other as u64,
-        is_heard: hears(own, other),
+        is_reachable: reaches(own, other),
     });
     let mut table = LimitTable::default();
     table.set_nodes(&name(own), peers.collect());
@@ -57,9 +62,9 @@
 /// Returns when requests were sent.
 fn simulate(shape: &Shape, seed: u64) -> Vec<u64> {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let hears = |a: usize, b: usize| a % shape.groups == b % shape.groups;
+    let reaches = |a: usize, b: usize| a % shape.groups == b % shape.groups;
     let mut nodes: Vec<LimitTable> = (0..shape.nodes)
-        .map(|own| table(own, shape.nodes, shape.per_s, hears))
+        .map(|own| table(own, shape.nodes, shape.per_s, reaches))
         .collect();
     let mut in_transit: VecDeque<(u64, usize, LimitNotice)> = VecDeque::new();
     let mut sent_ms = Vec::new();
@@ -96,7 +101,7 @@
                 sender: own as u64,
                 targets,
             };
-            for other in (0..shape.nodes).filter(|other| *other != own && hears(own, *other)) {
+            for other in (0..shape.nodes).filter(|other| *other != own && reaches(own, *other)) {
                 if rng.random_range(0..100) >= shape.lost_percent {
                     in_transit.push_back((now_ms + shape.delay_ms, other, notice.clone()));
                 }
