refactor(fleet): order nodes for a target in one place

The order of batch nodes at idle slots and that of the nodes that use a limited target are the same rendezvous hash, written twice. The hashes are unchanged, so that nodes of both versions agree.

--- a/eel-fleet/src/lib.rs
+++ b/eel-fleet/src/lib.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod queue;
 mod registry;
+mod rendezvous;
 mod report;
 mod selector;
 
--- a/eel-fleet/src/limit/table.rs
+++ b/eel-fleet/src/limit/table.rs
@@ -8,7 +8,7 @@
     LimitNotice, NamedLimit, RateLimit, TargetUsage,
     limiter::{Limiter, Observation, Share},
 };
-use crate::stable_hash;
+use crate::rendezvous;
 
 /// How long a limit is kept whose target is not listed any more, and the end of a limit: much longer than an outage of the
 /// store, after which the target's entry can return, or a partition, after which a peer still has the limit.
@@ -57,7 +57,7 @@
         }
         self.own = Some(own.clone());
         self.peers = peers;
-        let (own, peers) = (self.own.as_ref(), &self.peers);
+        let peers = &self.peers;
         for (&incarnation, limiter) in &mut self.limiters {
             limiter.rank = rank(own, peers, incarnation);
             limiter.retain_peers(|sender| peers.iter().any(|it| it.incarnation == sender));
@@ -187,8 +187,9 @@
         let share = self.share();
         let (own, peers) = (self.own.as_ref(), &self.peers);
         let limiter = self.limiters.entry(incarnation).or_insert_with(|| {
-            let seed = own.map_or(0, |own| weight(own, incarnation));
-            Limiter::new(rank(own, peers, incarnation), seed)
+            let rank = own.map_or(0, |own| rank(own, peers, incarnation));
+            let seed = own.map_or(0, |own| rendezvous::weight(own, &key_of(incarnation)));
+            Limiter::new(rank, seed)
         });
         limiter
             .observe(now_ms, observation, share)
@@ -209,17 +210,12 @@
     }
 }
 
-/// Returns how many of `peers` join the subset of a target before `own`. Each target has another order.
-fn rank(own: Option<&Name>, peers: &[LimitPeer], incarnation: u64) -> u64 {
-    let Some(own) = own.map(|own| weight(own, incarnation)) else {
-        return 0;
-    };
-    let before = peers
-        .iter()
-        .filter(|it| weight(&it.name, incarnation) > own);
-    before.count() as u64
+/// Returns how many of `peers` join the subset of a target before `own`.
+fn rank(own: &Name, peers: &[LimitPeer], incarnation: u64) -> u64 {
+    let peers = peers.iter().map(|it| &it.name);
+    rendezvous::rank(own, peers, &key_of(incarnation))
 }
 
-fn weight(node: &Name, incarnation: u64) -> u64 {
-    stable_hash(&format!("{node} {incarnation:x}"))
+fn key_of(incarnation: u64) -> String {
+    format!("{incarnation:x}")
 }
--- a/eel-fleet/src/selector.rs
+++ b/eel-fleet/src/selector.rs
@@ -14,6 +14,7 @@
     health::Health,
     leaving::LeavingTargets,
     limit::{LimitChange, LimitNotice, LimitPeer, LimitTable, NamedLimit, TargetUsage},
+    rendezvous,
     report::{MAX_PART_BITS, PeerReport, REPORT_TTL_MS, TargetLoad, finest_part, stable_hash},
 };
 
@@ -500,11 +501,10 @@
         let Some(target) = self.targets.get_mut(key) else {
             return;
         };
-        let weight = |node: &Name| stable_hash(&format!("{node} {}", target.entry.id));
-        let mut nodes = self.batch_nodes.iter();
-        let own = nodes.next().map(weight);
-        let before = nodes.filter(|node| Some(weight(node)) > own);
-        target.batch_rank = before.count() as u64;
+        let Some((own, others)) = self.batch_nodes.split_first() else {
+            return;
+        };
+        target.batch_rank = rendezvous::rank(own, others, &target.entry.id);
     }
 
     /// Returns this node's load at each target where it has an attempt in flight.
