--- a/eel-fleet/src/entry.rs
+++ b/eel-fleet/src/entry.rs
@@ -26,14 +26,11 @@
 }
 
 impl TargetEntry {
-    /// Returns a hash of the incarnation, the same on every node.
+    /// Returns a hash of the id and start, the same on every node.
     #[must_use]
     pub fn incarnation(&self) -> u64 {
         let started_unix_ms = self.started_unix_ms.unwrap_or_default();
-        stable_hash(&format!(
-            "{} {started_unix_ms} {} {}",
-            self.id, self.address, self.service
-        ))
+        stable_hash(&format!("{}/{started_unix_ms}", self.id))
     }
 
     /// Returns whether `other` announces the same incarnation for the same service at the same address.
--- a/eel-gateway/src/quarantine/crashes.rs
+++ b/eel-gateway/src/quarantine/crashes.rs
@@ -1,6 +1,6 @@
 //! Finds out whether a target has ended as it began a response, and what that says about the request.
 
-use eel_fleet::{TargetEntry, stable_hash};
+use eel_fleet::TargetEntry;
 use eel_quarantine::{Crash, PartSet, Scope};
 
 use super::Suspects;
@@ -24,7 +24,6 @@
     if Connection::open(target.address).await.is_ok() {
         return;
     }
-    let started_unix_ms = target.started_unix_ms.unwrap_or_default();
     context.metrics.early_ends.inc();
     log::info!(
         target: "quarantine", request_id = outgoing.request_id.as_str(), target_id = target.id.as_str(),
@@ -33,7 +32,6 @@
         "A target ended as it began a response."
     );
     let now_ms = context.clock.now_ms();
-    let target = stable_hash(&format!("{}/{started_unix_ms}", target.id));
     let parts = suspects.of(Scope::Parts);
     let is_explained = context.quarantine(Scope::Parts).blocks(parts);
     for scope in Scope::ALL {
@@ -43,7 +41,7 @@
             continue;
         }
         let crash = Crash {
-            target,
+            target: target.incarnation(),
             prompt: prompt.clone(),
         };
         let blocked = context.quarantine(scope).on_crash(now_ms, crash);
