perf(fleet): compute a service's capacity once for all waiting requests

Each step went over all targets of a service for every request that waits, to find out whether limits keep it from starting; it now does so once a step. `slots` had no use left beside `capacity`, which the tests ask instead; without limits both are the same sum.

--- a/eel-fleet/src/dispatch.rs
+++ b/eel-fleet/src/dispatch.rs
@@ -138,7 +138,8 @@
         {
             return Decision::Start(target);
         }
-        let rejection = self.rejection(now_ms, &service, ahead);
+        let capacity = self.selector.capacity(now_ms, &service);
+        let rejection = self.rejection(now_ms, &service, &capacity, ahead);
         let starts_at_ms = now_ms.saturating_add(rejection.expected_wait_ms);
         if starts_at_ms > waiting.reject_after_ms() {
             return Decision::Reject(rejection);
@@ -272,7 +273,9 @@
         let Some(state) = self.services.get(service) else {
             return;
         };
-        for (ahead, ticket) in state.queue.in_order(now_ms).into_iter().enumerate() {
+        let order = state.queue.in_order(now_ms);
+        let capacity = self.selector.capacity(now_ms, service);
+        for (ahead, ticket) in order.into_iter().enumerate() {
             let Some(waiting) = self
                 .services
                 .get(service)
@@ -282,7 +285,7 @@
                 continue;
             };
             let is_over = now_ms >= waiting.give_up_ms
-                || self.is_unservable(now_ms, service, ahead, &waiting);
+                || self.is_unservable(now_ms, service, &capacity, ahead, &waiting);
             let target = if is_over {
                 None
             } else {
@@ -291,7 +294,7 @@
             if target.is_none() && !is_over {
                 continue;
             }
-            let outcome = target.ok_or_else(|| self.rejection(now_ms, service, ahead));
+            let outcome = target.ok_or_else(|| self.rejection(now_ms, service, &capacity, ahead));
             dequeued.push(Dequeued {
                 service: service.clone(),
                 ticket,
@@ -325,14 +328,14 @@
         &self,
         now_ms: u64,
         service: &Name,
+        capacity: &Capacity,
         ahead: usize,
         waiting: &QueuedRequest,
     ) -> bool {
-        let capacity = self.selector.capacity(now_ms, service);
         match (capacity.slots, capacity.limited_targets) {
             (0, 0) => now_ms > waiting.reject_after_ms(),
             (0, _) => {
-                let rejection = self.rejection(now_ms, service, ahead);
+                let rejection = self.rejection(now_ms, service, capacity, ahead);
                 let starts_at_ms = now_ms.saturating_add(rejection.expected_wait_ms);
                 !waiting.accepts_late && starts_at_ms > waiting.give_up_ms
             }
@@ -341,12 +344,17 @@
     }
 
     /// Builds a rejection with the expected wait.
-    fn rejection(&self, now_ms: u64, service: &Name, ahead: usize) -> Rejection {
-        let capacity = self.selector.capacity(now_ms, service);
+    fn rejection(
+        &self,
+        now_ms: u64,
+        service: &Name,
+        capacity: &Capacity,
+        ahead: usize,
+    ) -> Rejection {
         let run_time_ms = self.run_time_ms(service);
         let ahead = u64::try_from(ahead).unwrap_or(u64::MAX);
         let ahead = ahead.saturating_add(self.waiting_at_peers(now_ms, service));
-        let expected_wait_ms = expected_wait_ms(now_ms, &capacity, run_time_ms, ahead);
+        let expected_wait_ms = expected_wait_ms(now_ms, capacity, run_time_ms, ahead);
         Rejection {
             retry_after_ms: clamp_retry_after(expected_wait_ms),
             expected_wait_ms,
--- a/eel-fleet/src/selector.rs
+++ b/eel-fleet/src/selector.rs
@@ -272,17 +272,6 @@
         })
     }
 
-    /// Returns the number of slots of a service's usable targets.
-    #[must_use]
-    pub fn slots(&self, now_ms: u64, service: &str) -> u32 {
-        let keys = self.services.get(service).into_iter().flatten();
-        let targets = keys.filter_map(|&key| self.targets.get(key));
-        targets
-            .filter(|it| it.is_usable(now_ms))
-            .map(|it| it.entry.slots)
-            .sum()
-    }
-
     /// Returns what the usable targets of a service can take.
     #[must_use]
     pub fn capacity(&self, now_ms: u64, service: &str) -> Capacity {
--- a/eel-fleet/tests/fleet/leaving_target.rs
+++ b/eel-fleet/tests/fleet/leaving_target.rs
@@ -79,8 +79,8 @@
 #[test]
 fn no_slots_count() {
     let mut selector = leaving();
-    assert_eq!(selector.slots(1, SERVICE), 2);
+    assert_eq!(selector.capacity(1, SERVICE).slots, 2);
     selector.remove_target("far");
-    assert_eq!(selector.slots(1, SERVICE), 0);
+    assert_eq!(selector.capacity(1, SERVICE).slots, 0);
     assert_eq!(chosen(&selector, 1, WorkKind::Online), None);
 }
--- a/eel-fleet/tests/fleet/target_choice.rs
+++ b/eel-fleet/tests/fleet/target_choice.rs
@@ -62,7 +62,7 @@
     leaving.is_draining = true;
     selector.set_target(leaving);
     assert_eq!(chosen(&selector, 0, WorkKind::Online), None);
-    assert_eq!(selector.slots(0, SERVICE), 0);
+    assert_eq!(selector.capacity(0, SERVICE).slots, 0);
 }
 
 #[test]
@@ -106,9 +106,9 @@
     let mut other = target("b", "dc-a", 5);
     other.service = "dispatch".into();
     selector.set_target(other);
-    assert_eq!(selector.slots(0, SERVICE), 2);
-    assert_eq!(selector.slots(0, "dispatch"), 5);
-    assert_eq!(selector.slots(0, "unknown"), 0);
+    assert_eq!(selector.capacity(0, SERVICE).slots, 2);
+    assert_eq!(selector.capacity(0, "dispatch").slots, 5);
+    assert_eq!(selector.capacity(0, "unknown").slots, 0);
 }
 
 #[test]
