--- a/eel-gateway/src/slots.rs
+++ b/eel-gateway/src/slots.rs
@@ -8,8 +8,8 @@
 
 use eel_fleet::{
     Arrival, AttemptOutcome, Decision, Dequeued, Dispatcher, LimitChange, LimitNotice, LimitPeer,
-    NamedLimit, PeerReport, Rejection, TargetEntry, TargetKey, TargetUsage, TicketKey, WorkKind,
-    report_interval_ms,
+    NamedLimit, PeerReport, Rejection, TargetEntry, TargetKey, TargetSelector, TargetUsage,
+    TicketKey, WorkKind, report_interval_ms,
 };
 use eel_types::{Clock, Name};
 use tokio::sync::{Notify, oneshot};
@@ -142,39 +142,30 @@
     /// Applies a peer's notice of the limits of targets.
     pub(crate) fn on_limit_notice(&self, notice: &LimitNotice) {
         let now_ms = self.clock.now_ms();
+        self.change_limits("a peer", |it| it.on_limit_notice(now_ms, notice));
+    }
+
+    /// Applies what `source` says of limits, and reports the changes.
+    fn change_limits<C: IntoIterator<Item = LimitChange>>(
+        &self,
+        source: &'static str,
+        apply: impl FnOnce(&mut TargetSelector) -> C,
+    ) {
         let mut inner = self.lock();
         let selector = inner.dispatcher.selector_mut();
-        let changes = selector.on_limit_notice(now_ms, notice);
-        drop(inner);
-        for change in &changes {
-            self.on_limit_change(change, "a peer");
+        let changes: Vec<LimitChange> = apply(selector).into_iter().collect();
+        if changes.is_empty() {
+            return;
         }
-    }
-
-    /// Reports a change of a target's limit, which `source` has told of.
-    fn on_limit_change(&self, change: &LimitChange, source: &'static str) {
-        let inner = self.lock();
-        let selector = inner.dispatcher.selector();
-        let key = selector.key_of(change.incarnation);
-        let target = key.and_then(|key| selector.entry(key));
-        let target_id = target.map_or_else(|| "".into(), |it| it.id.clone());
         let limited = i64::try_from(selector.limited_targets()).unwrap_or(i64::MAX);
-        drop(inner);
         self.metrics.limited_targets.set(limited);
-        match change.limit {
-            Some(limit) => {
-                log::info!(
-                    target: "limits", target_id = target_id.as_str(), per_1000_s = limit.per_1000_s(), sent = change.sent, source;
-                    "A target limits the rate of requests."
-                );
-            }
-            None => {
-                log::info!(
-                    target: "limits", target_id = target_id.as_str(), sent = change.sent, source;
-                    "A target does not limit the rate of requests any more."
-                );
-            }
+        for change in &changes {
+            let key = selector.key_of(change.incarnation);
+            let target = key.and_then(|key| selector.entry(key));
+            let target_id = target.map_or("", |it| it.id.as_str());
+            log_limit_change(target_id, change, source);
         }
+        drop(inner);
         self.limits_changed.notify_one();
     }
 
@@ -304,13 +295,9 @@
             return;
         }
         let (now_ms, asked_ms) = (self.slots.clock.now_ms(), self.started_ms);
-        let mut inner = self.slots.lock();
-        let selector = inner.dispatcher.selector_mut();
-        let change = selector.on_limit(now_ms, self.key, asked_ms, limit);
-        drop(inner);
-        if let Some(change) = change {
-            self.slots.on_limit_change(&change, "a response");
-        }
+        self.slots.change_limits("a response", |it| {
+            it.on_limit(now_ms, self.key, asked_ms, limit)
+        });
     }
 
     /// Records the head of a response from the target.
@@ -351,6 +338,23 @@
     }
 }
 
+fn log_limit_change(target_id: &str, change: &LimitChange, source: &'static str) {
+    match change.limit {
+        Some(limit) => {
+            log::info!(
+                target: "limits", target_id, per_1000_s = limit.per_1000_s(), sent = change.sent, source;
+                "A target limits the rate of requests."
+            );
+        }
+        None => {
+            log::info!(
+                target: "limits", target_id, sent = change.sent, source;
+                "A target does not limit the rate of requests any more."
+            );
+        }
+    }
+}
+
 fn ms_to_s(ms: u64) -> f64 {
     const MS_PER_S: f64 = 1_000.0;
     f64::from(u32::try_from(ms).unwrap_or(u32::MAX)) / MS_PER_S
