--- a/eel-entry/src/serve/run.rs
+++ b/eel-entry/src/serve/run.rs
@@ -152,7 +152,7 @@
     ///
     /// # Errors
     ///
-    /// The final refusal if there is no target and no other attempt in flight.
+    /// The refusal of the request, if no target is left; it is final unless other attempts are in flight.
     fn start(&mut self) -> Result<(), Refusal> {
         let (context, request) = (self.context, self.request);
         let query = TargetQuery {
@@ -201,7 +201,7 @@
         }
     }
 
-    /// Retries after a failed attempt, or returns the final refusal if no other attempt is in flight.
+    /// Retries after a failed attempt, or returns a refusal, which is final unless other attempts are in flight.
     fn on_failure(&mut self, refusal: Refusal) -> Option<Refusal> {
         let failed = FailedAttempt::from(refusal);
         let decision = self.context.routing.on_attempt_failed(
@@ -216,7 +216,7 @@
     }
 }
 
-/// Waits until a connection is silent; for ever if there is none.
+/// Completes once the connection is silent; never if there is none.
 async fn is_silent(silent: Option<&CancellationToken>) {
     match silent {
         Some(silent) => silent.cancelled().await,
--- a/eel-fleet/src/selector.rs
+++ b/eel-fleet/src/selector.rs
@@ -518,7 +518,7 @@
     Any,
     /// A slot at a target that limits the rate of requests.
     Limited,
-    /// A slot that a batch item has to give up.
+    /// A slot whose batch item is cancelled for the request.
     UnderBatch,
 }
 
--- a/eel-gateway/src/quarantine/suspects.rs
+++ b/eel-gateway/src/quarantine/suspects.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use eel_fleet::stable_hash;
-use eel_platform::{caller_name, shared_parts};
+use eel_platform::{caller_credentials, shared_parts};
 use eel_quarantine::{Part, Prompt, RequestIdentity, Scope};
 use http::{header, request::Parts};
 
@@ -23,7 +23,7 @@
             method: head.method.as_str(),
             host: &host.to_ascii_lowercase(),
             path: path.map_or("", http::uri::PathAndQuery::as_str),
-            caller: caller_name(&head.headers),
+            caller: caller_credentials(&head.headers),
             body,
         };
         let fingerprint = identity.fingerprint();
--- a/eel-quarantine/src/fingerprint.rs
+++ b/eel-quarantine/src/fingerprint.rs
@@ -13,7 +13,7 @@
     pub host: &'a [u8],
     /// The path with the query.
     pub path: &'a str,
-    /// Who the caller is, as the request says; empty if it does not.
+    /// The credentials of the caller; empty if the request has none.
     pub caller: &'a [u8],
     /// The body.
     pub body: &'a [u8],
