fix(gateway): let the retry of a request without parts not wait for the check of its target

Since requests without parts are suspects too, their retry waited until a connection to the target that had broken off was opened or refused, up to 300 ms where the target is dark. Such a request is blamed 200 ms later at the earliest, so the wait kept nothing from targets; the check now runs beside the retry, as there was none before. With parts, which are blamed at once, the retry waits as before. No test shows the wait, which would need a bound on the clock.

--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -56,7 +56,7 @@
 impl Run {
     /// Runs the item at the target of `slot` until it ends or is interrupted.
     pub async fn run(&mut self, slot: SlotGuard) -> RunOutcome {
-        let Some(outgoing) = to_outgoing(&self.head, &self.item) else {
+        let Some(outgoing) = to_outgoing(&self.head, &self.item).map(Arc::new) else {
             return RunOutcome::Rejected;
         };
         let now = Instant::now();
@@ -82,7 +82,7 @@
 
     async fn read(
         &mut self,
-        outgoing: &OutgoingRequest,
+        outgoing: &Arc<OutgoingRequest>,
         mut target_response: TargetResponse,
         idle_timeout: Duration,
         deadline: Instant,
@@ -156,7 +156,7 @@
     /// Returns the outcome of a run whose `target` failed or was silent after so many events.
     async fn failed(
         &mut self,
-        outgoing: &OutgoingRequest,
+        outgoing: &Arc<OutgoingRequest>,
         failure: AttemptFailure,
         target: &TargetEntry,
         events: u64,
--- a/eel-gateway/src/quarantine/crashes.rs
+++ b/eel-gateway/src/quarantine/crashes.rs
@@ -1,5 +1,7 @@
 //! Finds out whether a target has ended as it began a response, and what that says about the request.
 
+use std::sync::Arc;
+
 use eel_fleet::TargetEntry;
 use eel_quarantine::{Crash, PartSet, Scope};
 
@@ -11,15 +13,22 @@
 
 /// Records that the response of `target` to a request or item failed as it began, if the target has ended as well.
 pub(crate) async fn on_early_end(
-    context: &Context,
+    context: &Arc<Context>,
     target: &TargetEntry,
-    outgoing: &OutgoingRequest,
+    outgoing: &Arc<OutgoingRequest>,
 ) {
     let suspects = &outgoing.suspects;
-    let is_empty = |scope| suspects.of(scope).parts.is_empty();
-    if Scope::ALL.into_iter().all(is_empty) {
-        return;
+    if !suspects.of(Scope::Parts).parts.is_empty() {
+        record_if_ended(context, target, outgoing).await;
+    } else if !suspects.of(Scope::Requests).parts.is_empty() {
+        // A request is not blamed before others that were broken off are known, so that its retry need not wait.
+        let (context, target, outgoing) = (context.clone(), target.clone(), outgoing.clone());
+        tokio::spawn(async move { record_if_ended(&context, &target, &outgoing).await });
     }
+}
+
+async fn record_if_ended(context: &Context, target: &TargetEntry, outgoing: &OutgoingRequest) {
+    let suspects = &outgoing.suspects;
     // A target that accepts connections has only lost one of them.
     if Connection::open(target.address).await.is_ok() {
         return;
