--- a/eel-fleet/src/limit/rate.rs
+++ b/eel-fleet/src/limit/rate.rs
@@ -35,10 +35,12 @@
         }
         let interval = Duration::try_from_secs_f64(per_s.max(MIN_PER_S).recip()).ok()?;
         let interval_us = u64::try_from(interval.as_micros()).ok()?;
-        Some(Self { interval_us })
+        Some(Self {
+            interval_us: interval_us.max(1),
+        })
     }
 
-    /// Returns the time from one request to the next, in µs; at least 1.
+    /// Returns the time from one request to the next, in µs; at least 1, also if a peer sent 0.
     #[must_use]
     pub fn interval_us(self) -> u64 {
         self.interval_us.max(1)
