--- a/review/standin/harness.py
+++ b/review/standin/harness.py
@@ -54,11 +54,12 @@
         """Writes a line to the record, with the time in seconds."""
         print(f"{self.now():8.3f}", *words, file=self.record_file, flush=True)
 
-    async def start_node(self, role, name, zone="zone-a"):
-        """Starts a program of the deploy file with its template; returns its addresses by the name of the field."""
+    async def start_node(self, role, name, zone="zone-a", store_port=None):
+        """Starts a program of the deploy file with its template; returns its addresses by the name of the field. It reaches
+        the store at `store_port` if one is given."""
         plan = self.deploy["roles"][role]
         fields = BOUNDS | {"nodeName": name, "zone": zone, "ip": "127.0.0.1", "portRange.0": str(free_port())}
-        fields |= {"platform.address": f"127.0.0.1:{self.store.port}"}
+        fields |= {"platform.address": f"127.0.0.1:{store_port or self.store.port}"}
         fields |= {"listen.front": f"127.0.0.1:{free_port()}", "listen.ready": f"127.0.0.1:{free_port()}"}
         text = (ROOT / plan["template"]).read_text()
         path = Path(self.temporary.name) / f"{name}.ini"
