--- a/review/standin/harness.py
+++ b/review/standin/harness.py
@@ -82,10 +82,11 @@
             await asyncio.sleep(0.1)
         raise RuntimeError("the front node did not get ready")
 
-    async def start_runner(self, id, service, port=None, slots=4, first_ms=100, gap_ms=50, events=20, version="v1"):
-        """Starts a runner and lists it in the store."""
+    async def start_runner(self, id, service, port=None, slots=4, first_ms=100, gap_ms=50, events=20, version="v1",
+                           listed_after_s=0.0):
+        """Starts a runner and lists it in the store, at once or after a part of a heartbeat."""
         port = port or free_port()
-        words = [id, port, slots, first_ms, gap_ms, events]
+        words = [id, port, slots, first_ms, gap_ms, events, version]
         process = await asyncio.create_subprocess_exec(
             sys.executable, str(HERE / "runner.py"), *map(str, words), stdout=asyncio.subprocess.PIPE)
         self.processes.append(process)
@@ -95,8 +96,10 @@
         asyncio.get_running_loop().create_task(self.follow(runner))
         entry = {"service": service, "address": f"127.0.0.1:{port}", "zone": "zone-a", "version": version}
         entry |= {"slots": slots, "state": "ready", "coldLeftMs": 0, "callSeq": 0, "born": int(time.time() * 1000)}
+        self.record("runner", id, "serves at port", port, "at version", version)
+        await asyncio.sleep(listed_after_s)
         self.store.put(f"servers/{id}", entry)
-        self.record("runner", id, "is listed at port", port)
+        self.record("runner", id, "is listed at version", version)
         return runner
 
     async def follow(self, runner):
@@ -115,7 +118,8 @@
 
         async def lapse():
             await asyncio.sleep(3 * HEARTBEAT_S)
-            self.store.remove(f"servers/{runner['id']}")
+            if self.runners[runner["id"]] is runner:
+                self.store.remove(f"servers/{runner['id']}")
 
         asyncio.get_running_loop().create_task(lapse())
 
--- a/review/standin/runner.py
+++ b/review/standin/runner.py
@@ -1,6 +1,6 @@
 """A stand-in for a model runner: one process that streams numbered events, as PROTOCOL.md describes it.
 
-Usage: runner.py ID PORT SLOTS FIRST_MS GAP_MS EVENTS
+Usage: runner.py ID PORT SLOTS FIRST_MS GAP_MS EVENTS VERSION
 
 Prints a line for each thing that happens: `ready`, `got ID AFTER`, `full ID`, `end ID`.
 
@@ -15,6 +15,7 @@
 import http1
 
 ID, PORT, SLOTS, FIRST_MS, GAP_MS, EVENTS = sys.argv[1], *map(int, sys.argv[2:7])
+VERSION = sys.argv[7]
 running = 0
 
 
@@ -44,7 +45,7 @@
         writer.write(http1.head(200, echo | seal | {"Transfer-Encoding": "chunked"}))
         await asyncio.sleep(FIRST_MS / 1000)
         for number in range(after + 1, EVENTS + 1):
-            event = f"id: {number}\ndata: word{number} of {attempt}\n\n".encode()
+            event = f"id: {number}\ndata: word{number} by {VERSION}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(GAP_MS / 1000)
