fix(fleet,gateway): tell an outage of the store by the leases that it renews

Cause: any failed call of a node, also one on a dead connection, counted as an outage of the store. Targets whose entries were removed then stayed in use for 2.5 s after this node's next success, again after each further failure, until the next renewal of the lease.

Change: the store was away if no lease of any node was renewed for 2 s, as this node's renewals and the peers' reports say. The grace period counts from the store's return, once, and ends by a timer.

Evidence: removed_as_connections_go_silent, removed_between_failed_calls and removed_while_one_node_is_turned_away failed before (28, 15 and 1 requests after the bounds) and pass now; lapsed_in_an_outage holds before and after.

--- a/eel-fleet/src/registry.rs
+++ b/eel-fleet/src/registry.rs
@@ -2,7 +2,7 @@
 //!
 //! A target's entry disappears when the target leaves, but also when its lease expires while the store is unreachable.
 //! The two look alike, so an entry that disappears around an outage is kept for [`RETURN_GRACE_MS`] after the store's
-//! return.
+//! return. A failed call is no outage: the store was away if it has renewed no node's lease for a while.
 
 use std::collections::HashMap;
 
@@ -12,6 +12,9 @@
 
 /// How long after the store's return a missing entry may still reappear. The platform states about 2 s.
 pub const RETURN_GRACE_MS: u64 = 2_500;
+/// How long the store has to renew no lease of any node before those of targets may have expired: they last for three
+/// heartbeats, one of which may have passed.
+pub const MIN_OUTAGE_MS: u64 = 2_000;
 
 /// The entries of the listed targets, and of those whose lease may only have expired.
 #[derive(Debug, Default)]
@@ -19,18 +22,10 @@
     entries: HashMap<Name, TargetEntry>,
     /// Targets whose entry disappeared around an outage and may still reappear.
     expired: Vec<Name>,
-    store: StoreState,
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-enum StoreState {
-    #[default]
-    Reachable,
-    Unreachable,
-    /// Reachable again since `at_ms`, with entries that may still reappear.
-    Returned {
-        at_ms: u64,
-    },
+    /// A time after which the store is not known to have renewed a lease; `None` before the first renewal.
+    renewed_ms: Option<u64>,
+    /// When the store returned from its last outage; `None` if entries cannot reappear any more.
+    returned_ms: Option<u64>,
 }
 
 impl Registry {
@@ -72,16 +67,14 @@
             .collect()
     }
 
-    /// Records that the store is unreachable.
-    pub fn on_store_lost(&mut self) {
-        self.store = StoreState::Unreachable;
-    }
-
-    /// Records that the store is reachable again, which starts the grace period of expired entries.
-    pub fn on_store_back(&mut self, now_ms: u64) {
-        if matches!(self.store, StoreState::Unreachable) {
-            self.store = StoreState::Returned { at_ms: now_ms };
+    /// Records that the store renewed a lease of this node or another one between `from_ms` and `until_ms`. If it may have
+    /// renewed none for [`MIN_OUTAGE_MS`], it has returned from an outage.
+    pub fn on_lease_renewed(&mut self, from_ms: u64, until_ms: u64) {
+        let last_ms = *self.renewed_ms.get_or_insert(from_ms);
+        if until_ms >= last_ms + MIN_OUTAGE_MS {
+            self.returned_ms = Some(until_ms);
         }
+        self.renewed_ms = Some(last_ms.max(from_ms));
     }
 
     /// Removes the targets whose entries did not reappear within the grace period, and returns their ids.
@@ -89,7 +82,7 @@
         if self.may_have_expired(now_ms) {
             return Vec::new();
         }
-        self.store = StoreState::Reachable;
+        self.returned_ms = None;
         let gone = std::mem::take(&mut self.expired);
         for id in &gone {
             self.entries.remove(id);
@@ -103,10 +96,12 @@
     }
 
     fn may_have_expired(&self, now_ms: u64) -> bool {
-        match self.store {
-            StoreState::Reachable => false,
-            StoreState::Unreachable => true,
-            StoreState::Returned { at_ms } => now_ms < at_ms + RETURN_GRACE_MS,
-        }
+        let is_away = self
+            .renewed_ms
+            .is_some_and(|at_ms| now_ms >= at_ms + MIN_OUTAGE_MS);
+        let has_just_returned = self
+            .returned_ms
+            .is_some_and(|at_ms| now_ms < at_ms + RETURN_GRACE_MS);
+        is_away || has_just_returned
     }
 }
--- a/eel-fleet/src/report.rs
+++ b/eel-fleet/src/report.rs
@@ -53,7 +53,7 @@
     /// The newest store revision that the sender may have shown to callers, for nodes of earlier versions, which compare
     /// it with their own.
     pub shown_revision: u64,
-    /// Whether the store responded to the sender recently.
+    /// Whether the store renewed the sender's lease within the last second.
     pub reaches_store: bool,
     /// Whether the sender currently accepts items of batch jobs.
     pub takes_batch: bool,
--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -26,6 +26,10 @@
 /// of one call.
 const STORE_FRESH_MS: u64 = 2_500;
 
+/// How long after a renewal of its lease a node tells its peers that it reaches the store, in ms: the interval of renewals
+/// and the time of one call.
+const LEASE_CONTACT_MS: u64 = 1_000;
+
 /// State shared by all tasks of the node.
 pub(crate) struct Context {
     pub(crate) name: Name,
@@ -62,6 +66,8 @@
     pub(crate) entry_lost: Notify,
     /// The time of the store's last response, in ms on `clock`; 0 before the first one.
     store_responded_ms: AtomicU64,
+    /// When the node's lease was last renewed, in ms on `clock`; 0 before the first time.
+    lease_renewed_ms: AtomicU64,
     /// Nodes that the operator wants to retire and that this node has not yet reported empty.
     retirements: Mutex<BTreeSet<Name>>,
     /// Whether the operator wants to retire this node.
@@ -114,6 +120,7 @@
             batch_wake: Notify::new(),
             entry_lost: Notify::new(),
             store_responded_ms: AtomicU64::new(0),
+            lease_renewed_ms: AtomicU64::new(0),
             retirements: Mutex::default(),
             is_retiring: AtomicBool::new(false),
             draining: CancellationToken::new(),
@@ -202,13 +209,26 @@
         if self.metrics.store_reachable.set(1) == 0 {
             log::info!(target: "store", "The store is reachable.");
         }
-        self.registry().on_store_back(now_ms);
+    }
+
+    /// Records that the store has renewed this node's lease, or could have.
+    pub(crate) fn on_lease_renewed(&self) {
+        let now_ms = self.clock.now_ms();
+        self.lease_renewed_ms
+            .store(now_ms.max(1), Ordering::Relaxed);
+        self.registry().on_lease_renewed(now_ms, now_ms);
+    }
+
+    /// Records that a peer's lease has been renewed within [`LEASE_CONTACT_MS`].
+    pub(crate) fn on_peer_lease_renewed(&self) {
+        let now_ms = self.clock.now_ms();
+        let from_ms = now_ms.saturating_sub(LEASE_CONTACT_MS);
+        self.registry().on_lease_renewed(from_ms, now_ms);
     }
 
     /// Records a failed call to the store; `what` names the operation in the log.
     pub(crate) fn on_store_failure(&self, what: &'static str, error: &dyn std::fmt::Display) {
         self.metrics.store_failures.inc();
-        self.registry().on_store_lost();
         if self.metrics.store_reachable.set(0) == 1 {
             log::warn!(target: "store", what, error:% = error; "A call to the store failed; the store counts as unreachable.");
         }
@@ -220,6 +240,12 @@
         responded_ms > 0 && self.clock.now_ms() < responded_ms + STORE_FRESH_MS
     }
 
+    /// Returns whether the node's lease has been renewed within [`LEASE_CONTACT_MS`].
+    pub(crate) fn reaches_store(&self) -> bool {
+        let renewed_ms = self.lease_renewed_ms.load(Ordering::Relaxed);
+        renewed_ms > 0 && self.clock.now_ms() < renewed_ms + LEASE_CONTACT_MS
+    }
+
     /// Returns whether the last call to the store failed or none has succeeded yet.
     pub(crate) fn is_store_failing(&self) -> bool {
         self.metrics.store_reachable.get() == 0
--- a/eel-gateway/src/node.rs
+++ b/eel-gateway/src/node.rs
@@ -20,7 +20,7 @@
     context::{Context, ContextOptions},
     http::{serve_callers, serve_readiness},
     limits, origins, quarantine, reports,
-    store::{follow, keep_entry},
+    store::{expire_targets, follow, keep_entry},
 };
 
 /// How long the node keeps accepting connections after it has stopped being ready: the load balancer checks readiness
@@ -29,7 +29,8 @@
 /// How long the store may hold a watch call while there are no changes, in ms. Together with the call timeout of one
 /// second, a lost response is detected within the 3 s after which a node without faults must know the newest routes.
 const WATCH_WAIT_MS: u64 = 1_500;
-/// How often waiting requests are dispatched or rejected while no other event does so.
+/// How often waiting requests are dispatched or rejected while no other event does so, and targets are dropped that have not
+/// reappeared after an outage of the store.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// How often expired idle connections are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
@@ -281,13 +282,14 @@
     });
 }
 
-/// Periodically dispatches waiting requests and closes expired idle connections.
+/// Periodically dispatches waiting requests, drops targets that have not reappeared and closes expired idle connections.
 async fn tick(context: &Context) {
     let mut ticks = interval(TICK_INTERVAL);
     let mut swept = Instant::now();
     loop {
         ticks.tick().await;
         context.slots.update(|_| ());
+        expire_targets(context);
         if swept.elapsed() >= SWEEP_INTERVAL {
             swept = Instant::now();
             context.pool.sweep(swept.into_std());
--- a/eel-gateway/src/reports.rs
+++ b/eel-gateway/src/reports.rs
@@ -30,7 +30,7 @@
             sender: context.incarnation,
             sequence,
             shown_revision: context.shown_revision().0,
-            reaches_store: context.is_store_fresh() && !context.is_store_failing(),
+            reaches_store: context.reaches_store(),
             takes_batch: context.takes_batch(),
             ..context.slots.report()
         };
@@ -93,6 +93,9 @@
 fn on_report(context: &Context, report: &PeerReport) {
     let now_ms = context.clock.now_ms();
     context.peers().on_report(now_ms, report);
+    if report.reaches_store {
+        context.on_peer_lease_renewed();
+    }
     context
         .slots
         .update(|dispatcher| dispatcher.on_report(now_ms, report));
--- a/eel-gateway/src/store/mod.rs
+++ b/eel-gateway/src/store/mod.rs
@@ -4,5 +4,6 @@
 mod follow;
 mod membership;
 
+pub(crate) use apply::expire_targets;
 pub(crate) use follow::{follow, load_job, load_results};
 pub(crate) use membership::keep_entry;
--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod endless_bytes;
 mod fatal_part;
 mod fixture;
+mod gone_targets;
 mod graceful_stop;
 mod item_versions;
 mod leaving_caller;
