fix(gateway,platform): take a refusal for the attempt that it names only

Operators of similar systems saw: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that it ran (REFUSED), or these ran at a second target (TWICE). It could happen here.

Cause: a refusal without a request id was taken for that of the present request, the first of several ids counted, and a request that was refused could be sent again over the connection of the refusal, where its own id proves nothing.

--- a/eel-gateway/src/target/connection.rs
+++ b/eel-gateway/src/target/connection.rs
@@ -3,6 +3,7 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use eel_types::Name;
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -19,9 +20,16 @@
 /// The interval of TCP keep-alive probes on a connection that waits for a response.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The maximum number of refusals after which a connection is kept.
+const MAX_REFUSALS: usize = 16;
+
 /// A connection to a target; dropping it closes it.
 pub struct Connection {
     pub sender: SendRequest<Full<Bytes>>,
+    /// Whether it had a request before the present one.
+    pub is_kept: bool,
+    /// The ids of the requests that the target refused on it.
+    refused: Vec<Name>,
     task: JoinHandle<()>,
 }
 
@@ -50,7 +58,28 @@
                 log::debug!(target: "target", "The connection to the target at {address} ended with an error: {error}.");
             }
         });
-        Ok(Self { sender, task })
+        Ok(Self {
+            sender,
+            is_kept: false,
+            refused: Vec::new(),
+            task,
+        })
+    }
+
+    /// Records that the target refused a request. A refusal that comes again must not be taken for that of a later attempt, so
+    /// the connection does not get this request any more.
+    pub fn on_refusal(&mut self, request_id: &str) {
+        self.refused.push(request_id.into());
+    }
+
+    /// Returns whether a request may be sent over the connection.
+    pub fn may_send(&self, request_id: &str) -> bool {
+        !self.refused.iter().any(|it| **it == *request_id)
+    }
+
+    /// Returns whether the connection may be kept for further requests.
+    pub fn may_be_kept(&self) -> bool {
+        self.refused.len() < MAX_REFUSALS
     }
 }
 
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -110,9 +110,12 @@
     deadline: Instant,
 ) -> Result<TargetResponse, AttemptFailure> {
     let sent = send(pool, &slot, outgoing, last_event_id, until, deadline).await;
-    let (connection, response) = sent.inspect_err(|failure| slot.set_outcome(failure.outcome()))?;
+    let (mut connection, response) =
+        sent.inspect_err(|failure| slot.set_outcome(failure.outcome()))?;
     let (parts, body) = response.into_parts();
-    let fields = response_fields(&outgoing.request_id, parts.status, &parts.headers);
+    let request_id = outgoing.request_id.as_str();
+    let is_kept = connection.is_kept;
+    let fields = response_fields(request_id, parts.status, &parts.headers, is_kept);
     if fields.is_leaving {
         slot.on_leaving();
     }
@@ -121,6 +124,7 @@
     }
     if let Err(failure) = check(fields.kind) {
         slot.set_outcome(failure.outcome());
+        connection.on_refusal(request_id);
         if !matches!(failure, AttemptFailure::InvalidResponse) && !fields.closes {
             return_connection(pool, &slot, connection, &body, fields.keep_alive);
         }
@@ -164,7 +168,7 @@
         last_event_id,
         deadline.saturating_duration_since(now),
     );
-    let request = match pool.take(now, address) {
+    let request = match pool.take(now, address, &outgoing.request_id) {
         None => request,
         Some(connection) => match try_send(connection, request, slot, until).await {
             Ok(sent) => return Ok(sent),
--- a/eel-gateway/src/target/pool.rs
+++ b/eel-gateway/src/target/pool.rs
@@ -29,19 +29,18 @@
 }
 
 impl Pool {
-    /// Takes a connection that can be reused.
-    pub fn take(&self, now: Instant, address: SocketAddr) -> Option<Connection> {
+    /// Takes a connection that can be reused for the request `request_id`.
+    pub fn take(&self, now: Instant, address: SocketAddr, request_id: &str) -> Option<Connection> {
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
-        while let Some(it) = connections.pop() {
-            if now < it.expires_at
-                && it.connection.sender.is_ready()
-                && !it.connection.sender.is_closed()
-            {
-                return Some(it.connection);
-            }
-        }
-        None
+        connections.retain(|it| {
+            let sender = &it.connection.sender;
+            now < it.expires_at && sender.is_ready() && !sender.is_closed()
+        });
+        let index = connections
+            .iter()
+            .rposition(|it| it.connection.may_send(request_id))?;
+        Some(connections.remove(index).connection)
     }
 
     /// Returns a connection whose last response was read to its end; closes it if the target has enough idle ones.
@@ -49,9 +48,13 @@
         &self,
         now: Instant,
         address: SocketAddr,
-        connection: Connection,
+        mut connection: Connection,
         keep_alive: Option<Duration>,
     ) {
+        if !connection.may_be_kept() {
+            return;
+        }
+        connection.is_kept = true;
         let life = keep_alive.map_or(DEFAULT_IDLE_TIMEOUT, |stated| {
             stated.saturating_sub(IDLE_TIMEOUT_MARGIN)
         });
--- a/eel-gateway/tests/gateway/gone_targets.rs
+++ b/eel-gateway/tests/gateway/gone_targets.rs
@@ -134,10 +134,10 @@
         let fleet = fleet(2, 2).await;
         sleep(SETTLE_TIME).await;
         fleet.store.set_fault(fault);
-        sleep(Duration::from_millis(1_000)).await;
+        sleep(Duration::from_secs(1)).await;
         fleet.store.remove("servers/i-0");
         fleet.store.compact();
-        sleep(Duration::from_millis(1_000)).await;
+        sleep(Duration::from_secs(1)).await;
         fleet.store.set_fault(StoreFault::None);
         sleep(CONTACT_TIME).await;
         assert_unused(&fleet, 0, &format!("{fault:?}")).await;
--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod lost_entry;
 mod named_limit;
 mod refused_requests;
+mod repeated_refusal;
 mod repeated_request;
 mod resumed_stream;
 mod silent_target;
