--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod leaving_target;
 mod lost_entry;
 mod named_limit;
+mod odd_entries;
 mod refused_requests;
 mod repeated_refusal;
 mod repeated_request;
