fix(gateway): ask a target when it started before it may continue a response

Cause: the version of a target was read from its entry, which is older than the process by a heartbeat and a watch, or by seconds at a node out of step. The id, which the target checks, is the same after a restart in its place.

Change: before a request whose response may be continued (resumable streams, items) is sent, the node asks over the same connection when the target started, once for each connection, and sends nothing if that is not the start that the entry announces. A target that does not tell continues nothing.

Evidence: the five tests of restarted_target failed without the question and pass with it: within a response, taken up, begun before the new entry, items, a node out of step. broken_stream_leaves_its_slot sent its two streams one after the other and failed now, as the first one's resumed run took the break that was meant for the second (r1 ran twice, r2 not at all, by the stand-in's counts); it sends them at once, as its head says, and checks that both were resumed.

--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -211,6 +211,7 @@
         body: item.body.clone(),
         request_id: item.id.as_str().to_owned(),
         adds_id: true,
+        is_continuable: true,
         suspects: suspects_of(item),
     })
 }
--- a/eel-gateway/src/online/request.rs
+++ b/eel-gateway/src/online/request.rs
@@ -65,6 +65,7 @@
             .filter(|_| route.kind.is_resumable());
         let service = route.service_for(resumed.unwrap_or(&request_id))?.clone();
         let suspects = Suspects::of_request(&request_id, &head, &body);
+        let is_continuable = route.kind.is_resumable();
         let arrived = Instant::now();
         let allowed_ms = fields.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
         let allowed = Duration::from_millis(allowed_ms).saturating_sub(DEADLINE_MARGIN);
@@ -80,6 +81,7 @@
                 body,
                 request_id: request_id.as_str().to_owned(),
                 adds_id: false,
+                is_continuable,
             }),
             arrived,
             deadline: arrived + allowed,
--- a/eel-gateway/src/target/connection.rs
+++ b/eel-gateway/src/target/connection.rs
@@ -25,7 +25,10 @@
 
 /// A connection to a target; dropping it closes it.
 pub struct Connection {
+    pub address: SocketAddr,
     pub sender: SendRequest<Full<Bytes>>,
+    /// The target's incarnation that the process at the other end has said to be; `None` if it was not asked.
+    pub incarnation: Option<u64>,
     /// Whether it had a request before the present one.
     pub is_kept: bool,
     /// The ids of the requests that the target refused on it.
@@ -59,7 +62,9 @@
             }
         });
         Ok(Self {
+            address,
             sender,
+            incarnation: None,
             is_kept: false,
             refused: Vec::new(),
             task,
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -3,6 +3,7 @@
 use std::{
     convert::Infallible,
     future::pending,
+    net::SocketAddr,
     time::{Duration, Instant},
 };
 
@@ -17,7 +18,12 @@
 use hyper::body::Incoming;
 use tokio::time::{sleep, timeout_at};
 
-use super::{connection::Connection, framing::BodyFraming, pool::Pool};
+use super::{
+    connection::Connection,
+    framing::BodyFraming,
+    identity::{Identity, identify},
+    pool::Pool,
+};
 use crate::{quarantine::Suspects, slots::SlotGuard};
 
 /// How long a target may leave a request without the head of a response before other requests avoid it.
@@ -33,6 +39,8 @@
     pub request_id: String,
     /// Whether the request's id has to be added because `headers` do not carry it.
     pub adds_id: bool,
+    /// Whether its response may be continued, at a target of the same version only.
+    pub is_continuable: bool,
     /// What can crash targets in the request.
     pub suspects: Suspects,
 }
@@ -161,61 +169,95 @@
     deadline: Instant,
 ) -> Result<(Connection, Response<Incoming>), AttemptFailure> {
     let address = slot.target.address;
-    let now = Instant::now();
-    let request = to_request(
-        slot,
-        outgoing,
-        last_event_id,
-        deadline.saturating_duration_since(now),
-    );
-    let request = match pool.take(now, address, &outgoing.request_id) {
-        None => request,
-        Some(connection) => match try_send(connection, request, slot, until).await {
-            Ok(sent) => return Ok(sent),
-            Err((failure, None)) => return Err(failure),
-            Err((_, Some(unsent))) => *unsent,
-        },
+    let send_over = async |connection| {
+        let connection = verify(connection, slot, outgoing, last_event_id, until).await?;
+        let left = deadline.saturating_duration_since(Instant::now());
+        let request = to_request(slot, outgoing, last_event_id, left);
+        try_send(connection, request, slot, until).await
     };
-    let connection = Connection::open(address).await.map_err(|error| {
+    if let Some(kept) = pool.take(Instant::now(), address, &outgoing.request_id) {
+        match send_over(kept).await {
+            // The target may have closed the connection meanwhile.
+            Err(AttemptFailure::NoConnection) => {}
+            sent => return sent,
+        }
+    }
+    send_over(open(address).await?).await
+}
+
+async fn open(address: SocketAddr) -> Result<Connection, AttemptFailure> {
+    Connection::open(address).await.map_err(|error| {
         log::debug!(target: "target", "Cannot connect to the target at {address}: {error}.");
         AttemptFailure::NoConnection
-    })?;
-    try_send(connection, request, slot, until)
-        .await
-        .map_err(|(failure, _)| failure)
+    })
 }
 
-type Unsent = Option<Box<Request<Full<Bytes>>>>;
-
-/// Sends a request; returns it with the error if no part of it was written.
-async fn try_send(
+/// Makes sure that a response which may be continued comes from the incarnation of the target that its entry announces, as
+/// another one may have another version. A target that does not tell its incarnation may begin a response, but not continue one.
+async fn verify(
     mut connection: Connection,
-    request: Request<Full<Bytes>>,
     slot: &SlotGuard,
+    outgoing: &OutgoingRequest,
+    last_event_id: Option<u64>,
     until: Instant,
-) -> Result<(Connection, Response<Incoming>), (AttemptFailure, Unsent)> {
-    let sending = connection.sender.try_send_request(request);
+) -> Result<Connection, AttemptFailure> {
+    let incarnation = Some(slot.target.incarnation());
+    let Some(started_unix_ms) = slot.target.started_unix_ms else {
+        return Ok(connection);
+    };
+    if !outgoing.is_continuable || connection.incarnation == incarnation {
+        return Ok(connection);
+    }
+    let identity = unless_silent(slot, identify(&mut connection, started_unix_ms, until)).await?;
+    match identity {
+        Identity::Announced => {
+            connection.incarnation = incarnation;
+            Ok(connection)
+        }
+        Identity::Other => {
+            log::info!(
+                target: "target", request_id = outgoing.request_id.as_str(), target_id = slot.target.id.as_str();
+                "A target has started again; its new entry is not known yet."
+            );
+            Err(AttemptFailure::Misdirected)
+        }
+        Identity::Unknown if last_event_id.is_some() => Err(AttemptFailure::Misdirected),
+        Identity::Unknown => open(connection.address).await,
+    }
+}
+
+/// Waits for `answer`, and lets other requests avoid the target once it has been silent for [`SILENCE_TIMEOUT`].
+async fn unless_silent<T>(slot: &SlotGuard, answer: impl Future<Output = T>) -> T {
     let silence = async {
         sleep(SILENCE_TIMEOUT).await;
         slot.on_silence();
         pending::<Infallible>().await
     };
-    let sent = tokio::select! {
-        sent = timeout_at(until.into(), sending) => sent,
+    tokio::select! {
+        answer = answer => answer,
         never = silence => match never {},
-    };
-    match sent {
-        Err(_) => Err((AttemptFailure::TimedOut, None)),
+    }
+}
+
+/// Sends a request.
+///
+/// # Errors
+///
+/// [`AttemptFailure::NoConnection`] if no part of it was written.
+async fn try_send(
+    mut connection: Connection,
+    request: Request<Full<Bytes>>,
+    slot: &SlotGuard,
+    until: Instant,
+) -> Result<(Connection, Response<Incoming>), AttemptFailure> {
+    let sending = timeout_at(until.into(), connection.sender.try_send_request(request));
+    match unless_silent(slot, sending).await {
+        Err(_) => Err(AttemptFailure::TimedOut),
         Ok(Ok(response)) => Ok((connection, response)),
-        Ok(Err(mut error)) => {
-            let unsent = error.take_message();
-            let failure = if unsent.is_some() {
-                AttemptFailure::NoConnection
-            } else {
-                AttemptFailure::InvalidResponse
-            };
-            Err((failure, unsent.map(Box::new)))
-        }
+        Ok(Err(mut error)) => Err(match error.take_message() {
+            Some(_) => AttemptFailure::NoConnection,
+            None => AttemptFailure::InvalidResponse,
+        }),
     }
 }
 
--- a/eel-gateway/src/target/mod.rs
+++ b/eel-gateway/src/target/mod.rs
@@ -3,6 +3,7 @@
 mod connection;
 mod exchange;
 mod framing;
+mod identity;
 mod pool;
 
 pub(crate) use connection::Connection;
--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod refused_requests;
 mod repeated_refusal;
 mod repeated_request;
+mod restarted_target;
 mod resumed_stream;
 mod silent_target;
 mod stale_watch;
--- a/eel-gateway/tests/gateway/resumed_stream.rs
+++ b/eel-gateway/tests/gateway/resumed_stream.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use eel_platform::standin::{Behaviour, StandInTarget};
+use futures_util::future::join_all;
 
 use crate::fixture::{events, fleet};
 
@@ -98,15 +99,14 @@
     // Both slots of the only target had a stream that is broken now; each continues there, in a slot that is free.
     let fleet = fleet(1, 1).await;
     fleet.targets[0].script(&[DisconnectsAfter(2); 2]);
-    let mut broken = Vec::new();
-    for id in ["r1", "r2"] {
+    let broken = ["r1", "r2"].map(async |id| {
         let sent = fleet.post(0, "/resumable-stream/1", id).send().await;
-        broken.push(tokio::spawn(events(sent.expect("a response"))));
-    }
-    for stream in broken {
-        let received = stream.await.expect("the stream ends");
+        events(sent.expect("a response")).await
+    });
+    for received in join_all(broken).await {
         assert_eq!(received, (vec![1, 2, 3, 4, 5], true));
     }
+    assert_eq!(fleet.targets[0].resumed_after(), [2, 2]);
 }
 
 #[tokio::test]
