fix(gateway): keep the last node that runs items from retiring

Cause: a node to be retired reported itself empty once it was idle, whether or not another node took the work; machines that are added have no role that is given by a count.

Change: a retiring node leaves its items to others only if a live node that is not to retire runs items. Otherwise it goes on until one has started.

Evidence: last_batch_node_stays and all_at_once timed out before and pass now.

--- a/eel-gateway/src/batch/retire.rs
+++ b/eel-gateway/src/batch/retire.rs
@@ -1,9 +1,8 @@
 //! Reports to the operator that a node to be retired is empty.
 //!
 //! Nodes hold no durable state. A live node stops its runs before it reports itself; a node that is no longer live is
-//! reported by the batch node that owns its name.
-
-use std::sync::atomic::Ordering;
+//! reported by the batch node that owns its name. The last node that runs items does not leave: accepted jobs would be
+//! stranded. It reports itself once another one has started.
 
 use eel_platform::retirement_report;
 use eel_store::{KeyValue as _, Txn};
@@ -40,7 +39,7 @@
 
 fn is_responsible_for(context: &Context, node: &Name) -> bool {
     if *node == context.name {
-        context.is_retiring.load(Ordering::Relaxed)
+        context.leaves_batch_to_others()
     } else {
         context.is_owner_of(node)
     }
--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -261,9 +261,20 @@
         self.runs_batch
             && self.has_read_jobs.load(Ordering::Relaxed)
             && can_list
-            && !self.is_retiring.load(Ordering::Relaxed)
+            && !self.leaves_batch_to_others()
             && !self.draining.is_cancelled()
     }
+
+    /// Returns whether this node is to retire and another one, which is not, runs items. Otherwise it goes on.
+    pub(crate) fn leaves_batch_to_others(&self) -> bool {
+        if !self.is_retiring.load(Ordering::Relaxed) {
+            return false;
+        }
+        let retiring = self.retirements().clone();
+        let peers = self.peers();
+        let mut others = peers.batch_nodes(self.clock.now_ms());
+        others.any(|it| !retiring.contains(it))
+    }
 }
 
 /// Returns the system time in ms since the Unix epoch; 0 if the clock is set before it.
--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -21,6 +21,7 @@
 mod repeated_request;
 mod restarted_target;
 mod resumed_stream;
+mod retired_nodes;
 mod silent_target;
 mod stale_watch;
 mod start_up;
