--- a/eel-fleet/src/registry.rs
+++ b/eel-fleet/src/registry.rs
@@ -68,7 +68,7 @@
     }
 
     /// Records that the store renewed a lease of this node or another one between `from_ms` and `until_ms`. If it may have
-    /// renewed none for [`MIN_OUTAGE_MS`], it has returned from an outage.
+    /// renewed none for `MIN_OUTAGE_MS`, it has returned from an outage.
     pub fn on_lease_renewed(&mut self, from_ms: u64, until_ms: u64) {
         let last_ms = *self.renewed_ms.get_or_insert(from_ms);
         if until_ms >= last_ms + MIN_OUTAGE_MS {
