--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -265,7 +265,7 @@
             && !self.draining.is_cancelled()
     }
 
-    /// Returns whether this node is to retire and another one, which is not, runs items. Otherwise it goes on.
+    /// Returns whether this node is to retire and another one, which is not to, runs items. Until then it runs them itself.
     pub(crate) fn leaves_batch_to_others(&self) -> bool {
         if !self.is_retiring.load(Ordering::Relaxed) {
             return false;
--- a/eel-gateway/tests/gateway/restarted_target.rs
+++ b/eel-gateway/tests/gateway/restarted_target.rs
@@ -1,6 +1,6 @@
 //! Targets that start again under their id and address at another version, and nodes that learn of it late.
 //!
-//! Guards against a stream or item that goes on at another version because the entry of the target's earlier start is
+//! Guards against a stream or item that continues at another version because the entry of the target's earlier start is
 //! still believed, at a node that is up to date or at one that is out of step with the store.
 
 use std::time::Duration;
@@ -64,8 +64,8 @@
     version.filter(|_| has_begun).map(|it| (id.to_owned(), it))
 }
 
-/// Takes the stream `first` up as `id` at a node. Checks that it goes on at the version `begun_at` or is refused; returns
-/// whether it goes on.
+/// Takes the stream `first` up as `id` at a node. Checks that it continues at the version `begun_at` or is refused;
+/// returns whether it continues.
 async fn assert_version_kept(
     fleet: &Fleet,
     node: usize,
@@ -190,6 +190,6 @@
             kept += usize::from(assert_version_kept(&fleet, number % 2, stream, &id).await);
         }
         let count = begun.len();
-        assert!(2 * kept >= count, "{fault:?}: {kept} of {count} went on");
+        assert!(2 * kept >= count, "{fault:?}: {kept} of {count} continued");
     }
 }
--- a/eel-gateway/tests/gateway/retired_nodes.rs
+++ b/eel-gateway/tests/gateway/retired_nodes.rs
@@ -4,6 +4,23 @@
 
 use crate::fixture::{Fleet, fleet, wait_until};
 
+/// Starts two nodes that run items, and waits until both are listed.
+async fn listed_fleet() -> Fleet {
+    let fleet = fleet(2, 1).await;
+    wait_until("the nodes are listed", async || {
+        fleet.store.keys("eelgrassgap/nodes/").len() == 2
+    })
+    .await;
+    fleet
+}
+
+/// Submits a job and checks that its item is completed.
+async fn assert_runs(fleet: &Fleet, job: &str) {
+    assert_eq!(fleet.submit(0, job, &["stream/1"]).await, 202);
+    let results = fleet.results(0, job, 1).await;
+    assert_eq!(results[0]["state"], "completed", "{job}");
+}
+
 fn retire(fleet: &Fleet, node: &str) {
     let request = r#"{"rampS": 1}"#;
     fleet.store.put(&format!("op/retire/{node}"), request);
@@ -16,19 +33,12 @@
 
 #[tokio::test]
 async fn last_batch_node_stays() {
-    let mut fleet = fleet(2, 1).await;
-    wait_until("the nodes are listed", async || {
-        fleet.store.keys("eelgrassgap/nodes/").len() == 2
-    })
-    .await;
+    let mut fleet = listed_fleet().await;
     retire(&fleet, "node-0");
     wait_until("a node is empty", async || is_empty(&fleet, "node-0")).await;
     retire(&fleet, "node-1");
     for number in 0..3 {
-        let job = format!("j{number}");
-        assert_eq!(fleet.submit(0, &job, &["stream/1"]).await, 202);
-        let results = fleet.results(0, &job, 1).await;
-        assert_eq!(results[0]["state"], "completed", "{job}");
+        assert_runs(&fleet, &format!("j{number}")).await;
         assert!(!is_empty(&fleet, "node-1"));
     }
     fleet.add_node("node-2", true).await;
@@ -36,25 +46,16 @@
         is_empty(&fleet, "node-1")
     })
     .await;
-    assert_eq!(fleet.submit(0, "later", &["stream/1"]).await, 202);
-    let results = fleet.results(0, "later", 1).await;
-    assert_eq!(results[0]["state"], "completed");
+    assert_runs(&fleet, "later").await;
 }
 
 #[tokio::test]
 async fn all_at_once() {
-    let fleet = fleet(2, 1).await;
-    wait_until("the nodes are listed", async || {
-        fleet.store.keys("eelgrassgap/nodes/").len() == 2
-    })
-    .await;
+    let fleet = listed_fleet().await;
     retire(&fleet, "node-0");
     retire(&fleet, "node-1");
     for number in 0..3 {
-        let job = format!("j{number}");
-        assert_eq!(fleet.submit(0, &job, &["stream/1"]).await, 202);
-        let results = fleet.results(0, &job, 1).await;
-        assert_eq!(results[0]["state"], "completed", "{job}");
+        assert_runs(&fleet, &format!("j{number}")).await;
     }
     assert!(!is_empty(&fleet, "node-0") && !is_empty(&fleet, "node-1"));
 }
