fix(fleet): keep requests waiting while no run time is known

What callers saw: the first request at a node was refused as overloaded, 503 with Retry-After 0.15, though the fleet was idle.

Cause: a node that has measured no run takes runs to last 300 ms. If the reports of its peers, a few ms old, still fill the slots of a small service, a request whose goal is 100 ms is expected to wait for 150 ms and is rejected when it arrives.

Change: while no run time is known, a request that has to wait for one run at most is queued. Those behind as many as there are slots are rejected as before, and all are once a run has been measured (known_run_time). The time of retries is unchanged.

unknown_run_time failed before ("the request is rejected").

--- a/eel-fleet/src/dispatch.rs
+++ b/eel-fleet/src/dispatch.rs
@@ -146,7 +146,8 @@
         let capacity = self.selector.capacity_at(now_ms, &service, version);
         let rejection = self.rejection(now_ms, &service, &capacity, ahead, &waiting);
         let starts_at_ms = now_ms.saturating_add(rejection.expected_wait_ms);
-        if rejection.is_version_gone || starts_at_ms > waiting.reject_after_ms() {
+        let is_late = starts_at_ms > waiting.reject_after_ms();
+        if rejection.is_version_gone || (is_late && !self.may_start_soon(&service, &rejection)) {
             return Decision::Reject(rejection);
         }
         let state = self.services.entry(service).or_default();
@@ -386,6 +387,13 @@
         }
     }
 
+    /// Returns whether a request starts after one run at the most, and how long runs take is not known yet.
+    fn may_start_soon(&self, service: &str, rejection: &Rejection) -> bool {
+        let state = self.services.get(service);
+        let is_measured = state.is_some_and(|it| it.run_time_ms.is_some());
+        !is_measured && rejection.ahead < u64::from(rejection.slots)
+    }
+
     fn waiting_at_peers(&self, now_ms: u64, service: &str) -> u64 {
         let hash = stable_hash(service);
         let live = self
--- a/eel-fleet/tests/fleet/waiting_requests.rs
+++ b/eel-fleet/tests/fleet/waiting_requests.rs
@@ -228,6 +228,54 @@
     );
 }
 
+/// Two peers report a request each at a target with two slots, and the first request reaches this node.
+fn arrive_behind_peers(dispatcher: &mut Dispatcher) -> Decision {
+    let service = Name::from(SERVICE);
+    for peer in [5, 6] {
+        dispatcher.on_report(100, &report(peer, 1, &[("a", 1, 0)]));
+    }
+    dispatcher.arrive(100, arrival(&service, 160, 5_000))
+}
+
+/// A node that has just started must not refuse its first requests because it assumes that runs are long.
+#[test]
+fn unknown_run_time() {
+    let mut dispatcher = dispatcher(2);
+    let Decision::Wait(first) = arrive_behind_peers(&mut dispatcher) else {
+        panic!("the request is rejected");
+    };
+    let second = wait(&mut dispatcher, 100, 160, 5_000);
+    let service = Name::from(SERVICE);
+    let third = dispatcher.arrive(100, arrival(&service, 160, 5_000));
+    assert!(
+        matches!(third, Decision::Reject(rejection) if rejection.ahead == 2),
+        "it would start after the runs of two: {third:?}"
+    );
+    dispatcher.on_report(104, &report(5, 2, &[]));
+    assert_eq!(tickets(dispatcher.dispatch_waiting(104)), [(first, true)]);
+    dispatcher.on_report(105, &report(6, 2, &[]));
+    assert_eq!(tickets(dispatcher.dispatch_waiting(105)), [(second, true)]);
+}
+
+#[test]
+fn known_run_time() {
+    let mut dispatcher = dispatcher(2);
+    let key = start(&mut dispatcher, 0);
+    dispatcher.end(
+        100,
+        SERVICE,
+        key,
+        WorkKind::Online,
+        AttemptOutcome::Answered,
+        300,
+    );
+    let decision = arrive_behind_peers(&mut dispatcher);
+    assert!(
+        matches!(decision, Decision::Reject(rejection) if rejection.expected_wait_ms == 150),
+        "the request cannot start in time: {decision:?}"
+    );
+}
+
 #[test]
 fn short_runs_take_time() {
     let mut dispatcher = dispatcher(2);
