feat(gateway): log that a target stays in use without an entry

A target whose entry disappears around an outage of the store is used for a while.

The registry says whether a removal is news, and each is logged once. Its tests compare the whole answer now: the second removal, and a second list, tell nothing.

--- a/eel-fleet/src/lib.rs
+++ b/eel-fleet/src/lib.rs
@@ -29,7 +29,7 @@
 pub use pace::{MAX_REPORT_INTERVAL_MS, report_interval_ms};
 pub use peers::{NodeEntry, Peers};
 pub use queue::TicketKey;
-pub use registry::Registry;
+pub use registry::{Registry, Removal};
 pub use report::{PeerReport, ReportError, ReportPart, TargetLoad, WaitingCount, stable_hash};
 pub use selector::{AttemptOutcome, Capacity, TargetQuery, TargetSelector, WorkKind};
 
--- a/eel-fleet/src/registry.rs
+++ b/eel-fleet/src/registry.rs
@@ -16,6 +16,17 @@
 /// heartbeats, one of which may have passed.
 pub const MIN_OUTAGE_MS: u64 = 2_000;
 
+/// What the removal of an entry says about its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Removal {
+    /// The target is gone.
+    Gone,
+    /// Its lease may only have expired: it stays in use, at most until the grace period ends.
+    MayReappear,
+    /// Nothing new: the target is unknown, or its entry was missing before.
+    Unchanged,
+}
+
 /// The entries of the listed targets, and of those whose lease may only have expired.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -36,34 +47,32 @@
         known != Some(entry)
     }
 
-    /// Handles the removal of an entry. Returns `true` if the target is gone, `false` if its lease may only have
-    /// expired or if it was unknown.
-    pub fn on_removed(&mut self, now_ms: u64, id: &str) -> bool {
+    /// Handles the removal of an entry.
+    pub fn on_removed(&mut self, now_ms: u64, id: &str) -> Removal {
         let Some((name, entry)) = self.entries.get_key_value(id) else {
-            return false;
+            return Removal::Unchanged;
         };
-        if self.may_have_expired(now_ms) && !entry.is_draining {
-            if !self.expired.contains(name) {
-                self.expired.push(name.clone());
-            }
-            return false;
+        if !self.may_have_expired(now_ms) || entry.is_draining {
+            self.entries.remove(id);
+            return Removal::Gone;
+        }
+        if self.expired.contains(name) {
+            return Removal::Unchanged;
         }
-        self.entries.remove(id);
-        true
+        self.expired.push(name.clone());
+        Removal::MayReappear
     }
 
-    /// Removes the entries that `listed`, a complete list of the store's entries, lacks. Returns the targets that are
-    /// gone, without those whose lease may only have expired.
-    pub fn retain_listed(&mut self, now_ms: u64, listed: &[Name]) -> Vec<Name> {
-        let missing: Vec<Name> = self
-            .entries
-            .keys()
-            .filter(|id| !listed.contains(id))
-            .cloned()
-            .collect();
-        missing
-            .into_iter()
-            .filter(|id| self.on_removed(now_ms, id))
+    /// Handles the removal of the entries that `listed`, a complete list of the store's entries, lacks. Returns what is new.
+    pub fn retain_listed(&mut self, now_ms: u64, listed: &[Name]) -> Vec<(Name, Removal)> {
+        let missing = self.entries.keys().filter(|id| !listed.contains(id));
+        let missing: Vec<Name> = missing.cloned().collect();
+        let removals = missing.into_iter().map(|id| {
+            let removal = self.on_removed(now_ms, &id);
+            (id, removal)
+        });
+        removals
+            .filter(|(_, removal)| *removal != Removal::Unchanged)
             .collect()
     }
 
--- a/eel-fleet/tests/fleet/lease_expiry.rs
+++ b/eel-fleet/tests/fleet/lease_expiry.rs
@@ -2,7 +2,7 @@
 //!
 //! Without the distinction, an outage of the store would remove every target from use.
 
-use eel_fleet::Registry;
+use eel_fleet::{Registry, Removal};
 
 use crate::fixture::target;
 
@@ -25,7 +25,8 @@
 #[test]
 fn gone_while_reachable() {
     let mut registry = registry();
-    assert!(registry.on_removed(1_000, "a"));
+    assert_eq!(registry.on_removed(1_000, "a"), Removal::Gone);
+    assert_eq!(registry.on_removed(1_000, "a"), Removal::Unchanged);
     assert_eq!(ids(&registry), ["b"]);
 }
 
@@ -40,7 +41,7 @@
 fn back_after_outage() {
     let mut registry = registry();
     registry.on_lease_renewed(0, 0);
-    assert!(!registry.on_removed(2_000, "a"));
+    assert_eq!(registry.on_removed(2_000, "a"), Removal::MayReappear);
     registry.on_lease_renewed(3_000, 3_000);
     registry.on_entry(target("a", "dc-a", 2));
     renew(&mut registry, 3_500, 10_000);
@@ -71,11 +72,16 @@
     let mut registry = registry();
     registry.on_lease_renewed(0, 0);
     renew(&mut registry, 5_000, 7_500);
-    let gone = registry.retain_listed(5_100, &["b".into()]);
-    assert!(
-        gone.is_empty(),
+    assert_eq!(
+        registry.retain_listed(5_100, &["b".into()]),
+        [("a".into(), Removal::MayReappear)],
         "right after an outage, the list may lack entries of targets that still exist"
     );
+    assert_eq!(
+        registry.retain_listed(5_200, &["b".into()]),
+        [],
+        "a second list tells nothing new"
+    );
     assert_eq!(registry.expire(7_500), ["a".into()]);
 }
 
@@ -87,7 +93,7 @@
         registry.on_lease_renewed(at_ms, at_ms);
         assert!(registry.expire(at_ms).is_empty());
     }
-    assert!(registry.on_removed(5_700, "a"));
+    assert_eq!(registry.on_removed(5_700, "a"), Removal::Gone);
 }
 
 #[test]
@@ -99,14 +105,14 @@
         registry.on_lease_renewed(at_ms - 1_000, at_ms);
     }
     registry.on_lease_renewed(10_000, 10_000);
-    assert!(registry.on_removed(10_100, "a"));
+    assert_eq!(registry.on_removed(10_100, "a"), Removal::Gone);
 }
 
 #[test]
 fn returned_elsewhere_first() {
     let mut registry = registry();
     registry.on_lease_renewed(0, 0);
-    assert!(!registry.on_removed(3_000, "a"));
+    assert_eq!(registry.on_removed(3_000, "a"), Removal::MayReappear);
     registry.on_lease_renewed(2_600, 3_600);
     registry.on_lease_renewed(3_700, 3_700);
     assert!(registry.expire(6_000).is_empty());
@@ -118,7 +124,7 @@
     registry.on_lease_renewed(10_000, 10_000);
     registry.on_lease_renewed(4_000, 4_000);
     registry.on_lease_renewed(10_100, 10_100);
-    assert!(registry.on_removed(10_100, "a"));
+    assert_eq!(registry.on_removed(10_100, "a"), Removal::Gone);
 }
 
 #[test]
@@ -127,7 +133,7 @@
     let mut registry = registry();
     registry.on_lease_renewed(0, 0);
     registry.on_lease_renewed(5_000, 5_000);
-    assert!(!registry.on_removed(5_000, "a"));
+    assert_eq!(registry.on_removed(5_000, "a"), Removal::MayReappear);
     for at_ms in [6_500, 7_400] {
         registry.on_lease_renewed(at_ms, at_ms);
     }
@@ -142,7 +148,7 @@
     assert!(registry.on_entry(leaving));
     registry.on_lease_renewed(0, 0);
     registry.on_lease_renewed(5_000, 5_000);
-    assert!(registry.on_removed(5_000, "a"));
+    assert_eq!(registry.on_removed(5_000, "a"), Removal::Gone);
 }
 
 #[test]
--- a/eel-gateway/src/store/apply.rs
+++ b/eel-gateway/src/store/apply.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
-use eel_fleet::NodeEntry;
+use eel_fleet::{NodeEntry, Removal};
 use eel_platform::{KeyKind, classify_key, decode_route_table, decode_target_entry};
 use eel_store::KeyValuePair;
 use eel_types::Name;
@@ -67,9 +67,9 @@
             _ => None,
         })
         .collect();
-    let gone = context.registry().retain_listed(now_ms, &targets);
-    for id in gone {
-        drop_target(context, &id);
+    let removals = context.registry().retain_listed(now_ms, &targets);
+    for (id, removal) in removals {
+        on_target_removal(context, &id, removal);
     }
     let nodes = pairs
         .iter()
@@ -141,9 +141,17 @@
 }
 
 fn remove_target(context: &Context, id: &str) {
-    let is_gone = context.registry().on_removed(context.clock.now_ms(), id);
-    if is_gone {
-        drop_target(context, id);
+    let removal = context.registry().on_removed(context.clock.now_ms(), id);
+    on_target_removal(context, id, removal);
+}
+
+fn on_target_removal(context: &Context, id: &str, removal: Removal) {
+    match removal {
+        Removal::Gone => drop_target(context, id),
+        Removal::MayReappear => {
+            log::info!(target: "targets", target_id = id; "A target's entry is missing after an outage of the store; the target stays in use until the entry is overdue.");
+        }
+        Removal::Unchanged => {}
     }
 }
 
