--- a/eel-gateway/src/batch/mod.rs
+++ b/eel-gateway/src/batch/mod.rs
@@ -6,6 +6,7 @@
 mod retire;
 mod save;
 mod submit;
+mod trial;
 mod worker;
 
 pub(crate) use calls::{end, item_body, results};
--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -7,9 +7,7 @@
 };
 
 use eel_fleet::{TargetKey, stable_hash};
-use eel_ledger::{
-    Item, ItemRef, Job, Ledger, Progress, RunOutcome, SavedItems, Worklist, owner_of,
-};
+use eel_ledger::{Item, ItemRef, Ledger, Progress, RunOutcome, SavedItems, Worklist, owner_of};
 use eel_quarantine::Scope;
 use eel_types::Name;
 use eel_verdict::Verdict;
@@ -24,7 +22,7 @@
 };
 use crate::{
     context::{Context, now_unix_ms},
-    quarantine::{self, Admission, Suspects, Trial},
+    quarantine::{self, Suspects, Trial},
     slots::SlotGuard,
 };
 
@@ -47,18 +45,18 @@
 
 /// Starts runs of items, yields their slots to online requests and lists their results.
 pub(crate) struct Worker {
-    context: Arc<Context>,
+    pub(super) context: Arc<Context>,
     parallel_items: usize,
     state: Mutex<State>,
 }
 
 #[derive(Default)]
-struct State {
-    worklist: Worklist,
+pub(super) struct State {
+    pub(super) worklist: Worklist,
     runs: SlotMap<RunKey, Running>,
     saved: SavedItems,
     /// Whether this node is about to start the trial of a blocked item.
-    is_admitting_trial: bool,
+    pub(super) is_admitting_trial: bool,
 }
 
 /// A run in progress, and the token that cancels it.
@@ -252,50 +250,13 @@
         }
         let has_blocked = !quarantine.is_empty();
         drop(quarantine);
-        if has_blocked && !state.is_admitting_trial {
-            let tried = self.item_to_try(&state, ledger.open_by_due(is_mine));
-            if let Some((item, suspects)) = tried {
-                state.is_admitting_trial = true;
-                tokio::spawn(self.clone().try_item(item, suspects));
-            }
-        }
-    }
-
-    /// Returns the first item that is blocked and may be tried now.
-    fn item_to_try<'a>(
-        &self,
-        state: &State,
-        jobs: impl IntoIterator<Item = (&'a Name, &'a Job)>,
-    ) -> Option<(ItemRef, Suspects)> {
-        let is_due = |item: &Item| quarantine::is_trial_due(&self.context, &suspects_of(item));
-        jobs.into_iter().find_map(|(id, job)| {
-            let item = state.worklist.next(id, job, is_due)?;
-            let suspects = suspects_of(job.items().get(item.item as usize)?);
-            Some((item, suspects))
-        })
-    }
-
-    /// Runs a blocked item as the trial of what blocks it, if no other trial of it has started and a slot is idle.
-    async fn try_item(self: Arc<Self>, item: ItemRef, suspects: Suspects) {
-        let admission = quarantine::admit(&self.context, &suspects).await;
-        let ledger = self.context.ledger();
-        let mut state = self.lock();
-        state.is_admitting_trial = false;
-        let Admission::Trial(trial) = admission else {
-            return;
-        };
-        let job = ledger.job(&item.job).filter(|it| it.is_open());
-        let is_waiting = job.is_some_and(|it| state.worklist.is_waiting(it, &item));
-        if is_waiting
-            && self.context.takes_batch()
-            && let Some(started) = self.start(&mut state, &ledger, &item, Some(trial))
-        {
-            tokio::spawn(started);
+        if has_blocked {
+            self.start_trial(&mut state, ledger.open_by_due(is_mine));
         }
     }
 
     /// Prepares a run if a slot is idle; the returned future drives it.
-    fn start(
+    pub(super) fn start(
         self: &Arc<Self>,
         state: &mut State,
         ledger: &Ledger,
@@ -430,7 +391,7 @@
         self.context.batch_wake.notify_one();
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
