--- a/eel-fleet/tests/fleet/waiting_requests.rs
+++ b/eel-fleet/tests/fleet/waiting_requests.rs
@@ -35,6 +35,12 @@
     }
 }
 
+/// Ends an online attempt that has run for `run_time_ms` with a response.
+fn answer(dispatcher: &mut Dispatcher, now_ms: u64, key: TargetKey, run_time_ms: u64) {
+    let (work, outcome) = (WorkKind::Online, AttemptOutcome::Answered);
+    dispatcher.end(now_ms, SERVICE, key, work, outcome, run_time_ms);
+}
+
 fn tickets(dequeued: Vec<Dequeued>) -> Vec<(TicketKey, bool)> {
     dequeued
         .into_iter()
@@ -49,23 +55,9 @@
     let later = wait(&mut dispatcher, 0, 1_000, 5_000);
     let sooner = wait(&mut dispatcher, 0, 700, 5_000);
     assert!(dispatcher.dispatch_waiting(10).is_empty());
-    dispatcher.end(
-        100,
-        SERVICE,
-        key,
-        WorkKind::Online,
-        AttemptOutcome::Answered,
-        100,
-    );
+    answer(&mut dispatcher, 100, key, 100);
     assert_eq!(tickets(dispatcher.dispatch_waiting(100)), [(sooner, true)]);
-    dispatcher.end(
-        200,
-        SERVICE,
-        key,
-        WorkKind::Online,
-        AttemptOutcome::Answered,
-        100,
-    );
+    answer(&mut dispatcher, 200, key, 100);
     assert_eq!(tickets(dispatcher.dispatch_waiting(200)), [(later, true)]);
 }
 
@@ -75,23 +67,9 @@
     let key = start(&mut dispatcher, 0);
     let late = wait(&mut dispatcher, 0, 310, 5_000);
     let in_time = wait(&mut dispatcher, 0, 2_000, 5_000);
-    dispatcher.end(
-        400,
-        SERVICE,
-        key,
-        WorkKind::Online,
-        AttemptOutcome::Answered,
-        400,
-    );
+    answer(&mut dispatcher, 400, key, 400);
     assert_eq!(tickets(dispatcher.dispatch_waiting(400)), [(in_time, true)]);
-    dispatcher.end(
-        800,
-        SERVICE,
-        key,
-        WorkKind::Online,
-        AttemptOutcome::Answered,
-        400,
-    );
+    answer(&mut dispatcher, 800, key, 400);
     assert_eq!(
         tickets(dispatcher.dispatch_waiting(800)),
         [(late, true)],
@@ -192,14 +170,7 @@
     let key = start(&mut dispatcher, 0);
     let ticket = wait(&mut dispatcher, 0, 1_000, 5_000);
     dispatcher.cancel(SERVICE, ticket);
-    dispatcher.end(
-        100,
-        SERVICE,
-        key,
-        WorkKind::Online,
-        AttemptOutcome::Answered,
-        100,
-    );
+    answer(&mut dispatcher, 100, key, 100);
     assert!(dispatcher.dispatch_waiting(100).is_empty());
     assert!(dispatcher.own_waiting().is_empty());
 }
@@ -209,14 +180,7 @@
     let mut dispatcher = dispatcher(2);
     for _ in 0..64 {
         let key = start(&mut dispatcher, 0);
-        dispatcher.end(
-            0,
-            SERVICE,
-            key,
-            WorkKind::Online,
-            AttemptOutcome::Answered,
-            700,
-        );
+        answer(&mut dispatcher, 0, key, 700);
     }
     assert_eq!(dispatcher.run_time_ms(SERVICE), 700);
     let key = start(&mut dispatcher, 0);
@@ -261,14 +225,7 @@
 fn known_run_time() {
     let mut dispatcher = dispatcher(2);
     let key = start(&mut dispatcher, 0);
-    dispatcher.end(
-        100,
-        SERVICE,
-        key,
-        WorkKind::Online,
-        AttemptOutcome::Answered,
-        300,
-    );
+    answer(&mut dispatcher, 100, key, 300);
     let decision = arrive_behind_peers(&mut dispatcher);
     assert!(
         matches!(decision, Decision::Reject(rejection) if rejection.expected_wait_ms == 150),
@@ -282,14 +239,7 @@
     let service = Name::from(SERVICE);
     for _ in 0..2 {
         let key = start(&mut dispatcher, 0);
-        dispatcher.end(
-            0,
-            SERVICE,
-            key,
-            WorkKind::Online,
-            AttemptOutcome::Answered,
-            0,
-        );
+        answer(&mut dispatcher, 0, key, 0);
     }
     start(&mut dispatcher, 0);
     start(&mut dispatcher, 0);
