feat(gateway): log and count what proves that an attempt did not run

The logs named the verdict of an attempt but not its evidence, so that a refusal of the target, a failed connection and a decision of the node looked alike, and the line about the final response did not have the verdict. Both are logged now, with the status of a response that is not used, and attempts that did not run are counted by evidence. No decision has changed.

--- a/eel-gateway/src/metrics.rs
+++ b/eel-gateway/src/metrics.rs
@@ -23,6 +23,11 @@
     pub end: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EvidenceLabel {
+    pub evidence: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ResumedLabel {
     pub source: &'static str,
@@ -34,6 +39,8 @@
     pub requests: Family<OutcomeLabel, Counter>,
     /// Attempts of requests and items at targets, by outcome.
     pub attempts: Family<OutcomeLabel, Counter>,
+    /// Attempts of requests that did not run, by what proves it.
+    pub not_run_attempts: Family<EvidenceLabel, Counter>,
     pub items: Family<OutcomeLabel, Counter>,
     /// Streams from targets, by the framing of their body and by how they ended.
     pub stream_ends: Family<StreamEndLabels, Counter>,
@@ -85,6 +92,11 @@
             "Attempts at targets by outcome",
             self.attempts.clone(),
         );
+        registry.register(
+            "not_run_attempts",
+            "Attempts at targets that did not run by what proves it",
+            self.not_run_attempts.clone(),
+        );
         registry.register(
             "items",
             "Runs of batch items by outcome",
@@ -171,6 +183,11 @@
         self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    pub fn count_not_run(&self, evidence: &'static str) {
+        let label = EvidenceLabel { evidence };
+        self.not_run_attempts.get_or_create(&label).inc();
+    }
+
     pub fn count_item(&self, outcome: &'static str) {
         self.items.get_or_create(&OutcomeLabel { outcome }).inc();
     }
--- a/eel-gateway/src/online/attempts.rs
+++ b/eel-gateway/src/online/attempts.rs
@@ -63,7 +63,11 @@
         let verdict = failure.verdict();
         self.verdict = self.verdict.and(verdict);
         self.last = match failure {
-            AttemptFailure::NoConnection | AttemptFailure::Misdirected => Reason::NoTarget,
+            AttemptFailure::NoConnection
+            | AttemptFailure::NoIdentity
+            | AttemptFailure::OtherProcess
+            | AttemptFailure::NotWritten
+            | AttemptFailure::Misdirected => Reason::NoTarget,
             AttemptFailure::Full => Reason::Overloaded,
             AttemptFailure::InvalidResponse => Reason::TargetFailed,
             AttemptFailure::Truncated => Reason::Truncated,
@@ -150,7 +154,8 @@
     }
 
     /// Returns whether the request may have run at any target so far.
-    fn verdict(&self) -> Verdict {
+    #[must_use]
+    pub fn verdict(&self) -> Verdict {
         if self.in_flight > 0 {
             self.verdict.and(Verdict::MayHaveRun)
         } else {
--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -204,6 +204,10 @@
             self.start_at = Instant::now() + self.attempts.retry_delay();
         }
         log_failure(self.request, self.attempts, &ended, failure);
+        if let Some(evidence) = failure.evidence() {
+            let metrics = &self.request.context.metrics;
+            metrics.count_not_run(evidence);
+        }
         if failure == AttemptFailure::InvalidResponse {
             let (context, outgoing) = (&self.request.context, &self.request.outgoing);
             on_early_end(context, &ended.target, outgoing).await;
@@ -323,7 +327,7 @@
     log::info!(
         target: "online", request_id = request.outgoing.request_id.as_str(), target_id = ended.target.id.as_str(),
         attempt_ms = whole_ms(ended.started.elapsed()),
-        verdict = failure.verdict().as_str(), again = attempts.may_start(&request.route, request.has_response);
+        verdict = failure.verdict().as_str(), evidence = failure.evidence().unwrap_or_default(), again = attempts.may_start(&request.route, request.has_response);
         "An attempt brought no answer: {failure}."
     );
 }
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -233,6 +233,7 @@
     log::info!(
         target: "online", request_id = request.outgoing.request_id.as_str(), route = request.route.name.as_str(),
         service = request.service.as_str(), routes_version, status = status.as_u16(), outcome,
+        verdict = attempts.verdict().as_str(),
         failed_attempts = attempts.may_have_run, waited_ms = whole_ms(request.waited),
         total_ms = whole_ms(request.arrived.elapsed());
         "A request was decided."
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -59,9 +59,19 @@
 /// Why an attempt has no usable response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum AttemptFailure {
-    /// The target cannot be reached; nothing was sent.
+    /// No connection to the target could be opened.
     #[error("the target cannot be reached")]
     NoConnection,
+    /// The process at the target's address did not respond to the question when it started; the request was
+    /// not sent.
+    #[error("the target did not say which process it is")]
+    NoIdentity,
+    /// The process at the target's address is not known to be the one that the entry announces; the request was not sent.
+    #[error("the process at the address may be another one")]
+    OtherProcess,
+    /// The connection ended before any byte of the request was written.
+    #[error("the connection ended before the request was written")]
+    NotWritten,
     /// The target is full and did not run the request.
     #[error("the target is full")]
     Full,
@@ -84,15 +94,36 @@
     /// Returns whether the request may have run.
     pub fn verdict(self) -> Verdict {
         match self {
-            Self::NoConnection | Self::Full | Self::Misdirected => Verdict::NotRun,
+            Self::NoConnection
+            | Self::NoIdentity
+            | Self::OtherProcess
+            | Self::NotWritten
+            | Self::Full
+            | Self::Misdirected => Verdict::NotRun,
             Self::InvalidResponse | Self::Truncated | Self::TimedOut => Verdict::MayHaveRun,
         }
     }
 
+    /// Returns the evidence that the request did not run, as logs and metrics name it; `None` if it may have run.
+    pub fn evidence(self) -> Option<&'static str> {
+        match self {
+            Self::NoConnection => Some("not_connected"),
+            Self::NoIdentity => Some("no_identity"),
+            Self::OtherProcess => Some("other_process"),
+            Self::NotWritten => Some("not_written"),
+            Self::Full => Some("refused"),
+            Self::Misdirected => Some("misdirected"),
+            Self::InvalidResponse | Self::Truncated | Self::TimedOut => None,
+        }
+    }
+
     fn outcome(self) -> AttemptOutcome {
         match self {
             Self::Full => AttemptOutcome::Full,
             Self::NoConnection
+            | Self::NoIdentity
+            | Self::OtherProcess
+            | Self::NotWritten
             | Self::Misdirected
             | Self::InvalidResponse
             | Self::Truncated
@@ -132,6 +163,7 @@
     }
     if let Err(failure) = check(fields.kind) {
         slot.set_outcome(failure.outcome());
+        log_unusable(request_id, &slot, parts.status, is_kept, failure);
         connection.on_refusal(request_id);
         if !matches!(failure, AttemptFailure::InvalidResponse) && !fields.closes {
             return_connection(pool, &slot, connection, &body, fields.keep_alive);
@@ -160,6 +192,25 @@
     }
 }
 
+fn log_unusable(
+    request_id: &str,
+    slot: &SlotGuard,
+    status: StatusCode,
+    is_kept: bool,
+    failure: AttemptFailure,
+) {
+    // Full targets are part of normal operation.
+    let level = match failure {
+        AttemptFailure::Full => log::Level::Debug,
+        _ => log::Level::Info,
+    };
+    log::log!(
+        target: "target", level, request_id, target_id = slot.target.id.as_str(), status = status.as_u16(), is_kept,
+        evidence = failure.evidence().unwrap_or_default();
+        "A response from a target is not used: {failure}."
+    );
+}
+
 async fn send(
     pool: &Pool,
     slot: &SlotGuard,
@@ -178,7 +229,13 @@
     if let Some(kept) = pool.take(Instant::now(), address, &outgoing.request_id) {
         match send_over(kept).await {
             // The target may have closed the connection meanwhile.
-            Err(AttemptFailure::NoConnection) => {}
+            Err(failure @ (AttemptFailure::NoIdentity | AttemptFailure::NotWritten)) => {
+                log::debug!(
+                    target: "target", request_id = outgoing.request_id.as_str(), target_id = slot.target.id.as_str(),
+                    evidence = failure.evidence();
+                    "A request is sent over a new connection: {failure}."
+                );
+            }
             sent => return sent,
         }
     }
@@ -219,9 +276,9 @@
                 target: "target", request_id = outgoing.request_id.as_str(), target_id = slot.target.id.as_str();
                 "A target has started again; its new entry is not known yet."
             );
-            Err(AttemptFailure::Misdirected)
+            Err(AttemptFailure::OtherProcess)
         }
-        Identity::Unknown if last_event_id.is_some() => Err(AttemptFailure::Misdirected),
+        Identity::Unknown if last_event_id.is_some() => Err(AttemptFailure::OtherProcess),
         Identity::Unknown => open(connection.address).await,
     }
 }
@@ -243,7 +300,7 @@
 ///
 /// # Errors
 ///
-/// [`AttemptFailure::NoConnection`] if no part of it was written.
+/// [`AttemptFailure::NotWritten`] if no part of it was written.
 async fn try_send(
     mut connection: Connection,
     request: Request<Full<Bytes>>,
@@ -255,7 +312,7 @@
         Err(_) => Err(AttemptFailure::TimedOut),
         Ok(Ok(response)) => Ok((connection, response)),
         Ok(Err(mut error)) => Err(match error.take_message() {
-            Some(_) => AttemptFailure::NoConnection,
+            Some(_) => AttemptFailure::NotWritten,
             None => AttemptFailure::InvalidResponse,
         }),
     }
--- a/eel-gateway/src/target/identity.rs
+++ b/eel-gateway/src/target/identity.rs
@@ -32,7 +32,7 @@
 ///
 /// # Errors
 ///
-/// [`AttemptFailure::NoConnection`] if it does not respond; no request was sent.
+/// [`AttemptFailure::NoIdentity`] if it does not respond; no request was sent.
 pub async fn identify(
     connection: &mut Connection,
     started_unix_ms: u64,
@@ -60,5 +60,5 @@
         })
     };
     let answer = timeout_at(until.into(), answer).await;
-    answer.ok().flatten().ok_or(AttemptFailure::NoConnection)
+    answer.ok().flatten().ok_or(AttemptFailure::NoIdentity)
 }
