--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,7 +10,9 @@
 mod callers;
 mod early_hangup;
 mod explained_failures;
+mod false_not_run;
 mod faults;
+mod fixture;
 mod jobs;
 mod ports;
 mod process;
