fix(gateway,platform): pass no target's promise on without its proof

Callers saw 429, 408 and 503, which promise "not run", for requests that a target had run (REFUSED).

Cause: a target's 503, 429 or 408 without the header that proves it was taken for an ordinary failure and passed on with the target's status. The node's own verdict was right, but the caller reads the status.

Change: such a response is unproven. Its attempt may have run, so that the request is retried only where its route allows it, and ends with 502 of the node's own, without the target's signature, which would bind it to the target's status. The target counts as having responded with an error.

--- a/eel-gateway/src/online/attempts.rs
+++ b/eel-gateway/src/online/attempts.rs
@@ -69,7 +69,7 @@
             | AttemptFailure::NotWritten
             | AttemptFailure::Misdirected => Reason::NoTarget,
             AttemptFailure::Full => Reason::Overloaded,
-            AttemptFailure::InvalidResponse => Reason::TargetFailed,
+            AttemptFailure::Unproven | AttemptFailure::InvalidResponse => Reason::TargetFailed,
             AttemptFailure::Truncated => Reason::Truncated,
             AttemptFailure::TimedOut => Reason::DeadlineExceeded,
         };
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -78,6 +78,9 @@
     /// Another target listens at the address and did not run the request.
     #[error("another target listens at the address")]
     Misdirected,
+    /// The target's status promises that the request did not run, without the proof.
+    #[error("the target refuses without saying that the request did not run")]
+    Unproven,
     /// The connection failed after the request was sent, or the response is truncated, unverified, or for another
     /// request.
     #[error("the answer is broken")]
@@ -100,7 +103,9 @@
             | Self::NotWritten
             | Self::Full
             | Self::Misdirected => Verdict::NotRun,
-            Self::InvalidResponse | Self::Truncated | Self::TimedOut => Verdict::MayHaveRun,
+            Self::Unproven | Self::InvalidResponse | Self::Truncated | Self::TimedOut => {
+                Verdict::MayHaveRun
+            }
         }
     }
 
@@ -113,13 +118,14 @@
             Self::NotWritten => Some("not_written"),
             Self::Full => Some("refused"),
             Self::Misdirected => Some("misdirected"),
-            Self::InvalidResponse | Self::Truncated | Self::TimedOut => None,
+            Self::Unproven | Self::InvalidResponse | Self::Truncated | Self::TimedOut => None,
         }
     }
 
     fn outcome(self) -> AttemptOutcome {
         match self {
             Self::Full => AttemptOutcome::Full,
+            Self::Unproven => AttemptOutcome::Errored,
             Self::NoConnection
             | Self::NoIdentity
             | Self::OtherProcess
@@ -188,6 +194,7 @@
         ResponseKind::Genuine => Ok(()),
         ResponseKind::Full => Err(AttemptFailure::Full),
         ResponseKind::Misdirected => Err(AttemptFailure::Misdirected),
+        ResponseKind::Unproven => Err(AttemptFailure::Unproven),
         ResponseKind::Unverified => Err(AttemptFailure::InvalidResponse),
     }
 }
--- a/tests/gateway/fixture.rs
+++ b/tests/gateway/fixture.rs
@@ -1,17 +1,11 @@
 //! One node as a process, with a store but no targets yet, and a client.
 
-use std::time::Duration;
-
 use eel_platform::standin::{HOST, StandInStore, routes};
 use reqwest::{Client, RequestBuilder};
 use tempfile::TempDir;
-use tokio::time::{sleep, timeout};
 
 use crate::{ports::Ports, process::Process};
 
-/// The time after which a test that waits for a condition fails.
-const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
-
 pub struct Fixture {
     pub store: StandInStore,
     pub node: Process,
@@ -47,19 +41,4 @@
             .header("x-eelgrassgap-deadline-ms", "2500")
             .body("body")
     }
-
-    /// Waits until `condition` holds; fails with the node's log otherwise.
-    pub async fn wait_until(&self, what: &str, mut condition: impl AsyncFnMut() -> bool) {
-        let waiting = async {
-            while !condition().await {
-                sleep(Duration::from_millis(10)).await;
-            }
-        };
-        let waited = timeout(WAIT_TIMEOUT, waiting).await;
-        assert!(
-            waited.is_ok(),
-            "timed out waiting until: {what}, {}",
-            self.node.log_tail()
-        );
-    }
 }
