--- a/eel-gateway/src/target/identity.rs
+++ b/eel-gateway/src/target/identity.rs
@@ -44,6 +44,7 @@
     if let Ok(host) = host.parse() {
         question.headers_mut().insert(header::HOST, host);
     }
+    connection.is_kept = true;
     let answer = async {
         let response = connection.sender.send_request(question).await.ok()?;
         if !response.status().is_success() {
