fix(gateway,events): continue a stream only with its next event

Cause: any success continued a stream unless it named another content type, and its events were passed on whatever their ids were. A signed 200, 203 or 206 without a content type put "upstream failed" into the stream and ended it; so did an event without an id, a run from the start and one with a gap; 204 ended it. An item was listed as completed with the text that it had before.

Change: a response continues a stream or an item only with status 200, the content type of events, and the next event first; items pass over events that they have. Anything else has failed, so that the stream continues elsewhere or is cut.

--- a/eel-events/src/lib.rs
+++ b/eel-events/src/lib.rs
@@ -3,9 +3,11 @@
 //! Source: the HTML standard, section 9.2.6, "Interpreting an event stream".
 
 mod buffer;
+mod continuation;
 mod event;
 mod scanner;
 
 pub use buffer::{EventBuffer, EventTooLong};
+pub use continuation::{Continuation, NotContinued};
 pub use event::{each, event_data, event_id, is_event_stream};
 pub use scanner::EventScanner;
--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -5,7 +5,8 @@
     time::{Duration, Instant},
 };
 
-use eel_events::{EventBuffer, each, event_data, event_id};
+use bytes::Bytes;
+use eel_events::{Continuation, EventBuffer, each, event_data, event_id};
 use eel_fleet::TargetEntry;
 use eel_ledger::{Item, JobHead, MAX_TEXT_BYTES, Progress, RunOutcome};
 use eel_platform::shared_parts_of;
@@ -16,7 +17,7 @@
     context::{Context, now_unix_ms},
     quarantine::{self, Suspects},
     slots::SlotGuard,
-    target::{AttemptFailure, OutgoingRequest, TargetResponse, exchange},
+    target::{AttemptFailure, OutgoingRequest, TargetResponse, continues_stream, exchange},
 };
 
 /// How long a run may receive no complete event before it is interrupted, to be tried at another target; doubled for each
@@ -68,7 +69,17 @@
         let until = (now + idle_timeout).min(deadline);
         let last_event = self.progress.lock().last_event;
         match exchange(pool, slot, &outgoing, last_event, until, deadline).await {
-            Ok(target_response) => {
+            Ok(mut target_response) => {
+                let (status, headers) = (target_response.status, &target_response.headers);
+                let may_continue = last_event.is_none() || continues_stream(status, headers);
+                if status.is_success() && !may_continue {
+                    log::info!(
+                        target: "jobs", request_id = self.item.id.as_str(), target_id = target.id.as_str(), status = status.as_u16();
+                        "A response does not continue the text of an item."
+                    );
+                    target_response.fail(AttemptFailure::InvalidResponse);
+                    return self.interrupted();
+                }
                 let outgoing = &outgoing;
                 self.read(outgoing, target_response, idle_timeout, deadline)
                     .await
@@ -89,14 +100,16 @@
     ) -> RunOutcome {
         let status = target_response.status;
         let version = target_response.slot.target.version.clone();
-        let resumes = self.progress.lock().last_event.is_some();
+        let last_event = self.progress.lock().last_event;
+        let resumes = last_event.is_some();
+        let mut continuation = Continuation::after(last_event);
         let mut buffer = EventBuffer::default();
         let mut until = Instant::now() + idle_timeout;
         loop {
             match target_response.next(until.min(deadline)).await {
                 Ok(Some(bytes)) if status.is_success() => {
                     let had_only_begun = buffer.scanner().events() <= MAX_FIRST_EVENTS;
-                    let pushed = buffer.push(&bytes);
+                    let pushed = push(&mut buffer, &mut continuation, &bytes);
                     if had_only_begun && buffer.scanner().events() > MAX_FIRST_EVENTS {
                         quarantine::on_progress(&self.context, &outgoing.suspects);
                     }
@@ -188,6 +201,19 @@
     }
 }
 
+/// Adds the next bytes of a response; returns the events that they complete, unless these leave out others.
+fn push(
+    buffer: &mut EventBuffer,
+    continuation: &mut Continuation,
+    bytes: &[u8],
+) -> Result<Option<Bytes>, AttemptFailure> {
+    let pushed = buffer.push(bytes);
+    let events = pushed.map_err(|_| AttemptFailure::InvalidResponse)?;
+    let checked = continuation.check_new(events.as_deref().unwrap_or_default());
+    checked.map_err(|_| AttemptFailure::InvalidResponse)?;
+    Ok(events)
+}
+
 /// Returns what can crash targets in an item.
 pub fn suspects_of(item: &Item) -> Suspects {
     let headers = item
--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -26,7 +26,7 @@
 use crate::{
     quarantine::{blocks, on_early_end},
     slots::SlotGuard,
-    target::{AttemptFailure, TargetResponse, exchange, has_events},
+    target::{AttemptFailure, TargetResponse, continues_stream, exchange},
 };
 
 /// How long a stream may be in flight at two targets. Two targets that both run it waste each other's work.
@@ -302,7 +302,7 @@
     let mut target_response = response?;
     let status = target_response.status;
     let is_usable = if continues {
-        status.is_success() && has_events(&target_response.headers)
+        continues_stream(status, &target_response.headers)
     } else {
         is_last || !status.is_server_error()
     };
--- a/eel-gateway/src/target/framing.rs
+++ b/eel-gateway/src/target/framing.rs
@@ -1,7 +1,7 @@
 //! Decides whether the end of a response's body is that of a complete response.
 
 use eel_events::{EventScanner, is_event_stream};
-use http::{HeaderMap, HeaderValue, header};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 
 /// What marks the end of a response's body (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,3 +66,10 @@
         .get(header::CONTENT_TYPE)
         .is_none_or(|kind| is_event_stream(kind.as_bytes()))
 }
+
+/// Returns whether a response may continue a stream that another target began: it is complete and says that it has events.
+#[must_use]
+pub fn continues_stream(status: StatusCode, headers: &HeaderMap) -> bool {
+    let kind = headers.get(header::CONTENT_TYPE);
+    status == StatusCode::OK && kind.is_some_and(|kind| is_event_stream(kind.as_bytes()))
+}
--- a/eel-gateway/src/target/mod.rs
+++ b/eel-gateway/src/target/mod.rs
@@ -8,5 +8,5 @@
 
 pub(crate) use connection::Connection;
 pub(crate) use exchange::{AttemptFailure, OutgoingRequest, TargetResponse, exchange};
-pub(crate) use framing::{BodyFraming, has_events};
+pub(crate) use framing::{BodyFraming, continues_stream, has_events};
 pub(crate) use pool::Pool;
--- a/tests/gateway/fixture.rs
+++ b/tests/gateway/fixture.rs
@@ -1,11 +1,18 @@
 //! One node as a process, with a store but no targets yet, and a client.
 
-use eel_platform::standin::{HOST, StandInStore, routes};
+use std::time::Duration;
+
+use eel_platform::standin::{HOST, LiteralScript, LiteralTarget, StandInStore, routes};
 use reqwest::{Client, RequestBuilder};
 use tempfile::TempDir;
+use tokio::time::{sleep, timeout};
 
 use crate::{ports::Ports, process::Process};
 
+/// The time after which a test that waits for a condition fails.
+const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
+const LITERAL_TARGETS: usize = 16;
+
 pub struct Fixture {
     pub store: StandInStore,
     pub node: Process,
@@ -41,4 +48,37 @@
             .header("x-eelgrassgap-deadline-ms", "2500")
             .body("body")
     }
+
+    /// Waits until `condition` holds; fails with the node's log otherwise.
+    pub async fn wait_until(&self, what: &str, mut condition: impl AsyncFnMut() -> bool) {
+        let waiting = async {
+            while !condition().await {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let waited = timeout(WAIT_TIMEOUT, waiting).await;
+        assert!(
+            waited.is_ok(),
+            "timed out waiting until: {what}, {}",
+            self.node.log_tail()
+        );
+    }
+
+    /// Starts targets that share `script`, and waits until the node uses them. Many serve, as the node avoids those that failed.
+    pub async fn start_literal(script: &LiteralScript) -> (Self, Vec<LiteralTarget>) {
+        let fixture = Self::start().await;
+        let mut targets = Vec::new();
+        for number in 0..LITERAL_TARGETS {
+            let id = format!("i-{number}");
+            let target = LiteralTarget::start(&fixture.store, &id, script.clone()).await;
+            targets.push(target.expect("a target"));
+        }
+        fixture
+            .wait_until("the node serves", async || {
+                let sent = fixture.post("/idempotent/1", "first").send().await;
+                sent.is_ok_and(|response| response.status() == 200)
+            })
+            .await;
+        (fixture, targets)
+    }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod ports;
 mod process;
 mod proxy;
+mod resumed_errors;
 mod soak;
 
 use std::{env, time::Duration};
