test(gateway): targets that stop within the head of a response

Over processes, three heads cut at and around each line's end and in its middle, for calls and streams that may and may not be repeated: 502, or the whole response of another target.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 //! at a random one. A seed that has failed is added to [`REGRESSIONS`].
 
 mod callers;
+mod cut_heads;
 mod early_hangup;
 mod explained_failures;
 mod false_not_run;
