fix(gateway): close the listener in time while items are handed back

Operators of similar systems saw: in a planned stop of one node, requests that came late in the grace were taken, and cut without an answer at its end (LOST).

Cause: a node that serves callers and runs items listed and saved these before it began to wait for the balancer. With a store that does not respond that took two seconds and more, by which its listener stayed open for longer, up to the end of the drain.

Change: both happen side by side, and the node ends when both are done.

Evidence: new_connection_while_items_are_listed, over processes, failed before (a call 3.2 s after SIGTERM was served) and passes now.

--- a/eel-gateway/src/node.rs
+++ b/eel-gateway/src/node.rs
@@ -313,10 +313,12 @@
     }
     log::info!(target: "node", "The node is draining.");
     context.draining.cancel();
-    let finished = async {
+    let items_ended = async {
         if let Some(worker) = worker {
             worker.drain().await;
         }
+    };
+    let callers_left = async {
         if takes_callers {
             sleep(BALANCER_DELAY).await;
         }
@@ -324,6 +326,8 @@
         connections.close();
         connections.wait().await;
     };
+    // Callers are not accepted for longer because a slow store holds up the items.
+    let finished = async { tokio::join!(items_ended, callers_left) };
     let drained = async {
         if timeout(limit, finished).await.is_err() {
             log::warn!(target: "node", open = connections.len(); "The drain timed out before all connections were closed.");
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod faults;
 mod fixture;
 mod jobs;
+mod late_requests;
 mod ports;
 mod process;
 mod proxy;
