fix(gateway): refuse requests that a draining node may not finish

Operators of similar systems saw: requests that came late in the grace were taken and passed on; at its end they were cut, among them requests that may not be repeated (LOST).

Cause: a node that drains passed on each request whose body was complete, also after it had closed its listener. Where a caller sent the rest of a body late, the request ran until the end of the drain: 502, or a cut stream.

Change: once the listener is closed, a request whose deadline comes after the end of the drain is refused with 503 before it is sent to a target, and a job before it is written. Other nodes accept them.

Evidence: request_read_after_the_close, over processes, failed before (a call: 502 after one run) and passes now for calls, streams, repeatable requests and jobs.

--- a/eel-gateway/src/batch/submit.rs
+++ b/eel-gateway/src/batch/submit.rs
@@ -65,6 +65,9 @@
     };
     let allowed_ms = fields.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
     let until = Instant::now() + Duration::from_millis(allowed_ms).saturating_sub(DEADLINE_MARGIN);
+    if context.may_end_before(until) {
+        return refuse(&Refusal::not_run(Reason::Leaving));
+    }
     let response = match store(context, &txn, until).await {
         Ok(is_new) => {
             if is_new {
--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -3,10 +3,10 @@
 use std::{
     collections::BTreeSet,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
 use arc_swap::ArcSwapOption;
@@ -74,6 +74,8 @@
     pub(crate) is_retiring: AtomicBool,
     /// Cancelled when the node starts to drain; the node is not ready from then on.
     pub(crate) draining: CancellationToken,
+    /// When the drain times out; empty until the listener for callers is closed.
+    drain_end: OnceLock<Instant>,
     /// Cancelled when the drain times out; requests without a response are refused from then on.
     pub(crate) refusing: CancellationToken,
 }
@@ -124,6 +126,7 @@
             retirements: Mutex::default(),
             is_retiring: AtomicBool::new(false),
             draining: CancellationToken::new(),
+            drain_end: OnceLock::new(),
             refusing: CancellationToken::new(),
         }
     }
@@ -173,6 +176,17 @@
         self.shown_revision.fetch_max(revision.0, Ordering::Relaxed);
     }
 
+    /// Records that the listener for callers is closed, and when the drain times out.
+    pub(crate) fn on_closing(&self, drain_end: Instant) {
+        // A drain happens once.
+        let _ = self.drain_end.set(drain_end);
+    }
+
+    /// Returns whether this node may end before a request that may take until `deadline`, and that other nodes accept now.
+    pub(crate) fn may_end_before(&self, deadline: Instant) -> bool {
+        self.drain_end.get().is_some_and(|end| *end < deadline)
+    }
+
     /// Returns the newest store revision that this node may have shown to callers.
     pub(crate) fn shown_revision(&self) -> Revision {
         Revision(self.shown_revision.load(Ordering::Relaxed))
--- a/eel-gateway/src/node.rs
+++ b/eel-gateway/src/node.rs
@@ -313,6 +313,7 @@
     }
     log::info!(target: "node", "The node is draining.");
     context.draining.cancel();
+    let drain_end = (Instant::now() + limit).into_std();
     let items_ended = async {
         if let Some(worker) = worker {
             worker.drain().await;
@@ -322,6 +323,7 @@
         if takes_callers {
             sleep(BALANCER_DELAY).await;
         }
+        context.on_closing(drain_end);
         closing.cancel();
         connections.close();
         connections.wait().await;
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -40,6 +40,9 @@
         return refuse(&Refusal::not_run(Reason::NoTarget));
     };
     let mut attempts = Attempts::default();
+    if request.context.may_end_before(request.deadline) {
+        return log_refusal(&request, &attempts, &attempts.leave());
+    }
     let refusing = request.context.refusing.clone();
     let obtained = unless_cancelled(&refusing, obtain_response(&mut request, &mut attempts)).await;
     let served = match obtained.unwrap_or_else(|| Err(attempts.leave())) {
--- a/tests/gateway/late_requests.rs
+++ b/tests/gateway/late_requests.rs
@@ -39,7 +39,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn new_connection_while_items_are_listed() {
     let (mut fixture, target) = start().await;
-    let pause = Duration::from_millis(1_000);
+    let pause = Duration::from_secs(1);
     target.set_default_behaviour(Behaviour::PausesAfter(3, pause));
     let items = json!({"items": [{"id": "late-item", "path": "/jobs/stream", "body": ""}]});
     let submitted = fixture.post("/jobs/submit", "j1").body(items.to_string());
@@ -64,12 +64,15 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn request_read_after_the_close() {
-    for path in [
-        "/once/1",
-        "/once-stream/1",
-        "/resumable-stream/1",
-        "/idempotent/1",
-    ] {
+    let items = json!({"items": [{"id": "late", "path": "/jobs/stream", "body": ""}]}).to_string();
+    let cases = [
+        ("/once/1", "body"),
+        ("/once-stream/1", "body"),
+        ("/resumable-stream/1", "body"),
+        ("/idempotent/1", "body"),
+        ("/jobs/submit", &items),
+    ];
+    for (path, body) in cases {
         let (mut fixture, target) = start().await;
         target.set_default_behaviour(Behaviour::Silent);
         let mut stream = TcpStream::connect(fixture.node.http)
@@ -77,12 +80,15 @@
             .expect("a connection");
         let head = format!(
             "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nx-eelgrassgap-attempt-id: late\r\n\
-             x-eelgrassgap-deadline-ms: {DEADLINE_MS}\r\ncontent-length: 4\r\n\r\nbo"
+             x-eelgrassgap-deadline-ms: {DEADLINE_MS}\r\ncontent-length: {}\r\n\r\n",
+            body.len()
         );
-        stream.write_all(head.as_bytes()).await.expect("a head");
+        let (start, end) = body.split_at(body.len() / 2);
+        let first = stream.write_all((head + start).as_bytes()).await;
+        first.expect("a head");
         fixture.node.signal(Signal::SIGTERM);
         sleep(AFTER_CLOSE).await;
-        stream.write_all(b"dy").await.expect("a body");
+        stream.write_all(end.as_bytes()).await.expect("a body");
         let mut response = String::new();
         let read = stream.read_to_string(&mut response).await;
         let status = response.get(9..12).unwrap_or_default().to_owned();
