test(gateway): jobs that are refused after a lost try, and the overlap of streams

refusals_after_a_lost_try: a job whose first try is applied late gets 504, also where all later tries are refused; the next node's 503 is true for its own.

--- a/eel-gateway/tests/gateway/batch_store_faults.rs
+++ b/eel-gateway/tests/gateway/batch_store_faults.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use eel_platform::standin::{Behaviour, StoreFault};
+use tokio::time::sleep;
 
 use crate::fixture::{fleet, wait_until};
 
@@ -36,6 +37,25 @@
     }
 }
 
+#[tokio::test]
+async fn refusals_after_a_lost_try() {
+    // The first try is applied late; the store refuses the later ones, at this node and at the next one.
+    let fleet = fleet(2, 1).await;
+    fleet
+        .store
+        .set_fault(StoreFault::DelaysWrites { delay_ms: 2_500 });
+    let refuses = async {
+        sleep(Duration::from_millis(200)).await;
+        fleet.store.set_fault(StoreFault::Refuses);
+    };
+    let (status, ()) = tokio::join!(fleet.submit(0, "j1", &["stream/1"]), refuses);
+    assert_eq!(status, 504, "a try may be applied");
+    assert_eq!(fleet.submit(1, "j1", &["stream/1"]).await, 503);
+    fleet.store.set_fault(StoreFault::None);
+    assert_eq!(fleet.submit(1, "j1", &["stream/1"]).await, 202);
+    assert_eq!(fleet.results(0, "j1", 1).await.len(), 1);
+}
+
 #[tokio::test]
 async fn response_lost_once() {
     let fleet = fleet(1, 1).await;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -21,6 +21,7 @@
 mod proxy;
 mod resumed_errors;
 mod soak;
+mod stream_overlap;
 
 use std::{env, time::Duration};
 
