test(gateway): targets that close connections around a request

A target closes kept connections before, while and after the next request is written, and counts what it has read.

--- a/tests/gateway/false_not_run.rs
+++ b/tests/gateway/false_not_run.rs
@@ -31,19 +31,16 @@
 ];
 /// How often a request is sent until a target has run it.
 const MAX_TRIES: u32 = 50;
+/// How many requests of each kind are sent to targets that close connections.
+const CLOSES: u32 = 20;
 /// Longer than a body that a target reads at once.
 const LONG_BODY_BYTES: usize = 90_000;
 
 /// Sends requests of each kind to targets that respond with each of `refusals`; returns what broke a rule.
 async fn broken_rules(refusals: &[FalseRefusal]) -> Vec<String> {
-    let fixture = Fixture::start().await;
     let first = *refusals.first().expect("a refusal");
     let refusal = Arc::new(Mutex::new(first));
-    let mut targets = Vec::new();
-    for id in ["i-0", "i-1"] {
-        let target = FalseTarget::start(&fixture.store, id, refusal.clone()).await;
-        targets.push(target.expect("a target"));
-    }
+    let (fixture, targets) = start(&refusal).await;
     let mut broken = Vec::new();
     for (number, case) in refusals.iter().enumerate() {
         *refusal.lock().expect("the refusal") = *case;
@@ -59,6 +56,17 @@
     broken
 }
 
+/// Starts one node before two targets that share `refusal`.
+async fn start(refusal: &Arc<Mutex<FalseRefusal>>) -> (Fixture, Vec<FalseTarget>) {
+    let fixture = Fixture::start().await;
+    let mut targets = Vec::new();
+    for id in ["i-0", "i-1"] {
+        let target = FalseTarget::start(&fixture.store, id, refusal.clone()).await;
+        targets.push(target.expect("a target"));
+    }
+    (fixture, targets)
+}
+
 /// Sends requests until one has run; returns its status, and how often it ran.
 async fn send_until_run(
     fixture: &Fixture,
@@ -152,3 +160,24 @@
     cases.push(refusal(400, &[NOT_RUN]));
     assert_promises_hold(&cases).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn closed_connections() {
+    // The idle times end before, while and after the next request is written.
+    for idle_us in [0, 200, 500, 1_000, 2_000, 5_000, 1_000_000] {
+        let closes = FalseRefusal {
+            status: 0,
+            lines: &[],
+            time: RefusalTime::Closes(Duration::from_micros(idle_us)),
+        };
+        let (fixture, targets) = start(&Arc::new(Mutex::new(closes))).await;
+        for number in 0..CLOSES {
+            for path in ["/once/1", "/once-stream/1"] {
+                let id = format!("r{number}{}", path.replace('/', "-"));
+                let (status, runs) = send_until_run(&fixture, &targets, path, &id).await;
+                let is_true = !PROMISES.contains(&status) && runs == 1;
+                assert!(is_true, "{idle_us} us, {id}: {status} after {runs} runs");
+            }
+        }
+    }
+}
