fix(gateway): leave the older of two targets of a stream in time on a starved node

A request may not go on at a second target while the first one works on it 400 ms later (TWICE).

Cause: the node leaves the older target 300 ms after the newer one's start, which leaves 100 ms for a node that is not scheduled.

Change: 200 ms, half of the bound.

--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -29,8 +29,9 @@
     target::{AttemptFailure, TargetResponse, continues_stream, exchange},
 };
 
-/// How long a stream may be in flight at two targets. Two targets that both run it waste each other's work.
-const MAX_STREAM_OVERLAP: Duration = Duration::from_millis(300);
+/// How long a stream may be in flight at two targets. Two targets that both run it waste each other's work; none may do so
+/// for 400 ms, and a node with little processor time may leave the older one late.
+const MAX_STREAM_OVERLAP: Duration = Duration::from_millis(200);
 
 /// An attempt whose response has started.
 pub struct InFlight<F> {
