test(gateway): targets that refuse what they run, in the soak

Each target may run requests and respond 503, 429, 408 or 421 without the proof, beside all other faults, in place of a step that did nothing.

--- a/tests/gateway/faults.rs
+++ b/tests/gateway/faults.rs
@@ -117,7 +117,7 @@
         6 => target.set_limits(&["3"]),
         7 => target.set_limits(&["0.5"]),
         8 => target.set_limits(&[]),
-        _ => {}
+        _ => target.set_default_behaviour(Behaviour::RefusesAfterRun),
     }
     for index in 0..soak.targets.len() {
         if rng.random_bool(0.2) {
