--- a/tests/gateway/cut_heads.rs
+++ b/tests/gateway/cut_heads.rs
@@ -7,14 +7,8 @@
 use eel_platform::standin::LiteralScript;
 use tokio::time::sleep;
 
-use crate::fixture::Fixture;
+use crate::fixture::{Fixture, PATHS};
 
-const PATHS: [&str; 4] = [
-    "/once/1",
-    "/once-stream/1",
-    "/resumable-stream/1",
-    "/idempotent/1",
-];
 /// How often a request is sent until a target responds to it.
 const MAX_TRIES: u32 = 50;
 /// Heads of responses with each framing.
--- a/tests/gateway/false_not_run.rs
+++ b/tests/gateway/false_not_run.rs
@@ -12,7 +12,7 @@
 use reqwest::StatusCode;
 use tokio::time::sleep;
 
-use crate::fixture::Fixture;
+use crate::fixture::{Fixture, PATHS};
 
 const ID: &str = "x-eelgrassgap-attempt-id: {id}";
 const OTHER_ID: &str = "x-eelgrassgap-attempt-id: 77aa";
@@ -23,12 +23,6 @@
 
 /// The statuses that promise that a request has not run.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
-const PATHS: [&str; 4] = [
-    "/once/1",
-    "/once-stream/1",
-    "/resumable-stream/1",
-    "/idempotent/1",
-];
 /// How often a request is sent until a target has run it.
 const MAX_TRIES: u32 = 50;
 /// How many requests of each kind are sent to targets that close connections.
--- a/tests/gateway/fixture.rs
+++ b/tests/gateway/fixture.rs
@@ -9,6 +9,13 @@
 
 use crate::{ports::Ports, process::Process};
 
+/// A path of each kind of online request.
+pub const PATHS: [&str; 4] = [
+    "/once/1",
+    "/once-stream/1",
+    "/resumable-stream/1",
+    "/idempotent/1",
+];
 /// The time after which a test that waits for a condition fails.
 const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
 const LITERAL_TARGETS: usize = 16;
@@ -64,6 +71,15 @@
         );
     }
 
+    /// Waits until the node uses a target.
+    pub async fn wait_served(&self) {
+        self.wait_until("the node serves", async || {
+            let sent = self.post("/idempotent/1", "first").send().await;
+            sent.is_ok_and(|response| response.status() == 200)
+        })
+        .await;
+    }
+
     /// Starts targets that share `script`, and waits until the node uses them. Many serve, as the node avoids those that failed.
     pub async fn start_literal(script: &LiteralScript) -> (Self, Vec<LiteralTarget>) {
         let fixture = Self::start().await;
@@ -73,12 +89,7 @@
             let target = LiteralTarget::start(&fixture.store, &id, script.clone()).await;
             targets.push(target.expect("a target"));
         }
-        fixture
-            .wait_until("the node serves", async || {
-                let sent = fixture.post("/idempotent/1", "first").send().await;
-                sent.is_ok_and(|response| response.status() == 200)
-            })
-            .await;
+        fixture.wait_served().await;
         (fixture, targets)
     }
 }
--- a/tests/gateway/late_requests.rs
+++ b/tests/gateway/late_requests.rs
@@ -27,12 +27,7 @@
     let target = StandInTarget::start("scribe", "i-0").await;
     let target = target.expect("a target");
     target.announce(&fixture.store, "ready");
-    fixture
-        .wait_until("the node serves", async || {
-            let sent = fixture.post("/idempotent/1", "first").send().await;
-            sent.is_ok_and(|response| response.status() == 200)
-        })
-        .await;
+    fixture.wait_served().await;
     (fixture, target)
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,10 +1,11 @@
-//! Tests of gateway nodes as processes: a soak test with random faults, and failures that are explained from the logs.
+//! Tests of gateway nodes as processes: a soak test with random faults, faulty targets before one node, late requests while
+//! it drains, and failures that are explained from the logs.
 //!
 //! The soak test injects faults from outside and compares the responses that callers get with the executions that the
 //! targets count.
 //!
 //! `seeded` runs in CI. To run other seeds by hand:
-//! `SOAK_RUNS=50 SOAK_NODES=6 cargo test --test gateway -- --ignored --nocapture`. It starts at the seed `SOAK_SEED`, or
+//! `SOAK_RUNS=50 SOAK_NODES=6 cargo test --test gateway -- --ignored fresh_seeds --nocapture`. It starts at the seed `SOAK_SEED`, or
 //! at a random one. A seed that has failed is added to [`REGRESSIONS`].
 
 mod callers;
--- a/tests/gateway/stream_overlap.rs
+++ b/tests/gateway/stream_overlap.rs
@@ -52,12 +52,7 @@
         target.announce(&fixture.store, "ready");
         targets.push(target);
     }
-    fixture
-        .wait_until("the node serves", async || {
-            let sent = fixture.post("/idempotent/1", "first").send().await;
-            sent.is_ok_and(|response| response.status() == 200)
-        })
-        .await;
+    fixture.wait_served().await;
     let requests: Vec<_> = (0..STREAMS)
         .map(|number| fixture.post("/resumable-stream/1", &format!("r{number}")))
         .collect();
