fix(core): let entry and target nodes serve on after SIGHUP

Cause: SIGHUP. The kernel sends it to a process group that loses its parent while one of its members is stopped, here as the shell ended that had started the test. Entry and target nodes had no handler, so that it ended them without a drain, as it does for operators whose supervisor or terminal ends.

Change: both log and ignore it; their settings are read at the start only.

Evidence: the test failed once in 26 runs, with wait status 1 at the moment at which the shell ended.

--- a/eel-core/src/serve.rs
+++ b/eel-core/src/serve.rs
@@ -28,12 +28,13 @@
     Node,
 }
 
-/// Runs an entry node with the settings at `path`.
+/// Runs an entry node with the settings at `path`; ignores SIGHUP.
 ///
 /// # Errors
 ///
 /// Returns an error if the node cannot start or fails while it runs.
 pub async fn entry(path: &Path) -> Result<(), Report<Error>> {
+    ignore_hangups()?;
     let settings = EntrySettings::load(path).change_context(Error::Settings)?;
     install_telemetry(&settings.telemetry)?;
     let node = EntryNode::bind(&settings)
@@ -48,12 +49,13 @@
     ended.change_context(Error::Node)
 }
 
-/// Runs a target node with the settings at `path`.
+/// Runs a target node with the settings at `path`; ignores SIGHUP.
 ///
 /// # Errors
 ///
 /// Returns an error if the node cannot start or fails while it runs.
 pub async fn target(path: &Path) -> Result<(), Report<Error>> {
+    ignore_hangups()?;
     let settings = TargetSettings::load(path).change_context(Error::Settings)?;
     install_telemetry(&settings.telemetry)?;
     let node = TargetNode::bind(&settings)
@@ -88,6 +90,17 @@
     ended.change_context(Error::Node)
 }
 
+/// Installs a handler for SIGHUP, whose default action ends the process without a drain.
+fn ignore_hangups() -> Result<(), Report<Error>> {
+    let mut signals = signal(SignalKind::hangup()).change_context(Error::Signals)?;
+    tokio::spawn(async move {
+        while signals.recv().await.is_some() {
+            log::info!(target: "node", "SIGHUP is ignored: settings are read at the start only.");
+        }
+    });
+    Ok(())
+}
+
 /// Reloads the settings on each signal. A changed log level takes effect at once, other changes with the next start.
 async fn reload_on_hangup(mut signals: Signal, path: PathBuf, mut in_force: GatewaySettings) {
     while signals.recv().await.is_some() {
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod frozen_target;
 mod graceful_stop;
+mod ignored_hangup;
 mod job_commands;
 mod killed_target;
 mod leaving_target;
