--- a/eel-gateway/src/online/attempts.rs
+++ b/eel-gateway/src/online/attempts.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use eel_fleet::Rejection;
+use eel_platform::promises_not_run;
 use eel_table::{Route, RouteKind};
 use eel_verdict::{Reason, Refusal, Verdict};
+use http::StatusCode;
 
 use crate::target::AttemptFailure;
 
@@ -167,7 +169,8 @@
     fn refuse(&self, reason: Reason, retry_after_ms: Option<u64>) -> Refusal {
         let verdict = self.verdict();
         let has_run = verdict != Verdict::NotRun;
-        let promises = matches!(reason.http_status(), 408 | 421 | 429 | 503);
+        let status = StatusCode::from_u16(reason.http_status());
+        let promises = status.is_ok_and(promises_not_run);
         let reason = if has_run && promises {
             Reason::TargetFailed
         } else {
