refactor(gateway): close the listener of a draining node in one place

The drain's timeout closed it without saying so to the requests, so that with a drain shorter than the balancer's delay a job that came in the last 200 ms was written rather than refused. Found by reading; no test shows it.

--- a/eel-gateway/src/node.rs
+++ b/eel-gateway/src/node.rs
@@ -314,6 +314,11 @@
     log::info!(target: "node", "The node is draining.");
     context.draining.cancel();
     let drain_end = (Instant::now() + limit).into_std();
+    let close = || {
+        context.on_closing(drain_end);
+        closing.cancel();
+        connections.close();
+    };
     let items_ended = async {
         if let Some(worker) = worker {
             worker.drain().await;
@@ -323,9 +328,7 @@
         if takes_callers {
             sleep(BALANCER_DELAY).await;
         }
-        context.on_closing(drain_end);
-        closing.cancel();
-        connections.close();
+        close();
         connections.wait().await;
     };
     // Callers are not accepted for longer because a slow store holds up the items.
@@ -334,8 +337,7 @@
         if timeout(limit, finished).await.is_err() {
             log::warn!(target: "node", open = connections.len(); "The drain timed out before all connections were closed.");
             context.refusing.cancel();
-            closing.cancel();
-            connections.close();
+            close();
             // Streams that are still open are cut when the process ends.
             let _ = timeout(REFUSAL_TIMEOUT, connections.wait()).await;
         }
