--- a/eel-gateway/src/target/identity.rs
+++ b/eel-gateway/src/target/identity.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use tokio::time::timeout_at;
 
-use super::{connection::Connection, exchange::AttemptFailure};
+use super::{connection::Connection, failure::AttemptFailure};
 
 /// The maximum size of a target's description of itself.
 const MAX_STATE_BYTES: usize = 256 * 1024;
--- a/eel-gateway/src/target/mod.rs
+++ b/eel-gateway/src/target/mod.rs
@@ -2,11 +2,13 @@
 
 mod connection;
 mod exchange;
+mod failure;
 mod framing;
 mod identity;
 mod pool;
 
 pub(crate) use connection::Connection;
-pub(crate) use exchange::{AttemptFailure, OutgoingRequest, TargetResponse, exchange};
+pub(crate) use exchange::{OutgoingRequest, TargetResponse, exchange};
+pub(crate) use failure::AttemptFailure;
 pub(crate) use framing::{BodyFraming, continues_stream, has_events};
 pub(crate) use pool::Pool;
