--- a/tests/gateway/explained_failures.rs
+++ b/tests/gateway/explained_failures.rs
@@ -122,6 +122,29 @@
     );
 }
 
+#[tokio::test]
+async fn refused_without_proof() {
+    let fleet = start_fleet().await;
+    let target = &fleet.target;
+    target.set_default_behaviour(Behaviour::RefusesAfterRun);
+    assert_eq!(fleet.send("/once/1", "unproven").await, Some(502));
+    let response = fleet
+        .wait_line("unproven", "A response from a target is not used")
+        .await;
+    assert_eq!(response.fields["target_id"], "i-0");
+    assert_ne!(response.fields["status"], 502);
+    let decided = fleet.wait_line("unproven", "A request was decided.").await;
+    assert_eq!(decided.fields["verdict"], "may-have-run");
+    target.set_default_behaviour(Behaviour::Full);
+    assert_eq!(fleet.send("/once/1", "proven").await, Some(503));
+    let attempt = fleet
+        .wait_line("proven", "An attempt brought no answer")
+        .await;
+    assert_eq!(attempt.fields["evidence"], "refused");
+    let decided = fleet.wait_line("proven", "A request was decided.").await;
+    assert_eq!(decided.fields["verdict"], "not-run");
+}
+
 #[tokio::test]
 async fn errored_item() {
     let fleet = start_fleet().await;
