--- a/eel-gateway/tests/gateway/batch_store_faults.rs
+++ b/eel-gateway/tests/gateway/batch_store_faults.rs
@@ -20,6 +20,22 @@
     assert_eq!(fleet.runs("j1-0"), 0);
 }
 
+#[tokio::test]
+async fn refused_job_ended_meanwhile() {
+    let fleet = fleet(2, 1).await;
+    fleet.store.set_fault(StoreFault::Refuses);
+    let url = format!("http://{}/eelgrassgap/lots/j1", fleet.nodes[1].http);
+    let end = fleet.client.delete(url).send();
+    let (refused, ended) = tokio::join!(fleet.submit(0, "j1", &["stream/1"]), end);
+    assert_eq!(refused, 503);
+    assert_eq!(ended.expect("a response").status(), 503);
+    assert_eq!(fleet.submit(1, "j1", &["stream/1"]).await, 503);
+    fleet.store.set_fault(StoreFault::None);
+    assert_eq!(fleet.submit(0, "j2", &["stream/1"]).await, 202);
+    fleet.results(0, "j2", 1).await;
+    assert_eq!(fleet.runs("j1-0"), 0);
+}
+
 #[tokio::test]
 async fn lost_response_may_have_run() {
     for fault in [
