--- a/eel-table/src/lib.rs
+++ b/eel-table/src/lib.rs
@@ -4,7 +4,9 @@
 mod limits;
 mod route;
 mod table;
+mod tenant;
 
 pub use limits::RequestLimits;
 pub use route::{Route, RouteKind, Share};
 pub use table::RouteTable;
+pub use tenant::{MAX_KEY_BYTES, Tenant, TenantQuota, Tenants};
--- a/eel-table/src/route.rs
+++ b/eel-table/src/route.rs
@@ -74,6 +74,8 @@
     pub shares: Vec<Share>,
     /// Maximum number of targets that one request may run on.
     pub max_attempts: u32,
+    /// Whether requests need no key of a tenant, although there are tenants.
+    pub no_auth: bool,
 }
 
 impl Route {
--- a/eel-table/src/table.rs
+++ b/eel-table/src/table.rs
@@ -4,7 +4,7 @@
 
 use eel_types::Name;
 
-use crate::{RequestLimits, Route};
+use crate::{RequestLimits, Route, Tenants};
 
 /// All routes of one version.
 #[derive(Clone, Debug, Default)]
@@ -14,6 +14,7 @@
     /// Limits of the requests of all callers.
     pub limits: RequestLimits,
     hosts: HashMap<Name, Vec<Arc<Route>>>,
+    tenants: Option<Arc<Tenants>>,
     longest_stream_ms: u64,
 }
 
@@ -37,10 +38,26 @@
             version,
             limits,
             hosts,
+            tenants: None,
             longest_stream_ms,
         }
     }
 
+    /// Sets the tenants, one of whose keys each request needs unless its route has `no_auth`.
+    #[must_use]
+    pub fn with_tenants(self, tenants: Tenants) -> Self {
+        Self {
+            tenants: Some(Arc::new(tenants)),
+            ..self
+        }
+    }
+
+    /// Returns the tenants; `None` if requests need no keys.
+    #[must_use]
+    pub fn tenants(&self) -> Option<&Arc<Tenants>> {
+        self.tenants.as_ref()
+    }
+
     /// Returns the longest timeout of the routes whose streams can be resumed, in ms; 0 if there are none.
     #[must_use]
     pub fn longest_stream_ms(&self) -> u64 {
--- a/eel-table/tests/table/route_lookup.rs
+++ b/eel-table/tests/table/route_lookup.rs
@@ -19,6 +19,7 @@
             weight: 1,
         }],
         max_attempts: 1,
+        no_auth: false,
     }
 }
 
--- a/eel-table/tests/table/traffic_split.rs
+++ b/eel-table/tests/table/traffic_split.rs
@@ -22,6 +22,7 @@
             })
             .collect(),
         max_attempts: 1,
+        no_auth: false,
     }
 }
 
