feat(gateway): identify tenants by their keys

Cause: no part of the node knew tenants. The key of a caller was forwarded to targets, unknown keys were served, and a revoked key worked without end.

Change: the route table holds the tenants and keys of its version. A request without a valid key is refused before its body is read, and a request whose key is revoked while it waits is refused before its first attempt. Targets get the tenant's name and never the key, whatever the caller sent. A job belongs to the tenant that submitted it; the name follows the other fields of the stored head, where earlier versions do not read.

--- a/eel-gateway/src/batch/calls.rs
+++ b/eel-gateway/src/batch/calls.rs
@@ -6,6 +6,7 @@
 use eel_ledger::Job;
 use eel_platform::encode_results;
 use eel_store::{Compare, KeyValue as _, Op, StoreError, Txn};
+use eel_types::Name;
 use eel_verdict::{Reason, Refusal};
 use error_stack::Report;
 use http::{HeaderValue, Response, StatusCode, header};
@@ -28,6 +29,7 @@
 pub(crate) async fn results(
     context: &Arc<Context>,
     id: &str,
+    tenant: Option<&Name>,
     from: usize,
     wait_ms: u64,
 ) -> Response<Body> {
@@ -35,7 +37,7 @@
     let until = Instant::now() + Duration::from_millis(wait_ms);
     let mut changes = context.ledger_changes.subscribe();
     loop {
-        if let Err(response) = ensure_known(context, id).await {
+        if let Err(response) = ensure_owned(context, id, tenant).await {
             return response;
         }
         changes.mark_unchanged();
@@ -84,8 +86,13 @@
 }
 
 /// Responds with the body of an item that has no result yet.
-pub(crate) async fn item_body(context: &Arc<Context>, id: &str, item: &str) -> Response<Body> {
-    if let Err(response) = ensure_known(context, id).await {
+pub(crate) async fn item_body(
+    context: &Arc<Context>,
+    id: &str,
+    tenant: Option<&Name>,
+    item: &str,
+) -> Response<Body> {
+    if let Err(response) = ensure_owned(context, id, tenant).await {
         return response;
     }
     let ledger = context.ledger();
@@ -104,8 +111,8 @@
 }
 
 /// Ends a job; its items without a result are not run any further.
-pub(crate) async fn end(context: &Arc<Context>, id: &str) -> Response<Body> {
-    if let Err(response) = ensure_known(context, id).await {
+pub(crate) async fn end(context: &Arc<Context>, id: &str, tenant: Option<&Name>) -> Response<Body> {
+    if let Err(response) = ensure_owned(context, id, tenant).await {
         return response;
     }
     let key = context.ledger().keys().end(id);
@@ -136,7 +143,22 @@
 }
 
 /// Reads the job from the store unless the ledger has it. Fails with the response to the caller if there is no such job
-/// or the store cannot be read.
+/// of its tenant or the store cannot be read.
+pub(super) async fn ensure_owned(
+    context: &Context,
+    id: &str,
+    tenant: Option<&Name>,
+) -> Result<(), Response<Body>> {
+    ensure_known(context, id).await?;
+    let ledger = context.ledger();
+    let head = ledger.job(id).and_then(Job::head);
+    if head.is_some_and(|it| it.may_be_used_by(tenant)) {
+        Ok(())
+    } else {
+        Err(empty(StatusCode::NOT_FOUND))
+    }
+}
+
 async fn ensure_known(context: &Context, id: &str) -> Result<(), Response<Body>> {
     if is_known(context, id) {
         return Ok(());
--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -224,6 +224,7 @@
         adds_id: true,
         is_continuable: true,
         suspects: suspects_of(item),
+        tenant: head.tenant.clone(),
     })
 }
 
--- a/eel-gateway/src/batch/submit.rs
+++ b/eel-gateway/src/batch/submit.rs
@@ -8,11 +8,13 @@
 use eel_ledger::{Item, JobHead, submission};
 use eel_platform::{caller_fields, decode_job};
 use eel_store::{KeyValue as _, StoreError, Txn};
-use eel_table::Route;
+use eel_table::{Route, Tenant};
+use eel_types::Name;
 use eel_verdict::{Reason, Refusal};
 use http::{HeaderMap, Response, StatusCode, header};
 use tokio::time::sleep;
 
+use super::calls::ensure_owned;
 use crate::{
     context::{Context, now_unix_ms},
     http::{Body, empty, refuse},
@@ -41,6 +43,7 @@
     context: &Arc<Context>,
     route: &Route,
     times: JobTimes,
+    tenant: Option<Arc<Tenant>>,
     headers: &HeaderMap,
     body: &[u8],
 ) -> Response<Body> {
@@ -55,7 +58,8 @@
         .get(header::HOST)
         .and_then(|host| host.to_str().ok())
         .unwrap_or(route.host.as_str());
-    let head = new_head(route, times, host);
+    let tenant = tenant.as_ref().map(|it| &it.name);
+    let head = new_head(route, times, tenant, host);
     let txn = match submission(context.ledger().keys(), &id, head, &items) {
         Ok(txn) => txn,
         Err(error) => {
@@ -69,19 +73,34 @@
         return refuse(&Refusal::not_run(Reason::Leaving));
     }
     let response = match store(context, &txn, until).await {
-        Ok(is_new) => {
-            if is_new {
-                context.apply_own_write(&txn);
-            }
+        Ok(true) => {
+            context.apply_own_write(&txn);
             empty(StatusCode::ACCEPTED)
         }
+        Ok(false) => on_repeat(context, &id, tenant).await,
         Err(refusal) => refuse(&refusal),
     };
     log_submission(&id, &items, &response);
     response
 }
 
-fn new_head(route: &Route, times: JobTimes, host: &str) -> JobHead {
+/// Responds to a job whose id was accepted before, which another tenant may have used.
+async fn on_repeat(context: &Context, id: &str, tenant: Option<&Name>) -> Response<Body> {
+    if tenant.is_none() {
+        return empty(StatusCode::ACCEPTED);
+    }
+    match ensure_owned(context, id, tenant).await {
+        Ok(()) => empty(StatusCode::ACCEPTED),
+        Err(response) if response.status() == StatusCode::NOT_FOUND => {
+            log::info!(target: "jobs", job = id; "The id of a job belongs to a job of another tenant.");
+            refuse(&Refusal::not_run(Reason::Conflict))
+        }
+        // The job may be the caller's own, which was accepted.
+        Err(_) => refuse(&Refusal::may_have_run(Reason::DeadlineExceeded)),
+    }
+}
+
+fn new_head(route: &Route, times: JobTimes, tenant: Option<&Name>, host: &str) -> JobHead {
     let now_unix_ms = now_unix_ms();
     JobHead {
         host: host.into(),
@@ -91,6 +110,7 @@
         max_attempts: route.max_attempts,
         items: 0,
         parts: 0,
+        tenant: tenant.cloned(),
     }
 }
 
--- a/eel-gateway/src/http/handler.rs
+++ b/eel-gateway/src/http/handler.rs
@@ -3,21 +3,28 @@
 use std::sync::Arc;
 
 use eel_platform::{JobCall, decode_job_call};
-use eel_table::{Route, RouteKind, RouteTable};
+use eel_table::{Route, RouteKind, RouteTable, Tenant};
 use eel_verdict::{Reason, Refusal};
 use http::{HeaderMap, Method, Request, Response, Uri, Version, header};
 use hyper::body::Incoming;
 
-use super::{Body, BodyError, read_body, refuse};
+use super::{
+    Body, BodyError,
+    caller::{identify, identify_any},
+    read_body, refuse,
+};
 use crate::{batch, context::Context, online};
 
 /// When callers should retry at a node that has not read the routes yet, in ms: its first call to the store reads them.
-const NO_ROUTES_RETRY_MS: u64 = 500;
+pub(super) const NO_ROUTES_RETRY_MS: u64 = 500;
 
 /// Handles one request of a caller.
 pub async fn handle(context: Arc<Context>, request: Request<Incoming>) -> Response<Body> {
     if let Some(call) = decode_job_call(request.method(), request.uri()) {
-        return handle_job_call(&context, call, request.headers()).await;
+        return match identify_job_caller(&context, request.headers()) {
+            Ok(tenant) => handle_job_call(&context, call, tenant, request.headers()).await,
+            Err(refusal) => refuse(&refusal),
+        };
     }
     if request.headers().get_all(header::HOST).iter().count() > 1 {
         return refuse(&Refusal::not_run(Reason::BadRequest));
@@ -32,6 +39,10 @@
         // In HTTP/1.0 a truncated stream looks complete.
         return refuse(&Refusal::not_run(Reason::BadRequest));
     }
+    let tenant = match identify(&context, &table, &route, request.headers()) {
+        Ok(tenant) => tenant,
+        Err(refusal) => return on_unidentified(&context, &route, &refusal),
+    };
     let (head, body) = request.into_parts();
     let body = match read_body(body, table.limits.body_bytes).await {
         Ok(body) => body,
@@ -40,24 +51,49 @@
     match route.kind {
         RouteKind::Batch { due_ms, give_up_ms } if head.method == Method::POST => {
             let times = batch::JobTimes { due_ms, give_up_ms };
-            batch::submit(&context, &route, times, &head.headers, &body).await
+            batch::submit(&context, &route, times, tenant, &head.headers, &body).await
         }
-        _ => online::serve(context, route, head, body).await,
+        _ => online::serve(context, route, tenant, head, body).await,
     }
 }
 
+/// Returns the tenant that calls about a job; `None` if there are no tenants.
+fn identify_job_caller(
+    context: &Context,
+    headers: &HeaderMap,
+) -> Result<Option<Arc<Tenant>>, Refusal> {
+    let no_routes = || {
+        let refusal = Refusal::not_run(Reason::StoreUnavailable);
+        refusal.retry_after(NO_ROUTES_RETRY_MS)
+    };
+    let table = context.table.load_full().ok_or_else(no_routes)?;
+    identify_any(context, &table, headers)
+}
+
+/// Refuses a request without a valid key.
+fn on_unidentified(context: &Context, route: &Route, refusal: &Refusal) -> Response<Body> {
+    context.metrics.count_request(refusal.reason.as_str());
+    log::debug!(
+        target: "http", route = route.name.as_str(), reason = refusal.reason.as_str();
+        "A request has no valid key."
+    );
+    refuse(refusal)
+}
+
 async fn handle_job_call(
     context: &Arc<Context>,
     call: JobCall,
+    tenant: Option<Arc<Tenant>>,
     headers: &HeaderMap,
 ) -> Response<Body> {
+    let tenant = tenant.as_ref().map(|it| &it.name);
     match call {
         JobCall::Results { job, from } => {
             let wait_ms = eel_platform::results_wait_ms(headers);
-            batch::results(context, &job, from, wait_ms).await
+            batch::results(context, &job, tenant, from, wait_ms).await
         }
-        JobCall::ItemBody { job, item } => batch::item_body(context, &job, &item).await,
-        JobCall::End { job } => batch::end(context, &job).await,
+        JobCall::ItemBody { job, item } => batch::item_body(context, &job, tenant, &item).await,
+        JobCall::End { job } => batch::end(context, &job, tenant).await,
     }
 }
 
--- a/eel-gateway/src/online/request.rs
+++ b/eel-gateway/src/online/request.rs
@@ -9,12 +9,13 @@
 use eel_fleet::{Arrival, Dispatcher, Rejection, TargetKey, stable_hash};
 use eel_platform::caller_fields;
 use eel_quarantine::TrialEnd;
-use eel_table::Route;
+use eel_table::{Route, Tenant};
 use eel_types::Name;
 use http::{Uri, request::Parts};
 
 use crate::{
     context::Context,
+    http::identify,
     origins,
     quarantine::{Suspects, Trial},
     slots::SlotGuard,
@@ -32,6 +33,10 @@
     pub route: Arc<Route>,
     pub service: Name,
     pub outgoing: Arc<OutgoingRequest>,
+    /// The tenant whose key the caller sent; `None` if the request needs no key.
+    pub tenant: Option<Arc<Tenant>>,
+    /// The version of the routes in force when the key was last found to be valid.
+    routes_version: Option<u64>,
     pub arrived: Instant,
     /// The time by which the final response must be sent.
     pub deadline: Instant,
@@ -55,7 +60,13 @@
 
 impl Request {
     /// Creates the state of a request; `None` if its route has no service.
-    pub fn new(context: Arc<Context>, route: Arc<Route>, head: Parts, body: Bytes) -> Option<Self> {
+    pub fn new(
+        context: Arc<Context>,
+        route: Arc<Route>,
+        tenant: Option<Arc<Tenant>>,
+        head: Parts,
+        body: Bytes,
+    ) -> Option<Self> {
         let fields = caller_fields(&head.headers);
         let request_id = fields.request_id.unwrap_or_else(|| "".into());
         // A resumed stream continues at the service that began it.
@@ -64,7 +75,9 @@
             .as_ref()
             .filter(|_| route.kind.is_resumable());
         let service = route.service_for(resumed.unwrap_or(&request_id))?.clone();
-        let suspects = Suspects::of_request(&request_id, &head, &body);
+        let tenant_name = tenant.as_ref().map(|it| it.name.clone());
+        let suspects = Suspects::of_request(&request_id, tenant_name.as_ref(), &head, &body);
+        let routes_version = context.routes_version();
         let is_continuable = route.kind.is_resumable();
         let arrived = Instant::now();
         let allowed_ms = fields.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
@@ -82,7 +95,10 @@
                 request_id: request_id.as_str().to_owned(),
                 adds_id: false,
                 is_continuable,
+                tenant: tenant_name,
             }),
+            tenant,
+            routes_version,
             arrived,
             deadline: arrived + allowed,
             last_event_id: fields.last_event_id,
@@ -123,6 +139,34 @@
         acquired
     }
 
+    /// Returns whether the caller's key has been revoked since the request arrived.
+    pub fn is_revoked(&mut self) -> bool {
+        let version = self.context.routes_version();
+        let Some(tenant) = self
+            .tenant
+            .as_ref()
+            .filter(|_| version != self.routes_version)
+        else {
+            return false;
+        };
+        let Some(table) = self.context.table.load_full() else {
+            return false;
+        };
+        let headers = &self.outgoing.headers;
+        match identify(&self.context, &table, &self.route, headers) {
+            Ok(found) if found.as_ref().is_none_or(|it| it.name == tenant.name) => {
+                self.routes_version = version;
+                false
+            }
+            Ok(_) | Err(_) => true,
+        }
+    }
+
+    /// Returns the name of the caller's tenant; empty if there is none.
+    pub fn tenant_name(&self) -> &str {
+        self.tenant.as_ref().map_or("", |it| it.name.as_str())
+    }
+
     /// Returns whether the caller resumes a stream.
     pub fn resumes_stream(&self) -> bool {
         self.route.kind.is_resumable() && self.is_resumed
--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -14,7 +14,7 @@
 use eel_fleet::{Rejection, TargetEntry, TargetKey};
 use eel_quarantine::TrialEnd;
 use eel_table::RouteKind;
-use eel_verdict::{Refusal, Verdict};
+use eel_verdict::{Reason, Refusal, Verdict};
 use futures_util::future::{BoxFuture, FutureExt as _, select_all};
 use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
@@ -98,6 +98,9 @@
     });
     loop {
         let is_idle = race.running.is_empty() && left.is_none();
+        if race.attempts.is_empty() && race.request.is_revoked() {
+            return Err(Refusal::not_run(Reason::Unauthorized));
+        }
         let has_attempts = may_take_over && race.may_start();
         let is_blocked = has_attempts && race.is_blocked();
         let may_start = has_attempts && !is_blocked;
@@ -178,9 +181,10 @@
         }
     }
 
-    /// Starts an attempt, unless the request was blocked while it waited for the slot.
+    /// Starts an attempt, unless the request was blocked or its key was revoked while it waited for the slot.
     fn start(&mut self, slot: SlotGuard) {
-        if self.is_blocked() {
+        let is_revoked = self.attempts.is_empty() && self.request.is_revoked();
+        if is_revoked || self.is_blocked() {
             return;
         }
         self.attempts.on_start();
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use eel_fleet::TargetEntry;
 use eel_platform::copy_response_headers;
-use eel_table::{Route, RouteKind};
+use eel_table::{Route, RouteKind, Tenant};
 use eel_verdict::{Reason, Refusal};
 use http::{HeaderMap, Response, StatusCode, Version, header, request::Parts};
 use tokio_util::sync::CancellationToken;
@@ -32,11 +32,12 @@
 pub async fn serve(
     context: Arc<Context>,
     route: Arc<Route>,
+    tenant: Option<Arc<Tenant>>,
     head: Parts,
     body: Bytes,
 ) -> Response<Body> {
     let version = head.version;
-    let Some(mut request) = Request::new(context, route, head, body) else {
+    let Some(mut request) = Request::new(context, route, tenant, head, body) else {
         return refuse(&Refusal::not_run(Reason::NoTarget));
     };
     let mut attempts = Attempts::default();
@@ -235,7 +236,7 @@
     let routes_version = context.routes_version().unwrap_or(0);
     log::info!(
         target: "online", request_id = request.outgoing.request_id.as_str(), route = request.route.name.as_str(),
-        service = request.service.as_str(), routes_version, status = status.as_u16(), outcome,
+        service = request.service.as_str(), tenant = request.tenant_name(), routes_version, status = status.as_u16(), outcome,
         verdict = attempts.verdict().as_str(),
         failed_attempts = attempts.may_have_run, waited_ms = whole_ms(request.waited),
         total_ms = whole_ms(request.arrived.elapsed());
--- a/eel-gateway/src/quarantine/suspects.rs
+++ b/eel-gateway/src/quarantine/suspects.rs
@@ -4,6 +4,7 @@
 use eel_fleet::stable_hash;
 use eel_platform::{caller_credentials, shared_parts};
 use eel_quarantine::{Part, Prompt, RequestIdentity, Scope};
+use eel_types::Name;
 use http::{header, request::Parts};
 
 /// What can crash targets in a request or item, by scope.
@@ -15,15 +16,22 @@
 
 impl Suspects {
     /// Returns what can crash targets in an online request.
-    pub(crate) fn of_request(request_id: &str, head: &Parts, body: &Bytes) -> Self {
+    pub(crate) fn of_request(
+        request_id: &str,
+        tenant: Option<&Name>,
+        head: &Parts,
+        body: &Bytes,
+    ) -> Self {
         let host = head.headers.get(header::HOST);
         let host = host.map_or(&[][..], http::HeaderValue::as_bytes);
         let path = head.uri.path_and_query();
+        // All keys of a tenant are one caller.
+        let caller = tenant.map_or_else(|| caller_credentials(&head.headers), |it| it.as_bytes());
         let identity = RequestIdentity {
             method: head.method.as_str(),
             host: &host.to_ascii_lowercase(),
             path: path.map_or("", http::uri::PathAndQuery::as_str),
-            caller: caller_credentials(&head.headers),
+            caller,
             body,
         };
         let fingerprint = identity.fingerprint();
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -12,6 +12,7 @@
 use eel_platform::{
     AttemptFields, ResponseFields, ResponseKind, copy_request_headers, response_fields,
 };
+use eel_types::Name;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
@@ -43,6 +44,8 @@
     pub is_continuable: bool,
     /// What can crash targets in the request.
     pub suspects: Suspects,
+    /// The tenant whose name the target gets; `None` if there is none.
+    pub tenant: Option<Name>,
 }
 
 /// The head of a target's response, with the connection and slot that are needed to read its body.
@@ -254,6 +257,7 @@
         request_id: outgoing.adds_id.then_some(outgoing.request_id.as_str()),
         deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1),
         last_event_id,
+        tenant: outgoing.tenant.as_deref(),
     };
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.method_mut() = outgoing.method.clone();
--- a/eel-ledger/src/entry.rs
+++ b/eel-ledger/src/entry.rs
@@ -21,6 +21,40 @@
     pub items: u32,
     /// The number of parts into which the encoded items are split.
     pub parts: u32,
+    /// The tenant that submitted the job; `None` if there were no tenants.
+    #[serde(skip)]
+    pub tenant: Option<Name>,
+}
+
+impl JobHead {
+    /// Returns whether callers of `tenant` may read and end the job. Without tenants, and for a job that was submitted
+    /// without one, all callers may.
+    #[must_use]
+    pub fn may_be_used_by(&self, tenant: Option<&Name>) -> bool {
+        match (&self.tenant, tenant) {
+            (Some(owner), Some(tenant)) => owner == tenant,
+            (None, _) | (_, None) => true,
+        }
+    }
+
+    /// Encodes the head as a store value. The tenant follows the other fields, where earlier versions do not read.
+    pub(crate) fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        match &self.tenant {
+            None => postcard::to_stdvec(self),
+            Some(tenant) => postcard::to_stdvec(&(self, tenant)),
+        }
+    }
+
+    /// Decodes a store value, also one of an earlier version.
+    pub(crate) fn decode(value: &[u8]) -> Result<Self, postcard::Error> {
+        let (head, rest) = postcard::take_from_bytes::<Self>(value)?;
+        let tenant = if rest.is_empty() {
+            None
+        } else {
+            Some(postcard::from_bytes(rest)?)
+        };
+        Ok(Self { tenant, ..head })
+    }
 }
 
 /// One item of a job: a request that is run later.
--- a/eel-ledger/src/ledger.rs
+++ b/eel-ledger/src/ledger.rs
@@ -83,7 +83,7 @@
         let id = Name::from(id);
         let job = self.jobs.entry(id.clone()).or_default();
         let is_decoded = match parsed {
-            JobKey::Head(_) => postcard::from_bytes::<JobHead>(value)
+            JobKey::Head(_) => JobHead::decode(value)
                 .map(|head| job.set_head(head))
                 .is_ok(),
             JobKey::Chunk(_, number) => {
--- a/eel-ledger/src/submit.rs
+++ b/eel-ledger/src/submit.rs
@@ -48,7 +48,7 @@
         .collect();
     head.parts = u32::try_from(parts.len()).change_context(SubmitError::TooLarge)?;
     head.items = u32::try_from(items.len()).change_context(SubmitError::TooLarge)?;
-    let head = postcard::to_stdvec(&head).change_context(SubmitError::Encode)?;
+    let head = head.encode().change_context(SubmitError::Encode)?;
     let mut writes = vec![Op::put(keys.head(id), head)];
     for (number, part) in (0..).zip(parts) {
         writes.push(Op::put(keys.part(id, number), part));
--- a/eel-ledger/tests/ledger/fixture.rs
+++ b/eel-ledger/tests/ledger/fixture.rs
@@ -19,6 +19,7 @@
         max_attempts: 3,
         items: 0,
         parts: 0,
+        tenant: None,
     }
 }
 
