fix(gateway): refuse revoked keys at once, and show no key

Cause: a request noted the version of the routes after its body had arrived, so that a key revoked meanwhile was never looked up again. A waiting request noticed a revocation only when it got a slot, and not at all once a target had refused it unrun; a waiting read of results never noticed it. A tenant that submitted another one's job got 409, where 404 is agreed.

Change: the key of a request that has not begun at a target is looked up in the routes in force: after its body, whenever new routes come, and before its first attempt. Keys are marked as sensitive when the request arrives.

--- a/eel-gateway/src/batch/submit.rs
+++ b/eel-gateway/src/batch/submit.rs
@@ -93,7 +93,7 @@
         Ok(()) => empty(StatusCode::ACCEPTED),
         Err(response) if response.status() == StatusCode::NOT_FOUND => {
             log::info!(target: "jobs", job = id; "The id of a job belongs to a job of another tenant.");
-            refuse(&Refusal::not_run(Reason::Conflict))
+            response
         }
         // The job may be the caller's own, which was accepted.
         Err(_) => refuse(&Refusal::may_have_run(Reason::DeadlineExceeded)),
--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -42,6 +42,8 @@
     pub(crate) store: PlatformStore,
     pub(crate) prefix: Name,
     pub(crate) table: ArcSwapOption<RouteTable>,
+    /// Notifies waiting requests that another route table is in force, which may have revoked their keys.
+    pub(crate) routes_changes: watch::Sender<()>,
     pub(crate) metrics: Arc<Metrics>,
     registry: Mutex<Registry>,
     peers: Mutex<Peers>,
@@ -106,6 +108,7 @@
             store: options.store,
             prefix: options.prefix,
             table: ArcSwapOption::empty(),
+            routes_changes: watch::channel(()).0,
             metrics,
             registry: Mutex::default(),
             peers: Mutex::default(),
--- a/eel-gateway/src/http/caller.rs
+++ b/eel-gateway/src/http/caller.rs
@@ -1,6 +1,6 @@
-//! Identifies the tenant of a caller by the key that its request carries.
+//! Identifies the tenant of a caller by the key that its request carries, and tells when the key is revoked.
 
-use std::sync::Arc;
+use std::{future::pending, sync::Arc};
 
 use eel_platform::api_key;
 use eel_table::{Route, RouteTable, Tenant};
@@ -52,3 +52,25 @@
         None => Err(Refusal::not_run(Reason::Unauthorized)),
     }
 }
+
+/// Returns whether the key of a request of `tenant` has been revoked since it was identified.
+pub(crate) fn is_revoked(context: &Context, tenant: Option<&Tenant>, headers: &HeaderMap) -> bool {
+    let (Some(tenant), Some(table)) = (tenant, context.table.load_full()) else {
+        return false;
+    };
+    table.tenants().is_some_and(|tenants| {
+        let found = api_key(headers).and_then(|key| tenants.find(key));
+        found.is_none_or(|it| it.name != tenant.name)
+    })
+}
+
+/// Waits until the key of a request of `tenant` is revoked; for ever if the request needed no key.
+pub(crate) async fn until_revoked(context: &Context, tenant: Option<&Tenant>, headers: &HeaderMap) {
+    let mut changes = context.routes_changes.subscribe();
+    while !is_revoked(context, tenant, headers) {
+        // `changed` fails only if the sender is dropped, which lives as long as the context.
+        if tenant.is_none() || changes.changed().await.is_err() {
+            pending::<()>().await;
+        }
+    }
+}
--- a/eel-gateway/src/http/handler.rs
+++ b/eel-gateway/src/http/handler.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use eel_platform::{JobCall, decode_job_call};
+use eel_platform::{JobCall, decode_job_call, hide_api_keys};
 use eel_table::{Route, RouteKind, RouteTable, Tenant};
 use eel_verdict::{Reason, Refusal};
 use http::{HeaderMap, Method, Request, Response, Uri, Version, header};
@@ -10,7 +10,7 @@
 
 use super::{
     Body, BodyError,
-    caller::{identify, identify_any},
+    caller::{identify, identify_any, is_revoked, until_revoked},
     read_body, refuse,
 };
 use crate::{batch, context::Context, online};
@@ -19,7 +19,8 @@
 pub(super) const NO_ROUTES_RETRY_MS: u64 = 500;
 
 /// Handles one request of a caller.
-pub async fn handle(context: Arc<Context>, request: Request<Incoming>) -> Response<Body> {
+pub async fn handle(context: Arc<Context>, mut request: Request<Incoming>) -> Response<Body> {
+    hide_api_keys(request.headers_mut());
     if let Some(call) = decode_job_call(request.method(), request.uri()) {
         return match identify_job_caller(&context, request.headers()) {
             Ok(tenant) => handle_job_call(&context, call, tenant, request.headers()).await,
@@ -48,6 +49,10 @@
         Ok(body) => body,
         Err(error) => return refuse(&bad_body(error)),
     };
+    if is_revoked(&context, tenant.as_deref(), &head.headers) {
+        let refusal = Refusal::not_run(Reason::Unauthorized);
+        return on_unidentified(&context, &route, &refusal);
+    }
     match route.kind {
         RouteKind::Batch { due_ms, give_up_ms } if head.method == Method::POST => {
             let times = batch::JobTimes { due_ms, give_up_ms };
@@ -86,11 +91,16 @@
     tenant: Option<Arc<Tenant>>,
     headers: &HeaderMap,
 ) -> Response<Body> {
+    let revoked = until_revoked(context, tenant.as_deref(), headers);
     let tenant = tenant.as_ref().map(|it| &it.name);
     match call {
         JobCall::Results { job, from } => {
             let wait_ms = eel_platform::results_wait_ms(headers);
-            batch::results(context, &job, tenant, from, wait_ms).await
+            tokio::select! {
+                biased;
+                () = revoked => refuse(&Refusal::not_run(Reason::Unauthorized)),
+                results = batch::results(context, &job, tenant, from, wait_ms) => results,
+            }
         }
         JobCall::ItemBody { job, item } => batch::item_body(context, &job, tenant, &item).await,
         JobCall::End { job } => batch::end(context, &job, tenant).await,
--- a/eel-gateway/src/http/mod.rs
+++ b/eel-gateway/src/http/mod.rs
@@ -8,7 +8,7 @@
 mod server;
 
 pub(crate) use body::{BodyError, read_body};
-pub(crate) use caller::identify;
+pub(crate) use caller::{is_revoked, until_revoked};
 pub(crate) use readiness::serve_readiness;
 pub(crate) use response::{Body, TruncatedResponse, empty, full, refuse, streamed};
 pub(crate) use server::serve_callers;
--- a/eel-gateway/src/node.rs
+++ b/eel-gateway/src/node.rs
@@ -108,6 +108,12 @@
         self.ready.as_ref()?.local_addr().ok()
     }
 
+    /// Returns the address of the listener for the admin pages; `None` if it cannot be read.
+    #[must_use]
+    pub fn admin_address(&self) -> Option<SocketAddr> {
+        self.admin.local_addr().ok()
+    }
+
     /// Serves until `shutdown` asks the node to drain or to stop at once.
     ///
     /// # Errors
--- a/eel-gateway/src/online/attempts.rs
+++ b/eel-gateway/src/online/attempts.rs
@@ -54,6 +54,12 @@
         self.may_have_run + self.in_flight + self.not_run == 0
     }
 
+    /// Returns whether a target may be running the request or have run it.
+    #[must_use]
+    pub fn has_begun(&self) -> bool {
+        self.may_have_run + self.in_flight > 0
+    }
+
     /// Records the start of an attempt.
     pub fn on_start(&mut self) {
         self.in_flight += 1;
--- a/eel-gateway/src/online/request.rs
+++ b/eel-gateway/src/online/request.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     context::Context,
-    http::identify,
+    http::is_revoked,
     origins,
     quarantine::{Suspects, Trial},
     slots::SlotGuard,
@@ -35,8 +35,6 @@
     pub outgoing: Arc<OutgoingRequest>,
     /// The tenant whose key the caller sent; `None` if the request needs no key.
     pub tenant: Option<Arc<Tenant>>,
-    /// The version of the routes in force when the key was last found to be valid.
-    routes_version: Option<u64>,
     pub arrived: Instant,
     /// The time by which the final response must be sent.
     pub deadline: Instant,
@@ -77,7 +75,6 @@
         let service = route.service_for(resumed.unwrap_or(&request_id))?.clone();
         let tenant_name = tenant.as_ref().map(|it| it.name.clone());
         let suspects = Suspects::of_request(&request_id, tenant_name.as_ref(), &head, &body);
-        let routes_version = context.routes_version();
         let is_continuable = route.kind.is_resumable();
         let arrived = Instant::now();
         let allowed_ms = fields.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
@@ -98,7 +95,6 @@
                 tenant: tenant_name,
             }),
             tenant,
-            routes_version,
             arrived,
             deadline: arrived + allowed,
             last_event_id: fields.last_event_id,
@@ -140,26 +136,12 @@
     }
 
     /// Returns whether the caller's key has been revoked since the request arrived.
-    pub fn is_revoked(&mut self) -> bool {
-        let version = self.context.routes_version();
-        let Some(tenant) = self
-            .tenant
-            .as_ref()
-            .filter(|_| version != self.routes_version)
-        else {
-            return false;
-        };
-        let Some(table) = self.context.table.load_full() else {
-            return false;
-        };
-        let headers = &self.outgoing.headers;
-        match identify(&self.context, &table, &self.route, headers) {
-            Ok(found) if found.as_ref().is_none_or(|it| it.name == tenant.name) => {
-                self.routes_version = version;
-                false
-            }
-            Ok(_) | Err(_) => true,
-        }
+    pub fn is_revoked(&self) -> bool {
+        is_revoked(
+            &self.context,
+            self.tenant.as_deref(),
+            &self.outgoing.headers,
+        )
     }
 
     /// Returns the name of the caller's tenant; empty if there is none.
--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -24,6 +24,7 @@
     request::{Request, whole_ms},
 };
 use crate::{
+    http::until_revoked,
     quarantine::{blocks, on_early_end},
     slots::SlotGuard,
     target::{AttemptFailure, TargetResponse, continues_stream, exchange},
@@ -83,6 +84,13 @@
     let may_take_over = in_flight.as_ref().is_none_or(|it| it.takeover_at.is_some());
     let takeover_at = in_flight.as_ref().and_then(|it| it.takeover_at);
     let mut left = in_flight.as_ref().map(|it| it.left.clone());
+    let (context, tenant) = (request.context.clone(), request.tenant.clone());
+    let outgoing = request.outgoing.clone();
+    let mut revoked = pin!(until_revoked(
+        &context,
+        tenant.as_deref(),
+        &outgoing.headers
+    ));
     let mut race = Race {
         start_at: takeover_at.unwrap_or_else(Instant::now),
         running: Vec::new(),
@@ -98,7 +106,7 @@
     });
     loop {
         let is_idle = race.running.is_empty() && left.is_none();
-        if race.attempts.is_empty() && race.request.is_revoked() {
+        if race.is_revoked() {
             return Err(Refusal::not_run(Reason::Unauthorized));
         }
         let has_attempts = may_take_over && race.may_start();
@@ -112,6 +120,9 @@
         let wake_at = overlap_end.unwrap_or(race.request.deadline);
         tokio::select! {
             biased;
+            () = revoked.as_mut(), if !race.attempts.has_begun() => {
+                return Err(Refusal::not_run(Reason::Unauthorized));
+            }
             brought = read.as_mut(), if left.is_some() => match brought {
                 Ok(brought) => return Ok(First::InFlight(brought)),
                 Err(failure) => {
@@ -170,6 +181,11 @@
         !is_trial && blocks(&self.request.context, &self.request.outgoing.suspects)
     }
 
+    /// Returns whether the caller's key was revoked before the request began at a target.
+    fn is_revoked(&self) -> bool {
+        !self.attempts.has_begun() && self.request.is_revoked()
+    }
+
     /// Returns the refusal to send to the caller now that no attempt is left.
     fn refusal(&self, is_blocked: bool) -> Refusal {
         if is_blocked {
@@ -183,8 +199,7 @@
 
     /// Starts an attempt, unless the request was blocked or its key was revoked while it waited for the slot.
     fn start(&mut self, slot: SlotGuard) {
-        let is_revoked = self.attempts.is_empty() && self.request.is_revoked();
-        if is_revoked || self.is_blocked() {
+        if self.is_revoked() || self.is_blocked() {
             return;
         }
         self.attempts.on_start();
