test(gateway): tenants, their keys and their jobs

Cause: tenants had no tests.

Change: tests over sockets of keys, the tenant's header, revocation, jobs, and a search for keys in log lines, metrics, responses and stored records; tests without a network of decoding, lookup and stored heads.

--- a/eel-gateway/tests/gateway/fixture.rs
+++ b/eel-gateway/tests/gateway/fixture.rs
@@ -29,6 +29,7 @@
 pub struct Node {
     pub http: SocketAddr,
     pub ready: SocketAddr,
+    pub admin: SocketAddr,
     pub shutdown: Shutdown,
     pub task: JoinHandle<()>,
 }
@@ -115,12 +116,14 @@
         node.http_address().expect("callers"),
         node.ready_address().expect("readiness"),
     );
+    let admin = node.admin_address().expect("admin pages");
     let shutdown = Shutdown::default();
     let running = shutdown.clone();
     let task = tokio::spawn(async move { node.run(running).await.expect("the node stops") });
     Node {
         http,
         ready,
+        admin,
         shutdown,
         task,
     }
@@ -151,6 +154,13 @@
             .is_ok_and(|response| response.status().is_success())
     }
 
+    /// Returns the metrics page of a node.
+    pub async fn metrics(&self, node: usize) -> String {
+        let url = format!("http://{}/metrics", self.nodes[node].admin);
+        let response = self.client.get(url).send().await.expect("a response");
+        response.text().await.expect("a page")
+    }
+
     /// Adds a node and waits until it is ready; returns its index.
     pub async fn add_node(&mut self, name: &str, runs_batch: bool) -> usize {
         let node = start_node(&self.store.endpoint(), name, runs_batch).await;
--- a/eel-ledger/tests/ledger/main.rs
+++ b/eel-ledger/tests/ledger/main.rs
@@ -2,6 +2,7 @@
 
 mod fixture;
 mod job_owner;
+mod job_tenant;
 mod malformed_values;
 mod next_item;
 mod partial_texts;
--- a/eel-table/tests/table/main.rs
+++ b/eel-table/tests/table/main.rs
@@ -1,4 +1,5 @@
 //! Tests of `eel-table`.
 
 mod route_lookup;
+mod tenant_lookup;
 mod traffic_split;
