test(gateway): tenants and revoked keys in the soak

Cause: the soak had no tenants.

Change: callers send keys of two tenants, one of whose keys each new version of the routes revokes or gives back. A 401 promises that the request did not run, and never comes for a key that is always valid. Each attempt at a target has the name of the caller's tenant, whatever the caller names, and no key.

--- a/tests/gateway/callers.rs
+++ b/tests/gateway/callers.rs
@@ -30,6 +30,8 @@
 pub struct ObservedRequest {
     pub id: String,
     pub is_repeatable: bool,
+    /// The tenant whose key the request carries.
+    pub tenant: &'static str,
     /// The status of the response; `None` if the connection ended before there was one.
     pub status: Option<u16>,
 }
@@ -39,7 +41,7 @@
 impl ObservedRequest {
     /// Returns whether the status means that the request did not run and never will.
     pub fn says_not_run(&self) -> bool {
-        matches!(self.status, Some(408 | 421 | 429 | 503))
+        matches!(self.status, Some(401 | 408 | 421 | 429 | 503))
     }
 }
 
@@ -58,11 +60,17 @@
         }
         let (path, is_repeatable) = PATHS[rng.random_range(0..PATHS.len())];
         let id = format!("r{caller}-{number}");
+        let (tenant, key) = match caller % 3 {
+            0 => ("changing", "changing0"),
+            _ => ("steady", "steady"),
+        };
         let url = format!("http://{}{path}", nodes[rng.random_range(0..nodes.len())]);
         let request = client
             .post(url)
             .header("host", HOST)
             .header("x-eelgrassgap-attempt-id", &id)
+            .header("api-key", key)
+            .header("x-eelgrassgap-tenant", "forged")
             .header("x-eelgrassgap-deadline-ms", "2000")
             .header("x-eelgrassgap-prefix-hash", parts(caller, number))
             .timeout(Duration::from_secs(4))
@@ -74,6 +82,7 @@
         observed.push(ObservedRequest {
             id,
             is_repeatable,
+            tenant,
             status,
         });
         sleep(Duration::from_millis(rng.random_range(0..20))).await;
--- a/tests/gateway/jobs.rs
+++ b/tests/gateway/jobs.rs
@@ -82,6 +82,7 @@
                 .post(url)
                 .header("host", HOST)
                 .header("x-eelgrassgap-attempt-id", id)
+                .header("api-key", "steady")
                 .header("x-eelgrassgap-deadline-ms", "1500")
                 .body(body.clone());
             match request
@@ -112,7 +113,14 @@
     /// Results keep their positions, so the shorter list must be a prefix of the longer one.
     async fn read_results(&mut self, id: &str) {
         let url = self.url(&format!("/eelgrassgap/lots/{id}?after=0"));
-        let Ok(response) = self.client.get(url).header("host", HOST).send().await else {
+        let Ok(response) = self
+            .client
+            .get(url)
+            .header("host", HOST)
+            .header("api-key", "steady")
+            .send()
+            .await
+        else {
             return;
         };
         let status = response.status().as_u16();
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -11,6 +11,7 @@
 use eel_platform::standin::{Behaviour, StandInStore, StandInTarget, StoreFault, routes};
 use nix::sys::signal::Signal;
 use rand::{SeedableRng as _, rngs::SmallRng};
+use serde_json::json;
 use tempfile::TempDir;
 use tokio::{task::JoinSet, time::sleep};
 
@@ -183,6 +184,16 @@
             };
             assert!(runs <= 1 || request.is_repeatable, "{}", context());
             assert!(runs == 0 || !request.says_not_run(), "{}", context());
+            let is_refused = request.status == Some(401);
+            assert!(!is_refused || request.tenant != "steady", "{}", context());
+            let headers = self
+                .targets
+                .iter()
+                .flat_map(|it| it.headers_of(&request.id));
+            for headers in headers {
+                assert_eq!(headers["x-eelgrassgap-tenant"], request.tenant);
+                assert!(!headers.contains_key("api-key"), "{}", context());
+            }
         }
     }
 
@@ -231,10 +242,14 @@
             .join("\n")
     }
 
-    /// Writes the same routes with a newer version.
+    /// Writes the same routes with a newer version, which revokes the key of the tenant `changing` or gives it back.
     pub fn change_routes(&mut self) {
         self.version += 1;
-        self.store
-            .put("op/config", &routes(self.version).to_string());
+        let mut table = routes(self.version);
+        let key = format!("changing{}", self.version % 2);
+        table["tenants"] = json!([
+            {"name": "steady", "apiKeys": ["steady"]}, {"name": "changing", "apiKeys": [key]}
+        ]);
+        self.store.put("op/config", &table.to_string());
     }
 }
