--- a/eel-gateway/tests/gateway/tenant_secrets.rs
+++ b/eel-gateway/tests/gateway/tenant_secrets.rs
@@ -2,7 +2,10 @@
 //!
 //! Guards against a key in a log line, on the metrics page, in a response or in a stored record.
 
-use std::sync::{Mutex, Once};
+use std::{
+    fmt::Write as _,
+    sync::{Mutex, Once},
+};
 
 use eel_platform::standin::Behaviour;
 use log::{Level, LevelFilter, Log, Metadata, Record, kv};
@@ -27,8 +30,7 @@
 
 impl<'kvs> kv::VisitSource<'kvs> for Pairs<'_> {
     fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
-        self.0.push_str(&format!(" {key}={value} {value:?}"));
-        Ok(())
+        write!(self.0, " {key}={value} {value:?}").map_err(|_| kv::Error::msg("not written"))
     }
 }
 
