test(gateway): a key that is revoked after a target's refusal

Cause: the test accepted 503 as well, and passed on code that looks a key up only before the first attempt.

Change: a resumed stream, which waits for a full target under a limit that leaves time between the refusals, must get 401.

--- a/eel-gateway/tests/gateway/tenant_keys.rs
+++ b/eel-gateway/tests/gateway/tenant_keys.rs
@@ -219,17 +219,22 @@
 async fn revoked_while_targets_refuse() {
     let fleet = tenant_fleet(1, 1).await;
     let target = &fleet.targets[0];
+    // Leaves time between the refusals.
+    target.set_limits(&["2"]);
+    let stream = |id| fleet.post(0, "/resumable-stream/1", id);
+    assert_eq!(status(stream("r1"), "a1").await, 200);
     target.set_default_behaviour(Behaviour::Full);
-    let sent = status(fleet.post(0, "/once/1", "r1"), "a1");
+    // A resumed stream waits for a target that is full.
+    let resumed = stream("r2").header("resumes", "r1");
+    let resumed = status(resumed.header("last-event-id", "2"), "a1");
     let revocation = async {
         wait_until("a target has refused", async || {
-            !target.arrivals().is_empty()
+            !target.headers_of("r2").is_empty()
         })
         .await;
         revoke(&fleet).await;
-        target.set_default_behaviour(Behaviour::Responds);
     };
-    let (refused, ()) = join!(sent, revocation);
-    assert!([401, 503].contains(&refused), "{refused}");
-    assert_eq!(fleet.runs("r1"), 0);
+    let (refused, ()) = join!(resumed, revocation);
+    assert_eq!(refused, 401);
+    assert_eq!(fleet.runs("r2"), 0);
 }
