feat(fleet): quotas of tenants over all nodes

Each node keeps a token bucket for its share of a tenant's quota and grants tokens that it does not need to peers that do. A token is at one node only, so the sum holds while nodes are cut off.

--- a/eel-fleet/src/lib.rs
+++ b/eel-fleet/src/lib.rs
@@ -15,6 +15,7 @@
 mod pace;
 mod peers;
 mod queue;
+mod quota;
 mod registry;
 mod rendezvous;
 mod report;
@@ -29,6 +30,9 @@
 pub use pace::{MAX_REPORT_INTERVAL_MS, report_interval_ms};
 pub use peers::{NodeEntry, Peers};
 pub use queue::TicketKey;
+pub use quota::{
+    NodeQuota, QuotaNotice, QuotaNoticeError, QuotaPeer, QuotaRefusal, QuotaTable, TenantLevel,
+};
 pub use registry::{Registry, Removal};
 pub use report::{PeerReport, ReportError, ReportPart, TargetLoad, WaitingCount, stable_hash};
 pub use selector::{AttemptOutcome, Capacity, TargetQuery, TargetSelector, WorkKind};
