feat(gateway): admit requests within the quotas of tenants

A request takes a token of its tenant before its body is read, and gives it back if no attempt may have run. Nodes exchange notices on the socket of the load reports while tenants have quotas. Submissions of jobs need no token.

--- a/eel-fleet/src/peers.rs
+++ b/eel-fleet/src/peers.rs
@@ -126,6 +126,12 @@
             .map(|peer| (peer.entry.address(), peer.entry.token))
     }
 
+    /// Returns the same addresses and tokens by the incarnation of the node.
+    pub fn receivers_by_incarnation(&self) -> impl Iterator<Item = (u64, (SocketAddr, u64))> {
+        let entries = self.peers.values().map(|peer| &peer.entry);
+        entries.map(|entry| (entry.incarnation, (entry.address(), entry.token)))
+    }
+
     /// Returns all other nodes, sorted by name, with whether their load reports arrive.
     #[must_use]
     pub fn limit_peers(&self, now_ms: u64) -> Vec<LimitPeer> {
--- a/eel-fleet/src/quota/bucket.rs
+++ b/eel-fleet/src/quota/bucket.rs
@@ -132,7 +132,7 @@
             .is_some_and(|it| self.updated_ms < it + RESERVE_MS);
         let reserve = if is_used { self.share().min(TOKEN) } else { 0 };
         if self.demand > TOKEN / 8 {
-            (self.demand + self.demand / 4 + TOKEN).max(reserve)
+            (self.demand / 2 + TOKEN).max(reserve)
         } else {
             reserve
         }
@@ -249,11 +249,18 @@
         grants
     }
 
-    /// Returns whether peers should hear of the level.
-    pub fn has_news(&self) -> bool {
+    /// Returns whether peers should hear of the level: it has changed, or this node needs tokens that a peer has.
+    pub fn has_news(&self, now_ms: u64) -> bool {
         let differs = |now: u64, told: u64| now.abs_diff(told) > told / 4 + TOKEN / 4;
         let (level, target) = (self.level(), self.target());
-        differs(level, self.told.0) || differs(target, self.told.1) || level < target
+        differs(level, self.told.0)
+            || differs(target, self.told.1)
+            || level < target && self.peer_has_surplus(now_ms)
+    }
+
+    fn peer_has_surplus(&self, now_ms: u64) -> bool {
+        let mut peers = self.peers.values();
+        peers.any(|it| now_ms < it.received_ms + LEVEL_TTL_MS && it.level > it.target)
     }
 
     /// Returns what peers should know, without a grant; `is_told` if all peers hear of it.
--- a/eel-fleet/src/quota/table.rs
+++ b/eel-fleet/src/quota/table.rs
@@ -156,7 +156,7 @@
                 .grants(now_ms, |it| all.contains(&it))
                 .into_iter()
                 .collect();
-            let is_told = is_full || bucket.has_news();
+            let is_told = is_full || bucket.has_news(now_ms);
             if !is_told && grants.is_empty() {
                 continue;
             }
--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -20,7 +20,7 @@
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::{metrics::Metrics, origins::OriginState, slots::Slots, target::Pool};
+use crate::{metrics::Metrics, origins::OriginState, quotas::Quotas, slots::Slots, target::Pool};
 
 /// How long data from the store counts as fresh after the store's last response, in ms: two lease renewals and the time
 /// of one call.
@@ -45,6 +45,7 @@
     /// Notifies waiting requests that another route table is in force, which may have revoked their keys.
     pub(crate) routes_changes: watch::Sender<()>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) quotas: Quotas,
     registry: Mutex<Registry>,
     peers: Mutex<Peers>,
     blocked_parts: Mutex<Quarantine>,
@@ -110,6 +111,7 @@
             table: ArcSwapOption::empty(),
             routes_changes: watch::channel(()).0,
             metrics,
+            quotas: Quotas::default(),
             registry: Mutex::default(),
             peers: Mutex::default(),
             blocked_parts: Mutex::new(Quarantine::new(Scope::Parts)),
--- a/eel-gateway/src/http/handler.rs
+++ b/eel-gateway/src/http/handler.rs
@@ -13,7 +13,7 @@
     caller::{identify, identify_any, is_revoked, until_revoked},
     read_body, refuse,
 };
-use crate::{batch, context::Context, online};
+use crate::{batch, context::Context, online, quotas};
 
 /// When callers should retry at a node that has not read the routes yet, in ms: its first call to the store reads them.
 pub(super) const NO_ROUTES_RETRY_MS: u64 = 500;
@@ -44,6 +44,17 @@
         Ok(tenant) => tenant,
         Err(refusal) => return on_unidentified(&context, &route, &refusal),
     };
+    let is_submission =
+        matches!(route.kind, RouteKind::Batch { .. }) && request.method() == Method::POST;
+    // Targets run the items of a job, which quotas do not limit, but not its submission.
+    let limited = tenant.as_ref().filter(|_| !is_submission);
+    let permit = match quotas::admit(&context, limited) {
+        Ok(permit) => permit,
+        Err(refusal) => {
+            context.metrics.count_request(refusal.reason.as_str());
+            return refuse(&refusal);
+        }
+    };
     let (head, body) = request.into_parts();
     let body = match read_body(body, table.limits.body_bytes).await {
         Ok(body) => body,
@@ -58,7 +69,7 @@
             let times = batch::JobTimes { due_ms, give_up_ms };
             batch::submit(&context, &route, times, tenant, &head.headers, &body).await
         }
-        _ => online::serve(context, route, tenant, head, body).await,
+        _ => online::serve(context, route, tenant, permit, head, body).await,
     }
 }
 
--- a/eel-gateway/src/lib.rs
+++ b/eel-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod online;
 mod origins;
 mod quarantine;
+mod quotas;
 mod reports;
 mod slots;
 mod store;
--- a/eel-gateway/src/metrics.rs
+++ b/eel-gateway/src/metrics.rs
@@ -33,6 +33,12 @@
     pub source: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct QuotaLabels {
+    pub tenant: String,
+    pub outcome: &'static str,
+}
+
 /// Counters, gauges and histograms of the node.
 #[derive(Default)]
 pub struct Metrics {
@@ -58,6 +64,10 @@
     pub limited_targets: Gauge,
     /// Attempts at such targets.
     pub limited_attempts: Counter,
+    /// Requests of tenants with quotas, by tenant and by what the quota decided. The number of names is bounded.
+    pub quota_requests: Family<QuotaLabels, Counter>,
+    /// Datagrams with notices of quotas that were sent.
+    pub quota_notices: Counter,
     pub store_failures: Counter,
     /// Result calls for which the watch was behind, so that the results were read from the store.
     pub result_reads: Counter,
@@ -82,6 +92,7 @@
 
 impl Metrics {
     pub fn register(&self, registry: &mut Registry) {
+        self.register_quotas(registry);
         registry.register(
             "requests",
             "Online requests by outcome",
@@ -179,10 +190,31 @@
         );
     }
 
+    fn register_quotas(&self, registry: &mut Registry) {
+        registry.register(
+            "quota_requests",
+            "Requests of tenants with quotas by tenant and by what the quota decided",
+            self.quota_requests.clone(),
+        );
+        registry.register(
+            "quota_notices",
+            "Datagrams with notices of quotas",
+            self.quota_notices.clone(),
+        );
+    }
+
     pub fn count_request(&self, outcome: &'static str) {
         self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    pub fn count_quota(&self, tenant: &str, outcome: &'static str) {
+        let labels = QuotaLabels {
+            tenant: tenant.to_owned(),
+            outcome,
+        };
+        self.quota_requests.get_or_create(&labels).inc();
+    }
+
     pub fn count_not_run(&self, evidence: &'static str) {
         let label = EvidenceLabel { evidence };
         self.not_run_attempts.get_or_create(&label).inc();
--- a/eel-gateway/src/node.rs
+++ b/eel-gateway/src/node.rs
@@ -19,7 +19,7 @@
     batch::Worker,
     context::{Context, ContextOptions},
     http::{serve_callers, serve_readiness},
-    limits, origins, quarantine, reports,
+    limits, origins, quarantine, quotas, reports,
     store::{expire_targets, follow, keep_entry},
 };
 
@@ -211,6 +211,7 @@
     let receiver = socket.clone();
     let sender = socket.clone();
     let limits_sender = socket.clone();
+    let quotas_sender = socket.clone();
     spawn(supervisor, "reports out", context, stop, move |context| {
         let socket = socket.clone();
         async move { reports::send_reports(&context, &socket).await }
@@ -223,6 +224,10 @@
         let socket = limits_sender.clone();
         async move { limits::send_notices(&context, &socket).await }
     });
+    spawn(supervisor, "quotas out", context, stop, move |context| {
+        let socket = quotas_sender.clone();
+        async move { quotas::send_notices(&context, &socket).await }
+    });
     spawn(
         supervisor,
         "blocked parts",
--- a/eel-gateway/src/online/request.rs
+++ b/eel-gateway/src/online/request.rs
@@ -18,6 +18,7 @@
     http::is_revoked,
     origins,
     quarantine::{Suspects, Trial},
+    quotas::QuotaPermit,
     slots::SlotGuard,
     target::OutgoingRequest,
 };
@@ -35,6 +36,8 @@
     pub outgoing: Arc<OutgoingRequest>,
     /// The tenant whose key the caller sent; `None` if the request needs no key.
     pub tenant: Option<Arc<Tenant>>,
+    /// The token of the tenant's quota; `None` if the tenant has no quota.
+    pub permit: Option<QuotaPermit>,
     pub arrived: Instant,
     /// The time by which the final response must be sent.
     pub deadline: Instant,
@@ -95,6 +98,7 @@
                 tenant: tenant_name,
             }),
             tenant,
+            permit: None,
             arrived,
             deadline: arrived + allowed,
             last_event_id: fields.last_event_id,
@@ -182,6 +186,13 @@
         }
     }
 
+    /// Records whether an attempt may have run. If none has, the quota's token is given back at the end.
+    pub fn set_may_have_run(&mut self, may_have_run: bool) {
+        if let Some(permit) = &mut self.permit {
+            permit.set_may_have_run(may_have_run);
+        }
+    }
+
     /// Excludes a target from further attempts.
     pub fn exclude(&mut self, key: TargetKey) {
         self.excluded.push(key);
--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -203,6 +203,7 @@
             return;
         }
         self.attempts.on_start();
+        self.request.set_may_have_run(true);
         // Its caller may leave before the target crashes.
         self.request.set_trial_end(TrialEnd::Failed);
         let attempt = Running::start(self.request, slot, self.last_event_id);
@@ -213,6 +214,8 @@
     /// Records the failure of an attempt that had no response.
     async fn on_failure(&mut self, ended: Running, failure: AttemptFailure) {
         self.attempts.on_failure(failure);
+        let may_have_run = self.attempts.verdict() != Verdict::NotRun;
+        self.request.set_may_have_run(may_have_run);
         if failure.verdict() == Verdict::NotRun {
             self.request.set_trial_end(TrialEnd::Inconclusive);
         }
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -21,6 +21,7 @@
     http::{Body, full, refuse},
     origins,
     quarantine::{self, Admission},
+    quotas::QuotaPermit,
     target::{AttemptFailure, TargetResponse},
 };
 
@@ -33,6 +34,7 @@
     context: Arc<Context>,
     route: Arc<Route>,
     tenant: Option<Arc<Tenant>>,
+    permit: Option<QuotaPermit>,
     head: Parts,
     body: Bytes,
 ) -> Response<Body> {
@@ -41,6 +43,7 @@
         return refuse(&Refusal::not_run(Reason::NoTarget));
     };
     let mut attempts = Attempts::default();
+    request.permit = permit;
     if request.context.may_end_before(request.deadline) {
         return log_refusal(&request, &attempts, &attempts.leave());
     }
--- a/eel-gateway/src/reports.rs
+++ b/eel-gateway/src/reports.rs
@@ -1,4 +1,4 @@
-//! Exchanges load reports between nodes as UDP datagrams, and receives notices of crashes and of limits.
+//! Exchanges load reports between nodes as UDP datagrams, and receives notices of crashes, of limits and of quotas.
 //!
 //! Each report replaces the sender's previous one, so a lost datagram is made up for by the next one, and there is no
 //! connection that could hang.
@@ -11,7 +11,7 @@
     time::{Instant, sleep, sleep_until},
 };
 
-use crate::{context::Context, limits, quarantine};
+use crate::{context::Context, limits, quarantine, quotas};
 
 /// The time between two reports while the load does not change.
 const REPORT_INTERVAL: Duration = Duration::from_millis(MAX_REPORT_INTERVAL_MS);
@@ -78,6 +78,7 @@
                 Ok(report) if report.token == context.token => on_report(context, &report),
                 _ if quarantine::on_datagram(context, &buffer[..length]) => {}
                 _ if limits::on_datagram(context, &buffer[..length]) => {}
+                _ if quotas::on_datagram(context, &buffer[..length]) => {}
                 _ => {
                     log::debug!(target: "peers", "A datagram from {sender} is neither a load report nor a notice for this node.");
                 }
--- a/eel-gateway/src/store/apply.rs
+++ b/eel-gateway/src/store/apply.rs
@@ -114,6 +114,7 @@
         .metrics
         .route_table_version
         .set(i64::try_from(table.version).unwrap_or(i64::MAX));
+    context.quotas.set(context.clock.now_ms(), &table);
     context.table.store(Some(Arc::new(table)));
     context.routes_changes.send_replace(());
     context.on_ledger_change();
--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -32,4 +32,5 @@
 mod tenant_jobs;
 mod tenant_keys;
 mod tenant_secrets;
+mod tenant_quotas;
 mod unread_request;
