feat(fleet): order waiting requests fairly over tenants

Cause: waiting requests were ordered by priority and latest start alone, so a tenant with many requests took the places of all others. Change: start-time fair queueing with equal weights within a priority, `Arrival` with tenant and tenant priority, peers' waiting counts scaled to the own queue's mix, requests that are pushed out of their goal are rejected at once. The model of callers prints what they get; it has no checks yet.

--- a/eel-fleet/src/dispatch.rs
+++ b/eel-fleet/src/dispatch.rs
@@ -29,7 +29,11 @@
 pub struct Arrival<'a> {
     /// The service whose targets can run the request.
     pub service: &'a Name,
-    /// The priority; 0 is the most urgent.
+    /// The tenant whose requests compete with those of others; `None` if the request has none.
+    pub tenant: Option<Name>,
+    /// The priority of the tenant, which goes before that of the route; 0 is the most urgent, and stands for no tenant.
+    pub tenant_priority: u8,
+    /// The priority of the route; 0 is the most urgent.
     pub priority: u8,
     /// The latest start that still meets the latency goal.
     pub start_by_ms: u64,
@@ -89,6 +93,8 @@
 #[derive(Default)]
 struct ServiceState {
     queue: Queue,
+    /// Whether a tenant's request went before others since the last dispatch.
+    is_reordered: bool,
     run_time_ms: Option<u64>,
 }
 
@@ -127,6 +133,8 @@
     pub fn arrive(&mut self, now_ms: u64, arrival: Arrival<'_>) -> Decision {
         let service = arrival.service.clone();
         let waiting = QueuedRequest {
+            tenant: arrival.tenant,
+            tenant_priority: arrival.tenant_priority,
             priority: arrival.priority,
             start_by_ms: arrival.start_by_ms,
             give_up_ms: arrival.give_up_ms,
@@ -140,6 +148,9 @@
         if ahead == 0
             && let Some(target) = self.start_now(now_ms, &service, &waiting)
         {
+            if let Some(state) = self.services.get_mut(&service) {
+                state.queue.on_start(&waiting);
+            }
             return Decision::Start(target);
         }
         let version = waiting.version.as_ref();
@@ -151,6 +162,8 @@
             return Decision::Reject(rejection);
         }
         let state = self.services.entry(service).or_default();
+        // Others that this request goes before may no longer start in time.
+        state.is_reordered |= ahead < state.queue.len() && waiting.tenant.is_some();
         Decision::Wait(state.queue.push(waiting))
     }
 
@@ -279,11 +292,14 @@
     }
 
     fn dispatch_service(&mut self, now_ms: u64, service: &Name, dequeued: &mut Vec<Dequeued>) {
-        let Some(state) = self.services.get(service) else {
+        let Some(state) = self.services.get_mut(service) else {
             return;
         };
         let order = state.queue.in_order(now_ms);
+        let is_reordered = std::mem::take(&mut state.is_reordered);
         let capacity = self.selector.capacity(now_ms, service);
+        // The requests that stay in the queue.
+        let mut kept = 0;
         for (ahead, ticket) in order.into_iter().enumerate() {
             let Some(waiting) = self
                 .services
@@ -301,9 +317,19 @@
             } else {
                 self.start_now(now_ms, service, &waiting)
             };
+            let is_over = is_over
+                || (is_reordered
+                    && target.is_none()
+                    && self.is_displaced(now_ms, service, &capacity, kept, &waiting));
             if target.is_none() && !is_over {
+                kept += 1;
                 continue;
             }
+            if target.is_some()
+                && let Some(state) = self.services.get_mut(service)
+            {
+                state.queue.start(ticket);
+            }
             let outcome =
                 target.ok_or_else(|| self.rejection(now_ms, service, &capacity, ahead, &waiting));
             dequeued.push(Dequeued {
@@ -315,6 +341,25 @@
         }
     }
 
+    /// Returns whether a queued request cannot start in time any more behind `ahead` others, now that a tenant's request
+    /// went before it.
+    fn is_displaced(
+        &self,
+        now_ms: u64,
+        service: &Name,
+        capacity: &Capacity,
+        ahead: usize,
+        waiting: &QueuedRequest,
+    ) -> bool {
+        let rejection = self.rejection(now_ms, service, capacity, ahead, waiting);
+        let starts_at_ms = now_ms.saturating_add(rejection.expected_wait_ms);
+        let is_late = now_ms > waiting.reject_after_ms();
+        !waiting.accepts_late
+            && !is_late
+            && starts_at_ms > waiting.reject_after_ms()
+            && !self.may_start_soon(service, &rejection)
+    }
+
     fn start_now(
         &mut self,
         now_ms: u64,
@@ -375,7 +420,7 @@
     ) -> Rejection {
         let run_time_ms = self.run_time_ms(service);
         let ahead = u64::try_from(ahead).unwrap_or(u64::MAX);
-        let ahead = ahead.saturating_add(self.waiting_at_peers(now_ms, service));
+        let ahead = ahead.saturating_add(self.ahead_at_peers(now_ms, service, ahead));
         let expected_wait_ms = expected_wait_ms(now_ms, capacity, run_time_ms, ahead);
         Rejection {
             retry_after_ms: clamp_retry_after(expected_wait_ms),
@@ -394,6 +439,22 @@
         !is_measured && rejection.ahead < u64::from(rejection.slots)
     }
 
+    /// Returns how many requests at peers start before one behind `ahead` requests of this node.
+    ///
+    /// Peers do not say whose requests wait. With tenants, peers are assumed to start requests at the pace of this node, so
+    /// that the one of a tenant with little load does not count the whole backlog of another one.
+    fn ahead_at_peers(&self, now_ms: u64, service: &str, ahead: u64) -> u64 {
+        let waiting = self.waiting_at_peers(now_ms, service);
+        let queue = self.services.get(service).map(|it| &it.queue);
+        match queue.filter(|it| it.has_tenants()) {
+            Some(queue) => {
+                let own = u64::try_from(queue.len()).unwrap_or(u64::MAX).max(1);
+                waiting.saturating_mul(ahead.min(own)).div_ceil(own)
+            }
+            None => waiting,
+        }
+    }
+
     fn waiting_at_peers(&self, now_ms: u64, service: &str) -> u64 {
         let hash = stable_hash(service);
         let live = self
--- a/eel-fleet/src/lib.rs
+++ b/eel-fleet/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod dispatch;
 mod entry;
+mod fair_order;
 mod health;
 mod leaving;
 mod limit;
@@ -23,6 +24,7 @@
 
 pub use dispatch::{Arrival, Decision, Dequeued, Dispatcher, Rejection};
 pub use entry::TargetEntry;
+pub use fair_order::{FairOrder, Flow, PriorityRank};
 pub use limit::{
     LimitChange, LimitNotice, LimitNoticeError, LimitPeer, LimitTable, NamedLimit, RateLimit,
     TargetUsage,
--- a/eel-fleet/tests/fleet/fixture.rs
+++ b/eel-fleet/tests/fleet/fixture.rs
@@ -67,6 +67,8 @@
 pub fn arrival(service: &Name, start_by_ms: u64, give_up_ms: u64) -> Arrival<'_> {
     Arrival {
         service,
+        tenant: None,
+        tenant_priority: 0,
         priority: 0,
         start_by_ms,
         give_up_ms,
--- a/eel-fleet/tests/fleet/main.rs
+++ b/eel-fleet/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod batch_order;
 mod burst_load;
+mod callers_model;
 mod failing_target;
 mod fixture;
 mod idle_again;
@@ -17,4 +18,5 @@
 mod target_health;
 mod target_versions;
 mod tenant_quotas;
+mod tenant_order;
 mod waiting_requests;
--- a/eel-gateway/src/online/request.rs
+++ b/eel-gateway/src/online/request.rs
@@ -126,6 +126,8 @@
             .saturating_sub(spent_ms + FIRST_OUTPUT_MS);
         let arrival = Arrival {
             service: &self.service,
+            tenant: self.tenant.as_ref().map(|it| it.name.clone()),
+            tenant_priority: self.tenant.as_ref().map_or(0, |it| it.priority),
             priority: self.route.priority,
             start_by_ms: now_ms + goal_left_ms.min(left_ms),
             give_up_ms: now_ms + left_ms.saturating_sub(FIRST_OUTPUT_MS),
--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -358,6 +358,7 @@
 fn log_rejection(request: &Request, rejection: &Rejection) {
     log::info!(
         target: "online", request_id = request.outgoing.request_id.as_str(), service = request.service.as_str(),
+        tenant = request.tenant_name(),
         expected_wait_ms = rejection.expected_wait_ms, ahead = rejection.ahead, slots = rejection.slots,
         limited_targets = rejection.limited_targets, version = request.version.as_deref().unwrap_or_default(),
         is_version_gone = rejection.is_version_gone,
--- a/eel-gateway/src/slots.rs
+++ b/eel-gateway/src/slots.rs
@@ -74,7 +74,8 @@
     ) -> Result<SlotGuard, Rejection> {
         let now_ms = self.clock.now_ms();
         let service = arrival.service.clone();
-        let (ticket, receiver) = {
+        let has_tenant = arrival.tenant.is_some();
+        let (ticket, receiver, refused) = {
             let mut inner = self.lock();
             match inner.dispatcher.arrive(now_ms, arrival) {
                 Decision::Start(key) => return self.guard(&inner, key, WorkKind::Online),
@@ -82,10 +83,13 @@
                 Decision::Wait(ticket) => {
                     let (send, receive) = oneshot::channel();
                     inner.waiters.insert((service.clone(), ticket), send);
-                    (ticket, receive)
+                    // Rejects at once those that cannot start in time any more behind this request.
+                    let refused = has_tenant.then(|| self.notify_waiters(&mut inner));
+                    (ticket, receive, refused)
                 }
             }
         };
+        drop(refused);
         self.load_changed.notify_one();
         let waiter = QueueGuard {
             slots: self,
