--- a/eel-fleet/src/dispatch.rs
+++ b/eel-fleet/src/dispatch.rs
@@ -23,6 +23,10 @@
 const MS_PER_1000_S: u64 = 1_000_000;
 /// Bounds of the retry delay that is sent to callers. Callers honour a delay of up to a third of their remaining time.
 const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 100..=1_500;
+/// The part of their remaining time up to which callers honour a delay: a third.
+const HONOURED_DIVISOR: u64 = 3;
+/// The part of the latest delay over which the delays of requests that are rejected together are spread: a fifth.
+const RETRY_SPREAD_DIVISOR: u64 = 5;
 
 /// An online request that needs a slot.
 #[derive(Clone, Debug)]
@@ -79,6 +83,14 @@
     pub is_version_gone: bool,
 }
 
+impl Rejection {
+    /// Returns after what time this node may try again to find a slot for a request that it keeps.
+    #[must_use]
+    pub fn recheck_after_ms(&self) -> u64 {
+        clamp_retry_after(self.expected_wait_ms)
+    }
+}
+
 /// A request that has left the queue.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Dequeued {
@@ -249,17 +261,23 @@
         }
     }
 
-    /// Returns the number of requests queued at this node, by service.
+    /// Returns the number of requests queued at this node, by service. Late ones do not count where targets limit the rate:
+    /// they start last, and for as long as they wait, peers would reject requests that can still start in time.
     #[must_use]
-    pub fn own_waiting(&self) -> Vec<WaitingCount> {
-        let waiting = self
+    pub fn own_waiting(&self, now_ms: u64) -> Vec<WaitingCount> {
+        let queued = self
             .services
             .iter()
             .filter(|(_, state)| state.queue.len() > 0);
-        waiting
-            .map(|(name, state)| WaitingCount {
+        let counts = queued.map(|(name, state)| {
+            let capacity = self.selector.capacity(now_ms, name);
+            (name, counted(now_ms, &capacity, &state.queue))
+        });
+        counts
+            .filter(|(_, waiting)| *waiting > 0)
+            .map(|(name, waiting)| WaitingCount {
                 service: stable_hash(name),
-                waiting: u16::try_from(state.queue.len()).unwrap_or(u16::MAX),
+                waiting: u16::try_from(waiting).unwrap_or(u16::MAX),
             })
             .collect()
     }
@@ -341,8 +359,7 @@
         }
     }
 
-    /// Returns whether a queued request cannot start in time any more behind `ahead` others, now that a tenant's request
-    /// went before it.
+    /// Returns whether a queued request cannot start in time any more, now that it is behind `ahead` others.
     fn is_displaced(
         &self,
         now_ms: u64,
@@ -420,10 +437,11 @@
     ) -> Rejection {
         let run_time_ms = self.run_time_ms(service);
         let ahead = u64::try_from(ahead).unwrap_or(u64::MAX);
-        let ahead = ahead.saturating_add(self.ahead_at_peers(now_ms, service, ahead));
+        let ahead =
+            ahead.saturating_add(self.ahead_at_peers(now_ms, service, capacity, (waiting, ahead)));
         let expected_wait_ms = expected_wait_ms(now_ms, capacity, run_time_ms, ahead);
         Rejection {
-            retry_after_ms: clamp_retry_after(expected_wait_ms),
+            retry_after_ms: retry_after_ms(now_ms, capacity, expected_wait_ms, waiting),
             expected_wait_ms,
             ahead,
             slots: capacity.slots,
@@ -441,18 +459,26 @@
 
     /// Returns how many requests at peers start before one behind `ahead` requests of this node.
     ///
-    /// Peers do not say whose requests wait. With tenants, peers are assumed to start requests at the pace of this node, so
-    /// that the one of a tenant with little load does not count the whole backlog of another one.
-    fn ahead_at_peers(&self, now_ms: u64, service: &str, ahead: u64) -> u64 {
+    /// Peers do not say whose requests wait, nor how urgent they are. With tenants, or where targets limit the rate, the
+    /// queues of peers are taken to be mixed as that of this node is, so that the request of a tenant with little load, or
+    /// an urgent one, is not rejected for the whole backlog of others.
+    fn ahead_at_peers(
+        &self,
+        now_ms: u64,
+        service: &str,
+        capacity: &Capacity,
+        request: (&QueuedRequest, u64),
+    ) -> u64 {
+        let (request, ahead) = request;
         let waiting = self.waiting_at_peers(now_ms, service);
+        let is_ordered = request.tenant.is_some() || is_limited(capacity);
         let queue = self.services.get(service).map(|it| &it.queue);
-        match queue.filter(|it| it.has_tenants()) {
-            Some(queue) => {
-                let own = u64::try_from(queue.len()).unwrap_or(u64::MAX).max(1);
-                waiting.saturating_mul(ahead.min(own)).div_ceil(own)
-            }
-            None => waiting,
-        }
+        let Some(queue) = queue.filter(|it| is_ordered || it.has_tenants()) else {
+            return waiting;
+        };
+        let own = counted(now_ms, capacity, queue);
+        let own = u64::try_from(own).unwrap_or(u64::MAX).max(1);
+        waiting.saturating_mul(ahead.min(own)).div_ceil(own)
     }
 
     fn waiting_at_peers(&self, now_ms: u64, service: &str) -> u64 {
@@ -468,6 +494,20 @@
     }
 }
 
+/// Returns whether all usable targets limit the rate of requests.
+fn is_limited(capacity: &Capacity) -> bool {
+    capacity.slots == 0 && capacity.limited_targets > 0
+}
+
+/// Returns how many queued requests are reported to peers.
+fn counted(now_ms: u64, capacity: &Capacity, queue: &Queue) -> usize {
+    if is_limited(capacity) {
+        queue.in_time(now_ms)
+    } else {
+        queue.len()
+    }
+}
+
 /// Returns how long a request waits behind `ahead` others. A slot becomes free every `run_time / slots`, and targets that
 /// name a limit take requests at that rate.
 fn expected_wait_ms(now_ms: u64, capacity: &Capacity, run_time_ms: u64, ahead: u64) -> u64 {
@@ -492,6 +532,27 @@
     }
 }
 
+/// Returns after what time a rejected caller should return.
+///
+/// A request is rejected because the load exceeds what the targets take. Callers that return as soon as the present backlog
+/// is gone meet the same burst and take the place of others that can still be on time. They are therefore asked to return
+/// late in the time that they honour, at times that differ between requests.
+fn retry_after_ms(
+    now_ms: u64,
+    capacity: &Capacity,
+    expected_wait_ms: u64,
+    waiting: &QueuedRequest,
+) -> u64 {
+    let honoured_ms = waiting.give_up_ms.saturating_sub(now_ms) / HONOURED_DIVISOR;
+    let latest_ms = clamp_retry_after(honoured_ms);
+    if capacity.slots == 0 && capacity.limited_targets == 0 {
+        return clamp_retry_after(expected_wait_ms);
+    }
+    let spread_ms = latest_ms / RETRY_SPREAD_DIVISOR;
+    let earliest_ms = expected_wait_ms.clamp(latest_ms - spread_ms, latest_ms - spread_ms / 2);
+    earliest_ms + waiting.tie_breaker % (latest_ms - earliest_ms + 1)
+}
+
 fn clamp_retry_after(retry_after_ms: u64) -> u64 {
     retry_after_ms.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end())
 }
--- a/eel-fleet/src/queue.rs
+++ b/eel-fleet/src/queue.rs
@@ -102,6 +102,12 @@
         self.waiting.len()
     }
 
+    /// Returns the number of requests that can still start in time.
+    pub fn in_time(&self, now_ms: u64) -> usize {
+        let waiting = self.waiting.values();
+        waiting.filter(|it| now_ms <= it.start_by_ms).count()
+    }
+
     /// Returns whether any waiting request has a tenant.
     pub fn has_tenants(&self) -> bool {
         self.of_tenants > 0
--- a/eel-gateway/src/online/run.rs
+++ b/eel-gateway/src/online/run.rs
@@ -147,7 +147,7 @@
                     return Err(race.attempts.reject(&rejection));
                 }
                 Err(rejection) => {
-                    race.start_at = Instant::now() + Duration::from_millis(rejection.retry_after_ms);
+                    race.start_at = Instant::now() + Duration::from_millis(rejection.recheck_after_ms());
                 }
             },
             () = sleep_until(wake_at.into()), if overlap_end.is_some() => match &left {
--- a/eel-gateway/src/slots.rs
+++ b/eel-gateway/src/slots.rs
@@ -197,10 +197,11 @@
 
     /// Returns this node's load for a report to its peers; the remaining fields are left at their defaults.
     pub(crate) fn report(&self) -> PeerReport {
+        let now_ms = self.clock.now_ms();
         let inner = self.lock();
         PeerReport {
             targets: inner.dispatcher.selector().own_loads(),
-            waiting: inner.dispatcher.own_waiting(),
+            waiting: inner.dispatcher.own_waiting(now_ms),
             ..PeerReport::default()
         }
     }
