test(fleet): load on targets that name 0.6 of their rate

Ruled out: items took no token of the burst, and the nodes used all tokens (411 requests for 399 tokens, which include those of the moment before).

--- a/eel-fleet/src/fair_order.rs
+++ b/eel-fleet/src/fair_order.rs
@@ -37,7 +37,9 @@
     virtual_time: u64,
     /// The tag after that of the last started request, by tenant. A tenant that is not listed is idle or at the virtual
     /// time.
-    next: HashMap<Option<Name>, u64>,
+    of_tenants: HashMap<Name, u64>,
+    /// The same for the requests without a tenant; `None` while they are idle or at the virtual time.
+    of_others: Option<u64>,
 }
 
 impl FairOrder {
@@ -46,19 +48,25 @@
     pub fn next_tag(&self, flow: &Flow) -> u64 {
         self.ranks
             .get(&flow.priority)
-            .map_or(0, |it| it.next_tag(&flow.tenant))
+            .map_or(0, |it| it.next_tag(flow.tenant.as_ref()))
     }
 
     /// Counts a request of the flow that has started.
     pub fn on_start(&mut self, flow: Flow) {
         let tags = self.ranks.entry(flow.priority).or_default();
-        let tag = tags.next_tag(&flow.tenant);
+        let tag = tags.next_tag(flow.tenant.as_ref());
         // A request can start before one with a lower tag that cannot use the slot, so that the tag is not the lowest.
         if tag > tags.virtual_time {
             tags.virtual_time = tag;
-            tags.next.retain(|_, next| *next > tag);
+            tags.of_tenants.retain(|_, next| *next > tag);
+            tags.of_others = tags.of_others.filter(|next| *next > tag);
+        }
+        match flow.tenant {
+            Some(tenant) => {
+                tags.of_tenants.insert(tenant, tag + 1);
+            }
+            None => tags.of_others = Some(tag + 1),
         }
-        tags.next.insert(flow.tenant, tag + 1);
     }
 
     /// Forgets all flows, which are idle once no request waits.
@@ -69,7 +77,7 @@
     /// Returns the number of flows that are kept.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.ranks.values().map(|it| it.next.len()).sum()
+        self.ranks.values().map(RankTags::len).sum()
     }
 
     /// Returns whether no flow is kept.
@@ -80,8 +88,16 @@
 }
 
 impl RankTags {
-    fn next_tag(&self, tenant: &Option<Name>) -> u64 {
-        let next = self.next.get(tenant).copied().unwrap_or_default();
+    fn next_tag(&self, tenant: Option<&Name>) -> u64 {
+        let next = match tenant {
+            Some(tenant) => self.of_tenants.get(tenant).copied(),
+            None => self.of_others,
+        };
+        let next = next.unwrap_or_default();
         next.max(self.virtual_time)
     }
+
+    fn len(&self) -> usize {
+        self.of_tenants.len() + usize::from(self.of_others.is_some())
+    }
 }
--- a/eel-fleet/tests/fleet/callers_model.rs
+++ b/eel-fleet/tests/fleet/callers_model.rs
@@ -57,7 +57,7 @@
 pub struct Served {
     pub sent: u32,
     /// The requests that a target ran before their callers left.
-    pub served: u32,
+    pub ran: u32,
     /// The requests that a target got within the goal, counted from the caller's first attempt.
     pub on_time: u32,
     /// The requests that a target got within the goal, counted from the attempt that the target got.
@@ -68,7 +68,7 @@
     pub fn sum(parts: &[Self]) -> Self {
         parts.iter().fold(Self::default(), |sum, it| Self {
             sent: sum.sent + it.sent,
-            served: sum.served + it.served,
+            ran: sum.ran + it.ran,
             on_time: sum.on_time + it.on_time,
             in_goal: sum.in_goal + it.in_goal,
         })
@@ -76,7 +76,7 @@
 
     /// Returns the share of the requests that was served.
     pub fn share(&self) -> f64 {
-        f64::from(self.served) / f64::from(self.sent.max(1))
+        f64::from(self.ran) / f64::from(self.sent.max(1))
     }
 
     /// Returns the share of the requests that was served on time.
@@ -117,8 +117,8 @@
     pub tenants: Vec<Served>,
     pub urgent: Served,
     pub items_done: u32,
-    /// The requests and items that targets ran.
-    pub started: u32,
+    /// When targets got requests and items, in the order of the starts.
+    pub starts: Vec<(u64, WorkKind)>,
     /// The answers that told a caller to return.
     pub rejected: u32,
 }
@@ -137,7 +137,7 @@
             tenants: vec![Served::default(); shape.tenants_per_s.len()],
             urgent: Served::default(),
             items_done: 0,
-            started: 0,
+            starts: Vec::new(),
             rejected: 0,
             shape,
         };
@@ -251,10 +251,9 @@
 
     fn start(&mut self, now_ms: u64, call: Call, key: TargetKey) {
         let is_on_time = u32::from(now_ms <= call.sent_ms + GOAL_MS);
-        self.started += 1;
         let urgent = call.is_urgent.then_some(&mut self.urgent);
         for served in urgent.into_iter().chain([&mut self.tenants[call.tenant]]) {
-            served.served += 1;
+            served.ran += 1;
             served.on_time += is_on_time;
             served.in_goal += u32::from(now_ms <= call.arrived_ms + GOAL_MS);
         }
@@ -266,6 +265,7 @@
             WorkKind::Online => ONLINE_RUN_MS,
             WorkKind::Batch => ITEM_RUN_MS,
         };
+        self.starts.push((now_ms, work));
         self.running.push(Run {
             ends_ms: now_ms + run_ms,
             node,
@@ -317,7 +317,6 @@
                     self.nodes[node].start_batch(now_ms, &service, None, self.rng.random())
             {
                 self.items_due -= 1.0;
-                self.started += 1;
                 self.begin(now_ms, node, key, WorkKind::Batch);
             }
         }
--- a/eel-fleet/tests/fleet/main.rs
+++ b/eel-fleet/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod idle_again;
 mod lease_expiry;
 mod leaving_target;
+mod limited_load;
 mod limited_targets;
 mod live_peers;
 mod load_reports;
