refactor(fleet): split the target selector by what it decides

It is now a module of eight files: the choice of a target, what attempts show, the loads of peers, the share of batch items, the capacity of a service, limits, and a target's own state. No line of a function is changed.

--- /dev/null
+++ b/eel-fleet/src/selector/mod.rs
@@ -0,0 +1,123 @@
+//! Tracks the load of each target, as this node and its peers count it, and chooses among the targets.
+//!
+//! The rate of online requests steps up and down by a factor of five within seconds, and batch items fill the slots
+//! that they leave. Targets admit requests in order of arrival, so a request is sent only to a target that has a free
+//! slot by all counts. For an online request, a slot that a batch item holds counts as free.
+//!
+//! [`choice`] ranks the targets for an attempt, [`attempts`] records what attempts show, [`peer_loads`] applies what peers
+//! report, [`batch_share`] decides what is left to batch items, [`capacity`] sums up what a service can take, and [`limits`]
+//! passes on the rates that targets name.
+
+mod attempts;
+mod batch_share;
+mod capacity;
+mod choice;
+mod limits;
+mod peer_loads;
+mod target;
+
+use std::collections::HashMap;
+
+use eel_types::Name;
+use slotmap::SlotMap;
+
+pub use self::{
+    attempts::{AttemptOutcome, WorkKind},
+    capacity::Capacity,
+    choice::TargetQuery,
+};
+use self::{
+    peer_loads::Sender,
+    target::{Load, Target},
+};
+use crate::{
+    TargetEntry, TargetKey, health::Health, leaving::LeavingTargets, limit::LimitTable,
+    report::stable_hash,
+};
+
+/// The targets of all services, with their load and health.
+#[derive(Default)]
+pub struct TargetSelector {
+    targets: SlotMap<TargetKey, Target>,
+    by_id: HashMap<Name, TargetKey>,
+    services: HashMap<Name, Vec<TargetKey>>,
+    by_hash: HashMap<u64, TargetKey>,
+    by_incarnation: HashMap<u64, TargetKey>,
+    senders: HashMap<u64, Sender>,
+    leaving: LeavingTargets,
+    limits: LimitTable,
+    /// When expired reports were last dropped.
+    expired_ms: u64,
+    /// The nodes that run batch items, this node first.
+    batch_nodes: Vec<Name>,
+}
+
+impl TargetSelector {
+    /// Adds or updates a target. A new incarnation under the same id starts without load.
+    pub fn set_target(&mut self, entry: TargetEntry) {
+        if let Some(&key) = self.by_id.get(&entry.id) {
+            if let Some(target) = self.targets.get_mut(key)
+                && target.entry.is_same_incarnation(&entry)
+            {
+                target.entry = entry;
+                return;
+            }
+            self.remove_target(&entry.id.clone());
+        }
+        let (id, service) = (entry.id.clone(), entry.service.clone());
+        let incarnation = entry.incarnation();
+        let key = self.targets.insert(Target {
+            hash: stable_hash(&entry.id),
+            incarnation,
+            is_leaving: self.leaving.contains(&entry),
+            entry,
+            own: Load::default(),
+            peers: Vec::new(),
+            health: Health::default(),
+            idle_since_ms: Some(0),
+            batch_rank: 0,
+        });
+        self.update_batch_rank(key);
+        self.by_hash.insert(stable_hash(&id), key);
+        self.by_incarnation.insert(incarnation, key);
+        self.by_id.insert(id, key);
+        self.services.entry(service).or_default().push(key);
+    }
+
+    /// Removes a target and its load.
+    pub fn remove_target(&mut self, id: &str) {
+        let Some(key) = self.by_id.remove(id) else {
+            return;
+        };
+        let Some(target) = self.targets.remove(key) else {
+            return;
+        };
+        self.by_hash.remove(&target.hash);
+        self.by_incarnation.remove(&target.incarnation);
+        if let Some(keys) = self.services.get_mut(&target.entry.service) {
+            keys.retain(|&it| it != key);
+        }
+    }
+
+    /// Returns a target's announcement; `None` if the target was removed.
+    #[must_use]
+    pub fn entry(&self, key: TargetKey) -> Option<&TargetEntry> {
+        self.targets.get(key).map(|target| &target.entry)
+    }
+
+    /// Returns whether a target of `version` is listed that is not excluded and not about to leave, whether it can be used
+    /// now or not.
+    #[must_use]
+    pub fn lists_version(&self, service: &str, version: &Name, excluded: &[TargetKey]) -> bool {
+        let keys = self.services.get(service).into_iter().flatten();
+        let open = keys.filter(|key| !excluded.contains(key));
+        let mut targets = open.filter_map(|&key| self.targets.get(key));
+        targets.any(|it| it.has_version(Some(version)) && it.stays())
+    }
+
+    /// Returns the target of the incarnation with this hash; `None` if it is not listed.
+    #[must_use]
+    pub fn key_of(&self, incarnation: u64) -> Option<TargetKey> {
+        self.by_incarnation.get(&incarnation).copied()
+    }
+}
