--- a/eel-fleet/src/dispatch.rs
+++ b/eel-fleet/src/dispatch.rs
@@ -2,15 +2,17 @@
 //!
 //! In a burst, more online requests arrive than all slots can run. A request that can start in time for its latency
 //! goal waits here, where the order can still change, and not in a target's queue. A request that cannot is rejected on
-//! arrival, with the time after which the backlog is expected to be gone.
+//! arrival, with a time to return.
 
 use std::collections::HashMap;
 
 use eel_types::Name;
 
 use crate::{
-    AttemptOutcome, Capacity, TargetKey, TargetQuery, TargetSelector, TicketKey, WorkKind,
+    Arrival, AttemptOutcome, Capacity, Decision, Dequeued, Rejection, TargetKey, TargetQuery,
+    TargetSelector, TicketKey, WorkKind,
     queue::{Queue, QueuedRequest},
+    rejection::{MIN_RUN_TIME_MS, expected_wait_ms, is_limited, retry_after_ms},
     report::{PeerReport, REPORT_TTL_MS, WaitingCount, stable_hash},
 };
 
@@ -18,90 +20,6 @@
 const RUN_TIME_EWMA_DIVISOR: u64 = 16;
 /// Run time assumed until the first one is measured.
 const INITIAL_RUN_TIME_MS: u64 = 300;
-/// Minimum of a run time sample: the resolution of the clock. With 0, a backlog of shorter runs would count as empty.
-const MIN_RUN_TIME_MS: u64 = 1;
-const MS_PER_1000_S: u64 = 1_000_000;
-/// Bounds of the retry delay that is sent to callers. Callers honour a delay of up to a third of their remaining time.
-const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 100..=1_500;
-/// The part of their remaining time up to which callers honour a delay: a third.
-const HONOURED_DIVISOR: u64 = 3;
-/// The part of the latest delay over which the delays of requests that are rejected together are spread: a fifth.
-const RETRY_SPREAD_DIVISOR: u64 = 5;
-
-/// An online request that needs a slot.
-#[derive(Clone, Debug)]
-pub struct Arrival<'a> {
-    /// The service whose targets can run the request.
-    pub service: &'a Name,
-    /// The tenant whose requests compete with those of others; `None` if the request has none.
-    pub tenant: Option<Name>,
-    /// The priority of the tenant, which goes before that of the route; 0 is the most urgent, and stands for no tenant.
-    pub tenant_priority: u8,
-    /// The priority of the route; 0 is the most urgent.
-    pub priority: u8,
-    /// The latest start that still meets the latency goal.
-    pub start_by_ms: u64,
-    /// The latest start that is still of use to the caller.
-    pub give_up_ms: u64,
-    /// Whether the request waits until `give_up_ms` even if it is not expected to start in time, because it can no
-    /// longer be refused as not run.
-    pub accepts_late: bool,
-    /// Targets that must not be chosen, because the request was sent to them before.
-    pub excluded: Vec<TargetKey>,
-    /// The only version that may be chosen, because it began the stream that the request continues; `None` if any may be
-    /// chosen.
-    pub version: Option<Name>,
-    /// Breaks ties between equally ranked targets; differs between requests.
-    pub tie_breaker: u64,
-}
-
-/// How to proceed with a request that has just arrived.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Decision {
-    /// Send it to this target, where it already counts as in flight.
-    Start(TargetKey),
-    /// Hold it until [`Dispatcher::dispatch_waiting`] returns the ticket.
-    Wait(TicketKey),
-    /// Reject it with the verdict not-run.
-    Reject(Rejection),
-}
-
-/// Why a request is rejected, and when the caller should retry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Rejection {
-    /// The time after which the caller should retry.
-    pub retry_after_ms: u64,
-    /// How long the request would have waited for a slot.
-    pub expected_wait_ms: u64,
-    /// The waiting requests that would start before it, at this node and at its peers.
-    pub ahead: u64,
-    /// The number of slots of the service's usable targets that name no limit.
-    pub slots: u32,
-    /// The number of the service's usable targets that name a limit.
-    pub limited_targets: u32,
-    /// Whether no target of the only version that may be chosen is left, so that waiting is of no use.
-    pub is_version_gone: bool,
-}
-
-impl Rejection {
-    /// Returns after what time this node may try again to find a slot for a request that it keeps.
-    #[must_use]
-    pub fn recheck_after_ms(&self) -> u64 {
-        clamp_retry_after(self.expected_wait_ms)
-    }
-}
-
-/// A request that has left the queue.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Dequeued {
-    /// The service; tickets are unique only within one service.
-    pub service: Name,
-    /// The ticket from [`Decision::Wait`].
-    pub ticket: TicketKey,
-    /// The target to send the request to, where it already counts as in flight, or why it is rejected.
-    pub outcome: Result<TargetKey, Rejection>,
-}
-
 #[derive(Default)]
 struct ServiceState {
     queue: Queue,
@@ -494,11 +412,6 @@
     }
 }
 
-/// Returns whether all usable targets limit the rate of requests.
-fn is_limited(capacity: &Capacity) -> bool {
-    capacity.slots == 0 && capacity.limited_targets > 0
-}
-
 /// Returns how many queued requests are reported to peers.
 fn counted(now_ms: u64, capacity: &Capacity, queue: &Queue) -> usize {
     if is_limited(capacity) {
@@ -507,52 +420,3 @@
         queue.len()
     }
 }
-
-/// Returns how long a request waits behind `ahead` others. A slot becomes free every `run_time / slots`, and targets that
-/// name a limit take requests at that rate.
-fn expected_wait_ms(now_ms: u64, capacity: &Capacity, run_time_ms: u64, ahead: u64) -> u64 {
-    let slots = u64::from(capacity.slots);
-    match (slots, capacity.opens_at_ms) {
-        (0, None) => run_time_ms,
-        (0, Some(opens_at_ms)) => {
-            let behind_ms = ahead.saturating_mul(MS_PER_1000_S);
-            let behind_ms = behind_ms / capacity.limited_per_1000_s.max(1);
-            opens_at_ms.saturating_sub(now_ms).saturating_add(behind_ms)
-        }
-        (slots, _) => {
-            let run_time_ms = run_time_ms.max(MIN_RUN_TIME_MS);
-            // The requests that start in the run time of one, in millionths.
-            let at_limited = capacity.limited_per_1000_s.saturating_mul(run_time_ms);
-            let taken = slots
-                .saturating_mul(MS_PER_1000_S)
-                .saturating_add(at_limited);
-            let needed = ahead.saturating_add(1).saturating_mul(run_time_ms);
-            needed.saturating_mul(MS_PER_1000_S).div_ceil(taken)
-        }
-    }
-}
-
-/// Returns after what time a rejected caller should return.
-///
-/// A request is rejected because the load exceeds what the targets take. Callers that return as soon as the present backlog
-/// is gone meet the same burst and take the place of others that can still be on time. They are therefore asked to return
-/// late in the time that they honour, at times that differ between requests.
-fn retry_after_ms(
-    now_ms: u64,
-    capacity: &Capacity,
-    expected_wait_ms: u64,
-    waiting: &QueuedRequest,
-) -> u64 {
-    let honoured_ms = waiting.give_up_ms.saturating_sub(now_ms) / HONOURED_DIVISOR;
-    let latest_ms = clamp_retry_after(honoured_ms);
-    if capacity.slots == 0 && capacity.limited_targets == 0 {
-        return clamp_retry_after(expected_wait_ms);
-    }
-    let spread_ms = latest_ms / RETRY_SPREAD_DIVISOR;
-    let earliest_ms = expected_wait_ms.clamp(latest_ms - spread_ms, latest_ms - spread_ms / 2);
-    earliest_ms + waiting.tie_breaker % (latest_ms - earliest_ms + 1)
-}
-
-fn clamp_retry_after(retry_after_ms: u64) -> u64 {
-    retry_after_ms.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end())
-}
--- a/eel-fleet/src/lib.rs
+++ b/eel-fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`Registry`] tracks the targets' announcements, [`TargetSelector`] their load and health, and [`Dispatcher`] queues
 //! the requests that found no slot.
 
+mod arrival;
 mod dispatch;
 mod entry;
 mod fair_order;
@@ -18,11 +19,13 @@
 mod queue;
 mod quota;
 mod registry;
+mod rejection;
 mod rendezvous;
 mod report;
 mod selector;
 
-pub use dispatch::{Arrival, Decision, Dequeued, Dispatcher, Rejection};
+pub use arrival::{Arrival, Decision, Dequeued};
+pub use dispatch::Dispatcher;
 pub use entry::TargetEntry;
 pub use fair_order::{FairOrder, Flow, PriorityRank};
 pub use limit::{
@@ -36,6 +39,7 @@
     NodeQuota, QuotaNotice, QuotaNoticeError, QuotaPeer, QuotaRefusal, QuotaTable, TenantLevel,
 };
 pub use registry::{Registry, Removal};
+pub use rejection::Rejection;
 pub use report::{PeerReport, ReportError, ReportPart, TargetLoad, WaitingCount, stable_hash};
 pub use selector::{AttemptOutcome, Capacity, TargetQuery, TargetSelector, WorkKind};
 
--- a/eel-fleet/tests/fleet/callers_model.rs
+++ b/eel-fleet/tests/fleet/callers_model.rs
@@ -37,7 +37,7 @@
 #[derive(Clone, Debug)]
 pub struct Shape {
     /// How the callers spread over the nodes, in parts.
-    pub node_weights: Vec<u32>,
+    pub node_weights: Vec<usize>,
     pub targets: usize,
     /// The mean rates of the tenants' requests, per second.
     pub tenants_per_s: Vec<f64>,
@@ -109,6 +109,8 @@
     shape: Shape,
     rng: SmallRng,
     nodes: Vec<Dispatcher>,
+    /// The nodes of the parts in which the callers are divided.
+    parts: Vec<usize>,
     waiting: Vec<HashMap<TicketKey, Call>>,
     returning: BTreeMap<u64, Vec<Call>>,
     running: Vec<Run>,
@@ -126,9 +128,12 @@
 impl Model {
     pub fn run(shape: Shape) -> Self {
         let nodes = shape.node_weights.len();
+        let weights = shape.node_weights.iter().enumerate();
+        let parts = weights.flat_map(|(node, weight)| std::iter::repeat_n(node, *weight));
         let mut model = Self {
             rng: SmallRng::seed_from_u64(SEED),
             nodes: (0..nodes).map(|own| dispatcher(&shape, own)).collect(),
+            parts: parts.collect(),
             waiting: (0..nodes).map(|_| HashMap::new()).collect(),
             returning: BTreeMap::new(),
             running: Vec::new(),
@@ -221,16 +226,9 @@
 
     /// Returns a node for a caller that was at `before`.
     fn other_node(&mut self, before: usize) -> usize {
-        let total: u32 = self.shape.node_weights.iter().sum();
         loop {
-            let mut part = self.rng.random_range(0..total);
-            let weights = self.shape.node_weights.iter();
-            let node = weights.enumerate().find_map(|(node, weight)| {
-                let is_here = part < *weight;
-                part = part.saturating_sub(*weight);
-                is_here.then_some(node)
-            });
-            if let Some(node) = node.filter(|it| *it != before || self.nodes.len() == 1) {
+            let node = self.parts[self.rng.random_range(0..self.parts.len())];
+            if node != before || self.nodes.len() == 1 {
                 return node;
             }
         }
--- a/eel-fleet/tests/fleet/limited_load.rs
+++ b/eel-fleet/tests/fleet/limited_load.rs
@@ -63,10 +63,7 @@
     assert!(urgent.on_time_share() >= COVERED_ON_TIME, "{case}");
     assert!(online >= TOKENS_USED * tokens, "{case}");
     assert!(items <= (1.0 - TOKENS_USED) * tokens, "{case}");
-    assert!(
-        part(total.in_goal, total.ran) >= ACCEPTED_IN_GOAL,
-        "{case}"
-    );
+    assert!(part(total.in_goal, total.ran) >= ACCEPTED_IN_GOAL, "{case}");
     assert!(model.items_done > 0, "{case}");
 }
 
@@ -78,8 +75,5 @@
     let case = format!("{total:?}, {online} requests for {tokens:.0} tokens of the burst");
     println!("{case}");
     assert!(online >= TOKENS_USED * tokens, "{case}");
-    assert!(
-        part(total.in_goal, total.ran) >= ACCEPTED_IN_GOAL,
-        "{case}"
-    );
+    assert!(part(total.in_goal, total.ran) >= ACCEPTED_IN_GOAL, "{case}");
 }
--- a/eel-fleet/tests/fleet/tenant_order.rs
+++ b/eel-fleet/tests/fleet/tenant_order.rs
@@ -27,7 +27,7 @@
 const SMALL_ON_TIME: f64 = 0.9;
 /// Two periods of low load with a burst between them.
 const DURATION_MS: u64 = 8_000;
-const UNEQUAL: [u32; 8] = [4, 2, 1, 1, 1, 1, 1, 1];
+const UNEQUAL: [usize; 8] = [4, 2, 1, 1, 1, 1, 1, 1];
 
 /// Returns the rates of tenants whose sizes fall as one divided by their rank.
 fn skewed() -> Vec<f64> {
@@ -37,7 +37,7 @@
     weights.iter().map(|it| it / sum * MEAN_PER_S).collect()
 }
 
-fn shape(excessive: &[usize], node_weights: &[u32]) -> Shape {
+fn shape(excessive: &[usize], node_weights: &[usize]) -> Shape {
     let mut tenants_per_s = skewed();
     for tenant in excessive {
         tenants_per_s[*tenant] *= EXCESS;
