test(gateway): crowds of callers that exhaust memory and descriptors

Callers ended a process by large bodies that stop short of their end, and the code has no bound on the bytes of bodies, on unread responses or on connections. Each test sends one shape of traffic to a node with a body limit of 256 KB and checks that it lives, grows by at most 32,768 KB, has at most 448 of 512 descriptors open and serves one ordinary request.

The settings memory_mb and max_descriptors do not exist yet, so the tests leave them out: the bounds are constants of the test, and the descriptor limit is set with ulimit.

--- a/tests/gateway/fixture.rs
+++ b/tests/gateway/fixture.rs
@@ -6,6 +6,7 @@
     HOST, LiteralScript, LiteralTarget, StandInStore, StandInTarget, routes,
 };
 use reqwest::{Client, RequestBuilder};
+use serde_json::Value;
 use tempfile::TempDir;
 use tokio::time::{sleep, timeout};
 
@@ -35,12 +36,26 @@
 
 impl Fixture {
     pub async fn start() -> Self {
+        Self::start_limited(&routes(1), "", None).await
+    }
+
+    /// Starts a node with the manifest `config`, settings that end with the sections `more`, and at most `max_descriptors`
+    /// open descriptors.
+    pub async fn start_limited(config: &Value, more: &str, max_descriptors: Option<u64>) -> Self {
         let store = StandInStore::start().await.expect("a store");
-        store.put("op/config", &routes(1).to_string());
+        store.put("op/config", &config.to_string());
         let directory = tempfile::tempdir().expect("a directory");
         let mut ports = Ports::reserve();
         let (path, address) = (directory.path(), store.address());
-        let node = Process::start(path, &mut ports, "node-0", address, true);
+        let node = Process::start_limited(
+            path,
+            &mut ports,
+            "node-0",
+            address,
+            true,
+            more,
+            max_descriptors,
+        );
         let client = Client::builder().no_proxy().build().expect("a client");
         Self {
             store,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,5 +1,5 @@
-//! Tests of gateway nodes as processes: a soak test with random faults, faulty targets before one node, late requests while
-//! it drains, and failures that are explained from the logs.
+//! Tests of gateway nodes as processes: a soak test with random faults, faulty targets before one node, crowds of
+//! callers that exhaust memory or descriptors, late requests while it drains, and failures that are explained from the logs.
 //!
 //! The soak test injects faults from outside and compares the responses that callers get with the executions that the
 //! targets count.
@@ -8,6 +8,7 @@
 //! `SOAK_RUNS=50 SOAK_NODES=6 cargo test --test gateway -- --ignored fresh_seeds --nocapture`. It starts at the seed `SOAK_SEED`, or
 //! at a random one. A seed that has failed is added to [`REGRESSIONS`].
 
+mod caller_crowds;
 mod callers;
 mod cut_heads;
 mod early_hangup;
--- a/tests/gateway/process.rs
+++ b/tests/gateway/process.rs
@@ -17,9 +17,12 @@
 /// A gateway node. Its process is killed when this is dropped.
 pub struct Process {
     pub http: SocketAddr,
+    pub ready: SocketAddr,
     name: String,
     settings: PathBuf,
     log: PathBuf,
+    /// The limit on open descriptors of the process; `None` for that of the tests.
+    max_descriptors: Option<u64>,
     child: Option<Child>,
     /// The length of the log file when the process was started, in bytes.
     log_start: u64,
@@ -36,13 +39,26 @@
         store: SocketAddr,
         runs_batch: bool,
     ) -> Self {
-        let http = ports.next();
+        Self::start_limited(directory, ports, name, store, runs_batch, "", None)
+    }
+
+    /// Writes the node's settings, which end with the sections `more`, and starts it with at most `max_descriptors` open
+    /// descriptors.
+    pub fn start_limited(
+        directory: &Path,
+        ports: &mut Ports,
+        name: &str,
+        store: SocketAddr,
+        runs_batch: bool,
+        more: &str,
+        max_descriptors: Option<u64>,
+    ) -> Self {
+        let (http, ready) = (ports.next(), ports.next());
         let text = format!(
             "[node]\nname = {name}\ndata_centre = dc-a\n\
-             [listen]\nhttp = {http}\nready = {}\npeers = {}\nadmin = {}\n\
+             [listen]\nhttp = {http}\nready = {ready}\npeers = {}\nadmin = {}\n\
              [store]\nendpoint = http://{store}\ntimeout_ms = 300\nlease_ttl_ms = 1000\n\
-             [batch]\nenabled = {runs_batch}\n[telemetry]\nlog_format = json\n[drain]\ntimeout_ms = 6000\n",
-            ports.next(),
+             [batch]\nenabled = {runs_batch}\n[telemetry]\nlog_format = json\n[drain]\ntimeout_ms = 6000\n{more}",
             ports.next(),
             ports.next(),
         );
@@ -51,9 +67,11 @@
         let log = directory.join(format!("{name}.log"));
         let mut process = Self {
             http,
+            ready,
             name: name.to_owned(),
             settings,
             log,
+            max_descriptors,
             child: None,
             log_start: 0,
             may_end: false,
@@ -71,7 +89,19 @@
             .open(&self.log)
             .expect("a log file");
         self.log_start = log.metadata().expect("a log file").len();
-        let child = Command::new(env!("CARGO_BIN_EXE_eelgrassgap"))
+        let program = env!("CARGO_BIN_EXE_eelgrassgap");
+        let mut command = match self.max_descriptors {
+            Some(max) => {
+                let mut shell = Command::new("sh");
+                shell
+                    .arg("-c")
+                    .arg(format!("ulimit -n {max} && exec \"$0\" \"$@\""));
+                shell.arg(program);
+                shell
+            }
+            None => Command::new(program),
+        };
+        let child = command
             .arg("gateway")
             .arg("--settings")
             .arg(&self.settings)
@@ -107,6 +137,11 @@
         has_ended
     }
 
+    /// Returns the number of the running process.
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().expect("a started process").id()
+    }
+
     /// Returns the node's settings file.
     pub fn settings_path(&self) -> &Path {
         &self.settings
