feat(gateway): bound the memory and connections of callers

Bodies were kept frame by frame without a bound on their sum, a byte in a chunk of its own cost up to 17 bytes, unread responses and connections were not bounded at all, and an announced body over the limit was read first.

A budget, a quarter of the new setting memory_mb, covers arriving bodies, bodies in the queue and kept for retries, and unread parts of responses. Chunks are joined as they arrive. Slow holders are evicted first, one address has half, and a body that nothing competes with is always served. What does not fit gets 503 before it has run. An announced body over the limit gets 413 at once, and a connection with unread bytes is read for a short time after its response. Connections of callers are limited by max_descriptors and memory_mb, those for readiness checks to 64; those that sent nothing or are idle are closed for new ones. Lines are bounded to one a second of each kind.

The crowds and bounds of the tests are unchanged; the node now gets its settings from them. Two tests are new: the largest legal body, and that refused bodies never run.

--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -20,7 +20,15 @@
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::{metrics::Metrics, origins::OriginState, quotas::Quotas, slots::Slots, target::Pool};
+use crate::{
+    caller_limits::CallerLimits,
+    http::{Connections, LogLimit, Memory},
+    metrics::Metrics,
+    origins::OriginState,
+    quotas::Quotas,
+    slots::Slots,
+    target::Pool,
+};
 
 /// How long data from the store counts as fresh after the store's last response, in ms: two lease renewals and the time
 /// of one call.
@@ -46,6 +54,14 @@
     pub(crate) routes_changes: watch::Sender<()>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) quotas: Quotas,
+    /// The memory of callers' bodies and unread responses.
+    pub(crate) memory: Arc<Memory>,
+    /// The connections of callers.
+    pub(crate) connections: Arc<Connections>,
+    /// Bounds the lines about connections that cannot be accepted.
+    pub(crate) accept_log: LogLimit,
+    /// Bounds the lines about connections that are closed for new ones.
+    pub(crate) closed_log: LogLimit,
     registry: Mutex<Registry>,
     peers: Mutex<Peers>,
     blocked_parts: Mutex<Quarantine>,
@@ -90,6 +106,7 @@
     pub(crate) runs_batch: bool,
     pub(crate) store: PlatformStore,
     pub(crate) prefix: Name,
+    pub(crate) caller_limits: CallerLimits,
 }
 
 impl Context {
@@ -98,6 +115,7 @@
         let metrics = Arc::new(Metrics::default());
         let keys = eel_ledger::Keys::new(options.prefix.clone());
         let origins = OriginState::new(options.prefix.clone());
+        let caller_limits = options.caller_limits;
         Self {
             name: options.name,
             clock,
@@ -110,6 +128,10 @@
             prefix: options.prefix,
             table: ArcSwapOption::empty(),
             routes_changes: watch::channel(()).0,
+            memory: Memory::new(caller_limits.body_bytes, clock, metrics.clone()),
+            connections: Connections::new(caller_limits.connections, clock),
+            accept_log: LogLimit::default(),
+            closed_log: LogLimit::default(),
             metrics,
             quotas: Quotas::default(),
             registry: Mutex::default(),
--- a/eel-gateway/src/http/handler.rs
+++ b/eel-gateway/src/http/handler.rs
@@ -9,9 +9,10 @@
 use hyper::body::Incoming;
 
 use super::{
-    Body, BodyError,
+    Body,
     caller::{identify, identify_any, is_revoked, until_revoked},
-    read_body, refuse,
+    received::receive_body,
+    refuse,
 };
 use crate::{batch, context::Context, online, quotas};
 
@@ -56,9 +57,10 @@
         }
     };
     let (head, body) = request.into_parts();
-    let body = match read_body(body, table.limits.body_bytes).await {
+    let limit = table.limits.body_bytes;
+    let body = match receive_body(&context, &head.extensions, body, limit).await {
         Ok(body) => body,
-        Err(error) => return refuse(&bad_body(error)),
+        Err(response) => return response,
     };
     if is_revoked(&context, tenant.as_deref(), &head.headers) {
         let refusal = Refusal::not_run(Reason::Unauthorized);
@@ -134,11 +136,3 @@
         Refusal::not_run(Reason::StoreUnavailable).retry_after(NO_ROUTES_RETRY_MS)
     }
 }
-
-fn bad_body(error: BodyError) -> Refusal {
-    Refusal::not_run(match error {
-        BodyError::TooLarge => Reason::TooLarge,
-        BodyError::Incomplete => Reason::BadRequest,
-        BodyError::TimedOut => Reason::RequestTimeout,
-    })
-}
--- a/eel-gateway/src/lib.rs
+++ b/eel-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! each node follows through one watch.
 
 mod batch;
+mod caller_limits;
 mod context;
 mod error;
 mod http;
--- a/eel-gateway/src/metrics.rs
+++ b/eel-gateway/src/metrics.rs
@@ -43,6 +43,14 @@
 #[derive(Default)]
 pub struct Metrics {
     pub requests: Family<OutcomeLabel, Counter>,
+    /// Requests that were refused because their body could not be received, by the cause.
+    pub refused_bodies: Family<OutcomeLabel, Counter>,
+    /// Bytes that arriving and arrived bodies and unread responses hold.
+    pub held_bytes: Gauge,
+    /// Slow bodies and unread responses whose memory was given to others.
+    pub evicted_holds: Counter,
+    /// Connections that were closed for new ones.
+    pub closed_connections: Counter,
     /// Attempts of requests and items at targets, by outcome.
     pub attempts: Family<OutcomeLabel, Counter>,
     /// Attempts of requests that did not run, by what proves it.
@@ -98,6 +106,7 @@
             "Online requests by outcome",
             self.requests.clone(),
         );
+        self.register_caller_limits(registry);
         registry.register(
             "attempts",
             "Attempts at targets by outcome",
@@ -203,6 +212,34 @@
         );
     }
 
+    fn register_caller_limits(&self, registry: &mut Registry) {
+        registry.register(
+            "refused_bodies",
+            "Requests refused because their body could not be received by cause",
+            self.refused_bodies.clone(),
+        );
+        registry.register(
+            "held_bytes",
+            "Bytes that bodies and unread responses hold",
+            self.held_bytes.clone(),
+        );
+        registry.register(
+            "evicted_holds",
+            "Slow bodies and unread responses whose memory was given to others",
+            self.evicted_holds.clone(),
+        );
+        registry.register(
+            "closed_connections",
+            "Connections that were closed for new ones",
+            self.closed_connections.clone(),
+        );
+    }
+
+    pub fn count_body(&self, outcome: &'static str) {
+        let label = OutcomeLabel { outcome };
+        self.refused_bodies.get_or_create(&label).inc();
+    }
+
     pub fn count_request(&self, outcome: &'static str) {
         self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
     }
--- a/eel-gateway/src/node.rs
+++ b/eel-gateway/src/node.rs
@@ -17,6 +17,7 @@
 use crate::{
     Error,
     batch::Worker,
+    caller_limits::CallerLimits,
     context::{Context, ContextOptions},
     http::{serve_callers, serve_readiness},
     limits, origins, quarantine, quotas, reports,
@@ -77,6 +78,7 @@
             runs_batch: settings.batch.enabled,
             store,
             prefix: settings.store.prefix.clone(),
+            caller_limits: CallerLimits::of(&settings.limits),
         });
         let entry = NodeEntry {
             incarnation: context.incarnation,
--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod batch_job;
 mod batch_store_faults;
 mod batch_takeover;
+mod body_budget;
 mod body_ends;
 mod endless_bytes;
 mod fatal_part;
--- a/eel-settings/src/gateway.rs
+++ b/eel-settings/src/gateway.rs
@@ -10,7 +10,21 @@
 
 use crate::{DrainSettings, Error, TelemetrySettings, document::Document};
 
-const SECTIONS: [&str; 6] = ["node", "listen", "store", "batch", "telemetry", "drain"];
+const SECTIONS: [&str; 7] = [
+    "node",
+    "listen",
+    "store",
+    "batch",
+    "limits",
+    "telemetry",
+    "drain",
+];
+/// The least memory of a node, in MB: what an idle process takes.
+const MIN_MEMORY_MB: usize = 32;
+const MAX_MEMORY_MB: usize = 1_048_576;
+/// The least number of descriptors of a node: what it keeps for other uses, and some connections of callers.
+const MIN_DESCRIPTORS: usize = 128;
+const MAX_DESCRIPTORS: usize = 10_000_000;
 
 /// The validated settings of a gateway node.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -23,6 +37,8 @@
     pub store: GatewayStoreSettings,
     /// Processing of batch jobs, from `[batch]`.
     pub batch: GatewayBatchSettings,
+    /// What callers may use of the machine, from `[limits]`.
+    pub limits: GatewayLimitSettings,
     /// Logs and traces, from `[telemetry]`.
     pub telemetry: TelemetrySettings,
     /// Limits of a graceful shutdown, from `[drain]`.
@@ -76,6 +92,15 @@
     pub parallel_items: usize,
 }
 
+/// `[limits]`: the machine's figures, from which the limits on callers follow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct GatewayLimitSettings {
+    /// The memory that the process may use, in MB; `None` for 2,048.
+    pub memory_mb: Option<usize>,
+    /// The descriptors that the process may open; `None` for the limit of the process.
+    pub max_descriptors: Option<usize>,
+}
+
 impl GatewaySettings {
     /// Loads and validates the file at `path`.
     ///
@@ -102,6 +127,7 @@
             listen: read_listen(&mut document),
             store: read_store(&mut document),
             batch: read_batch(&mut document),
+            limits: read_limits(&mut document),
             telemetry: TelemetrySettings::read(&mut document),
             drain: DrainSettings::read(&mut document),
         };
@@ -153,3 +179,14 @@
     section.finish();
     batch
 }
+
+fn read_limits(document: &mut Document) -> GatewayLimitSettings {
+    let mut section = document.section("limits");
+    let limits = GatewayLimitSettings {
+        memory_mb: section.optional_number("memory_mb", MIN_MEMORY_MB..=MAX_MEMORY_MB),
+        max_descriptors: section
+            .optional_number("max_descriptors", MIN_DESCRIPTORS..=MAX_DESCRIPTORS),
+    };
+    section.finish();
+    limits
+}
--- a/eel-settings/src/lib.rs
+++ b/eel-settings/src/lib.rs
@@ -11,8 +11,8 @@
 pub use entry::{BatchSettings, EntryListenSettings, EntryNodeSettings, EntrySettings};
 pub use error::{Error, Fault, Problem};
 pub use gateway::{
-    GatewayBatchSettings, GatewayListenSettings, GatewayNodeSettings, GatewaySettings,
-    GatewayStoreSettings,
+    GatewayBatchSettings, GatewayLimitSettings, GatewayListenSettings, GatewayNodeSettings,
+    GatewaySettings, GatewayStoreSettings,
 };
 pub use shared::{
     DrainSettings, LogFormat, StoreSettings, TelemetrySettings, TlsSettings, VmListSettings,
--- a/eel-settings/src/section.rs
+++ b/eel-settings/src/section.rs
@@ -81,12 +81,20 @@
 
     /// Reads an integer within `range`.
     pub fn number<T>(&mut self, key: &'static str, range: RangeInclusive<T>, default: T) -> T
+    where
+        T: FromStr + PartialOrd + std::fmt::Display,
+    {
+        self.optional_number(key, range).unwrap_or(default)
+    }
+
+    /// Reads an optional integer within `range`.
+    pub fn optional_number<T>(&mut self, key: &'static str, range: RangeInclusive<T>) -> Option<T>
     where
         T: FromStr + PartialOrd + std::fmt::Display,
     {
         let expected = format!("a whole number from {} to {}", range.start(), range.end());
         let parse = |text: &str| text.parse().ok().filter(|n| range.contains(n));
-        self.optional(key, &expected, parse).unwrap_or(default)
+        self.optional(key, &expected, parse)
     }
 
     /// Reads `true` or `false`.
--- a/eel-settings/tests/settings/main.rs
+++ b/eel-settings/tests/settings/main.rs
@@ -2,3 +2,4 @@
 
 mod bad_values;
 mod example_files;
+mod gateway_limits;
--- a/tests/gateway/caller_crowds.rs
+++ b/tests/gateway/caller_crowds.rs
@@ -52,7 +52,7 @@
 /// A node with small limits, one target, and the callers before it.
 struct Crowd {
     fixture: Fixture,
-    _target: StandInTarget,
+    target: StandInTarget,
     idle_kb: usize,
     senders: JoinSet<Option<TcpStream>>,
     /// Whether the requests of the crowd run at the target.
@@ -64,11 +64,18 @@
 
 impl Crowd {
     async fn start() -> Self {
+        Self::start_with(BODY_BYTES).await
+    }
+
+    /// Starts a node whose manifest limits bodies to `body_bytes`.
+    async fn start_with(body_bytes: usize) -> Self {
         let turn = ONE_AT_A_TIME.lock().await;
         let mut config = routes(1);
-        config["limits"] = json!({"maxBodyBytes": BODY_BYTES});
+        config["limits"] = json!({"maxBodyBytes": body_bytes});
         let max_descriptors = Some(MAX_DESCRIPTORS as u64);
-        let fixture = Fixture::start_limited(&config, "", max_descriptors).await;
+        let limits =
+            format!("[limits]\nmemory_mb = {MEMORY_MB}\nmax_descriptors = {MAX_DESCRIPTORS}\n");
+        let fixture = Fixture::start_limited(&config, &limits, max_descriptors).await;
         let target = StandInTarget::start("scribe", "i-0").await;
         let target = target.expect("a target");
         target.announce(&fixture.store, "ready");
@@ -76,7 +83,7 @@
         let idle_kb = status_kb(&fixture, "VmRSS");
         Self {
             fixture,
-            _target: target,
+            target,
             idle_kb,
             senders: JoinSet::new(),
             is_served: false,
@@ -365,3 +372,60 @@
     crowd.send(CALLERS, &[request.repeat(2_000)]);
     crowd.check().await;
 }
+
+/// A body inside the manifest's limit is served where nothing competes with it, though it takes most of an address's share.
+#[tokio::test(flavor = "multi_thread")]
+async fn largest_body() {
+    const BYTES: usize = 4 * 1024 * 1024;
+    let crowd = Crowd::start_with(BYTES).await;
+    let chunked = [
+        head_chunked(),
+        chunks(BYTES, 32 * 1024),
+        b"0\r\n\r\n".to_vec(),
+    ]
+    .concat();
+    let whole = [head_with_length("/idempotent/1", BYTES), vec![b'x'; BYTES]].concat();
+    for request in [whole, chunked] {
+        let mut stream = TcpStream::connect(crowd.fixture.node.http)
+            .await
+            .expect("a connection");
+        stream.write_all(&request).await.expect("a request");
+        let mut start = [0; 12];
+        stream.read_exact(&mut start).await.expect("a response");
+        assert_eq!(&start, b"HTTP/1.1 200");
+    }
+    crowd.check().await;
+}
+
+/// Bodies for which there is no memory are refused with a time to come back, and none of them runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_bodies() {
+    /// How long a response is waited for; all bodies that are held take less than the timeout of a body.
+    const HELD_TIME: Duration = Duration::from_millis(100);
+    let mut crowd = Crowd::start().await;
+    let body = vec![b'x'; BODY_BYTES - 1];
+    let parts = [head_with_length("/idempotent/1", BODY_BYTES), body];
+    crowd.send(CALLERS, &parts);
+    let mut refused = 0;
+    while let Some(sent) = crowd.senders.join_next().await {
+        let Some(mut stream) = sent.expect("a caller") else {
+            continue;
+        };
+        let mut response = String::new();
+        let read = timeout(HELD_TIME, stream.read_to_string(&mut response));
+        // A caller whose body is held gets nothing yet.
+        if read.await.is_err() || response.is_empty() {
+            crowd.open.push(stream);
+            continue;
+        }
+        assert!(response.starts_with("HTTP/1.1 503"), "{response:?}");
+        assert!(response.contains("\r\nretry-after: 0."), "{response:?}");
+        refused += 1;
+        if refused == 10 {
+            break;
+        }
+    }
+    assert_eq!(crowd.target.runs("crowd"), 0);
+    assert!(refused > 0, "no body was refused");
+    crowd.check().await;
+}
