refactor(gateway): split the budget decision and the tests of crowds

A body that is evicted at the moment at which it is complete is refused as well now, so that its bytes are not used without being counted.

--- a/eel-gateway/src/http/body.rs
+++ b/eel-gateway/src/http/body.rs
@@ -72,6 +72,10 @@
         }
     };
     held.complete(buffer.capacity());
+    // The memory may have been given to others just before; from here on it cannot be.
+    if evicted.is_cancelled() {
+        return Err(BodyError::NoMemory);
+    }
     Ok(hold(buffer, held))
 }
 
--- a/eel-gateway/src/http/budget.rs
+++ b/eel-gateway/src/http/budget.rs
@@ -63,6 +63,13 @@
     }
 }
 
+/// What other holders than one of `address` have reserved, in bytes.
+struct Others {
+    address: IpAddr,
+    total: usize,
+    of_address: usize,
+}
+
 /// The bytes that bodies and unread responses hold, in total and by caller address.
 pub struct Budget {
     total_bytes: usize,
@@ -137,39 +144,15 @@
     /// [`Short`] if there is no room even without them, or the holder has been evicted. Nothing changes then.
     pub fn grow(&mut self, key: HoldKey, bytes: usize, now_ms: u64) -> Result<Vec<HoldKey>, Short> {
         let hold = self.holds.get(key).ok_or(Short)?;
-        let address = hold.address;
-        let own = hold.bytes;
-        let (mut total, mut of_address) = (
-            self.used_bytes - own,
-            self.by_address.get(&address).map_or(0, |used| used - own),
-        );
-        // A body within the limits is served where nothing else holds memory, whatever its size.
-        let fits = |total: usize, of_address: usize| {
-            total == 0
-                || (total + bytes <= self.limit(bytes)
-                    && (of_address == 0 || of_address + bytes <= self.limit(bytes) / 2))
+        let used = self.by_address.get(&hold.address).copied();
+        let mut others = Others {
+            address: hold.address,
+            total: self.used_bytes - hold.bytes,
+            of_address: used.unwrap_or(0) - hold.bytes,
         };
-        let mut evicted = Vec::new();
-        if !fits(total, of_address) {
-            let share = self.limit(bytes) / 2;
-            for victim in self.slow_holds(key, now_ms) {
-                if fits(total, of_address) {
-                    break;
-                }
-                let hold = &self.holds[victim];
-                let is_share_short = of_address + bytes > share && of_address > 0;
-                if hold.address != address && is_share_short && total + bytes <= self.limit(bytes) {
-                    continue;
-                }
-                total -= hold.bytes;
-                if hold.address == address {
-                    of_address -= hold.bytes;
-                }
-                evicted.push(victim);
-            }
-            if !fits(total, of_address) {
-                return Err(Short);
-            }
+        let evicted = self.victims(key, bytes, &mut others, now_ms);
+        if !self.fits(bytes, &others) {
+            return Err(Short);
         }
         for victim in &evicted {
             self.close(*victim);
@@ -178,6 +161,42 @@
         Ok(evicted)
     }
 
+    /// Chooses slow holders to remove until `bytes` fit beside `others`, which is updated; they may not fit even then.
+    fn victims(
+        &self,
+        key: HoldKey,
+        bytes: usize,
+        others: &mut Others,
+        now_ms: u64,
+    ) -> Vec<HoldKey> {
+        let mut victims = Vec::new();
+        if self.fits(bytes, others) {
+            return victims;
+        }
+        for victim in self.slow_holds(key, now_ms) {
+            if self.fits(bytes, others) {
+                break;
+            }
+            let hold = &self.holds[victim];
+            let is_own = hold.address == others.address;
+            // Holders of other addresses are in the way only where the total is short.
+            if is_own || others.total + bytes > self.limit(bytes) {
+                others.total -= hold.bytes;
+                others.of_address -= if is_own { hold.bytes } else { 0 };
+                victims.push(victim);
+            }
+        }
+        victims
+    }
+
+    /// Returns whether a holder of `bytes` fits beside `others`. A body within the limits is served where nothing else holds
+    /// memory, whatever its size.
+    fn fits(&self, bytes: usize, others: &Others) -> bool {
+        let limit = self.limit(bytes);
+        let fits_share = others.of_address == 0 || others.of_address + bytes <= limit / 2;
+        others.total == 0 || (others.total + bytes <= limit && fits_share)
+    }
+
     /// Returns how many bytes may be held in total when a holder grows to `bytes`. A part is kept for small bodies.
     fn limit(&self, bytes: usize) -> usize {
         if bytes <= SMALL_BYTES {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 
 mod caller_crowds;
 mod callers;
+mod crowd;
 mod cut_heads;
 mod early_hangup;
 mod explained_failures;
