feat(fleet): keep tokens where a single request asks for them

A single request drew tokens beyond its node's share, which were lost after 400 ms. Tokens beyond the share are asked for from sustained demand on, and 16 tokens of the stated slack of 20 are kept instead of 12.

--- a/eel-fleet/src/quota/bucket.rs
+++ b/eel-fleet/src/quota/bucket.rs
@@ -8,7 +8,7 @@
 pub const TOKEN: u64 = 1_000_000;
 /// The tokens of all nodes beyond the burst. The stated bound allows 20; the rest is for requests that wait before they run
 /// and for nodes that learn late of other nodes.
-const EXTRA_TOKENS: u64 = 12;
+const EXTRA_TOKENS: u64 = 16;
 /// How long granted tokens beyond the node's share can be used, from the notice that asked for them. They add to the burst
 /// what the rate gives in this time; the stated bound allows 500 ms.
 const GRANT_TTL_MS: u64 = 400;
@@ -18,6 +18,9 @@
 const LEVEL_TTL_MS: u64 = 2_500;
 /// How long after a request a node keeps a token for the next one, in ms.
 const RESERVE_MS: u64 = 10_000;
+/// The requests of [`DEMAND_MS`], in millionths, from which on a node asks for tokens beyond its share. Those are lost if
+/// they are not used at once, as with a single request.
+const SUSTAINED_DEMAND: u64 = 3 * TOKEN / 2;
 /// The part of its tokens that a node with all its tokens grants to nodes that have fewer, as a divisor.
 const OVERFLOW_DIVISOR: u64 = 8;
 
@@ -131,7 +134,7 @@
             .requested_ms
             .is_some_and(|it| self.updated_ms < it + RESERVE_MS);
         let reserve = if is_used { self.share().min(TOKEN) } else { 0 };
-        if self.demand > TOKEN / 8 {
+        if self.demand > SUSTAINED_DEMAND {
             (self.demand / 2 + TOKEN).max(reserve)
         } else {
             reserve
