feat(fleet): place by observed speed and warm up new targets

Targets whose speeds differ by up to 2.7 times were treated as equal, and a target that had just started got as much as any other one while it was cold. With the new settings, which are off by default, the choice draws three targets and weighs their requests in flight by their observed slowness, and a target that has just started or recovered has a window that grows with its responses.

--- a/eel-fleet/src/dispatch.rs
+++ b/eel-fleet/src/dispatch.rs
@@ -20,6 +20,10 @@
 const RUN_TIME_EWMA_DIVISOR: u64 = 16;
 /// Run time assumed until the first one is measured.
 const INITIAL_RUN_TIME_MS: u64 = 300;
+/// The time from sending a request to a target until its first output, in ms: reading the prompt and one decoding step. The
+/// latest start that meets a goal is this long before it.
+pub const FIRST_OUTPUT_MS: u64 = 40;
+
 #[derive(Default)]
 struct ServiceState {
     queue: Queue,
@@ -115,6 +119,7 @@
             excluded: &[],
             version,
             only_limited: !self.selector.has_batch_room(now_ms, service),
+            left_ms: None,
             tie_breaker,
         };
         self.selector.drop_old_reports(now_ms);
@@ -307,6 +312,7 @@
             excluded: &waiting.excluded,
             version: waiting.version.as_ref(),
             only_limited: false,
+            left_ms: Some(waiting.start_by_ms.saturating_sub(now_ms) + FIRST_OUTPUT_MS),
             tie_breaker: waiting.tie_breaker,
         };
         let target = self.selector.choose(now_ms, service, &query)?;
--- a/eel-fleet/src/health.rs
+++ b/eel-fleet/src/health.rs
@@ -39,6 +39,11 @@
         self.failed_per_1000_at(now_ms) >= SUSPECT_PER_1000
     }
 
+    /// Returns the number of failures since the last response.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
     /// Records the start of an attempt. After a failure it renews the pause, so that trials run one at a time.
     pub fn on_start(&mut self, now_ms: u64) {
         if self.failures > 0 {
--- a/eel-fleet/src/lib.rs
+++ b/eel-fleet/src/lib.rs
@@ -23,9 +23,11 @@
 mod rendezvous;
 mod report;
 mod selector;
+mod speed;
+mod warm_up;
 
 pub use arrival::{Arrival, Decision, Dequeued};
-pub use dispatch::Dispatcher;
+pub use dispatch::{Dispatcher, FIRST_OUTPUT_MS};
 pub use entry::TargetEntry;
 pub use fair_order::{FairOrder, Flow, PriorityRank};
 pub use limit::{
@@ -41,7 +43,9 @@
 pub use registry::{Registry, Removal};
 pub use rejection::Rejection;
 pub use report::{PeerReport, ReportError, ReportPart, TargetLoad, WaitingCount, stable_hash};
-pub use selector::{AttemptOutcome, Capacity, TargetQuery, TargetSelector, WorkKind};
+pub use selector::{AttemptOutcome, Capacity, Placement, TargetQuery, TargetSelector, WorkKind};
+pub use speed::{Observation, Speed};
+pub use warm_up::{WarmUpChange, WarmUpStep};
 
 slotmap::new_key_type! {
     /// Identifies one incarnation of a target in a [`TargetSelector`].
--- a/eel-fleet/src/selector/attempts.rs
+++ b/eel-fleet/src/selector/attempts.rs
@@ -1,7 +1,7 @@
 //! Records the start, the progress and the end of this node's attempts.
 
-use super::TargetSelector;
-use crate::{TargetEntry, TargetKey};
+use super::{Placement, TargetSelector};
+use crate::{TargetEntry, TargetKey, speed::Observation};
 
 /// The two kinds of work that share a target's slots.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,15 +43,32 @@
         if let Some(target) = self.targets.get_mut(key) {
             target.health.on_failure(now_ms);
         }
+        self.warm_up_bad(now_ms, key);
     }
 
     /// Records that the response to an attempt in flight has started.
     pub fn on_response(&mut self, key: TargetKey) {
         if let Some(target) = self.targets.get_mut(key) {
             target.health.on_response();
+            target.has_answered = true;
         }
     }
 
+    /// Records what an online request has observed of its target's speed. Returns whether the settings make use of it.
+    pub fn observe(&mut self, now_ms: u64, key: TargetKey, observation: Observation) -> bool {
+        if self.placement == Placement::default() {
+            return false;
+        }
+        let Some(target) = self.targets.get(key) else {
+            return false;
+        };
+        let service = &target.entry.service;
+        let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        self.speeds.observe(now_ms, service, keys, key, observation);
+        self.warm_up_response(now_ms, key, observation);
+        true
+    }
+
     /// Records that the target of `entry` has said that it is leaving. Its incarnation gets no further attempts, whatever
     /// its entry becomes; it need not be listed any more. Returns `false` if that was known.
     pub fn on_leaving(&mut self, now_ms: u64, entry: &TargetEntry) -> bool {
@@ -76,12 +93,21 @@
         let count = target.own.of(work);
         *count = count.saturating_sub(1);
         match outcome {
-            AttemptOutcome::Answered => target.health.on_end(now_ms, false),
+            AttemptOutcome::Answered => {
+                target.health.on_end(now_ms, false);
+                target.has_answered = true;
+            }
             AttemptOutcome::Errored => target.health.on_end(now_ms, true),
             AttemptOutcome::Full => target.health.on_full(now_ms),
             AttemptOutcome::Failed => target.health.on_failure(now_ms),
             AttemptOutcome::Cancelled => {}
         }
         target.update_idle(now_ms);
+        match outcome {
+            AttemptOutcome::Errored | AttemptOutcome::Full | AttemptOutcome::Failed => {
+                self.warm_up_bad(now_ms, key);
+            }
+            AttemptOutcome::Answered | AttemptOutcome::Cancelled => {}
+        }
     }
 }
--- a/eel-fleet/src/selector/mod.rs
+++ b/eel-fleet/src/selector/mod.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod peer_loads;
 mod target;
+mod warming;
 
 use std::collections::HashMap;
 
@@ -32,9 +33,18 @@
 };
 use crate::{
     TargetEntry, TargetKey, health::Health, leaving::LeavingTargets, limit::LimitTable,
-    report::stable_hash,
+    report::stable_hash, speed::SpeedTable, warm_up::WarmUpChange,
 };
 
+/// What the choice of a target takes into account besides load and health.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Placement {
+    /// Whether online requests prefer targets that have been faster than others.
+    pub speed_aware: bool,
+    /// Whether a target that has just started or recovered gets a small share first.
+    pub warm_up: bool,
+}
+
 /// The targets of all services, with their load and health.
 #[derive(Default)]
 pub struct TargetSelector {
@@ -50,9 +60,20 @@
     expired_ms: u64,
     /// The nodes that run batch items, this node first.
     batch_nodes: Vec<Name>,
+    placement: Placement,
+    /// Empty unless `placement` needs it.
+    speeds: SpeedTable,
+    /// The number of targets that warm up.
+    warming: usize,
+    warm_up_changes: Vec<WarmUpChange>,
 }
 
 impl TargetSelector {
+    /// Sets what the choice of a target takes into account.
+    pub fn set_placement(&mut self, placement: Placement) {
+        self.placement = placement;
+    }
+
     /// Adds or updates a target. A new incarnation under the same id starts without load.
     pub fn set_target(&mut self, entry: TargetEntry) {
         if let Some(&key) = self.by_id.get(&entry.id) {
@@ -76,6 +97,8 @@
             health: Health::default(),
             idle_since_ms: Some(0),
             batch_rank: 0,
+            has_answered: false,
+            warm_up: None,
         });
         self.update_batch_rank(key);
         self.by_hash.insert(stable_hash(&id), key);
@@ -84,6 +107,17 @@
         self.services.entry(service).or_default().push(key);
     }
 
+    /// Like [`Self::set_target`] for a target that is listed now, which may have just started.
+    pub fn list_target(&mut self, now_ms: u64, entry: TargetEntry) {
+        let id = entry.id.clone();
+        let former = self.by_id.get(&id).copied();
+        self.set_target(entry);
+        let listed = self.by_id.get(&id).copied();
+        if let Some(key) = listed.filter(|_| listed != former) {
+            self.warm_up_new(now_ms, key);
+        }
+    }
+
     /// Removes a target and its load.
     pub fn remove_target(&mut self, id: &str) {
         let Some(key) = self.by_id.remove(id) else {
@@ -92,6 +126,8 @@
         let Some(target) = self.targets.remove(key) else {
             return;
         };
+        self.warming -= usize::from(target.warm_up.is_some());
+        self.speeds.remove(key);
         self.by_hash.remove(&target.hash);
         self.by_incarnation.remove(&target.incarnation);
         if let Some(keys) = self.services.get_mut(&target.entry.service) {
--- a/eel-fleet/src/selector/peer_loads.rs
+++ b/eel-fleet/src/selector/peer_loads.rs
@@ -93,6 +93,7 @@
             target.peers.retain(|peer| peer.is_live(now_ms));
             target.update_idle(now_ms);
         }
+        self.end_untested(now_ms);
         self.senders
             .retain(|_, sender| now_ms < sender.at_ms + SENDER_TTL_MS);
     }
--- a/eel-fleet/src/selector/target.rs
+++ b/eel-fleet/src/selector/target.rs
@@ -3,7 +3,7 @@
 use eel_types::Name;
 
 use super::{attempts::WorkKind, peer_loads::PeerLoad};
-use crate::{TargetEntry, health::Health, limit::LimitTable};
+use crate::{TargetEntry, health::Health, limit::LimitTable, warm_up::WarmUp};
 
 pub(super) struct Target {
     pub(super) entry: TargetEntry,
@@ -19,6 +19,10 @@
     pub(super) is_leaving: bool,
     /// How many live nodes rank before this one for the target's idle slots.
     pub(super) batch_rank: u64,
+    /// Whether an attempt of this node has had a response.
+    pub(super) has_answered: bool,
+    /// The limit of what the target gets; `None` unless it has just started or recovered.
+    pub(super) warm_up: Option<WarmUp>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
--- a/eel-fleet/tests/fleet/fixture.rs
+++ b/eel-fleet/tests/fleet/fixture.rs
@@ -38,6 +38,7 @@
         excluded: &[],
         version: None,
         only_limited: false,
+        left_ms: None,
         tie_breaker: 7,
     }
 }
--- a/eel-fleet/tests/fleet/main.rs
+++ b/eel-fleet/tests/fleet/main.rs
@@ -20,4 +20,7 @@
 mod target_versions;
 mod tenant_quotas;
 mod tenant_order;
+mod uneven_fleet;
+mod uneven_targets;
 mod waiting_requests;
+mod warming_targets;
--- a/eel-gateway/src/online/request.rs
+++ b/eel-gateway/src/online/request.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use eel_fleet::{Arrival, Dispatcher, Rejection, TargetKey, stable_hash};
+use eel_fleet::{Arrival, Dispatcher, FIRST_OUTPUT_MS, Rejection, TargetKey, stable_hash};
 use eel_platform::caller_fields;
 use eel_quarantine::TrialEnd;
 use eel_table::{Route, Tenant};
@@ -23,8 +23,6 @@
     target::OutgoingRequest,
 };
 
-/// The time from sending a request to a target until its first output, in ms: reading the prompt and one decoding step.
-const FIRST_OUTPUT_MS: u64 = 40;
 /// How long before the caller's deadline the final response is sent.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(30);
 
