feat(gateway): settings for placement by speed and for warm-up

Adds [placement] speed_aware and warm_up, both false by default. The slot of an attempt passes on the time to the first event, the pace of a stream and the run time of a plain response; observations are dropped while both are off.

--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -10,7 +10,7 @@
 };
 
 use arc_swap::ArcSwapOption;
-use eel_fleet::{Peers, Registry};
+use eel_fleet::{Peers, Placement, Registry};
 use eel_ledger::{Ledger, Partials, owner_of};
 use eel_platform::PlatformStore;
 use eel_quarantine::{Quarantine, Scope};
@@ -104,6 +104,7 @@
     pub(crate) name: Name,
     pub(crate) data_centre: Name,
     pub(crate) runs_batch: bool,
+    pub(crate) placement: Placement,
     pub(crate) store: PlatformStore,
     pub(crate) prefix: Name,
     pub(crate) caller_limits: CallerLimits,
@@ -122,7 +123,12 @@
             incarnation: rand::random(),
             token: rand::random(),
             runs_batch: options.runs_batch,
-            slots: Slots::new(clock, options.data_centre, metrics.clone()),
+            slots: Slots::new(
+                clock,
+                options.data_centre,
+                options.placement,
+                metrics.clone(),
+            ),
             pool: Pool::default(),
             store: options.store,
             prefix: options.prefix,
--- a/eel-gateway/src/metrics.rs
+++ b/eel-gateway/src/metrics.rs
@@ -70,7 +70,9 @@
     pub blocked_requests: Gauge,
     /// The targets that limit the rate of requests.
     pub limited_targets: Gauge,
-    /// Attempts at such targets.
+    /// The targets that have just started or recovered and get a small share.
+    pub warming_targets: Gauge,
+    /// Attempts at targets that limit the rate of requests.
     pub limited_attempts: Counter,
     /// Requests of tenants with quotas, by tenant and by what the quota decided. The number of names is bounded.
     pub quota_requests: Family<QuotaLabels, Counter>,
@@ -157,6 +159,11 @@
             "Targets that limit the rate of requests",
             self.limited_targets.clone(),
         );
+        registry.register(
+            "warming_targets",
+            "Targets that have just started or recovered and get a small share",
+            self.warming_targets.clone(),
+        );
         registry.register(
             "limited_attempts",
             "Attempts at targets that limit the rate of requests",
--- a/eel-gateway/src/node.rs
+++ b/eel-gateway/src/node.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use eel_admin::HttpServer;
-use eel_fleet::NodeEntry;
+use eel_fleet::{NodeEntry, Placement};
 use eel_platform::{PlatformStore, StoreOptions};
 use eel_settings::GatewaySettings;
 use eel_supervise::{RestartPolicy, Shutdown, Supervisor};
@@ -76,6 +76,10 @@
             name: settings.node.name.clone(),
             data_centre: settings.node.data_centre.clone(),
             runs_batch: settings.batch.enabled,
+            placement: Placement {
+                speed_aware: settings.placement.speed_aware,
+                warm_up: settings.placement.warm_up,
+            },
             store,
             prefix: settings.store.prefix.clone(),
             caller_limits: CallerLimits::of(&settings.limits),
--- a/eel-gateway/src/online/serve.rs
+++ b/eel-gateway/src/online/serve.rs
@@ -147,6 +147,7 @@
                     to_response(target_response.status, &target_response.headers, full(body));
                 let is_failure = target_response.status.is_server_error();
                 if target_response.status.is_success() {
+                    target_response.slot.on_plain_end();
                     quarantine::on_completed(&request.context, &request.outgoing.suspects);
                 }
                 target_response.finish(&request.context.pool);
--- a/eel-gateway/src/online/stream.rs
+++ b/eel-gateway/src/online/stream.rs
@@ -142,6 +142,15 @@
         matches!(self, Self::Resumable { .. })
     }
 
+    /// Returns the number of events that this target has sent; `None` if the response has none.
+    fn events(&self) -> Option<u64> {
+        match self {
+            Self::Resumable { buffer, .. } => Some(buffer.scanner().events()),
+            Self::Events { scanner } => Some(scanner.events()),
+            Self::Bytes => None,
+        }
+    }
+
     /// Returns whether only the first few events of the response have arrived.
     fn has_only_begun(&self) -> bool {
         match self {
@@ -345,6 +354,9 @@
                     if had_only_begun && !self.content.has_only_begun() {
                         on_progress(&self.context, &self.outgoing.suspects);
                     }
+                    if self.content.events().is_some_and(|it| it > 0) {
+                        target_response.slot.on_first_event();
+                    }
                     match pushed {
                         Ok(None) => continue,
                         Ok(events) => return Ok(events),
@@ -353,6 +365,9 @@
                 }
                 Ok(None) if self.content.is_complete(target_response.framing) => {
                     let is_success = target_response.status.is_success();
+                    if let Some(events) = self.content.events() {
+                        target_response.slot.on_last_event(events);
+                    }
                     self.record_end("complete");
                     if is_success {
                         on_completed(&self.context, &self.outgoing.suspects);
--- a/eel-gateway/src/slots.rs
+++ b/eel-gateway/src/slots.rs
@@ -3,13 +3,13 @@
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use eel_fleet::{
     Arrival, AttemptOutcome, Decision, Dequeued, Dispatcher, LimitChange, LimitNotice, LimitPeer,
-    NamedLimit, PeerReport, Rejection, TargetEntry, TargetKey, TargetSelector, TargetUsage,
-    TicketKey, WorkKind, report_interval_ms,
+    NamedLimit, Observation, PeerReport, Placement, Rejection, TargetEntry, TargetKey,
+    TargetSelector, TargetUsage, TicketKey, WarmUpChange, WorkKind, report_interval_ms,
 };
 use eel_types::{Clock, Name};
 use tokio::sync::{Notify, oneshot};
@@ -49,12 +49,21 @@
     pub(crate) target: TargetEntry,
     work: WorkKind,
     started_ms: u64,
+    /// When the first event of the stream arrived.
+    first_event: Option<Instant>,
+    started: Instant,
     outcome: AttemptOutcome,
 }
 
 impl Slots {
-    pub(crate) fn new(clock: Clock, data_centre: Name, metrics: Arc<Metrics>) -> Arc<Self> {
-        let dispatcher = Dispatcher::new(data_centre);
+    pub(crate) fn new(
+        clock: Clock,
+        data_centre: Name,
+        placement: Placement,
+        metrics: Arc<Metrics>,
+    ) -> Arc<Self> {
+        let mut dispatcher = Dispatcher::new(data_centre);
+        dispatcher.selector_mut().set_placement(placement);
         Arc::new(Self {
             clock,
             metrics,
@@ -225,16 +234,37 @@
             target,
             work,
             started_ms: self.clock.now_ms(),
+            first_event: None,
+            started: Instant::now(),
             outcome: AttemptOutcome::Cancelled,
         })
     }
 
+    /// Reports the targets that have begun or ended to warm up.
+    fn log_warm_ups(&self, inner: &mut Inner) {
+        let selector = inner.dispatcher.selector_mut();
+        let changes = selector.take_warm_up_changes();
+        if changes.is_empty() {
+            return;
+        }
+        let warming = i64::try_from(selector.warming_targets()).unwrap_or(i64::MAX);
+        self.metrics.warming_targets.set(warming);
+        for WarmUpChange { key, step } in changes {
+            let target_id = selector.entry(key).map_or("", |it| it.id.as_str());
+            log::info!(
+                target: "targets", target_id, step = step.as_str(), warming;
+                "A target begins or ends to warm up."
+            );
+        }
+    }
+
     /// Passes slots and rejections on to waiting requests. Returns the slots of requests whose callers have left; drop
     /// them after `inner` is unlocked, since that releases them.
     ///
     /// A slot is passed on as a guard, so that it is released even if the caller leaves before the request takes it.
     fn notify_waiters(self: &Arc<Self>, inner: &mut Inner) -> Vec<SlotGuard> {
         let now_ms = self.clock.now_ms();
+        self.log_warm_ups(inner);
         let mut refused = Vec::new();
         for dequeued in inner.dispatcher.dispatch_waiting(now_ms) {
             let Dequeued {
@@ -309,6 +339,48 @@
         });
     }
 
+    /// Records that the first event of a stream has arrived; further calls have no effect.
+    pub(crate) fn on_first_event(&mut self) {
+        if self.first_event.is_none() {
+            let now = Instant::now();
+            self.first_event = Some(now);
+            let us = whole_us(now.saturating_duration_since(self.started));
+            self.observe(Observation::FirstEventUs(us));
+        }
+    }
+
+    /// Records the end of a complete stream of `events`.
+    pub(crate) fn on_last_event(&self, events: u64) {
+        let gaps = events.saturating_sub(1);
+        if let Some(first) = self.first_event
+            && let Some(us) = whole_us(first.elapsed()).checked_div(gaps)
+        {
+            self.observe(Observation::PaceUs(us));
+        }
+    }
+
+    /// Records the end of a complete plain response.
+    pub(crate) fn on_plain_end(&self) {
+        let us = whole_us(self.started.elapsed());
+        self.observe(Observation::RunTimeUs(us));
+    }
+
+    fn observe(&self, observation: Observation) {
+        if self.work != WorkKind::Online {
+            return;
+        }
+        let now_ms = self.slots.clock.now_ms();
+        let mut inner = self.slots.lock();
+        let selector = inner.dispatcher.selector_mut();
+        if selector.observe(now_ms, self.key, observation) {
+            let slowness_per_1000 = selector.speed(now_ms, self.key).slowness_per_1000;
+            log::debug!(
+                target: "targets", target_id = self.target.id.as_str(), observation:?, slowness_per_1000;
+                "A target's speed was observed."
+            );
+        }
+    }
+
     /// Records the head of a response from the target.
     pub(crate) fn on_response(&self) {
         let run_ms = self.slots.clock.now_ms().saturating_sub(self.started_ms);
@@ -364,6 +436,10 @@
     }
 }
 
+fn whole_us(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn ms_to_s(ms: u64) -> f64 {
     const MS_PER_S: f64 = 1_000.0;
     f64::from(u32::try_from(ms).unwrap_or(u32::MAX)) / MS_PER_S
--- a/eel-gateway/src/store/apply.rs
+++ b/eel-gateway/src/store/apply.rs
@@ -129,9 +129,10 @@
                     version = entry.version_text(), draining = entry.is_draining, address:% = entry.address;
                     "A target's entry was added or changed."
                 );
+                let now_ms = context.clock.now_ms();
                 context
                     .slots
-                    .update(|dispatcher| dispatcher.selector_mut().set_target(entry));
+                    .update(|dispatcher| dispatcher.selector_mut().list_target(now_ms, entry));
                 context.on_ledger_change();
             }
         }
--- a/eel-settings/src/gateway.rs
+++ b/eel-settings/src/gateway.rs
@@ -10,12 +10,13 @@
 
 use crate::{DrainSettings, Error, TelemetrySettings, document::Document};
 
-const SECTIONS: [&str; 7] = [
+const SECTIONS: [&str; 8] = [
     "node",
     "listen",
     "store",
     "batch",
     "limits",
+    "placement",
     "telemetry",
     "drain",
 ];
@@ -39,6 +40,8 @@
     pub batch: GatewayBatchSettings,
     /// What callers may use of the machine, from `[limits]`.
     pub limits: GatewayLimitSettings,
+    /// The choice of targets, from `[placement]`.
+    pub placement: GatewayPlacementSettings,
     /// Logs and traces, from `[telemetry]`.
     pub telemetry: TelemetrySettings,
     /// Limits of a graceful shutdown, from `[drain]`.
@@ -101,6 +104,15 @@
     pub max_descriptors: Option<usize>,
 }
 
+/// `[placement]`: what the choice of a target takes into account besides load and health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GatewayPlacementSettings {
+    /// Whether online requests prefer targets that have been faster than others.
+    pub speed_aware: bool,
+    /// Whether a target that has just started or recovered gets a small share first.
+    pub warm_up: bool,
+}
+
 impl GatewaySettings {
     /// Loads and validates the file at `path`.
     ///
@@ -128,6 +140,7 @@
             store: read_store(&mut document),
             batch: read_batch(&mut document),
             limits: read_limits(&mut document),
+            placement: read_placement(&mut document),
             telemetry: TelemetrySettings::read(&mut document),
             drain: DrainSettings::read(&mut document),
         };
@@ -190,3 +203,13 @@
     section.finish();
     limits
 }
+
+fn read_placement(document: &mut Document) -> GatewayPlacementSettings {
+    let mut section = document.section("placement");
+    let placement = GatewayPlacementSettings {
+        speed_aware: section.boolean("speed_aware", false),
+        warm_up: section.boolean("warm_up", false),
+    };
+    section.finish();
+    placement
+}
