--- a/eel-fleet/tests/fleet/uneven_fleet.rs
+++ b/eel-fleet/tests/fleet/uneven_fleet.rs
@@ -417,7 +417,7 @@
                 sender: sender as u64,
                 sequence: self.sequence,
                 targets: node.selector().own_loads(),
-                waiting: node.own_waiting(),
+                waiting: node.own_waiting(now_ms),
                 ..PeerReport::default()
             };
             let at_ms = now_ms + REPORT_DELAY_MS;
--- a/eel-fleet/tests/fleet/uneven_targets.rs
+++ b/eel-fleet/tests/fleet/uneven_targets.rs
@@ -67,7 +67,7 @@
 
 #[test]
 fn heavy_load() {
-    let in_time = compare(1.25, &[BY_SPEED, BY_LOAD]);
+    let in_time = compare(1.25, &[BY_SPEED, BY_LOAD, Policy::TwoChoices]);
     assert!(in_time[0] >= in_time[1]);
 }
 
--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -32,6 +32,6 @@
 mod tenant_header;
 mod tenant_jobs;
 mod tenant_keys;
-mod tenant_secrets;
 mod tenant_quotas;
+mod tenant_secrets;
 mod unread_request;
--- a/eel-settings/src/lib.rs
+++ b/eel-settings/src/lib.rs
@@ -12,8 +12,7 @@
 pub use error::{Error, Fault, Problem};
 pub use gateway::{
     GatewayBatchSettings, GatewayLimitSettings, GatewayListenSettings, GatewayNodeSettings,
-    GatewayPlacementSettings,
-    GatewaySettings, GatewayStoreSettings,
+    GatewayPlacementSettings, GatewaySettings, GatewayStoreSettings,
 };
 pub use shared::{
     DrainSettings, LogFormat, StoreSettings, TelemetrySettings, TlsSettings, VmListSettings,
--- a/eel-settings/tests/settings/main.rs
+++ b/eel-settings/tests/settings/main.rs
@@ -3,3 +3,4 @@
 mod bad_values;
 mod example_files;
 mod gateway_limits;
+mod placement_choice;
