docs(fleet): mend a link in the documentation of `Decision`

Cause: the type moved to a module that does not import `Dispatcher`. Change: a full path. `cargo doc` of `eel-fleet` with warnings denied passes.

--- a/eel-fleet/src/arrival.rs
+++ b/eel-fleet/src/arrival.rs
@@ -36,7 +36,7 @@
 pub enum Decision {
     /// Send it to this target, where it already counts as in flight.
     Start(TargetKey),
-    /// Hold it until [`Dispatcher::dispatch_waiting`] returns the ticket.
+    /// Hold it until [`dispatch_waiting`](crate::Dispatcher::dispatch_waiting) returns the ticket.
     Wait(TicketKey),
     /// Reject it with the verdict not-run.
     Reject(Rejection),
