--- a/eel-gateway/src/metrics.rs
+++ b/eel-gateway/src/metrics.rs
@@ -109,6 +109,7 @@
             self.requests.clone(),
         );
         self.register_caller_limits(registry);
+        self.register_target_limits(registry);
         registry.register(
             "attempts",
             "Attempts at targets by outcome",
@@ -154,21 +155,6 @@
             "Requests that are rejected when they come again",
             self.blocked_requests.clone(),
         );
-        registry.register(
-            "limited_targets",
-            "Targets that limit the rate of requests",
-            self.limited_targets.clone(),
-        );
-        registry.register(
-            "warming_targets",
-            "Targets that have just started or recovered and get a small share",
-            self.warming_targets.clone(),
-        );
-        registry.register(
-            "limited_attempts",
-            "Attempts at targets that limit the rate of requests",
-            self.limited_attempts.clone(),
-        );
         registry.register(
             "store_failures",
             "Failed calls to the store",
@@ -219,6 +205,24 @@
         );
     }
 
+    fn register_target_limits(&self, registry: &mut Registry) {
+        registry.register(
+            "limited_targets",
+            "Targets that limit the rate of requests",
+            self.limited_targets.clone(),
+        );
+        registry.register(
+            "warming_targets",
+            "Targets that have just started or recovered and get a small share",
+            self.warming_targets.clone(),
+        );
+        registry.register(
+            "limited_attempts",
+            "Attempts at targets that limit the rate of requests",
+            self.limited_attempts.clone(),
+        );
+    }
+
     fn register_caller_limits(&self, registry: &mut Registry) {
         registry.register(
             "refused_bodies",
