fix(fleet): let nodes that restart use their share of the quotas at once

Cause: a node that had just started used a tenth of its share for up to 4 s while a listed node had not been heard, and began without a token.

Change: a node that finds the entry of its earlier incarnation in the store knows that the others leave it its share, and uses it at once; 9 nodes begin with a token of each tenant. For that the tokens beyond the burst are 10 in place of 16. A node that joins is as careful as before. The entry of the earlier incarnation no longer counts as one more node.

--- a/eel-fleet/src/quota/bucket.rs
+++ b/eel-fleet/src/quota/bucket.rs
@@ -6,9 +6,9 @@
 
 /// One token; amounts of tokens are counted in millionths.
 pub const TOKEN: u64 = 1_000_000;
-/// The tokens of all nodes beyond the burst. The stated bound allows 20; the rest is for requests that wait before they run
-/// and for nodes that learn late of other nodes.
-const EXTRA_TOKENS: u64 = 16;
+/// The tokens of all nodes beyond the burst. The stated bound allows 20; the rest is for the tokens with which nodes start,
+/// for requests that wait before they run, and for nodes that learn late of other nodes.
+const EXTRA_TOKENS: u64 = 10;
 /// How long granted tokens beyond the node's share can be used, from the notice that asked for them. They add to the burst
 /// what the rate gives in this time; the stated bound allows 500 ms.
 const GRANT_TTL_MS: u64 = 400;
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Adds the token with which the node starts; beyond its share it is lost.
+    pub fn add_start_token(&mut self) {
+        self.own = self.own.saturating_add(TOKEN).min(self.share());
+    }
+
     /// Sets the quota of all nodes and the divisor that gives this node's part.
     pub fn set(&mut self, now_ms: u64, quota: NodeQuota, divisor: u64) {
         if (quota, divisor) == (self.quota, self.divisor) {
--- a/eel-fleet/src/quota/members.rs
+++ b/eel-fleet/src/quota/members.rs
@@ -18,8 +18,11 @@
 const START_MS: u64 = 4_000;
 /// The smallest number of nodes that a node that has just started assumes: others that start with it may not be listed yet.
 const MIN_START_NODES: u64 = 16;
-/// The share of a node that may use what others use, as a divisor: it has just started and has not heard from all nodes, or
-/// it is cut off. All such nodes together stay within the allowed excess of 10%.
+/// The number of nodes that begin with a token of a tenant's quota after a restart. Without any, a fleet that restarts would
+/// refuse tenants of a few requests a second until every node has accrued a whole token.
+const START_TOKENS: u64 = 9;
+/// The share of a node that may use what others use, as a divisor: it joins the nodes and has not heard from all
+/// of them, or it is cut off. All such nodes together stay within the allowed excess of 10%.
 const UNSURE_DIVISOR: u64 = 10;
 
 #[derive(Debug)]
@@ -39,6 +42,9 @@
     contact_ms: u64,
     /// The divisor of quotas that gives this node's part.
     divisor: u64,
+    /// Whether the store still had the entry of an earlier incarnation of this node when it started. The other nodes then
+    /// leave it its part of the quotas already.
+    is_restarted: bool,
 }
 
 impl Members {
@@ -53,6 +59,7 @@
     ) -> bool {
         let is_first = self.own.is_none();
         self.own.get_or_insert_with(|| own.clone());
+        self.is_restarted |= is_first && peers.iter().any(|it| it.name == *own);
         let started_ms = *self.started_ms.get_or_insert(now_ms);
         if has_contact || is_first {
             self.contact_ms = now_ms;
@@ -61,7 +68,7 @@
             member.is_reachable = false;
         }
         let mut has_changed = is_first;
-        for peer in peers {
+        for peer in peers.into_iter().filter(|it| it.name != *own) {
             let member = Member {
                 incarnation: peer.incarnation,
                 is_reachable: peer.is_reachable,
@@ -89,7 +96,8 @@
         let (known, reachable) = (self.known(), self.reachable());
         let has_started = now_ms >= started_ms + START_MS;
         let is_cut_off = !is_majority && now_ms > self.contact_ms + CUT_OFF_MS;
-        if is_cut_off || !has_started && reachable < known {
+        let is_joining = !has_started && !self.is_restarted && reachable < known;
+        if is_cut_off || is_joining {
             known * UNSURE_DIVISOR
         } else if has_started {
             known
@@ -113,6 +121,18 @@
         (rank < tokens).then(|| (divisor * tokens / known).max(1))
     }
 
+    /// Returns whether this node begins with a token of a tenant's quota: it is one of a few that have restarted.
+    pub fn has_start_token(&self, tenant: u64) -> bool {
+        let rank = |own| rendezvous::rank(own, self.others.keys(), &format!("{tenant:x}"));
+        let own = self.own.as_ref().filter(|_| self.is_restarted);
+        own.is_some_and(|own| rank(own) < START_TOKENS)
+    }
+
+    /// Returns whether the nodes are known.
+    pub fn is_known(&self) -> bool {
+        self.own.is_some()
+    }
+
     /// Returns whether a node of this incarnation is known.
     pub fn contains(&self, incarnation: u64) -> bool {
         self.others.values().any(|it| it.incarnation == incarnation)
--- a/eel-fleet/src/quota/table.rs
+++ b/eel-fleet/src/quota/table.rs
@@ -76,6 +76,7 @@
 
     /// Sets this node's name, the other nodes, and whether this node reaches the store, or a peer that does.
     pub fn set_nodes(&mut self, now_ms: u64, own: &Name, peers: Vec<QuotaPeer>, has_contact: bool) {
+        let is_start = !self.members.is_known();
         if !self.members.set(now_ms, own, peers, has_contact) {
             return;
         }
@@ -85,6 +86,9 @@
             let quota = bucket.quota();
             bucket.set(now_ms, quota, divisor(members, tenant, quota));
             bucket.retain_peers(|peer| members.contains(peer));
+            if is_start && members.has_start_token(tenant) {
+                bucket.add_start_token();
+            }
         }
     }
 
--- a/eel-fleet/tests/fleet/quota_model.rs
+++ b/eel-fleet/tests/fleet/quota_model.rs
@@ -326,7 +326,14 @@
             let reaches_store = self.reaches_store(node);
             let list = self.lists.iter().rev().find(|(at_ms, _)| *at_ms <= seen_ms);
             let list = list.map(|(_, list)| list.clone()).unwrap_or_default();
+            // A node that restarts finds the entry of its earlier incarnation.
+            let earlier = self
+                .ended
+                .iter()
+                .filter(|(ended_ms, name, _)| *name == node.name && now_ms < ended_ms + LEASE_MS);
+            let earlier = earlier.map(|(_, name, incarnation)| (name.clone(), *incarnation));
             let others = list.into_iter().filter(|(name, _)| *name != node.name);
+            let others = others.chain(earlier);
             let peers = others.map(|(name, incarnation)| {
                 let peer = self.nodes.iter().find(|it| it.incarnation == incarnation);
                 let is_reachable = peer.is_some_and(|it| {
