fix(fleet): give new tenants their burst, and restarted nodes their whole share

A node that had restarted was one of 16 at least for 4 s, and missed the entry of its earlier incarnation if the list of nodes was not applied yet when its quotas were.

Change: a tenant that is new since the table before begins with its burst, unless it was dropped less than 60 s ago. A restarted node uses its share, and is recognised within its first 4 s.

--- a/eel-fleet/src/quota/bucket.rs
+++ b/eel-fleet/src/quota/bucket.rs
@@ -8,7 +8,7 @@
 pub const TOKEN: u64 = 1_000_000;
 /// The tokens of all nodes beyond the burst. The stated bound allows 20; the rest is for the tokens with which nodes start,
 /// for requests that wait before they run, and for nodes that learn late of other nodes.
-const EXTRA_TOKENS: u64 = 10;
+const EXTRA_TOKENS: u64 = 15;
 /// How long granted tokens beyond the node's share can be used, from the notice that asked for them. They add to the burst
 /// what the rate gives in this time; the stated bound allows 500 ms.
 const GRANT_TTL_MS: u64 = 400;
@@ -64,6 +64,8 @@
     peers: HashMap<u64, PeerLevel>,
     /// The level and the target that peers were told last.
     told: (u64, u64),
+    /// Whether the bucket gets all tokens of its share once the share is known.
+    is_full_at_first: bool,
     /// The number of refused requests; spreads the times at which they return.
     pub refused: u64,
 }
@@ -81,10 +83,17 @@
             requested_ms: None,
             peers: HashMap::new(),
             told: (0, 0),
+            is_full_at_first: false,
             refused: 0,
         }
     }
 
+    /// Gives the node all tokens of its share, also of one that is not known yet.
+    pub fn fill(&mut self) {
+        self.own = self.share();
+        self.is_full_at_first = self.divisor == u64::MAX;
+    }
+
     /// Adds the token with which the node starts; beyond its share it is lost.
     pub fn add_start_token(&mut self) {
         self.own = self.own.saturating_add(TOKEN).min(self.share());
@@ -100,6 +109,9 @@
             self.granted.clear();
         }
         (self.quota, self.divisor) = (quota, divisor);
+        if self.divisor < u64::MAX && std::mem::take(&mut self.is_full_at_first) {
+            self.own = self.share();
+        }
         self.own = self.own.min(self.share());
     }
 
--- a/eel-fleet/src/quota/members.rs
+++ b/eel-fleet/src/quota/members.rs
@@ -20,7 +20,7 @@
 const MIN_START_NODES: u64 = 16;
 /// The number of nodes that begin with a token of a tenant's quota after a restart. Without any, a fleet that restarts would
 /// refuse tenants of a few requests a second until every node has accrued a whole token.
-const START_TOKENS: u64 = 9;
+const START_TOKENS: u64 = 5;
 /// The share of a node that may use what others use, as a divisor: it joins the nodes and has not heard from all
 /// of them, or it is cut off. All such nodes together stay within the allowed excess of 10%.
 const UNSURE_DIVISOR: u64 = 10;
@@ -59,8 +59,9 @@
     ) -> bool {
         let is_first = self.own.is_none();
         self.own.get_or_insert_with(|| own.clone());
-        self.is_restarted |= is_first && peers.iter().any(|it| it.name == *own);
         let started_ms = *self.started_ms.get_or_insert(now_ms);
+        let has_started = now_ms >= started_ms + START_MS;
+        self.is_restarted |= !has_started && peers.iter().any(|it| it.name == *own);
         if has_contact || is_first {
             self.contact_ms = now_ms;
         }
@@ -99,7 +100,7 @@
         let is_joining = !has_started && !self.is_restarted && reachable < known;
         if is_cut_off || is_joining {
             known * UNSURE_DIVISOR
-        } else if has_started {
+        } else if has_started || self.is_restarted {
             known
         } else {
             known.max(MIN_START_NODES)
@@ -128,9 +129,9 @@
         own.is_some_and(|own| rank(own) < START_TOKENS)
     }
 
-    /// Returns whether the nodes are known.
-    pub fn is_known(&self) -> bool {
-        self.own.is_some()
+    /// Returns whether the store still had the entry of an earlier incarnation of this node when it started.
+    pub fn is_restarted(&self) -> bool {
+        self.is_restarted
     }
 
     /// Returns whether a node of this incarnation is known.
--- a/eel-fleet/src/quota/table.rs
+++ b/eel-fleet/src/quota/table.rs
@@ -16,6 +16,9 @@
 const MIN_RETRY_MS: u64 = 200;
 const MAX_RETRY_MS: u64 = 10_000;
 
+/// How long a tenant that was dropped from the quotas does not count as new, in ms: it may have used its burst.
+const DROPPED_TTL_MS: u64 = 60_000;
+
 /// The limit on the rate of a tenant's requests at all nodes together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NodeQuota {
@@ -51,42 +54,57 @@
 #[derive(Debug, Default)]
 pub struct QuotaTable {
     buckets: HashMap<u64, Bucket>,
+    /// Whether quotas were set before.
+    has_quotas: bool,
+    /// When tenants were dropped from the quotas, in ms.
+    dropped_ms: HashMap<u64, u64>,
     members: Members,
     /// `sent_ms` of the newest notice of each node, by incarnation.
     heard: HashMap<u64, u64>,
 }
 
 impl QuotaTable {
-    /// Sets the quotas, by tenant. A new tenant begins without tokens.
+    /// Sets the quotas, by tenant. A tenant that is new since the table before begins with all of its tokens, as no node can
+    /// have used one; at the start of the node a tenant begins without.
     pub fn set_quotas<'a>(
         &mut self,
         now_ms: u64,
         quotas: impl IntoIterator<Item = (&'a Name, NodeQuota)>,
     ) {
         let mut before = std::mem::take(&mut self.buckets);
+        let is_first = !std::mem::replace(&mut self.has_quotas, true);
         for (name, quota) in quotas {
             let tenant = stable_hash(name);
             let divisor = divisor(&self.members, tenant, quota);
             let bucket = before.remove(&tenant);
+            let is_new = !is_first && bucket.is_none() && !self.dropped_ms.contains_key(&tenant);
             let mut bucket = bucket.unwrap_or_else(|| Bucket::new(now_ms, quota, divisor));
+            if is_new {
+                bucket.fill();
+            }
             bucket.set(now_ms, quota, divisor);
             self.buckets.insert(tenant, bucket);
         }
+        let dropped = before.into_keys().map(|tenant| (tenant, now_ms));
+        self.dropped_ms.extend(dropped);
+        self.dropped_ms
+            .retain(|_, at_ms| now_ms < *at_ms + DROPPED_TTL_MS);
     }
 
     /// Sets this node's name, the other nodes, and whether this node reaches the store, or a peer that does.
     pub fn set_nodes(&mut self, now_ms: u64, own: &Name, peers: Vec<QuotaPeer>, has_contact: bool) {
-        let is_start = !self.members.is_known();
+        let was_restarted = self.members.is_restarted();
         if !self.members.set(now_ms, own, peers, has_contact) {
             return;
         }
+        let is_restart = self.members.is_restarted() && !was_restarted;
         let members = &self.members;
         self.heard.retain(|&peer, _| members.contains(peer));
         for (&tenant, bucket) in &mut self.buckets {
             let quota = bucket.quota();
             bucket.set(now_ms, quota, divisor(members, tenant, quota));
             bucket.retain_peers(|peer| members.contains(peer));
-            if is_start && members.has_start_token(tenant) {
+            if is_restart && members.has_start_token(tenant) {
                 bucket.add_start_token();
             }
         }
