--- a/eel-gateway/src/http/caller.rs
+++ b/eel-gateway/src/http/caller.rs
@@ -64,7 +64,7 @@
     })
 }
 
-/// Waits until the key of a request of `tenant` is revoked; for ever if the request needed no key.
+/// Waits until the key of a request of `tenant` is revoked; does not return if the request needed no key.
 pub(crate) async fn until_revoked(context: &Context, tenant: Option<&Tenant>, headers: &HeaderMap) {
     let mut changes = context.routes_changes.subscribe();
     while !is_revoked(context, tenant, headers) {
