--- a/eel-fleet/src/arrival.rs
+++ b/eel-fleet/src/arrival.rs
@@ -1,4 +1,4 @@
-//! Online requests as they arrive at the queue, and what becomes of them.
+//! Online requests as they arrive at the queue, and the decisions on them.
 
 use eel_types::Name;
 
