--- a/eel-gateway/src/caller_limits.rs
+++ b/eel-gateway/src/caller_limits.rs
@@ -4,8 +4,8 @@
 
 use eel_settings::GatewayLimitSettings;
 
-/// The memory without a setting, in MB: bodies then have 512 MB.
-const DEFAULT_MEMORY_MB: usize = 2_048;
+/// The memory without a setting, in MB, on a machine that has at least so much: bodies then have 512 MB.
+const MAX_DEFAULT_MEMORY_MB: usize = 2_048;
 /// The descriptors without a setting where the limit of the process cannot be read: the usual one of a service.
 const DEFAULT_DESCRIPTORS: usize = 4_096;
 /// The part of the memory for bodies and unread responses, and again for connections. The other half is for the idle
@@ -42,7 +42,7 @@
         let descriptors = [settings.max_descriptors, process_limit];
         let descriptors = descriptors.into_iter().flatten().min();
         Self::derive(
-            settings.memory_mb.unwrap_or(DEFAULT_MEMORY_MB),
+            settings.memory_mb.unwrap_or_else(default_memory_mb),
             descriptors.unwrap_or(DEFAULT_DESCRIPTORS),
         )
     }
@@ -58,6 +58,19 @@
     }
 }
 
+/// Returns the memory to assume without a setting, in MB: that of the machine, which the process has at the most.
+fn default_memory_mb() -> usize {
+    machine_memory_mb().map_or(MAX_DEFAULT_MEMORY_MB, |it| it.min(MAX_DEFAULT_MEMORY_MB))
+}
+
+/// Returns the memory of the machine, in MB; `None` where it cannot be read.
+fn machine_memory_mb() -> Option<usize> {
+    let info = fs::read_to_string("/proc/meminfo").ok()?;
+    let line = info.lines().find_map(|it| it.strip_prefix("MemTotal:"))?;
+    let kilobytes: usize = line.split_whitespace().next()?.parse().ok()?;
+    Some(kilobytes / 1024)
+}
+
 /// Returns the limit on open files of the process; `None` where it is unlimited or cannot be read.
 fn open_files_limit() -> Option<usize> {
     let limits = fs::read_to_string("/proc/self/limits").ok()?;
--- a/eel-settings/src/gateway.rs
+++ b/eel-settings/src/gateway.rs
@@ -98,7 +98,7 @@
 /// `[limits]`: the machine's figures, from which the limits on callers follow.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct GatewayLimitSettings {
-    /// The memory that the process may use, in MB; `None` for 2,048.
+    /// The memory that the process may use, in MB; `None` for that of the machine, but 2,048 at the most.
     pub memory_mb: Option<usize>,
     /// The descriptors that the process may open; `None` for the limit of the process.
     pub max_descriptors: Option<usize>,
