feat(gateway,ledger): log and count why an item has no output, and what its runs were answered

Cause: the log of a run named the failures that were counted, but neither the status, the signature nor the connection of the response, and an item that was given up by time was not logged at all.

Change: 'A run of an item ended.' has status, is_signed, local_port and is_kept; 'An item has no output.' names the cause and how long it was before the give-up time; errored_items counts them by cause. No decision changed: the worklist returns why an item has no output, and an item of which no request can be made has an outcome of its own with the same label.

--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -16,7 +16,9 @@
     context::{Context, now_unix_ms},
     quarantine::{self, Suspects},
     slots::SlotGuard,
-    target::{AttemptFailure, OutgoingRequest, TargetResponse, continues_stream, exchange},
+    target::{
+        AttemptFailure, ConnectionPath, OutgoingRequest, TargetResponse, continues_stream, exchange,
+    },
 };
 
 /// How long a run may receive no complete event before it is interrupted, to be tried at another target; doubled for each
@@ -33,6 +35,16 @@
     pub head: JobHead,
     pub item: Item,
     pub progress: SharedProgress,
+    /// The response; `None` if there was none.
+    pub response: Option<ResponseTrace>,
+}
+
+/// What the log says of the response to a run.
+#[derive(Clone, Copy, Debug)]
+pub struct ResponseTrace {
+    pub status: StatusCode,
+    pub is_signed: bool,
+    pub path: ConnectionPath,
 }
 
 /// The progress of a running item, shared by its run and by the task that saves it.
@@ -57,7 +69,7 @@
     /// Runs the item at the target of `slot` until it ends or is interrupted.
     pub async fn run(&mut self, slot: SlotGuard) -> RunOutcome {
         let Some(outgoing) = to_outgoing(&self.head, &self.item).map(Arc::new) else {
-            return RunOutcome::Rejected;
+            return RunOutcome::Unsendable;
         };
         let now = Instant::now();
         let left_ms = self.head.give_up_unix_ms.saturating_sub(now_unix_ms());
@@ -69,6 +81,11 @@
         let last_event = self.progress.lock().last_event;
         match exchange(pool, slot, &outgoing, last_event, until, deadline).await {
             Ok(mut target_response) => {
+                self.response = Some(ResponseTrace {
+                    status: target_response.status,
+                    is_signed: target_response.fields.is_signed,
+                    path: target_response.path,
+                });
                 let (status, headers) = (target_response.status, &target_response.headers);
                 let may_continue = last_event.is_none() || continues_stream(status, headers);
                 if status.is_success() && !may_continue {
--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -7,7 +7,9 @@
 };
 
 use eel_fleet::{TargetKey, stable_hash};
-use eel_ledger::{Item, ItemRef, Ledger, Progress, RunOutcome, SavedItems, Worklist, owner_of};
+use eel_ledger::{
+    ErrorCause, Item, ItemRef, Ledger, Progress, RunOutcome, SavedItems, Worklist, owner_of,
+};
 use eel_quarantine::Scope;
 use eel_types::Name;
 use eel_verdict::Verdict;
@@ -234,7 +236,18 @@
         let is_mine = |job: &str| owner_of(job, nodes.iter().chain([own])) == Some(own);
         let ledger = self.context.ledger();
         let mut state = self.lock();
-        state.worklist.give_up(now_unix_ms(), &ledger, is_mine);
+        let given_up = state.worklist.give_up(now_unix_ms(), &ledger, is_mine);
+        for item in &given_up {
+            let job = ledger.job(&item.job);
+            let entry = job.and_then(|it| it.items().get(item.item as usize));
+            let give_up_unix_ms = job.and_then(|it| it.head()).map(|it| it.give_up_unix_ms);
+            self.on_errored(
+                item,
+                entry.map_or("", |it| &it.id),
+                ErrorCause::GiveUpTime,
+                give_up_unix_ms.unwrap_or_default(),
+            );
+        }
         let quarantine = self.context.quarantine(Scope::Parts);
         let may_run = |item: &Item| {
             quarantine.is_quiet() || !quarantine.blocks(suspects_of(item).of(Scope::Parts))
@@ -293,6 +306,7 @@
             head: job_head,
             item: entry,
             progress,
+            response: None,
         };
         let driven = self.clone().drive(key, item.clone(), run, slot, cancel);
         Some(async move {
@@ -363,15 +377,25 @@
             RunOutcome::Completed(progress) | RunOutcome::Interrupted(progress) => {
                 progress.failures
             }
-            RunOutcome::Rejected => 0,
+            RunOutcome::Rejected | RunOutcome::Unsendable => 0,
         };
         let outcome = match &run_outcome {
             RunOutcome::Completed(_) => "completed",
             RunOutcome::Interrupted(_) => "broken_off",
             RunOutcome::Failed(_) => "failed",
-            RunOutcome::Rejected => "impossible",
+            RunOutcome::Rejected | RunOutcome::Unsendable => "impossible",
         };
         self.context.metrics.count_item(outcome);
+        let (status, is_signed, local_port, is_kept) =
+            run.response.map_or((0, false, 0, false), |it| {
+                let path = it.path;
+                (
+                    it.status.as_u16(),
+                    it.is_signed,
+                    path.local_port,
+                    path.is_kept,
+                )
+            });
         let verdict = if outcome == "broken_off" {
             Verdict::MayHaveRun
         } else {
@@ -379,18 +403,31 @@
         };
         log::info!(
             target: "jobs", request_id = run.item.id.as_str(), job = item.job.as_str(), target_id = target.as_str(),
-            outcome, failures, max_attempts = run.head.max_attempts, verdict = verdict.as_str(), yielded = cancel.is_cancelled();
+            outcome, failures, max_attempts = run.head.max_attempts, verdict = verdict.as_str(), yielded = cancel.is_cancelled(),
+            status, is_signed, local_port, is_kept;
             "A run of an item ended."
         );
         let mut state = self.lock();
         state.runs.remove(key);
-        state
+        let cause = state
             .worklist
             .finish(&item, run.head.max_attempts, run_outcome);
         drop(state);
+        if let Some(cause) = cause {
+            self.on_errored(&item, &run.item.id, cause, run.head.give_up_unix_ms);
+        }
         self.context.batch_wake.notify_one();
     }
 
+    fn on_errored(&self, item: &ItemRef, id: &str, cause: ErrorCause, give_up_unix_ms: u64) {
+        self.context.metrics.count_errored(cause.as_str());
+        log::info!(
+            target: "jobs", request_id = id, job = item.job.as_str(), item = item.item, cause = cause.as_str(),
+            left_ms = give_up_unix_ms.saturating_sub(now_unix_ms());
+            "An item has no output."
+        );
+    }
+
     pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/eel-gateway/src/metrics.rs
+++ b/eel-gateway/src/metrics.rs
@@ -28,6 +28,11 @@
     pub evidence: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CauseLabel {
+    pub cause: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ResumedLabel {
     pub source: &'static str,
@@ -56,6 +61,8 @@
     /// Attempts of requests that did not run, by what proves it.
     pub not_run_attempts: Family<EvidenceLabel, Counter>,
     pub items: Family<OutcomeLabel, Counter>,
+    /// Items that have no output, by the cause.
+    pub errored_items: Family<CauseLabel, Counter>,
     /// Streams from targets, by the framing of their body and by how they ended.
     pub stream_ends: Family<StreamEndLabels, Counter>,
     /// Streams that began at another version than the default one of their service.
@@ -125,6 +132,11 @@
             "Runs of batch items by outcome",
             self.items.clone(),
         );
+        registry.register(
+            "errored_items",
+            "Batch items that have no output by cause",
+            self.errored_items.clone(),
+        );
         registry.register(
             "stream_ends",
             "Streams from targets by the framing of their body and by how they ended",
@@ -272,6 +284,12 @@
         self.items.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    pub fn count_errored(&self, cause: &'static str) {
+        self.errored_items
+            .get_or_create(&CauseLabel { cause })
+            .inc();
+    }
+
     pub fn count_stream_end(&self, framing: &'static str, end: &'static str) {
         let labels = StreamEndLabels { framing, end };
         self.stream_ends.get_or_create(&labels).inc();
--- a/eel-gateway/src/target/connection.rs
+++ b/eel-gateway/src/target/connection.rs
@@ -26,6 +26,8 @@
 /// A connection to a target; dropping it closes it.
 pub struct Connection {
     pub address: SocketAddr,
+    /// The node's own port, which tells connections to a target apart in the log.
+    pub local_port: u16,
     pub sender: SendRequest<Full<Bytes>>,
     /// The target's incarnation that the process at the other end has said to be; `None` if it was not asked.
     pub incarnation: Option<u64>,
@@ -45,6 +47,7 @@
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
+        let local_port = stream.local_addr()?.port();
         let socket = SockRef::from(&stream);
         socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
         socket.set_tcp_keepalive(
@@ -63,6 +66,7 @@
         });
         Ok(Self {
             address,
+            local_port,
             sender,
             incarnation: None,
             is_kept: false,
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -56,9 +56,20 @@
     pub fields: ResponseFields,
     pub body: Incoming,
     pub framing: BodyFraming,
+    /// What the response came over.
+    pub path: ConnectionPath,
     connection: Option<Connection>,
 }
 
+/// Identifies the connection of a response in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionPath {
+    /// The node's own port.
+    pub local_port: u16,
+    /// Whether the connection had a request before.
+    pub is_kept: bool,
+}
+
 /// Sends `outgoing` to the target of `slot` and reads the head of its response, waiting until `until`.
 ///
 /// `deadline` is the end of the caller's wait, which is forwarded to the target; `last_event_id` resumes a stream after
@@ -98,6 +109,10 @@
         return Err(failure);
     }
     slot.on_response();
+    let path = ConnectionPath {
+        local_port: connection.local_port,
+        is_kept,
+    };
     let connection = Some(connection);
     Ok(TargetResponse {
         slot,
@@ -106,6 +121,7 @@
         headers: parts.headers,
         fields,
         body,
+        path,
         connection,
     })
 }
--- a/eel-ledger/src/lib.rs
+++ b/eel-ledger/src/lib.rs
@@ -22,4 +22,4 @@
 pub use partials::{Partials, Piece, SavedText};
 pub use saved::SavedItems;
 pub use submit::{MAX_ITEMS_BYTES, SubmitError, submission};
-pub use worklist::{ItemRef, MAX_TEXT_BYTES, Progress, RunOutcome, Worklist};
+pub use worklist::{ErrorCause, ItemRef, MAX_TEXT_BYTES, Progress, RunOutcome, Worklist};
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -72,6 +72,34 @@
     Failed(Progress),
     /// The target rejected the item as one that can never succeed.
     Rejected,
+    /// No request can be made of the item.
+    Unsendable,
+}
+
+/// Why an item has no output.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ErrorCause {
+    /// A target rejected it.
+    Rejected,
+    /// It failed as often as its route allows.
+    Failures,
+    /// Its give-up time has passed.
+    GiveUpTime,
+    /// No request can be made of it.
+    Unsendable,
+}
+
+impl ErrorCause {
+    /// Returns the name in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Rejected => "rejected",
+            Self::Failures => "failures",
+            Self::GiveUpTime => "give_up_time",
+            Self::Unsendable => "unsendable",
+        }
+    }
 }
 
 /// The running and interrupted items of this node, and its results that are not listed yet.
@@ -121,29 +149,45 @@
     }
 
     /// Records how a run of `item` ended. An item that failed `max_attempts` times is given up.
-    pub fn finish(&mut self, item: &ItemRef, max_attempts: u32, outcome: RunOutcome) {
+    ///
+    /// Returns why the item has no output; `None` if it has one or may run again.
+    pub fn finish(
+        &mut self,
+        item: &ItemRef,
+        max_attempts: u32,
+        outcome: RunOutcome,
+    ) -> Option<ErrorCause> {
         self.running.remove(item);
-        match outcome {
+        let cause = match outcome {
             RunOutcome::Completed(progress) => {
                 self.result(item, ResultState::Completed, progress.text);
+                return None;
             }
-            RunOutcome::Interrupted(progress) => {
+            RunOutcome::Failed(mut progress) if progress.failures + 1 < max_attempts => {
+                progress.failures += 1;
                 self.progress.insert(item.clone(), progress);
+                return None;
             }
-            RunOutcome::Failed(mut progress) => {
-                progress.failures += 1;
-                if progress.failures >= max_attempts {
-                    self.result(item, ResultState::Errored, String::new());
-                } else {
-                    self.progress.insert(item.clone(), progress);
-                }
+            RunOutcome::Interrupted(progress) => {
+                self.progress.insert(item.clone(), progress);
+                return None;
             }
-            RunOutcome::Rejected => self.result(item, ResultState::Errored, String::new()),
-        }
+            RunOutcome::Failed(_) => ErrorCause::Failures,
+            RunOutcome::Rejected => ErrorCause::Rejected,
+            RunOutcome::Unsendable => ErrorCause::Unsendable,
+        };
+        self.result(item, ResultState::Errored, String::new());
+        Some(cause)
     }
 
-    /// Gives up idle items whose give-up time has passed, in the open jobs for which `is_mine` returns `true`.
-    pub fn give_up(&mut self, now_unix_ms: u64, ledger: &Ledger, is_mine: impl Fn(&str) -> bool) {
+    /// Gives up idle items whose give-up time has passed, in the open jobs for which `is_mine` returns `true`; returns them.
+    pub fn give_up(
+        &mut self,
+        now_unix_ms: u64,
+        ledger: &Ledger,
+        is_mine: impl Fn(&str) -> bool,
+    ) -> Vec<ItemRef> {
+        let mut given_up = Vec::new();
         for (id, job) in ledger.jobs().filter(|(_, job)| job.is_open()) {
             let is_over = job
                 .head()
@@ -158,9 +202,11 @@
                 };
                 if !job.is_listed(item.item) && self.is_free(&item) {
                     self.result(&item, ResultState::Errored, String::new());
+                    given_up.push(item);
                 }
             }
         }
+        given_up
     }
 
     /// Removes results that the ledger lists, and everything that belongs to jobs that are no longer open.
--- a/tests/gateway/explained_failures.rs
+++ b/tests/gateway/explained_failures.rs
@@ -159,5 +159,15 @@
         (&run.fields["outcome"], &run.fields["job"]),
         (&json!("impossible"), &json!("sad-job"))
     );
+    assert_eq!(run.fields["status"], 422);
+    for field in ["is_signed", "local_port", "is_kept"] {
+        assert!(run.fields.contains_key(field), "{run:?}");
+    }
+    let errored = fleet.wait_line("sad-item", "An item has no output.").await;
+    assert_eq!(
+        (&errored.fields["cause"], &errored.fields["job"]),
+        (&json!("rejected"), &json!("sad-job"))
+    );
+    assert!(errored.fields["left_ms"].as_u64() > Some(0), "{errored:?}");
     fleet.wait_line("sad-job", "Results were listed.").await;
 }
