test(gateway): a target that writes each response of an item once more, late

Users saw an item listed as errored before it may be given up. An item keeps its id over all of its runs, and a response of 500 returns its connection to the pool. A stand-in repeats each response on its connection, in front of the response to the next request or after a pause of 0 to 100 ms: 8 scripts of statuses, 5 pauses, 6 items each, one target with two slots.

--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod named_limit;
 mod odd_entries;
 mod refused_requests;
+mod repeated_answer;
 mod repeated_refusal;
 mod repeated_request;
 mod restarted_target;
