fix(gateway): send a request id over a connection once only

Users saw an item of a batch job listed as errored before it may be given up. Cause: an item keeps its id over all of its runs, and a failure (500, 502, 504) returned its connection to the pool. A target that writes its response once more, late, answers the next run on that connection, and the id fits: a copy of a 500 counted as one more failure. The earlier fix for refusals that come again remembered the ids of refusals only.

Change: a connection remembers every id that it carried, whatever the response was, and never gets one of them again. So on one connection an id stands for one attempt, which needs no list of statuses. It keeps hashes, 8 bytes each, and is closed after 512 requests; that replaces the bound of 16 refusals.

Ruled out: to close each connection after a failure costs a new connection for requests that the rule does not concern; to compare signatures depends on what targets put into them.

--- a/eel-gateway/src/target/connection.rs
+++ b/eel-gateway/src/target/connection.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use eel_types::Name;
+use eel_fleet::stable_hash;
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -20,8 +20,8 @@
 /// The interval of TCP keep-alive probes on a connection that waits for a response.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The maximum number of refusals after which a connection is kept.
-const MAX_REFUSALS: usize = 16;
+/// The maximum number of requests over a connection, whose ids it keeps: 4 KB.
+const MAX_REQUESTS: usize = 512;
 
 /// A connection to a target; dropping it closes it.
 pub struct Connection {
@@ -33,8 +33,8 @@
     pub incarnation: Option<u64>,
     /// Whether it had a request before the present one.
     pub is_kept: bool,
-    /// The ids of the requests that the target refused on it.
-    refused: Vec<Name>,
+    /// The hashes of the ids of the requests that were sent over it.
+    sent: Vec<u64>,
     task: JoinHandle<()>,
 }
 
@@ -70,25 +70,25 @@
             sender,
             incarnation: None,
             is_kept: false,
-            refused: Vec::new(),
+            sent: Vec::new(),
             task,
         })
     }
 
-    /// Records that the target refused a request. A refusal that comes again must not be taken for that of a later attempt, so
-    /// the connection does not get this request any more.
-    pub fn on_refusal(&mut self, request_id: &str) {
-        self.refused.push(request_id.into());
+    /// Records that a request is sent over the connection.
+    pub fn on_send(&mut self, request_id: &str) {
+        self.sent.push(stable_hash(request_id));
     }
 
-    /// Returns whether a request may be sent over the connection.
+    /// Returns whether a request may be sent over the connection. A target may write a response once more, and a request
+    /// keeps its id over its attempts, so that a response proves nothing on a connection that had an earlier attempt.
     pub fn may_send(&self, request_id: &str) -> bool {
-        !self.refused.iter().any(|it| **it == *request_id)
+        !self.sent.contains(&stable_hash(request_id))
     }
 
     /// Returns whether the connection may be kept for further requests.
     pub fn may_be_kept(&self) -> bool {
-        self.refused.len() < MAX_REFUSALS
+        self.sent.len() < MAX_REQUESTS
     }
 }
 
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -87,8 +87,7 @@
     deadline: Instant,
 ) -> Result<TargetResponse, AttemptFailure> {
     let sent = send(pool, &slot, outgoing, last_event_id, until, deadline).await;
-    let (mut connection, response) =
-        sent.inspect_err(|failure| slot.set_outcome(failure.outcome()))?;
+    let (connection, response) = sent.inspect_err(|failure| slot.set_outcome(failure.outcome()))?;
     let (parts, body) = response.into_parts();
     let request_id = outgoing.request_id.as_str();
     let is_kept = connection.is_kept;
@@ -102,7 +101,6 @@
     if let Err(failure) = check(fields.kind) {
         slot.set_outcome(failure.outcome());
         log_unusable(request_id, &slot, parts.status, is_kept, failure);
-        connection.on_refusal(request_id);
         if !matches!(failure, AttemptFailure::InvalidResponse) && !fields.closes {
             return_connection(pool, &slot, connection, &body, fields.keep_alive);
         }
@@ -168,7 +166,7 @@
         let connection = verify(connection, slot, outgoing, last_event_id, until).await?;
         let left = deadline.saturating_duration_since(Instant::now());
         let request = to_request(slot, outgoing, last_event_id, left);
-        try_send(connection, request, slot, until).await
+        try_send(connection, request, &outgoing.request_id, slot, until).await
     };
     if let Some(kept) = pool.take(Instant::now(), address, &outgoing.request_id) {
         match send_over(kept).await {
@@ -248,9 +246,11 @@
 async fn try_send(
     mut connection: Connection,
     request: Request<Full<Bytes>>,
+    request_id: &str,
     slot: &SlotGuard,
     until: Instant,
 ) -> Result<(Connection, Response<Incoming>), AttemptFailure> {
+    connection.on_send(request_id);
     let sending = timeout_at(until.into(), connection.sender.try_send_request(request));
     match unless_silent(slot, sending).await {
         Err(_) => Err(AttemptFailure::TimedOut),
