test(gateway): let the soak repeat responses and check why items are errored

Now the proxies before the targets write a response without a body once more, in front of the next one, targets fail some requests in a row, and each errored item must have got the two responses of 500 that its route allows. The faults draw from a generator of their own, so that the earlier seeds play the same other faults.

--- a/tests/gateway/faults.rs
+++ b/tests/gateway/faults.rs
@@ -126,6 +126,14 @@
     }
 }
 
+/// Makes a target fail some of its next requests, and lets its failures come once more or not.
+pub fn inject_copies(soak: &Soak, rng: &mut SmallRng) {
+    let index = rng.random_range(0..soak.targets.len());
+    let failures = rng.random_range(0..4);
+    soak.targets[index].script(&[Behaviour::Fails].repeat(failures));
+    soak.target_proxies[index].set_repeats(rng.random_bool(0.5));
+}
+
 /// Sets a target's entry in the store to draining or to ready, or removes it.
 fn change_listing(soak: &Soak, rng: &mut SmallRng) {
     let index = rng.random_range(0..soak.targets.len());
--- a/tests/gateway/jobs.rs
+++ b/tests/gateway/jobs.rs
@@ -198,6 +198,15 @@
             .count()
     }
 
+    /// Returns the ids of the items that are errored.
+    pub fn errored_items(&self) -> Vec<String> {
+        let results = self.by_id.values().flat_map(|job| &job.results);
+        let errored = results.filter(|it| it["state"] == "errored");
+        errored
+            .filter_map(|it| it["id"].as_str().map(str::to_owned))
+            .collect()
+    }
+
     /// Returns the ids of the items of the refused jobs.
     pub fn refused_items(&self) -> Vec<String> {
         let refused = self
--- a/tests/gateway/proxy.rs
+++ b/tests/gateway/proxy.rs
@@ -1,4 +1,4 @@
-//! A TCP proxy on loopback that can delay, reset or hold the connections through it.
+//! A TCP proxy on loopback that can delay, reset or hold the connections through it, and repeat responses.
 
 use std::{io, net::SocketAddr, time::Duration};
 
@@ -31,6 +31,8 @@
     pub address: SocketAddr,
     server: watch::Sender<SocketAddr>,
     mode: watch::Sender<ProxyMode>,
+    /// Whether a response without a body is written once more in front of the next response of its connection.
+    repeats: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
 
@@ -40,16 +42,18 @@
         let address = listener.local_addr().expect("an address");
         let (mode, state) = watch::channel(ProxyMode::Forwards);
         let (server, current) = watch::channel(server);
+        let (repeats, repeating) = watch::channel(false);
         let task = tokio::spawn(async move {
             while let Ok((downstream, _)) = listener.accept().await {
                 let server = *current.borrow();
-                tokio::spawn(relay(downstream, server, state.clone()));
+                tokio::spawn(relay(downstream, server, state.clone(), repeating.clone()));
             }
         });
         Self {
             address,
             server,
             mode,
+            repeats,
             task,
         }
     }
@@ -58,6 +62,10 @@
         self.mode.send_replace(mode);
     }
 
+    pub fn set_repeats(&self, repeats: bool) {
+        self.repeats.send_replace(repeats);
+    }
+
     /// Sets the server of the connections that are opened from now on.
     pub fn set_server(&self, server: SocketAddr) {
         self.server.send_replace(server);
@@ -70,7 +78,12 @@
     }
 }
 
-async fn relay(downstream: TcpStream, server: SocketAddr, state: watch::Receiver<ProxyMode>) {
+async fn relay(
+    downstream: TcpStream,
+    server: SocketAddr,
+    state: watch::Receiver<ProxyMode>,
+    repeats: watch::Receiver<bool>,
+) {
     let Ok(upstream) = TcpStream::connect(server).await else {
         return;
     };
@@ -78,8 +91,8 @@
     let (upstream_read, upstream_write) = upstream.into_split();
     let mut resets = state.clone();
     tokio::select! {
-        _ = copy(downstream_read, upstream_write, state.clone(), true) => {}
-        _ = copy(upstream_read, downstream_write, state, false) => {}
+        _ = copy(downstream_read, upstream_write, state.clone(), None) => {}
+        _ = copy(upstream_read, downstream_write, state, Some(repeats)) => {}
         _ = resets.wait_for(|mode| *mode == ProxyMode::Resets) => {}
     }
 }
@@ -88,9 +101,11 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut state: watch::Receiver<ProxyMode>,
-    is_to_server: bool,
+    repeats: Option<watch::Receiver<bool>>,
 ) -> io::Result<()> {
+    let is_to_server = repeats.is_none();
     let mut buffer = vec![0; 16 * 1024];
+    let mut earlier: Option<Vec<u8>> = None;
     loop {
         let length = from.read(&mut buffer).await?;
         if length == 0 {
@@ -105,6 +120,20 @@
         if let ProxyMode::Delays(delay) = mode {
             sleep(delay).await;
         }
-        to.write_all(&buffer[..length]).await?;
+        let bytes = &buffer[..length];
+        if let Some(copy) = earlier.take() {
+            to.write_all(&copy).await?;
+        }
+        to.write_all(bytes).await?;
+        if repeats.as_ref().is_some_and(|it| *it.borrow()) && is_empty_response(bytes) {
+            earlier = Some(bytes.to_vec());
+        }
     }
 }
+
+fn is_empty_response(bytes: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(bytes);
+    text.starts_with("HTTP/1.1 ")
+        && text.contains("content-length: 0\r\n")
+        && text.ends_with("\r\n\r\n")
+}
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -29,6 +29,8 @@
 const CALLERS: usize = 6;
 const NODES_PER_TARGET: usize = 4;
 const NODES_PER_CALLER: usize = 2;
+/// The number of responses of 500 after which the route of the jobs gives an item up.
+const MAX_ATTEMPTS: u32 = 2;
 /// Upper bound of the time in which jobs complete after the faults have ended; a longer run counts as hung.
 const COMPLETION_TIMEOUT: Duration = Duration::from_mins(2);
 
@@ -102,7 +104,10 @@
         let mut rng = SmallRng::seed_from_u64(self.seed);
         let seed = self.seed.wrapping_mul(1_000).wrapping_add(count + 1);
         let mut target_rng = SmallRng::seed_from_u64(seed);
+        let seed = self.seed.wrapping_mul(1_000).wrapping_add(count + 2);
+        let mut copy_rng = SmallRng::seed_from_u64(seed);
         while Instant::now() < until {
+            faults::inject_copies(&self, &mut copy_rng);
             faults::inject(&mut self, &mut rng).await;
             faults::inject_in_targets(&self, &mut target_rng).await;
         }
@@ -119,6 +124,7 @@
         self.store.set_fault(StoreFault::None);
         for proxy in self.store_proxies.iter().chain(&self.target_proxies) {
             proxy.set(ProxyMode::Forwards);
+            proxy.set_repeats(false);
         }
         for target in &self.targets {
             target.clear_fatal_part();
@@ -213,12 +219,23 @@
             jobs.read_incomplete().await;
             sleep(Duration::from_millis(200)).await;
         }
+        let errored = jobs.errored_items();
         println!(
-            "seed {}: {} jobs completed, {} items refused",
+            "seed {}: {} jobs completed, {} items errored, {} items refused",
             self.seed,
             jobs.accepted_count(),
+            errored.len(),
             jobs.refused_items().len()
         );
+        for item in errored {
+            let failures: u32 = self.targets.iter().map(|it| it.failures(&item)).sum();
+            assert!(
+                failures >= MAX_ATTEMPTS,
+                "seed {}: {item} is errored after {failures} failures\n{}",
+                self.seed,
+                self.logs()
+            );
+        }
         for item in jobs.refused_items() {
             assert_eq!(
                 self.runs(&item),
