fix(ledger,gateway): count a job's age on the node's own monotonic clock

What callers saw: an item that was listed as `errored` before `maxQueueS` had passed, or whose runs were all cut off at once, when the clock of the node that had accepted its job was behind by more than 2.5 s; and an item that waited for `maxQueueS` and for as long as the clock was ahead.

Cause: `give_up` compared `give_up_unix_ms`, from the clock of the node that accepted the job, with the clock of the node that gives up, and allowed 2.5 s between them. A run took its deadline from the same difference, without the 2.5 s: with a clock behind by more than the time left, each run of the job had a deadline of 0.

Change: the list of work records on the monotonic clock when the node first saw each open job, its own or not, so that the age survives a change of the owner. An item is given up, and a run ends, once the distance of the two stored times, `give_up_unix_ms - submitted_unix_ms`, has passed since, and a thousandth more, as a clock that is being corrected gains up to half of that. After a restart of the node the age counts anew: late, never early. Stored records do not change.

`given_up_after_its_time` held the old rule. Its three checks stay (not at the very time, not for a job of another node, not while the item runs) on the new argument, and the slack allowed falls from 2,501 ms to 60 ms; `age_from_first_sight` is added.

No system clock was stepped in a test, since none is read any more here.

--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -13,7 +13,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 
 use crate::{
-    context::{Context, now_unix_ms},
+    context::Context,
     quarantine::{self, Suspects},
     slots::SlotGuard,
     target::{
@@ -35,6 +35,8 @@
     pub head: JobHead,
     pub item: Item,
     pub progress: SharedProgress,
+    /// How long after the start of the run its item may be given up, in ms.
+    pub left_ms: u64,
     /// The response; `None` if there was none.
     pub response: Option<ResponseTrace>,
 }
@@ -72,8 +74,7 @@
             return RunOutcome::Unsendable;
         };
         let now = Instant::now();
-        let left_ms = self.head.give_up_unix_ms.saturating_sub(now_unix_ms());
-        let deadline = now + Duration::from_millis(left_ms).min(MAX_RUN_TIME);
+        let deadline = now + Duration::from_millis(self.left_ms).min(MAX_RUN_TIME);
         let pool = &self.context.pool;
         let target = slot.target.clone();
         let idle_timeout = self.idle_timeout();
--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -172,6 +172,7 @@
     }
 
     fn step(self: &Arc<Self>) {
+        self.observe_jobs();
         self.cancel_ended();
         self.yield_slots();
         if self.context.takes_batch() {
@@ -181,6 +182,13 @@
         }
     }
 
+    /// Records when this node first saw each job.
+    fn observe_jobs(&self) {
+        let ledger = self.context.ledger();
+        let now_ms = self.context.clock.now_ms();
+        self.lock().worklist.observe(now_ms, &ledger);
+    }
+
     /// Cancels the runs of jobs that are no longer open, because they were ended or all of their results are listed.
     fn cancel_ended(&self) {
         let ledger = self.context.ledger();
@@ -236,17 +244,12 @@
         let is_mine = |job: &str| owner_of(job, nodes.iter().chain([own])) == Some(own);
         let ledger = self.context.ledger();
         let mut state = self.lock();
-        let given_up = state.worklist.give_up(now_unix_ms(), &ledger, is_mine);
+        let given_up = state.worklist.give_up(now_ms, &ledger, is_mine);
         for item in &given_up {
             let job = ledger.job(&item.job);
             let entry = job.and_then(|it| it.items().get(item.item as usize));
-            let give_up_unix_ms = job.and_then(|it| it.head()).map(|it| it.give_up_unix_ms);
-            self.on_errored(
-                item,
-                entry.map_or("", |it| &it.id),
-                ErrorCause::GiveUpTime,
-                give_up_unix_ms.unwrap_or_default(),
-            );
+            let id = entry.map_or("", |it| &it.id);
+            self.on_errored(item, id, ErrorCause::GiveUpTime, 0);
         }
         let quarantine = self.context.quarantine(Scope::Parts);
         let may_run = |item: &Item| {
@@ -293,11 +296,13 @@
         let progress = self.initial_progress(state, item, slot.target.version.as_ref());
         let progress = SharedProgress::new(progress);
         let cancel = CancellationToken::new();
+        let now_ms = self.context.clock.now_ms();
+        let left_ms = state.worklist.left_ms(now_ms, &item.job, &job_head);
         let key = state.runs.insert(Running {
             target: slot.key,
             item: item.clone(),
             progress: progress.clone(),
-            started_ms: self.context.clock.now_ms(),
+            started_ms: now_ms,
             cancel: cancel.clone(),
             tried: trial.is_some().then(|| suspects_of(&entry)),
         });
@@ -306,6 +311,7 @@
             head: job_head,
             item: entry,
             progress,
+            left_ms,
             response: None,
         };
         let driven = self.clone().drive(key, item.clone(), run, slot, cancel);
@@ -412,18 +418,19 @@
         let cause = state
             .worklist
             .finish(&item, run.head.max_attempts, run_outcome);
+        let now_ms = self.context.clock.now_ms();
+        let left_ms = state.worklist.left_ms(now_ms, &item.job, &run.head);
         drop(state);
         if let Some(cause) = cause {
-            self.on_errored(&item, &run.item.id, cause, run.head.give_up_unix_ms);
+            self.on_errored(&item, &run.item.id, cause, left_ms);
         }
         self.context.batch_wake.notify_one();
     }
 
-    fn on_errored(&self, item: &ItemRef, id: &str, cause: ErrorCause, give_up_unix_ms: u64) {
+    fn on_errored(&self, item: &ItemRef, id: &str, cause: ErrorCause, left_ms: u64) {
         self.context.metrics.count_errored(cause.as_str());
         log::info!(
-            target: "jobs", request_id = id, job = item.job.as_str(), item = item.item, cause = cause.as_str(),
-            left_ms = give_up_unix_ms.saturating_sub(now_unix_ms());
+            target: "jobs", request_id = id, job = item.job.as_str(), item = item.item, cause = cause.as_str(), left_ms;
             "An item has no output."
         );
     }
--- a/eel-gateway/tests/gateway/fixture.rs
+++ b/eel-gateway/tests/gateway/fixture.rs
@@ -8,10 +8,15 @@
 };
 
 use eel_gateway::GatewayNode;
-use eel_platform::standin::{
-    Behaviour, HOST, RawResponse, RawScript, RawTarget, StandInStore, StandInTarget, routes,
+use eel_ledger::{Item, JobHead, Keys, submission};
+use eel_platform::{
+    PlatformStore, StoreOptions,
+    standin::{
+        Behaviour, HOST, RawResponse, RawScript, RawTarget, StandInStore, StandInTarget, routes,
+    },
 };
 use eel_settings::GatewaySettings;
+use eel_store::KeyValue as _;
 use eel_supervise::Shutdown;
 use futures_util::future::{join_all, select};
 use reqwest::{Client, RequestBuilder, Response};
@@ -208,6 +213,20 @@
         response.status().as_u16()
     }
 
+    /// Writes a job to the store as the node that accepts it would.
+    pub async fn store_job(&self, id: &str, head: JobHead, items: &[Item]) {
+        let store = PlatformStore::new(&StoreOptions {
+            endpoint: self.store.endpoint(),
+            call_timeout_ms: 1_000,
+            watch_wait_ms: 1_000,
+            max_staleness_ms: 1_000,
+        });
+        let keys = Keys::new("eelgrassgap/".into());
+        let txn = submission(&keys, id, head, items).expect("a transaction");
+        let stored = store.expect("a client").commit(&txn).await;
+        stored.expect("the job is stored");
+    }
+
     /// Waits until a job has at least `count` results and returns all of them.
     pub async fn results(&self, node: usize, id: &str, count: usize) -> Vec<Value> {
         let mut results = Vec::new();
@@ -318,6 +337,20 @@
     }
 }
 
+/// Returns the first item of the job `job` as it is stored; its id is that of the job and `-0`.
+pub fn stored_item(job: &str, headers: &[(&str, &str)]) -> Item {
+    let headers = headers.iter();
+    Item {
+        id: format!("{job}-0").into(),
+        path: "/jobs/stream/1".into(),
+        headers: headers
+            .map(|&(name, it)| (name.into(), it.into()))
+            .collect(),
+        body: "body".into(),
+        tokens: 1,
+    }
+}
+
 async fn listed(response: Response) -> Vec<Value> {
     let document: Value = response.json().await.expect("a document");
     document["results"].as_array().cloned().unwrap_or_default()
--- a/eel-gateway/tests/gateway/tenant_jobs.rs
+++ b/eel-gateway/tests/gateway/tenant_jobs.rs
@@ -3,16 +3,12 @@
 //! Guards against a job that another tenant reads or ends, one that its own tenant cannot reach with another key or at
 //! another node, and a job that is lost with the key that submitted it or because it was stored without a tenant.
 
-use eel_ledger::{Item, JobHead, Keys, submission};
-use eel_platform::{
-    PlatformStore, StoreOptions,
-    standin::{Behaviour, HOST},
-};
-use eel_store::KeyValue as _;
+use eel_ledger::JobHead;
+use eel_platform::standin::{Behaviour, HOST};
 use serde_json::json;
 
 use crate::{
-    fixture::{Fleet, fleet, wait_until},
+    fixture::{Fleet, fleet, stored_item, wait_until},
     tenant_fixture::{status, tenant_fleet, tenants},
     tenant_header::assert_tenant,
 };
@@ -125,12 +121,6 @@
 #[tokio::test]
 async fn stored_headers() {
     let fleet = tenant_fleet(1, 1).await;
-    let store = PlatformStore::new(&StoreOptions {
-        endpoint: fleet.store.endpoint(),
-        call_timeout_ms: 1_000,
-        watch_wait_ms: 1_000,
-        max_staleness_ms: 1_000,
-    });
     let head = JobHead {
         host: HOST.into(),
         submitted_unix_ms: 0,
@@ -141,20 +131,9 @@
         parts: 0,
         tenant: None,
     };
-    let item = Item {
-        id: "j1-0".into(),
-        path: "/jobs/stream/1".into(),
-        headers: vec![
-            ("X-Eelgrassgap-Tenant".into(), "beta".into()),
-            ("Api-Key".into(), "b1".into()),
-        ],
-        body: "body".into(),
-        tokens: 1,
-    };
-    let keys = Keys::new("eelgrassgap/".into());
-    let txn = submission(&keys, "j1", head, &[item]).expect("a transaction");
-    let store = store.expect("a client");
-    store.commit(&txn).await.expect("the job is stored");
+    let headers = [("X-Eelgrassgap-Tenant", "beta"), ("Api-Key", "b1")];
+    let item = stored_item("j1", &headers);
+    fleet.store_job("j1", head, &[item]).await;
     wait_for_result(&fleet, 0, "j1", "a1").await;
     assert_tenant(&fleet, "j1-0", None, 1);
 }
--- a/eel-ledger/src/entry.rs
+++ b/eel-ledger/src/entry.rs
@@ -9,7 +9,7 @@
 pub struct JobHead {
     /// The host that the items are sent to; with an item's path, it selects the route.
     pub host: Name,
-    /// When the job was submitted, in Unix time.
+    /// When the job was submitted, in Unix time. All times are those of the clock of the node that accepted the job.
     pub submitted_unix_ms: u64,
     /// The deadline for all results, in Unix time.
     pub due_unix_ms: u64,
@@ -27,6 +27,12 @@
 }
 
 impl JobHead {
+    /// Returns how long after its submission items of the job may be given up, in ms.
+    #[must_use]
+    pub fn give_up_ms(&self) -> u64 {
+        self.give_up_unix_ms.saturating_sub(self.submitted_unix_ms)
+    }
+
     /// Returns whether callers of `tenant` may read and end the job. Without tenants, and for a job that was submitted
     /// without one, all callers may.
     #[must_use]
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -8,7 +8,7 @@
 use eel_store::{Compare, Op, Txn};
 use eel_types::Name;
 
-use crate::{Item, Job, Ledger, ListedResult, ResultState};
+use crate::{Item, Job, JobHead, Ledger, ListedResult, ResultState};
 
 /// The maximum number of chunks in one transaction: each takes a condition and a write of the 32 entries allowed.
 const MAX_CHUNKS_PER_COMMIT: usize = 16;
@@ -16,8 +16,8 @@
 const MAX_CHUNK_BYTES: usize = 512 * 1024;
 /// The maximum size of an item's text: a value of the store, which holds 1 MiB, takes one with its frame.
 pub const MAX_TEXT_BYTES: usize = 960 * 1024;
-/// How long after its time an item is given up: the clocks of two nodes may differ by this much.
-const GIVE_UP_SLACK_MS: u64 = 2_500;
+/// A monotonic clock that the system corrects gains at most one part in this many.
+const MAX_CLOCK_GAIN: u64 = 1_000;
 
 /// Identifies an item of a job.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -103,14 +103,38 @@
 }
 
 /// The running and interrupted items of this node, and its results that are not listed yet.
+///
+/// The age of a job counts from when this node first saw it, on the node's monotonic clock: the clock of the node that
+/// accepted it may be wrong. After a restart the age counts anew, so items are given up late but never early.
 #[derive(Debug, Default)]
 pub struct Worklist {
+    /// When this node first saw each open job, in ms on its monotonic clock.
+    seen_ms: HashMap<Name, u64>,
     running: HashSet<ItemRef>,
     progress: HashMap<ItemRef, Progress>,
     unlisted: BTreeMap<Name, BTreeMap<u32, ListedResult>>,
 }
 
 impl Worklist {
+    /// Records when this node first saw the open jobs, whichever node owns them.
+    pub fn observe(&mut self, now_ms: u64, ledger: &Ledger) {
+        for (id, _) in ledger.jobs().filter(|(_, job)| job.is_open()) {
+            if !self.seen_ms.contains_key(id) {
+                self.seen_ms.insert(id.clone(), now_ms);
+            }
+        }
+    }
+
+    /// Returns how long items of the job `id` may still run, in ms; 0 once their give-up time has passed.
+    #[must_use]
+    pub fn left_ms(&self, now_ms: u64, id: &Name, head: &JobHead) -> u64 {
+        let seen_ms = self.seen_ms.get(id).copied().unwrap_or(now_ms);
+        let give_up_ms = head.give_up_ms();
+        give_up_ms
+            .saturating_add(give_up_ms.div_ceil(MAX_CLOCK_GAIN))
+            .saturating_sub(now_ms.saturating_sub(seen_ms))
+    }
+
     /// Returns the first item of a job that has no result and is not running; `None` if there is none.
     #[must_use]
     pub fn next(&self, id: &Name, job: &Job, may_run: impl Fn(&Item) -> bool) -> Option<ItemRef> {
@@ -183,7 +207,7 @@
     /// Gives up idle items whose give-up time has passed, in the open jobs for which `is_mine` returns `true`; returns them.
     pub fn give_up(
         &mut self,
-        now_unix_ms: u64,
+        now_ms: u64,
         ledger: &Ledger,
         is_mine: impl Fn(&str) -> bool,
     ) -> Vec<ItemRef> {
@@ -191,7 +215,7 @@
         for (id, job) in ledger.jobs().filter(|(_, job)| job.is_open()) {
             let is_over = job
                 .head()
-                .is_some_and(|head| now_unix_ms > head.give_up_unix_ms + GIVE_UP_SLACK_MS);
+                .is_some_and(|head| self.left_ms(now_ms, id, head) == 0);
             if !is_over || !is_mine(id) {
                 continue;
             }
@@ -212,6 +236,7 @@
     /// Removes results that the ledger lists, and everything that belongs to jobs that are no longer open.
     pub fn forget_listed(&mut self, ledger: &Ledger) {
         let is_open = |id: &str| ledger.job(id).is_some_and(Job::is_open);
+        self.seen_ms.retain(|id, _| is_open(id));
         self.progress.retain(|it, _| is_open(&it.job));
         self.unlisted.retain(|id, results| {
             let Some(job) = ledger.job(id).filter(|job| job.is_open()) else {
--- a/eel-ledger/tests/ledger/next_item.rs
+++ b/eel-ledger/tests/ledger/next_item.rs
@@ -106,15 +106,47 @@
 fn given_up_after_its_time() {
     let (ledger, _) = ledger_with("j", 2);
     let mut worklist = Worklist::default();
+    worklist.observe(5_000, &ledger);
     worklist.start(&item("j", 0));
-    worklist.give_up(61_000, &ledger, |_| true);
-    assert_eq!(worklist.unlisted(), 0, "the clocks of two nodes may differ");
-    worklist.give_up(63_501, &ledger, |_| false);
+    worklist.give_up(65_000, &ledger, |_| true);
+    assert_eq!(worklist.unlisted(), 0, "the clock may be fast");
+    worklist.give_up(65_060, &ledger, |_| false);
     assert_eq!(worklist.unlisted(), 0, "another node owns the job");
-    worklist.give_up(63_501, &ledger, |_| true);
+    worklist.give_up(65_060, &ledger, |_| true);
     assert_eq!(worklist.unlisted(), 1, "the running item is not given up");
 }
 
+/// Guards against an age that is counted by the clock of the node that accepted the job, or anew with each step.
+#[test]
+fn age_from_first_sight() {
+    let mut values = Values::default();
+    let jobs = [("behind", 0), ("ahead", 9_000_000)];
+    for (id, submitted_unix_ms) in jobs {
+        let head = eel_ledger::JobHead {
+            submitted_unix_ms,
+            give_up_unix_ms: submitted_unix_ms + 60_000,
+            ..head()
+        };
+        values.apply(&eel_ledger::submission(&keys(), id, head, &items(1)).expect("a transaction"));
+    }
+    let mut ledger = Ledger::new(keys());
+    values.read(&mut ledger);
+    let mut worklist = Worklist::default();
+    assert!(worklist.give_up(900_000, &ledger, |_| true).is_empty());
+    for now_ms in (900_000..960_060).step_by(60) {
+        worklist.observe(now_ms, &ledger);
+        assert!(worklist.give_up(now_ms, &ledger, |_| true).is_empty());
+    }
+    assert_eq!(worklist.give_up(960_060, &ledger, |_| true).len(), 2);
+    let mut restarted = Worklist::default();
+    restarted.observe(100, &ledger);
+    for (id, _) in jobs {
+        let head = ledger.job(id).and_then(eel_ledger::Job::head);
+        let left_ms = restarted.left_ms(100, &id.into(), head.expect("a head"));
+        assert_eq!(left_ms, 60_060, "{id}: the age counts anew");
+    }
+}
+
 #[test]
 fn ended_job() {
     let (mut ledger, _) = ledger_with("j", 2);
