fix(origin,gateway): count a record's age from when a node first read it

What callers saw: a stream that was taken up at another node and went on at another version of its target than the one that had begun it, when the clock of the node that began it was behind by more than 10 minutes, as after a start with a wrong time of day. The first half of the text is then of one version and the second of another.

Cause: a node that takes up a stream ignores, and later removes, records whose `written_unix_ms`, from the clock of the node that wrote them, is more than 10 minutes before its own time: they count as left over from nodes that have ended. A stream without a record counts as begun at the default version. The 10 minutes were also too short by themselves for routes with timeouts over 290 s, whose streams may be taken up for longer; no test shows that case alone over sockets.

Change: `eel_origin::Leftovers` records on the node's monotonic clock when it first read each record. A record is left over once the time in which a stream may be taken up, and 10 s in which streams may be added to it, have passed since. A node that starts anew counts again from its first read: records stay longer, never shorter. With timeouts of 3 s that is 36 s in place of 10 minutes. A node that has just started counts such a record for these 36 s even if it is hours old; it ignored it at once before. Until then it refuses, with 503 and not run, callers that name no attempt, if the record is of another version. Stored records do not change: `written_unix_ms` is still written, for nodes of earlier releases, which keep the old rule until they are replaced.

Before, `begun_with_a_wrong_clock` on the former code, with the records of real streams dated back by an hour:

assertion `left == right` failed: first-2 left: {"v2"} right: {"v1"}

After: passes, as do all 168 tests of eel-gateway, 39 of eel-ledger and 8 of eel-origin.

--- a/eel-gateway/src/origins/journal.rs
+++ b/eel-gateway/src/origins/journal.rs
@@ -55,17 +55,24 @@
 
 /// Removes old records that nodes left behind when they ended.
 async fn remove_leftovers(context: &Context) {
-    let keys = std::mem::take(&mut *context.origins.leftovers());
+    let (now_ms, ttl_ms) = (context.clock.now_ms(), retention_ms(context));
+    let keys = context
+        .origins
+        .leftovers()
+        .keys(now_ms, ttl_ms, MAX_REMOVALS);
     if keys.is_empty() {
         return;
     }
-    let removals = keys.into_iter().take(MAX_REMOVALS);
+    let removals = keys.iter().cloned();
     let txn = Txn {
         success: removals.map(|key| Op::Delete { key }).collect(),
         ..Txn::default()
     };
-    if let Err(error) = context.store.commit(&txn).await {
-        context.on_store_failure("remove old origins of streams", error.current_context());
+    match context.store.commit(&txn).await {
+        Ok(_) => context.origins.leftovers().on_removed(&keys),
+        Err(error) => {
+            context.on_store_failure("remove old origins of streams", error.current_context());
+        }
     }
 }
 
--- a/eel-gateway/src/origins/mod.rs
+++ b/eel-gateway/src/origins/mod.rs
@@ -15,7 +15,7 @@
     time::Instant,
 };
 
-use eel_origin::{Defaults, Journal, Keys, Origins};
+use eel_origin::{Defaults, Journal, Keys, Leftovers, Origins};
 use eel_types::Name;
 use tokio::sync::{Notify, watch};
 
@@ -43,8 +43,8 @@
     pub(super) stored: watch::Sender<u64>,
     /// The last read of all records, and when it started.
     pub(super) last_read: tokio::sync::Mutex<Option<(Instant, Arc<Origins>)>>,
-    /// The keys of old records that the last read found, whose nodes did not remove them.
-    leftovers: Mutex<Vec<String>>,
+    /// The records that the last read found.
+    leftovers: Mutex<Leftovers>,
 }
 
 impl OriginState {
@@ -68,7 +68,7 @@
         self.defaults.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(super) fn leftovers(&self) -> MutexGuard<'_, Vec<String>> {
+    pub(super) fn leftovers(&self) -> MutexGuard<'_, Leftovers> {
         self.leftovers
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
--- a/eel-gateway/src/origins/resume.rs
+++ b/eel-gateway/src/origins/resume.rs
@@ -11,19 +11,13 @@
 use eel_verdict::{Reason, Refusal};
 use tokio::time::timeout;
 
-use super::defaults::apply_default;
-use crate::{
-    context::{Context, now_unix_ms},
-    metrics::ResumedLabel,
-};
+use super::{defaults::apply_default, retention_ms};
+use crate::{context::Context, metrics::ResumedLabel};
 
 /// How long a caller waits until the records are read.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 /// When a caller should come back whose stream's version cannot be read now, in ms.
 const RETRY_AFTER_MS: u64 = 500;
-/// Records older than this are left over from nodes that have ended, and do not count, in ms. The clocks of the nodes may
-/// differ.
-const LEFTOVER_MS: u64 = 600_000;
 
 /// Returns the version at which the stream began whose first event the attempt `resumes` brought; `None` if the caller
 /// does not name the attempt.
@@ -96,14 +90,17 @@
     })?;
     context.on_store_response();
     let mut origins = Origins::default();
-    let mut leftovers = Vec::new();
-    let oldest_unix_ms = now_unix_ms().saturating_sub(LEFTOVER_MS);
+    let (now_ms, ttl_ms) = (context.clock.now_ms(), retention_ms(context));
+    let mut leftovers = context.origins.leftovers();
+    let keys = outcome.kvs.iter().map(|pair| pair.key.as_str());
+    let is_streams = |key: &&str| context.origins.keys.parse(key) == Some(OriginKey::Streams);
+    leftovers.on_read(now_ms, keys.filter(is_streams));
     for pair in &outcome.kvs {
         match context.origins.keys.parse(&pair.key) {
             Some(OriginKey::Default) => apply_default(context, pair),
+            Some(OriginKey::Streams) if leftovers.contains(now_ms, ttl_ms, &pair.key) => {}
             Some(OriginKey::Streams) => match OriginRecord::decode(&pair.value) {
-                Some(record) if record.written_unix_ms >= oldest_unix_ms => origins.add(record),
-                Some(_) => leftovers.push(pair.key.clone()),
+                Some(record) => origins.add(record),
                 None => {
                     log::warn!(target: "origins", key = pair.key.as_str(); "Cannot decode the origins of streams.");
                 }
@@ -111,7 +108,7 @@
             None => {}
         }
     }
-    *context.origins.leftovers() = leftovers;
+    drop(leftovers);
     let origins = Arc::new(origins);
     *last = Some((started, origins.clone()));
     Ok(origins)
--- a/eel-gateway/tests/gateway/fixture.rs
+++ b/eel-gateway/tests/gateway/fixture.rs
@@ -213,17 +213,22 @@
         response.status().as_u16()
     }
 
-    /// Writes a job to the store as the node that accepts it would.
-    pub async fn store_job(&self, id: &str, head: JobHead, items: &[Item]) {
+    /// Returns a client of the store, as nodes use it.
+    pub fn store_client(&self) -> PlatformStore {
         let store = PlatformStore::new(&StoreOptions {
             endpoint: self.store.endpoint(),
             call_timeout_ms: 1_000,
             watch_wait_ms: 1_000,
             max_staleness_ms: 1_000,
         });
+        store.expect("a client")
+    }
+
+    /// Writes a job to the store as the node that accepts it would.
+    pub async fn store_job(&self, id: &str, head: JobHead, items: &[Item]) {
         let keys = Keys::new("eelgrassgap/".into());
         let txn = submission(&keys, id, head, items).expect("a transaction");
-        let stored = store.expect("a client").commit(&txn).await;
+        let stored = self.store_client().commit(&txn).await;
         stored.expect("the job is stored");
     }
 
--- a/eel-gateway/tests/gateway/stream_versions.rs
+++ b/eel-gateway/tests/gateway/stream_versions.rs
@@ -5,7 +5,9 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
+use eel_origin::OriginRecord;
 use eel_platform::standin::{Behaviour, StoreFault};
+use eel_store::{KeyValue as _, Op, RangeRequest, Txn};
 use futures_util::future::join_all;
 use reqwest::{Response, StatusCode};
 use tokio::time::timeout;
@@ -152,6 +154,32 @@
     }
 }
 
+/// Replaces the records of all streams by those that nodes would have written whose clock is an hour behind.
+async fn write_an_hour_behind(fleet: &Fleet) {
+    let store = fleet.store_client();
+    let request = RangeRequest::prefix("eelgrassgap/origins/streams/");
+    let mut txn = Txn::default();
+    for pair in store.range(&request).await.expect("records").kvs {
+        let mut record = OriginRecord::decode(&pair.value).expect("a record");
+        record.written_unix_ms -= 3_600_000;
+        let value = record.encode().expect("a value");
+        txn.success.push(Op::put(pair.key, value));
+    }
+    assert!(!txn.success.is_empty());
+    store.commit(&txn).await.expect("the records are written");
+}
+
+#[tokio::test]
+async fn begun_with_a_wrong_clock() {
+    let mut fleet = fleet_of(&["v1", "v2"]).await;
+    let ids = broken_streams(&fleet, PATH, "first", 8).await;
+    fleet.replace_nodes().await;
+    write_an_hour_behind(&fleet).await;
+    for id in &ids {
+        assert_continues(&fleet, PATH, id, &format!("{id}-b")).await;
+    }
+}
+
 #[tokio::test]
 async fn taken_up_after_a_release() {
     // The targets that began the streams have been replaced, by those of the newer version or of the older one.
--- a/eel-origin/src/lib.rs
+++ b/eel-origin/src/lib.rs
@@ -8,11 +8,13 @@
 mod defaults;
 mod journal;
 mod keys;
+mod leftovers;
 mod origins;
 mod record;
 
 pub use defaults::{DefaultChange, Defaults};
 pub use journal::{Journal, JournalWrite};
 pub use keys::{Keys, OriginKey};
+pub use leftovers::Leftovers;
 pub use origins::{Found, Origins};
 pub use record::{Origin, OriginRecord, StoredDefault, StreamId};
--- a/eel-origin/src/record.rs
+++ b/eel-origin/src/record.rs
@@ -28,7 +28,7 @@
 /// Streams that a node has begun within about a second, as one value of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OriginRecord {
-    /// When the value was written, by the clock of the node.
+    /// When the value was written, by the clock of the node, which may be wrong. Nodes of earlier releases ignore old values.
     pub written_unix_ms: u64,
     /// The streams of each origin.
     pub streams: Vec<(Origin, Vec<StreamId>)>,
