fix(ledger,gateway): doubt a failure of an item that its target did not sign

Callers saw an item as `errored` after one response of 422, or after max_attempts responses of 500, whoever had written them, while a target could still complete it.

Cause: targets have to sign successes only, so a response of 500 or 422 was taken for the target's own without a signature.

Change: such a response is `doubtful` and counted apart. A signed 422 still ends the item at once, and a signed 500 is still one of max_attempts. Targets need not sign failures, so an item with doubtful ones must not run for ever: it is given up after three doubtful rejections, and once its failures of both kinds are three times max_attempts. More would not be sent if all of them were genuine. The decision is `cause_to_end`, without input or output.

Measured: `unsigned_rejection` (1 and 2 responses of 422 and a complete one, and 4 of 422), `unsigned_failures` (2 and 5 responses of 500 and a complete one, and 7 of 500) and `failures_of_a_resumed_text` pass.

--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -7,7 +7,7 @@
 
 use eel_events::{EventBuffer, Repeats, each, event_data, event_id};
 use eel_fleet::TargetEntry;
-use eel_ledger::{Item, JobHead, MAX_TEXT_BYTES, Progress, RunOutcome};
+use eel_ledger::{Claim, Item, JobHead, MAX_TEXT_BYTES, Progress, RunOutcome};
 use eel_platform::shared_parts_of;
 use eel_quarantine::MAX_FIRST_EVENTS;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
@@ -115,6 +115,7 @@
         deadline: Instant,
     ) -> RunOutcome {
         let status = target_response.status;
+        let is_signed = target_response.fields.is_signed;
         let version = target_response.slot.target.version.clone();
         let last_event = self.progress.lock().last_event;
         let resumes = last_event.is_some();
@@ -177,11 +178,12 @@
             quarantine::on_completed(&self.context, &outgoing.suspects);
         }
         let progress = self.progress.take();
-        match status {
-            StatusCode::UNPROCESSABLE_ENTITY => RunOutcome::Rejected,
-            status if status.is_success() => RunOutcome::Completed(progress),
-            StatusCode::INTERNAL_SERVER_ERROR => RunOutcome::Failed(progress),
-            _ => RunOutcome::Interrupted(progress),
+        match claim_of(status) {
+            Some(claim) if !is_signed => RunOutcome::Doubtful(progress, claim),
+            Some(Claim::Failed) => RunOutcome::Failed(progress),
+            Some(Claim::Rejected) => RunOutcome::Rejected,
+            None if status.is_success() => RunOutcome::Completed(progress),
+            None => RunOutcome::Interrupted(progress),
         }
     }
 
@@ -216,6 +218,15 @@
     }
 }
 
+/// Returns what a response with this status says of a run without output; `None` if it says nothing.
+fn claim_of(status: StatusCode) -> Option<Claim> {
+    match status {
+        StatusCode::INTERNAL_SERVER_ERROR => Some(Claim::Failed),
+        StatusCode::UNPROCESSABLE_ENTITY => Some(Claim::Rejected),
+        _ => None,
+    }
+}
+
 /// Returns what can crash targets in an item.
 pub fn suspects_of(item: &Item) -> Suspects {
     let headers = item
--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -374,15 +374,16 @@
         };
         let failures = match &run_outcome {
             RunOutcome::Failed(progress) => progress.failures + 1,
-            RunOutcome::Completed(progress) | RunOutcome::Interrupted(progress) => {
-                progress.failures
-            }
+            RunOutcome::Completed(progress)
+            | RunOutcome::Interrupted(progress)
+            | RunOutcome::Doubtful(progress, _) => progress.failures,
             RunOutcome::Rejected | RunOutcome::Unsendable => 0,
         };
         let outcome = match &run_outcome {
             RunOutcome::Completed(_) => "completed",
             RunOutcome::Interrupted(_) => "broken_off",
             RunOutcome::Failed(_) => "failed",
+            RunOutcome::Doubtful(..) => "doubtful",
             RunOutcome::Rejected | RunOutcome::Unsendable => "impossible",
         };
         self.context.metrics.count_item(outcome);
@@ -396,10 +397,9 @@
                     path.is_kept,
                 )
             });
-        let verdict = if outcome == "broken_off" {
-            Verdict::MayHaveRun
-        } else {
-            Verdict::Ran
+        let verdict = match run_outcome {
+            RunOutcome::Interrupted(_) | RunOutcome::Doubtful(..) => Verdict::MayHaveRun,
+            _ => Verdict::Ran,
         };
         log::info!(
             target: "jobs", request_id = run.item.id.as_str(), job = item.job.as_str(), target_id = target.as_str(),
--- /dev/null
+++ b/eel-gateway/tests/gateway/false_errors.rs
@@ -0,0 +1,99 @@
+//! Responses that say that an item failed, or end its run, without being the target's own failure of that run.
+//!
+//! Guards against an item that is listed as errored though a target can complete it, and against one that runs for ever.
+
+use eel_platform::standin::{LiteralScript, LiteralTarget};
+use serde_json::Value;
+
+use crate::fixture::{Fleet, fleet};
+
+const WHOLE_TEXT: &str = "word1\nword2\nword3\nword4\nword5";
+
+struct LiteralFleet {
+    fleet: Fleet,
+    script: LiteralScript,
+    _targets: Vec<LiteralTarget>,
+}
+
+/// Starts one node before two targets that give the first requests `responses` and later ones a complete response.
+async fn literal_fleet(responses: &[String]) -> LiteralFleet {
+    let script = LiteralScript::default();
+    script
+        .lock()
+        .expect("the script")
+        .extend(responses.to_vec());
+    let mut fleet = fleet(0, 0).await;
+    let mut targets = Vec::new();
+    for id in ["i-0", "i-1"] {
+        let target = LiteralTarget::start(&fleet.store, id, script.clone()).await;
+        targets.push(target.expect("a target"));
+    }
+    fleet.add_node("node-0", true).await;
+    LiteralFleet {
+        fleet,
+        script,
+        _targets: targets,
+    }
+}
+
+/// Runs an item whose route allows two failures; returns its result and the number of `responses` that no run got.
+async fn run_item(responses: &[String]) -> (Value, usize) {
+    let literal = literal_fleet(responses).await;
+    assert_eq!(literal.fleet.submit(0, "j1", &["stream/1"]).await, 202);
+    let result = literal.fleet.results(0, "j1", 1).await.remove(0);
+    let left = literal.script.lock().expect("the script").len();
+    (result, left)
+}
+
+async fn assert_completes(responses: &[String]) {
+    let (result, left) = run_item(responses).await;
+    assert_eq!(result["state"], "completed", "{responses:?}, {left} left");
+    assert_eq!(result["text"], WHOLE_TEXT, "{responses:?}");
+    assert_eq!(left, 0, "{responses:?}");
+}
+
+/// Checks that the item is given up after the last but one of `responses`.
+async fn assert_ends(responses: &[String]) {
+    let (result, left) = run_item(responses).await;
+    assert_eq!(result["state"], "errored", "{responses:?}");
+    assert_eq!((&result["text"], left), (&Value::from(""), 1));
+}
+
+/// Returns a response to the request, with further `fields` and a body.
+fn response(status: u16, fields: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status} Status\r\nx-eelgrassgap-attempt-id: {{id}}\r\n{fields}\r\n{body}")
+}
+
+fn unsigned(status: u16) -> String {
+    response(status, "content-length: 0\r\n", "")
+}
+
+#[tokio::test]
+async fn unsigned_rejection() {
+    assert_completes(&vec![unsigned(422); 1]).await;
+    assert_completes(&vec![unsigned(422); 2]).await;
+    assert_ends(&vec![unsigned(422); 4]).await;
+}
+
+#[tokio::test]
+async fn unsigned_failures() {
+    assert_completes(&vec![unsigned(500); 2]).await;
+    assert_completes(&vec![unsigned(500); 5]).await;
+    assert_ends(&vec![unsigned(500); 7]).await;
+}
+
+// Guards against a text that is lost or spoilt by a failure of the run that resumes it.
+#[tokio::test]
+async fn failures_of_a_resumed_text() {
+    let seal = "x-eelgrassgap-response-seal: seal\r\n";
+    let begun = response(
+        200,
+        &format!("{seal}content-type: text/event-stream\r\ncontent-length: 500\r\n"),
+        "id: 1\ndata: word1\n\nid: 2\ndata: word2\n\nid: 3\nda",
+    );
+    let failed = response(500, &format!("{seal}content-length: 0\r\n"), "");
+    for failure in [failed, unsigned(500), unsigned(422)] {
+        assert_completes(&[begun.clone(), failure]).await;
+    }
+    assert_completes(&[begun, unsigned(500), unsigned(500)]).await;
+}
--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod body_budget;
 mod body_ends;
 mod endless_bytes;
+mod false_errors;
 mod fatal_part;
 mod fixture;
 mod gone_targets;
--- a/eel-ledger/src/lib.rs
+++ b/eel-ledger/src/lib.rs
@@ -5,6 +5,7 @@
 //! and no claim or fence is needed. Every node watches all jobs and can respond to requests about them.
 
 mod entry;
+mod failures;
 mod job;
 mod key;
 mod ledger;
@@ -15,6 +16,7 @@
 mod worklist;
 
 pub use entry::{Item, JobHead, ListedResult, ResultState};
+pub use failures::{Claim, Doubts, cause_to_end};
 pub use job::Job;
 pub use key::{JobKey, Keys};
 pub use ledger::{Ledger, ReadMark};
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -8,7 +8,7 @@
 use eel_store::{Compare, Op, Txn};
 use eel_types::Name;
 
-use crate::{Item, Job, Ledger, ListedResult, ResultState};
+use crate::{Claim, Doubts, Item, Job, Ledger, ListedResult, ResultState, cause_to_end};
 
 /// The maximum number of chunks in one transaction: each takes a condition and a write of the 32 entries allowed.
 const MAX_CHUNKS_PER_COMMIT: usize = 16;
@@ -37,7 +37,7 @@
     pub last_event: Option<u64>,
     /// The version of the targets that sent the events; `None` if there is no event, or if it is not known.
     pub version: Option<Name>,
-    /// The number of failed runs.
+    /// The number of failed runs, without those whose failure is doubtful.
     pub failures: u32,
     /// The number of runs since the last event that were interrupted because their target was silent.
     pub silences: u32,
@@ -70,6 +70,8 @@
     Interrupted(Progress),
     /// The target ran the item and failed.
     Failed(Progress),
+    /// A response that is not proven to be the target's says why the run has no output.
+    Doubtful(Progress, Claim),
     /// The target rejected the item as one that can never succeed.
     Rejected,
     /// No request can be made of the item.
@@ -107,6 +109,7 @@
 pub struct Worklist {
     running: HashSet<ItemRef>,
     progress: HashMap<ItemRef, Progress>,
+    doubts: HashMap<ItemRef, Doubts>,
     unlisted: BTreeMap<Name, BTreeMap<u32, ListedResult>>,
 }
 
@@ -148,7 +151,7 @@
         self.progress.iter()
     }
 
-    /// Records how a run of `item` ended. An item that failed `max_attempts` times is given up.
+    /// Records how a run of `item` ended. An item that failed as often as [`cause_to_end`] allows is given up.
     ///
     /// Returns why the item has no output; `None` if it has one or may run again.
     pub fn finish(
@@ -161,23 +164,43 @@
         let cause = match outcome {
             RunOutcome::Completed(progress) => {
                 self.result(item, ResultState::Completed, progress.text);
-                return None;
+                None
             }
-            RunOutcome::Failed(mut progress) if progress.failures + 1 < max_attempts => {
+            RunOutcome::Failed(mut progress) => {
                 progress.failures += 1;
-                self.progress.insert(item.clone(), progress);
-                return None;
+                self.cause_to_end(item, max_attempts, progress)
+            }
+            RunOutcome::Doubtful(progress, claim) => {
+                let doubts = self.doubts.entry(item.clone()).or_default();
+                *doubts = doubts.with(claim);
+                self.cause_to_end(item, max_attempts, progress)
             }
             RunOutcome::Interrupted(progress) => {
                 self.progress.insert(item.clone(), progress);
-                return None;
+                None
             }
-            RunOutcome::Failed(_) => ErrorCause::Failures,
-            RunOutcome::Rejected => ErrorCause::Rejected,
-            RunOutcome::Unsendable => ErrorCause::Unsendable,
+            RunOutcome::Rejected => Some(ErrorCause::Rejected),
+            RunOutcome::Unsendable => Some(ErrorCause::Unsendable),
         };
-        self.result(item, ResultState::Errored, String::new());
-        Some(cause)
+        if cause.is_some() {
+            self.result(item, ResultState::Errored, String::new());
+        }
+        cause
+    }
+
+    /// Returns why `item` is given up after another failed run; `None` keeps its progress for the next one.
+    fn cause_to_end(
+        &mut self,
+        item: &ItemRef,
+        max_attempts: u32,
+        progress: Progress,
+    ) -> Option<ErrorCause> {
+        let doubts = self.doubts.get(item).copied().unwrap_or_default();
+        let cause = cause_to_end(progress.failures, doubts, max_attempts);
+        if cause.is_none() {
+            self.progress.insert(item.clone(), progress);
+        }
+        cause
     }
 
     /// Gives up idle items whose give-up time has passed, in the open jobs for which `is_mine` returns `true`; returns them.
@@ -213,6 +236,7 @@
     pub fn forget_listed(&mut self, ledger: &Ledger) {
         let is_open = |id: &str| ledger.job(id).is_some_and(Job::is_open);
         self.progress.retain(|it, _| is_open(&it.job));
+        self.doubts.retain(|it, _| is_open(&it.job));
         self.unlisted.retain(|id, results| {
             let Some(job) = ledger.job(id).filter(|job| job.is_open()) else {
                 return false;
--- a/eel-ledger/tests/ledger/main.rs
+++ b/eel-ledger/tests/ledger/main.rs
@@ -1,5 +1,6 @@
 //! Tests of `eel-ledger`.
 
+mod doubtful_failures;
 mod fixture;
 mod job_owner;
 mod job_tenant;
