--- a/eel-gateway/tests/gateway/false_errors.rs
+++ b/eel-gateway/tests/gateway/false_errors.rs
@@ -82,6 +82,18 @@
     assert_ends(&vec![unsigned(500); 7]).await;
 }
 
+// Guards against the verdict of an encoded response, which is not the target's own.
+#[tokio::test]
+async fn encoded_failures() {
+    let encoded = |status| {
+        let fields =
+            "x-eelgrassgap-response-seal: seal\r\ncontent-encoding: gzip\r\ncontent-length: 0\r\n";
+        response(status, fields, "")
+    };
+    assert_completes(&vec![encoded(422); 1]).await;
+    assert_completes(&vec![encoded(500); 2]).await;
+}
+
 // Guards against a text that is lost or spoilt by a failure of the run that resumes it.
 #[tokio::test]
 async fn failures_of_a_resumed_text() {
@@ -92,7 +104,8 @@
         "id: 1\ndata: word1\n\nid: 2\ndata: word2\n\nid: 3\nda",
     );
     let failed = response(500, &format!("{seal}content-length: 0\r\n"), "");
-    for failure in [failed, unsigned(500), unsigned(422)] {
+    let encoded = response(500, &format!("{seal}content-encoding: gzip\r\n"), "");
+    for failure in [failed, encoded, unsigned(500), unsigned(422)] {
         assert_completes(&[begun.clone(), failure]).await;
     }
     assert_completes(&[begun, unsigned(500), unsigned(500)]).await;
