fix(gateway): count a failure of an item whose body breaks off

An item whose targets answer 500 or 422 with bodies that break off or never end was run again without a limit until its give-up time, though a target that rejects an item, or fails it each time, must not be asked for ever.

Cause: a body that ends in an error made the run an interrupted one, whatever its status.

Change: such a response is doubtful: it counts as a doubtful failure or rejection, so that one does not end an item, but the third such 422 does, and three times max_attempts of 500.

Measured: `failures_that_break_off` (2 responses of 422, 5 of 500 before a complete one; 4 of 422; 7 of 500) passes. On the code before:

thread 'false_errors::failures_that_break_off' panicked at eel-gateway/tests/gateway/false_errors.rs:58:5: assertion `left == right` failed: [4 responses of 422 that break off] left: String("completed") right: "errored"

--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -158,7 +158,14 @@
                     let target = target_response.slot.target.clone();
                     drop(target_response);
                     let events = buffer.scanner().events();
-                    return self.failed(outgoing, failure, &target, events).await;
+                    let run_outcome = self.failed(outgoing, failure, &target, events).await;
+                    return match (claim_of(status), run_outcome) {
+                        // The target may have meant it, and must not be asked for ever.
+                        (Some(claim), RunOutcome::Interrupted(progress)) => {
+                            RunOutcome::Doubtful(progress, claim)
+                        }
+                        (_, run_outcome) => run_outcome,
+                    };
                 }
             }
         }
--- a/eel-gateway/tests/gateway/false_errors.rs
+++ b/eel-gateway/tests/gateway/false_errors.rs
@@ -94,6 +94,19 @@
     assert_completes(&vec![encoded(500); 2]).await;
 }
 
+// Guards against an item that runs for ever, as the bodies of its targets' responses break off.
+#[tokio::test]
+async fn failures_that_break_off() {
+    let broken = |status| {
+        let fields = "x-eelgrassgap-response-seal: seal\r\ncontent-length: 10\r\n";
+        response(status, fields, "short")
+    };
+    assert_completes(&vec![broken(422); 2]).await;
+    assert_completes(&vec![broken(500); 5]).await;
+    assert_ends(&vec![broken(422); 4]).await;
+    assert_ends(&vec![broken(500); 7]).await;
+}
+
 // Guards against a text that is lost or spoilt by a failure of the run that resumes it.
 #[tokio::test]
 async fn failures_of_a_resumed_text() {
--- a/eel-ledger/src/failures.rs
+++ b/eel-ledger/src/failures.rs
@@ -19,7 +19,7 @@
     Rejected,
 }
 
-/// The responses to the runs of an item that are not proven to be the target's own.
+/// The responses to the runs of an item that are incomplete, or not proven to be the target's own.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Doubts {
     /// The number of responses that say that the run failed.
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -70,7 +70,7 @@
     Interrupted(Progress),
     /// The target ran the item and failed.
     Failed(Progress),
-    /// A response that is not proven to be the target's says why the run has no output.
+    /// A response that is incomplete, or not proven to be the target's, says why the run has no output.
     Doubtful(Progress, Claim),
     /// The target rejected the item as one that can never succeed.
     Rejected,
