fix(ledger): count no text of a dropped run as saved

An item that is run again from its start while a save of its earlier text is under way was not saved from then on, so that another node that took it over began it once more.

Cause: `SavedItems::on_saved` recorded the pieces of the earlier lineage as those of the new one.

Change: pieces of another lineage are passed over.

Measured: `saved_after_a_new_start` passes. On the code before it, no piece of the new text was saved:

thread 'partial_texts::saved_after_a_new_start' panicked at eel-ledger/tests/ledger/partial_texts.rs:272:5: assertion `left == right` failed left: 0 right: 1

--- a/eel-ledger/src/saved.rs
+++ b/eel-ledger/src/saved.rs
@@ -75,7 +75,9 @@
                 job: piece.job.clone(),
                 item: piece.item,
             };
-            if let Some(saved) = self.items.get_mut(&item) {
+            let saved = self.items.get_mut(&item);
+            // The item may have begun another lineage while the pieces were written.
+            if let Some(saved) = saved.filter(|it| it.lineage == piece.lineage) {
                 let separator = usize::from(saved.event.is_some());
                 saved.text_bytes += separator + piece.text.len();
                 saved.event = Some(piece.last);
--- a/eel-ledger/tests/ledger/partial_texts.rs
+++ b/eel-ledger/tests/ledger/partial_texts.rs
@@ -258,3 +258,18 @@
     assert_eq!(text.progress.version, None);
     assert!(!text.progress.continues_at(Some(&"v1".into())));
 }
+
+// Guards against the text of a dropped run that counts as saved for the run from the start.
+#[test]
+fn saved_after_a_new_start() {
+    let mut saved = SavedItems::default();
+    saved.begin(&item(), None, 1);
+    let dropped = saved.pieces(1_000, 0, [(item(), progress("dropped", 3))].into_iter());
+    assert_eq!(dropped.len(), 1);
+    saved.begin(&item(), None, 2);
+    saved.on_saved(&dropped);
+    let pieces = saved.pieces(2_000, 0, [(item(), progress("w", 2))].into_iter());
+    assert_eq!(pieces.len(), 1);
+    assert_eq!((pieces[0].lineage, pieces[0].after), (2, None));
+    assert_eq!(pieces[0].text, progress("w", 2).text);
+}
