fix(ledger,gateway): run an item again whose text grows without end

Callers saw an item as `errored`, without any response of 500 or 422, after faulty targets had sent it events without end in as many runs as its route allows to fail.

Cause: a text over 960 KiB counted as a failed run, which kept the text for the next run, too.

Change: the text is dropped, and the item is run again from its start, which counts neither as a failure nor as a doubt. The run still counts against its target. The give-up time of the job bounds how long an item is run whose output really is that long. What is saved of the new run begins a text of its own.

--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -148,7 +148,7 @@
                         drop(progress);
                         log::info!(target: "jobs", request_id = self.item.id.as_str(); "The text of an item is too long to be listed.");
                         target_response.fail(AttemptFailure::InvalidResponse);
-                        return RunOutcome::Failed(self.progress.take());
+                        return RunOutcome::Discarded(self.progress.take());
                     }
                 }
                 Ok(Some(_)) => {}
--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -376,6 +376,7 @@
             RunOutcome::Failed(progress) => progress.failures + 1,
             RunOutcome::Completed(progress)
             | RunOutcome::Interrupted(progress)
+            | RunOutcome::Discarded(progress)
             | RunOutcome::Doubtful(progress, _) => progress.failures,
             RunOutcome::Rejected | RunOutcome::Unsendable => 0,
         };
@@ -384,6 +385,7 @@
             RunOutcome::Interrupted(_) => "broken_off",
             RunOutcome::Failed(_) => "failed",
             RunOutcome::Doubtful(..) => "doubtful",
+            RunOutcome::Discarded(_) => "discarded",
             RunOutcome::Rejected | RunOutcome::Unsendable => "impossible",
         };
         self.context.metrics.count_item(outcome);
@@ -409,6 +411,9 @@
         );
         let mut state = self.lock();
         state.runs.remove(key);
+        if matches!(run_outcome, RunOutcome::Discarded(_)) {
+            state.saved.begin(&item, None, rand::random());
+        }
         let cause = state
             .worklist
             .finish(&item, run.head.max_attempts, run_outcome);
--- a/eel-gateway/tests/gateway/false_errors.rs
+++ b/eel-gateway/tests/gateway/false_errors.rs
@@ -2,10 +2,10 @@
 //!
 //! Guards against an item that is listed as errored though a target can complete it, and against one that runs for ever.
 
-use eel_platform::standin::{LiteralScript, LiteralTarget};
+use eel_platform::standin::{Cut, Ending, Framing, LiteralScript, LiteralTarget, RawResponse};
 use serde_json::Value;
 
-use crate::fixture::{Fleet, fleet};
+use crate::fixture::{Fleet, fleet, raw_fleet};
 
 const WHOLE_TEXT: &str = "word1\nword2\nword3\nword4\nword5";
 
@@ -123,3 +123,18 @@
     }
     assert_completes(&[begun, unsigned(500), unsigned(500)]).await;
 }
+
+// Guards against texts without end that count as failures of the item.
+#[tokio::test]
+async fn endless_text() {
+    let endless = RawResponse {
+        framing: Framing::Connection,
+        cut: Cut::BetweenEvents,
+        ending: Ending::EndlessEvents,
+    };
+    let raw = raw_fleet(&[endless; 4]).await;
+    assert_eq!(raw.fleet.submit(0, "j1", &["stream/1"]).await, 202);
+    let result = raw.fleet.results(0, "j1", 1).await.remove(0);
+    assert_eq!(result["state"], "completed");
+    assert_eq!(result["text"], WHOLE_TEXT);
+}
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -68,6 +68,8 @@
     Completed(Progress),
     /// The run was interrupted; another run may resume it.
     Interrupted(Progress),
+    /// The text of the run cannot be the item's; another run starts again.
+    Discarded(Progress),
     /// The target ran the item and failed.
     Failed(Progress),
     /// A response that is incomplete, or not proven to be the target's, says why the run has no output.
@@ -179,6 +181,10 @@
                 self.progress.insert(item.clone(), progress);
                 None
             }
+            RunOutcome::Discarded(progress) => {
+                self.progress.insert(item.clone(), progress.from_start());
+                None
+            }
             RunOutcome::Rejected => Some(ErrorCause::Rejected),
             RunOutcome::Unsendable => Some(ErrorCause::Unsendable),
         };
