fix(platform,gateway): reject a job with an item that no request can be made of

Callers had a job accepted with 202 and later saw one of its items as `errored`, without any response of 500 or 422: its path was no path, or one of its headers none. An item whose id is no header's value was sent without it, which targets refuse, until its give-up time.

Cause: what a request takes was checked when an item was about to be sent, not when its job came.

Change: `decode_job` checks the id, the path and the headers of each item. Such a job gets 400, with the reason and the item in the body and the log, and nothing of it is stored, so that a corrected one may come under the same id. A path with a fragment is rejected too, as targets would get another one.

--- a/eel-gateway/src/batch/submit.rs
+++ b/eel-gateway/src/batch/submit.rs
@@ -17,7 +17,7 @@
 use super::calls::ensure_owned;
 use crate::{
     context::{Context, now_unix_ms},
-    http::{Body, empty, refuse},
+    http::{Body, empty, full, refuse},
 };
 
 /// The time limits that a route sets for the items of a job, counted from its submission.
@@ -51,8 +51,18 @@
     let id = fields
         .request_id
         .filter(|id| !id.is_empty() && id.len() <= MAX_ID_BYTES && !id.contains('/'));
-    let (Some(id), Ok(items)) = (id, decode_job(body)) else {
-        return refuse(&Refusal::not_run(Reason::BadRequest));
+    let bad_request = Refusal::not_run(Reason::BadRequest);
+    let Some(id) = id else {
+        return refuse(&bad_request);
+    };
+    let items = match decode_job(body) {
+        Ok(items) => items,
+        Err(error) => {
+            log::info!(target: "jobs", job = id.as_str(), error:% = error; "A job is not valid.");
+            let mut response = refuse(&bad_request);
+            *response.body_mut() = full(format!("{bad_request}: {error}\n"));
+            return response;
+        }
     };
     let host = headers
         .get(header::HOST)
--- a/eel-gateway/tests/gateway/false_errors.rs
+++ b/eel-gateway/tests/gateway/false_errors.rs
@@ -3,7 +3,7 @@
 //! Guards against an item that is listed as errored though a target can complete it, and against one that runs for ever.
 
 use eel_platform::standin::{Cut, Ending, Framing, LiteralScript, LiteralTarget, RawResponse};
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::fixture::{Fleet, fleet, raw_fleet};
 
@@ -138,3 +138,33 @@
     assert_eq!(result["state"], "completed");
     assert_eq!(result["text"], WHOLE_TEXT);
 }
+
+// Guards against an accepted job with an item that no target can get.
+#[tokio::test]
+async fn unsendable_item() {
+    let fleet = fleet(1, 1).await;
+    let submit = async |path: &str, headers: Value| {
+        let good = json!({"id": "good", "path": "/jobs/stream/1"});
+        let other = json!({"id": "other", "path": path, "headers": headers});
+        let body = json!({"items": [good, other]}).to_string();
+        let sent = fleet.post(0, "/jobs/submit", "j1").body(body).send().await;
+        let response = sent.expect("a response");
+        let status = response.status().as_u16();
+        (status, response.text().await.expect("a body"))
+    };
+    for (path, headers) in [
+        ("/jobs/stream 2", json!({})),
+        ("/jobs/stream/2#part", json!({})),
+        ("/jobs/stream/2", json!({"a b": "c"})),
+        ("/jobs/stream/2", json!({"a": "b\nc"})),
+    ] {
+        let (status, reason) = submit(path, headers).await;
+        assert_eq!(status, 400, "{path}");
+        assert!(reason.contains("the item other"), "{path}: {reason}");
+    }
+    // The job is not known yet, so that a corrected one may come.
+    assert_eq!(submit("/jobs/stream/2", json!({"a": "b"})).await.0, 202);
+    for result in fleet.results(0, "j1", 2).await {
+        assert_eq!(result["state"], "completed");
+    }
+}
