fix(target): take no late copy of an answer for that to the next request

Callers of entry nodes got the answer to another request, of another caller too, with a status of 200 and no sign of it, where a target wrote an answer once more, late: `tag-0-1 got 200 OK "tag-2-0"`.

Cause: the answers of a target do not name their request, and the target node kept connections. The client closes an idle connection on which bytes arrive, but a copy that arrives once the next request has been written is that request's answer; the true one is then the answer to the request after it, and so on.

Change: each request to a target has a connection of its own. Its bytes can belong to no other request, whatever their number, time and status, so nothing has to be remembered or waited for. A check for bytes on an idle connection before it is used again was ruled out: the copy may come later.

A target node stands beside its target, so that a connection costs no round trip over the network.

A connection that the target closes just as the next request is written ends no request any more either, as none is used again.

--- a/eel-target/src/engine.rs
+++ b/eel-target/src/engine.rs
@@ -11,14 +11,12 @@
 
 use crate::Error;
 
-/// The time after which an idle connection is closed, so that few connections can go silent unnoticed.
-const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// The interval of TCP keep-alive probes, which detect a connection whose state a middlebox has dropped.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// The number of unanswered probes after which a connection is closed.
 const KEEPALIVE_RETRIES: u32 = 3;
 
-/// Sends requests to the target over HTTP.
+/// Sends requests to the target over HTTP, each on a connection of its own.
 pub(crate) struct Engine {
     client: Client,
     base_url: String,
@@ -31,7 +29,8 @@
             .redirect(redirect::Policy::none())
             .retry(retry::never())
             .connect_timeout(Duration::from_millis(settings.connect_timeout_ms))
-            .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+            // A response does not name its request: on a kept connection, a late copy would be taken for the next one.
+            .pool_max_idle_per_host(0)
             .tcp_keepalive(KEEPALIVE_INTERVAL)
             .tcp_keepalive_interval(KEEPALIVE_INTERVAL)
             .tcp_keepalive_retries(KEEPALIVE_RETRIES)
--- a/tests/process/fleet/mod.rs
+++ b/tests/process/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod raw;
 mod records;
 mod relay;
+mod repeating;
 
 use std::{net::SocketAddr, path::PathBuf};
 
@@ -23,6 +24,7 @@
 pub use raw::RawTarget;
 pub use records::{CALLER_KEY, Service};
 pub use relay::{Relay, Silence};
+pub use repeating::{Answer, Copied, RepeatingTarget};
 use reqwest::{Client, RequestBuilder, Response};
 use tempfile::TempDir;
 
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -18,6 +18,7 @@
 mod paused_target;
 #[cfg(feature = "quickstart")]
 mod quickstart;
+mod repeated_answer;
 mod resent_request;
 mod silent_link;
 mod store_outage;
