test(process): refusals of other attempts, and what follows a whole reply

A target node that sends the refusal of an earlier attempt with the request's id in front of the reply, that of another request at its end, the whole reply twice, or a refusal after it. No fault was found: a reply comes on a stream of its own, head, refusal and end marker need the id and the attempt, and nothing is read after the end marker.

--- a/tests/process/crossed_answers.rs
+++ b/tests/process/crossed_answers.rs
@@ -4,9 +4,10 @@
 
 use bytes::Bytes;
 use eel_types::{Attempt, RequestId, RequestKey};
+use eel_verdict::{Reason, Refusal};
 use eel_wire::{
     codec,
-    message::{ReplyEnd, ReplyHead, ServeReply, StreamRequest},
+    message::{ReplyEnd, ReplyHead, ReplyRefused, ServeReply, StreamRequest},
 };
 use quinn::{Connection, Endpoint, RecvStream, SendStream};
 
@@ -25,6 +26,14 @@
     DuplicateHead,
     DuplicateData,
     NoEnd,
+    /// The refusal of an earlier attempt with this request's id, and then its own reply.
+    EarlierRefusal,
+    /// The refusal of another request as the end.
+    OtherRefusalAtEnd,
+    /// The whole reply twice.
+    Twice,
+    /// The whole reply, and then a refusal.
+    RefusedAfterEnd,
 }
 
 impl ReplySequence {
@@ -52,9 +61,21 @@
                 load: FAKE_LOAD,
             })
         };
+        let refused = |key| {
+            ServeReply::Refused(ReplyRefused {
+                key,
+                refusal: Refusal::not_run(Reason::Overloaded),
+                load: FAKE_LOAD,
+            })
+        };
         let length = BODY.len() as u64;
+        let complete = || vec![head(key), data(), end(key, length)];
         match self {
-            Self::Complete => vec![head(key), data(), end(key, length)],
+            Self::Complete => complete(),
+            Self::EarlierRefusal => [vec![refused(other_attempt)], complete()].concat(),
+            Self::OtherRefusalAtEnd => vec![head(key), data(), refused(other)],
+            Self::Twice => [complete(), complete()].concat(),
+            Self::RefusedAfterEnd => [complete(), vec![refused(key)]].concat(),
             Self::OtherKeyAtHead => vec![head(other), data(), end(other, length)],
             Self::OtherKeyAtEnd => vec![head(key), data(), end(other, length)],
             Self::OtherAttempt => vec![head(other_attempt), data(), end(other_attempt, length)],
@@ -108,6 +129,10 @@
         (ReplySequence::DuplicateHead, false),
         (ReplySequence::DuplicateData, false),
         (ReplySequence::NoEnd, false),
+        (ReplySequence::EarlierRefusal, false),
+        (ReplySequence::OtherRefusalAtEnd, false),
+        (ReplySequence::Twice, true),
+        (ReplySequence::RefusedAfterEnd, true),
     ];
     for (sequence, is_complete) in cases {
         let mut platform = Platform::start(&[Service::Dispatch]).await;
