test(gateway): late copies for other requests and around a question

A target writes each of its answers once more, 0 to 100 ms after it has read the next request on the connection: 200, 500, 422 and 504, on routes of every online kind, and between requests and the questions about the target's state, which have no id. A copy has another id than the next request; where it takes the place of a target's description of itself it lacks the time of the start, and where that takes the place of an answer it lacks the id.

--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod gone_targets;
 mod graceful_stop;
 mod item_versions;
+mod late_copies;
 mod leaving_caller;
 mod leaving_target;
 mod lost_entry;
