test(process): a late copy of a failure counts for no other run of an item

An item of an entry node's job whose first response of 500 the target wrote once more, late, had that counted as the failure of its next run too, which had succeeded: one of its attempts was used up without a failure, and the item ran again after a success.

--- a/tests/process/fleet/repeating.rs
+++ b/tests/process/fleet/repeating.rs
@@ -1,6 +1,13 @@
 //! A target that writes each of its answers once more, late, where the next one on the connection is expected.
 
-use std::{io, time::Duration};
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -14,6 +21,8 @@
     Success,
     Failure,
     Events,
+    /// Failures up to this number of requests, then successes.
+    SuccessAfter(u32),
 }
 
 /// When an answer is written once more.
@@ -28,6 +37,8 @@
 /// A running target.
 pub struct RepeatingTarget {
     pub url: String,
+    /// The number of requests that were read.
+    pub requests: Arc<AtomicU32>,
 }
 
 impl RepeatingTarget {
@@ -35,20 +46,29 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await;
         let listener = listener.expect("a free port");
         let address = listener.local_addr().expect("an address");
+        let requests = Arc::<AtomicU32>::default();
+        let counted = requests.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, answer, copied));
+                tokio::spawn(serve(stream, answer, copied, counted.clone()));
             }
         });
         Self {
             url: format!("http://{address}"),
+            requests,
         }
     }
 }
 
-async fn serve(mut stream: TcpStream, answer: Answer, copied: Copied) -> io::Result<()> {
+async fn serve(
+    mut stream: TcpStream,
+    answer: Answer,
+    copied: Copied,
+    requests: Arc<AtomicU32>,
+) -> io::Result<()> {
     let mut earlier = Vec::new();
     while let Some(tag) = read_tag(&mut stream).await? {
+        let answer = answer.to_request(requests.fetch_add(1, Ordering::Relaxed));
         if let Copied::IntoNext(pause) = copied {
             sleep(pause).await;
             stream.write_all(&earlier).await?;
@@ -67,14 +87,25 @@
     pub fn status(self) -> u16 {
         match self {
             Self::Success | Self::Events => 200,
-            Self::Failure => 500,
+            Self::Failure | Self::SuccessAfter(_) => 500,
+        }
+    }
+
+    /// Returns the answer to a request, before which so many others came.
+    fn to_request(self, earlier: u32) -> Self {
+        match self {
+            Self::SuccessAfter(failures) if earlier >= failures => Self::Success,
+            Self::SuccessAfter(_) => Self::Failure,
+            answer => answer,
         }
     }
 
     fn bytes(self, tag: &str) -> Vec<u8> {
         let (status, length) = (self.status(), tag.len());
         let rest = match self {
-            Self::Success | Self::Failure => format!("content-length: {length}\r\n\r\n{tag}"),
+            Self::Success | Self::Failure | Self::SuccessAfter(_) => {
+                format!("content-length: {length}\r\n\r\n{tag}")
+            }
             Self::Events => {
                 let event = format!("data: {tag}\n\n");
                 let length = event.len();
