test(gateway): a caller that sends an id again may get the answer to its first run

The platform's callers give each attempt an id of its own, so that this takes a caller that does not. On a kept connection that had the id, a late copy of the earlier answer fits:

200: 19 of 24, first "/once/1, 0 ms: r1 got 200 \"r1 run 1\" at run 2"

--- a/eel-gateway/tests/gateway/late_copies.rs
+++ b/eel-gateway/tests/gateway/late_copies.rs
@@ -169,3 +169,13 @@
         assert_own_answers(200, &requests.collect::<Vec<_>>()).await;
     }
 }
+
+#[tokio::test]
+async fn copies_for_the_same_id() {
+    for path in PATHS {
+        for status in [200, 500, 422] {
+            let requests = vec![(path, "r1".to_owned()); REQUESTS];
+            assert_own_answers(status, &requests).await;
+        }
+    }
+}
