fix(fleet): let no overtaken report of a peer count as its latest

A datagram that came late, or twice, after a later report of the same node set back whether that node takes items of jobs and reaches the store, and let a node that was gone count as live for 2 s after it. No caller is known to have met it.

Cause: the loads of targets in a report are taken by the sequence number, the node's own state without.

Change: a report with a lower number than the sender's last one is ignored there too. Parts of one report share their number. Numbers start again with an incarnation, which replaces the record. Old and new nodes send the same datagrams.

Measured: `overtaken_report`, on the code before:

left: (1, true) right: (0, false)

It passes now. A second copy of the latest report still counts as one more sign of life.

--- a/eel-fleet/src/peers.rs
+++ b/eel-fleet/src/peers.rs
@@ -54,6 +54,8 @@
     entry: NodeEntry,
     is_listed: bool,
     last_report_ms: Option<u64>,
+    /// The sequence number of the last report; 0 before the first one.
+    last_sequence: u64,
     takes_batch: bool,
     reaches_store: bool,
 }
@@ -81,6 +83,7 @@
             entry,
             is_listed: true,
             last_report_ms: None,
+            last_sequence: 0,
             takes_batch,
             reaches_store: false,
         };
@@ -109,11 +112,14 @@
         }
     }
 
-    /// Records a report; a report from an unknown incarnation is ignored.
+    /// Records a report, or another part of the last one; a report from an unknown incarnation, or one that a later report
+    /// of its sender has overtaken, is ignored.
     pub fn on_report(&mut self, now_ms: u64, report: &PeerReport) {
         let mut peers = self.peers.values_mut();
-        if let Some(peer) = peers.find(|peer| peer.entry.incarnation == report.sender) {
+        let peer = peers.find(|peer| peer.entry.incarnation == report.sender);
+        if let Some(peer) = peer.filter(|peer| report.sequence >= peer.last_sequence) {
             peer.last_report_ms = Some(now_ms);
+            peer.last_sequence = report.sequence;
             peer.takes_batch = report.takes_batch;
             peer.reaches_store = report.reaches_store;
         }
--- a/eel-fleet/tests/fleet/live_peers.rs
+++ b/eel-fleet/tests/fleet/live_peers.rs
@@ -84,3 +84,26 @@
     assert_eq!(NodeEntry::decode(&encoded), Some(entry(9)));
     assert_eq!(NodeEntry::decode(b""), None);
 }
+
+#[test]
+fn overtaken_report() {
+    let mut peers = Peers::default();
+    peers.on_entry(&"b".into(), entry(7));
+    let numbered = |sequence, takes_batch| PeerReport {
+        sequence,
+        ..report(7, takes_batch)
+    };
+    peers.on_report(1_000, &numbered(3, true));
+    peers.on_report(1_100, &numbered(4, false));
+    peers.on_report(1_200, &numbered(3, true));
+    let takes_batch = peers.batch_nodes(1_200).count();
+    peers.on_removed(1_300, "b");
+    let is_live = peers.is_live(3_100, "b");
+    assert_eq!(
+        (takes_batch, is_live),
+        (0, false),
+        "an earlier report that comes late, or twice, counts as the latest"
+    );
+    peers.on_report(3_200, &numbered(5, true));
+    assert!(peers.is_live(3_200, "b"));
+}
