--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod graceful_stop;
 mod item_versions;
 mod job_clocks;
+mod late_copies;
 mod leaving_caller;
 mod leaving_target;
 mod lost_entry;
