fix(platform,store): bound the bodies of the store's responses

Callers: none noticed yet; found while looking for the places where a node reads bytes without end. A process at the store's address that sends a body without end made a gateway node collect it until the timeout of the call, several calls at once. The node then outgrows its VM and all requests on it end with the process.

Cause: the client of the platform's store read bodies with `Response::bytes`, which has no limit. A call that watches waits for seconds.

Change: a body is read up to 4 MiB, four times what the store sends in a page. A longer one is logged, its connection is closed, and the call fails as one whose response was lost.

The new tests run a node as a process with a memory of 120 MB, measure its memory, and send requests of other callers beside it.

Not in the tests: interim responses (103) of a target without end.

--- a/eel-store/src/lib.rs
+++ b/eel-store/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`commit_and_resolve`] finds out whether a write whose response was lost took effect. [`VmList`] is the interface to
 //! the platform's list of VMs.
 
+mod body;
 mod call_kind;
 mod error;
 mod etcd;
@@ -15,6 +16,7 @@
 mod vm_list;
 mod watch;
 
+pub use body::{BodyError, read_body};
 pub use call_kind::CallKind;
 pub use error::{RejectReason, StoreError, StoreResult};
 pub use etcd::{EtcdJson, EtcdOptions};
--- a/tests/gateway/crowd.rs
+++ b/tests/gateway/crowd.rs
@@ -34,7 +34,7 @@
 pub const ORDINARY_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Tests of this kind run one at a time.
-static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
+pub static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
 /// A node with small limits, one target, and the callers before it.
 pub struct Crowd {
@@ -183,7 +183,7 @@
 }
 
 /// Returns a figure of the process's status, in KB.
-fn status_kb(fixture: &Fixture, name: &str) -> usize {
+pub fn status_kb(fixture: &Fixture, name: &str) -> usize {
     let path = format!("/proc/{}/status", fixture.node.pid());
     let status = fs::read_to_string(path).expect("a running process");
     let line = status.lines().find(|line| line.starts_with(name));
--- a/tests/gateway/fixture.rs
+++ b/tests/gateway/fixture.rs
@@ -1,6 +1,6 @@
 //! One node as a process, with a store but no targets yet, and a client.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use eel_platform::standin::{
     HOST, LiteralScript, LiteralTarget, StandInStore, StandInTarget, routes,
@@ -10,7 +10,7 @@
 use tempfile::TempDir;
 use tokio::time::{sleep, timeout};
 
-use crate::{ports::Ports, process::Process};
+use crate::{ports::Ports, process::Process, proxy::Proxy};
 
 /// A path of each kind of online request.
 pub const PATHS: [&str; 4] = [
@@ -43,10 +43,29 @@
     /// open descriptors.
     pub async fn start_limited(config: &Value, more: &str, max_descriptors: Option<u64>) -> Self {
         let store = StandInStore::start().await.expect("a store");
+        let address = store.address();
+        Self::start_at(store, address, config, more, max_descriptors)
+    }
+
+    /// Starts a node as [`start_limited`](Self::start_limited) does, with a proxy before its store.
+    pub async fn start_proxied(config: &Value, more: &str) -> (Self, Proxy) {
+        let store = StandInStore::start().await.expect("a store");
+        let proxy = Proxy::start(store.address()).await;
+        let fixture = Self::start_at(store, proxy.address, config, more, None);
+        (fixture, proxy)
+    }
+
+    fn start_at(
+        store: StandInStore,
+        address: SocketAddr,
+        config: &Value,
+        more: &str,
+        max_descriptors: Option<u64>,
+    ) -> Self {
         store.put("op/config", &config.to_string());
         let directory = tempfile::tempdir().expect("a directory");
         let mut ports = Ports::reserve();
-        let (path, address) = (directory.path(), store.address());
+        let path = directory.path();
         let node = Process::start_limited(
             path,
             &mut ports,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod crowd;
 mod cut_heads;
 mod early_hangup;
+mod endless_bytes;
 mod explained_failures;
 mod false_not_run;
 mod faults;
