fix(store): bound the VM list that a node reads

Callers: none noticed yet; found while looking for the places where a node reads bytes without end. A process at the address of the VM list that sends a body without end made an entry node collect it until the timeout of the read.

Cause: the client read the list with `Response::bytes`, which has no limit.

Change: a list of over 4 MiB is logged, its connection is closed and it counts as unavailable, so that the node keeps the earlier one. 4,160 VMs take less than 1 MB.

The test (`endless_bytes::vm_lists`) counts what a service without end can write, up to 100 MB.

Now the connection is closed within the bound of 30 MB, a quarter of the smallest node's memory.

--- a/eel-store/src/vm_list.rs
+++ b/eel-store/src/vm_list.rs
@@ -14,6 +14,11 @@
 };
 use serde::Deserialize;
 
+use crate::read_body;
+
+/// The size from which a list counts as broken.
+const MAX_LIST_BYTES: usize = 4 << 20;
+
 /// Reasons why the VM list cannot be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum VmListError {
@@ -108,8 +113,7 @@
             return Ok(cached.vms);
         }
         let etag = response.headers().get(ETAG).cloned();
-        let body = response
-            .bytes()
+        let body = read_body(response, MAX_LIST_BYTES)
             .await
             .change_context(VmListError::Unavailable)?;
         let body: Body = serde_json::from_slice(&body).change_context(VmListError::Malformed)?;
--- a/eel-store/tests/store/main.rs
+++ b/eel-store/tests/store/main.rs
@@ -1,5 +1,6 @@
 //! Tests of `eel-store`: its HTTP clients must fulfil the contract of the interfaces, against stand-in services.
 
+mod endless_bytes;
 mod fixture;
 mod key_contract;
 mod lease_contract;
