fix(store): bound a message of a watch that never ends

Callers: none noticed yet; found while looking for the places where a node reads bytes without end. A process at the store's address whose response to a watch never ends a line made an entry node collect it, with no limit and no timeout: each part restarted the wait. Each part also had all bytes before it searched for the end of the line again.

Change: a watch whose next message exceeds 16 MiB is logged, its connection is closed, and it is opened again with the usual backoff. Bytes are searched once.

The test (`endless_bytes::watches`) counts what a service without end can write until the connection is closed. Before, it did not get to an end: "test endless_bytes::watches has been running for over 60 seconds", ended after three minutes. Now the test file passes within 6 s, and the connection is closed within the bound of 30 MB.

--- a/eel-store/src/etcd/watch.rs
+++ b/eel-store/src/etcd/watch.rs
@@ -22,6 +22,8 @@
 use crate::{StoreError, StoreResult, WatchEvent, WatchOptions};
 
 const BUFFERED_EVENTS: usize = 1024;
+/// The size of a message from which a watch counts as broken.
+const MAX_MESSAGE_BYTES: usize = 16 << 20;
 const INITIAL_BACKOFF_MS: u64 = 50;
 const MAX_BACKOFF_MS: u64 = 1000;
 
@@ -271,6 +273,8 @@
 struct LineReader {
     response: reqwest::Response,
     buffer: BytesMut,
+    /// How many bytes of the buffer are known to end no line.
+    scanned: usize,
 }
 
 impl LineReader {
@@ -278,11 +282,17 @@
         Self {
             response,
             buffer: BytesMut::new(),
+            scanned: 0,
         }
     }
 
-    /// Waits for the next chunk of the body and appends it to the buffer.
+    /// Waits for the next chunk of the body and appends it to the buffer, which a faulty service may never complete to a
+    /// line.
     async fn fill(&mut self) -> StoreResult<()> {
+        if self.buffer.len() > MAX_MESSAGE_BYTES {
+            log::warn!(target: "store", max_bytes = MAX_MESSAGE_BYTES; "A watch is closed: a message is too long.");
+            return Err(Report::new(StoreError::Unavailable));
+        }
         match self.response.chunk().await {
             Ok(Some(chunk)) => {
                 self.buffer.extend_from_slice(&chunk);
@@ -293,7 +303,12 @@
     }
 
     fn next_line(&mut self) -> Option<Bytes> {
-        let end = self.buffer.iter().position(|byte| *byte == b'\n')?;
+        let rest = &self.buffer[self.scanned..];
+        let Some(end) = rest.iter().position(|byte| *byte == b'\n') else {
+            self.scanned = self.buffer.len();
+            return None;
+        };
+        let end = std::mem::take(&mut self.scanned) + end;
         Some(self.buffer.split_to(end + 1).freeze())
     }
 }
--- a/eel-store/tests/store/endless_bytes.rs
+++ b/eel-store/tests/store/endless_bytes.rs
@@ -2,7 +2,8 @@
 //!
 //! Guards against a client that keeps them until the memory of its node is used up.
 
-use eel_store::{HttpVmList, VmList as _, VmListError};
+use eel_store::{HttpVmList, KeyValue as _, VmList as _, VmListError, WatchOptions};
+use futures_util::StreamExt as _;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpListener,
@@ -10,7 +11,7 @@
     task::JoinSet,
 };
 
-use crate::fixture::CALL_TIMEOUT_MS;
+use crate::fixture::{CALL_TIMEOUT_MS, client};
 
 /// How much of one response a client may take: a quarter of the smallest node's memory, 120 MB.
 const MAX_TAKEN_BYTES: u64 = 30 << 20;
@@ -69,6 +70,21 @@
 const CHUNK: &str = "10\r\n                \r\n";
 const CASES: [(&str, &str); 4] = [(HEAD, "x"), (BODY, " "), (ERROR, "x"), (CHUNKED, CHUNK)];
 
+#[tokio::test]
+async fn watches() {
+    for (start, piece) in CASES {
+        let mut service = Endless::start(start, piece).await;
+        let mut watch = client(vec![service.url.clone()]).watch(WatchOptions {
+            prefix: "a".into(),
+            from_revision: None,
+        });
+        tokio::select! {
+            event = watch.next() => panic!("{event:?}"),
+            () = service.check_closed(start) => {}
+        }
+    }
+}
+
 #[tokio::test]
 async fn vm_lists() {
     for (start, piece) in CASES {
