--- a/eel-store/src/body.rs
+++ b/eel-store/src/body.rs
@@ -17,6 +17,14 @@
     },
 }
 
+impl BodyError {
+    /// Returns whether the body is longer than the service sends one.
+    #[must_use]
+    pub fn is_too_long(&self) -> bool {
+        matches!(self, Self::TooLong { .. })
+    }
+}
+
 /// Reads the body of `response`, which a faulty service may never end, and logs one of more than `max_bytes`.
 ///
 /// # Errors
