fix(gateway,ledger): bound the memory of unfinished items' texts

What operators of a like system saw: a faulty target sent bytes without end, and the node that had called it kept them all and ran out of memory. Here the text of one item ends at 960 KB, but a node runs 256 items, and nothing bounded their texts together: 64 items at faulty targets that send events without end took more than a node of 120 MB has for running requests.

Change: the texts of unfinished items, running or waiting for another run, take an eighth of memory_mb together. The worker counts them in each step, and a run wakes it when they exceed that. The largest are dropped until the others fit, and their items run again from the start, which counts as no failure. Which are dropped is decided without input or output (largest_beyond).

--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -1,7 +1,7 @@
 //! Runs one batch item at one target.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
     time::{Duration, Instant},
 };
 
@@ -141,7 +141,9 @@
                     };
                     until = Instant::now() + idle_timeout;
                     let mut progress = self.progress.lock();
+                    let held_bytes = progress.text.len();
                     each(&complete).for_each(|event| append_event(&mut progress, event));
+                    self.count_text(progress.text.len() - held_bytes);
                     if progress.last_event.is_some() {
                         progress.version.clone_from(&version);
                     }
@@ -195,6 +197,17 @@
         }
     }
 
+    /// Counts what was added to the text, and wakes the worker if the texts of all items take too much memory.
+    fn count_text(&self, added_bytes: usize) {
+        let earlier_bytes = self
+            .context
+            .text_bytes
+            .fetch_add(added_bytes, Ordering::Relaxed);
+        if earlier_bytes + added_bytes > self.context.max_text_bytes {
+            self.context.batch_wake.notify_one();
+        }
+    }
+
     fn idle_timeout(&self) -> Duration {
         let doublings = self.progress.lock().silences.min(MAX_IDLE_DOUBLINGS);
         IDLE_TIMEOUT * (1 << doublings)
--- a/eel-gateway/src/batch/mod.rs
+++ b/eel-gateway/src/batch/mod.rs
@@ -6,6 +6,7 @@
 mod retire;
 mod save;
 mod submit;
+mod texts;
 mod trial;
 mod worker;
 
--- /dev/null
+++ b/eel-gateway/src/batch/texts.rs
@@ -0,0 +1,57 @@
+//! Bounds the memory that the texts of unfinished items take.
+
+use std::sync::atomic::Ordering;
+
+use eel_ledger::{ItemRef, largest_beyond};
+
+use super::worker::{RunKey, State, Worker};
+
+/// The text of an item that is not finished.
+enum HeldText {
+    Running(RunKey),
+    Waiting(ItemRef),
+}
+
+impl Worker {
+    /// Drops the largest texts of unfinished items if all of them take too much memory.
+    pub(super) fn bound_texts(&self) {
+        let mut state = self.lock();
+        let State {
+            worklist,
+            runs,
+            saved,
+            ..
+        } = &mut *state;
+        let running = runs.iter().filter(|(_, run)| !run.cancel.is_cancelled());
+        let running =
+            running.map(|(key, run)| (HeldText::Running(key), run.progress.lock().text.len()));
+        let waiting = worklist
+            .interrupted()
+            .map(|(item, progress)| (HeldText::Waiting(item.clone()), progress.text.len()));
+        let texts: Vec<_> = running.chain(waiting).collect();
+        let held_bytes = texts.iter().map(|(_, bytes)| bytes).sum();
+        self.context.text_bytes.store(held_bytes, Ordering::Relaxed);
+        let max_bytes = self.context.max_text_bytes;
+        let dropped = largest_beyond(texts, max_bytes);
+        if !dropped.is_empty() {
+            log::warn!(
+                target: "jobs", held_bytes, max_bytes, items = dropped.len();
+                "The texts of unfinished items take too much memory; the largest are dropped, and their items run again."
+            );
+        }
+        for text in dropped {
+            match text {
+                HeldText::Running(key) => {
+                    if let Some(run) = runs.get_mut(key) {
+                        run.is_discarded = true;
+                        run.cancel.cancel();
+                    }
+                }
+                HeldText::Waiting(item) => {
+                    worklist.discard(&item);
+                    saved.begin(&item, None, rand::random());
+                }
+            }
+        }
+    }
+}
--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -42,7 +42,7 @@
 const RUNS_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 slotmap::new_key_type! {
-    struct RunKey;
+    pub(super) struct RunKey;
 }
 
 /// Starts runs of items, yields their slots to online requests and lists their results.
@@ -55,19 +55,21 @@
 #[derive(Default)]
 pub(super) struct State {
     pub(super) worklist: Worklist,
-    runs: SlotMap<RunKey, Running>,
-    saved: SavedItems,
+    pub(super) runs: SlotMap<RunKey, Running>,
+    pub(super) saved: SavedItems,
     /// Whether this node is about to start the trial of a blocked item.
     pub(super) is_admitting_trial: bool,
 }
 
 /// A run in progress, and the token that cancels it.
-struct Running {
+pub(super) struct Running {
     target: TargetKey,
     item: ItemRef,
-    progress: SharedProgress,
+    pub(super) progress: SharedProgress,
     started_ms: u64,
-    cancel: CancellationToken,
+    pub(super) cancel: CancellationToken,
+    /// Whether its text is dropped when it is cancelled.
+    pub(super) is_discarded: bool,
     /// What the run tries, if it is the trial of a blocked item.
     tried: Option<Suspects>,
 }
@@ -174,6 +176,7 @@
     fn step(self: &Arc<Self>) {
         self.observe_jobs();
         self.cancel_ended();
+        self.bound_texts();
         self.yield_slots();
         if self.context.takes_batch() {
             self.start_runs();
@@ -304,6 +307,7 @@
             progress: progress.clone(),
             started_ms: now_ms,
             cancel: cancel.clone(),
+            is_discarded: false,
             tried: trial.is_some().then(|| suspects_of(&entry)),
         });
         let run = Run {
@@ -378,6 +382,11 @@
             run_outcome = run.run(slot) => run_outcome,
             () = cancel.cancelled() => run.interrupted(),
         };
+        let is_discarded = self.lock().runs.get(key).is_some_and(|it| it.is_discarded);
+        let run_outcome = match run_outcome {
+            RunOutcome::Interrupted(progress) if is_discarded => RunOutcome::Discarded(progress),
+            run_outcome => run_outcome,
+        };
         let failures = match &run_outcome {
             RunOutcome::Failed(progress) => progress.failures + 1,
             RunOutcome::Completed(progress)
--- a/eel-gateway/src/caller_limits.rs
+++ b/eel-gateway/src/caller_limits.rs
@@ -11,6 +11,8 @@
 /// The part of the memory for bodies and unread responses, and again for connections. The other half is for the idle
 /// process (33 MB), running requests and the allocator.
 const MEMORY_PART: usize = 4;
+/// The part of the memory for the texts of unfinished items, out of the half for running requests.
+const TEXT_PART: usize = 8;
 /// What a connection holds at most besides bodies and responses, in KB: two heads of 16 KB.
 const CONNECTION_KB: usize = 32;
 /// The part of the descriptors that is kept for the store, peers, targets, readiness checks and files.
@@ -25,6 +27,8 @@
     pub(crate) body_bytes: usize,
     /// The maximum number of open connections of callers.
     pub(crate) connections: usize,
+    /// The memory for the texts of unfinished items, in bytes.
+    pub(crate) text_bytes: usize,
 }
 
 impl CallerLimits {
@@ -54,6 +58,7 @@
         Self {
             body_bytes: part_mb * 1024 * 1024,
             connections: by_descriptors.min(part_mb * 1024 / CONNECTION_KB),
+            text_bytes: memory_mb * 1024 * 1024 / TEXT_PART,
         }
     }
 }
--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -4,7 +4,7 @@
     collections::BTreeSet,
     sync::{
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
@@ -89,6 +89,10 @@
     lease_renewed_ms: AtomicU64,
     /// Nodes that the operator wants to retire and that this node has not yet reported empty.
     retirements: Mutex<BTreeSet<Name>>,
+    /// The size of the texts of unfinished items when they were last counted, and what was added to them since.
+    pub(crate) text_bytes: AtomicUsize,
+    /// The maximum size of the texts of unfinished items.
+    pub(crate) max_text_bytes: usize,
     /// Whether the operator wants to retire this node.
     pub(crate) is_retiring: AtomicBool,
     /// Cancelled when the node starts to drain; the node is not ready from then on.
@@ -136,6 +140,8 @@
             routes_changes: watch::channel(()).0,
             memory: Memory::new(caller_limits.body_bytes, clock, metrics.clone()),
             connections: Connections::new(caller_limits.connections, clock),
+            text_bytes: AtomicUsize::default(),
+            max_text_bytes: caller_limits.text_bytes,
             accept_log: LogLimit::default(),
             closed_log: LogLimit::default(),
             metrics,
--- a/eel-ledger/src/lib.rs
+++ b/eel-ledger/src/lib.rs
@@ -13,6 +13,7 @@
 mod partials;
 mod saved;
 mod submit;
+mod texts;
 mod worklist;
 
 pub use entry::{Item, JobHead, ListedResult, ResultState};
@@ -24,4 +25,5 @@
 pub use partials::{Partials, Piece, SavedText};
 pub use saved::SavedItems;
 pub use submit::{MAX_ITEMS_BYTES, SubmitError, submission};
+pub use texts::largest_beyond;
 pub use worklist::{ErrorCause, ItemRef, MAX_TEXT_BYTES, Progress, RunOutcome, Worklist};
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -177,6 +177,13 @@
         self.progress.iter()
     }
 
+    /// Drops the text of an item that waits for another run, which starts again.
+    pub fn discard(&mut self, item: &ItemRef) {
+        if let Some(progress) = self.progress.get_mut(item) {
+            *progress = std::mem::take(progress).from_start();
+        }
+    }
+
     /// Records how a run of `item` ended. An item that failed as often as [`cause_to_end`] allows is given up.
     ///
     /// Returns why the item has no output; `None` if it has one or may run again.
--- a/eel-ledger/tests/ledger/main.rs
+++ b/eel-ledger/tests/ledger/main.rs
@@ -2,6 +2,7 @@
 
 mod doubtful_failures;
 mod fixture;
+mod held_texts;
 mod job_owner;
 mod job_tenant;
 mod malformed_values;
--- a/tests/gateway/endless_bytes.rs
+++ b/tests/gateway/endless_bytes.rs
@@ -71,6 +71,8 @@
 const SEALED_LENGTH: &str = "HTTP/1.1 200 OK\r\nx-eelgrassgap-attempt-id: {id}\r\nx-eelgrassgap-response-seal: seal\r\ncontent-length: 1000000000000\r\n\r\n";
 const SEALED_WHOLE: &str = "HTTP/1.1 200 OK\r\nx-eelgrassgap-attempt-id: {id}\r\nx-eelgrassgap-response-seal: seal\r\ncontent-length: 0\r\nkeep-alive: timeout=9\r\n\r\n";
 
+const LONG_EVENT: &str = "id: {n}\ndata: xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\n\n";
+
 /// A process that sends an endless response to each request whose id starts with `faulty`, or to all of them.
 struct Faulty {
     address: SocketAddr,
@@ -205,13 +207,13 @@
     format!("[limits]\nmemory_mb = {MEMORY_MB}\n")
 }
 
-/// Sends many requests at once to faulty targets; returns what is wrong.
-async fn send_to_targets(response: Endless) -> Option<String> {
+/// Starts a small node before a sound target and faulty ones.
+async fn small_node(response: Endless) -> (Small, Vec<Faulty>) {
     let fixture = Fixture::start_limited(&routes(1), &limits(), None).await;
     let sound = StandInTarget::start("scribe", "i-sound").await;
     let sound = sound.expect("a target");
     sound.announce(&fixture.store, "ready");
-    let mut small = Small::new(fixture).await;
+    let small = Small::new(fixture).await;
     let mut faulty = Vec::new();
     for number in 0..TARGETS {
         let target = Faulty::start(response, true).await;
@@ -224,6 +226,32 @@
         faulty.push(target);
     }
     sleep(Duration::from_millis(500)).await;
+    (small, faulty)
+}
+
+/// Runs as many items at once at faulty targets; returns what is wrong.
+async fn run_items(response: Endless) -> Option<String> {
+    let (mut small, faulty) = small_node(response).await;
+    let item = |number| json!({"id": format!("faulty-{number}"), "path": "/jobs/stream/1"});
+    let items: Vec<_> = (0..REQUESTS).map(item).collect();
+    let body = json!({"items": items}).to_string();
+    let sent = small.fixture.post("/jobs/submit", "faulty-job").body(body);
+    let sent = sent.send().await.expect("a response");
+    assert_eq!(sent.status(), 202);
+    let started = Instant::now();
+    let mut number = 0;
+    while started.elapsed() < FAULTY_TIME {
+        number += 1;
+        small.send_ordinary(format!("ordinary-{number}")).await;
+        sleep(Duration::from_millis(50)).await;
+    }
+    let written_mb = faulty.iter().map(Faulty::written_mb).sum();
+    small.check(response, written_mb)
+}
+
+/// Sends many requests at once to faulty targets; returns what is wrong.
+async fn send_to_targets(response: Endless) -> Option<String> {
+    let (mut small, faulty) = small_node(response).await;
     let mut callers = JoinSet::new();
     for number in 0..REQUESTS {
         let path = PATHS[number % PATHS.len()];
@@ -293,6 +321,20 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn faulty_targets_of_items() {
+    let _turn = ONE_AT_A_TIME.lock().await;
+    let mut wrong = Vec::new();
+    for response in [
+        endless(SEALED, "x"),
+        endless(SEALED, "data: x\n\n"),
+        endless(SEALED, LONG_EVENT),
+    ] {
+        wrong.extend(run_items(response).await);
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn faulty_store() {
     let _turn = ONE_AT_A_TIME.lock().await;
