fix(fleet): count a request itself in the mix of its peers' queues

Cause: a node takes its peers' queues to be mixed as its own. With one request in its own queue, each new one behind it was put behind all of the peers' backlog and rejected, so that the queue stayed at one.

Change: with tenants, the share of the peers' backlog that is ahead is that of the requests ahead among the own ones and the new one. Without tenants the count is as before.

`queue_of_one` fails without the change. `fair_share_of_the_worst` still fails: late requests wait until their deadline behind the excess of others.

--- a/eel-fleet/src/dispatch.rs
+++ b/eel-fleet/src/dispatch.rs
@@ -385,7 +385,8 @@
     ///
     /// Peers do not say whose requests wait, nor how urgent they are. With tenants, or where targets limit the rate, the
     /// queues of peers are taken to be mixed as that of this node is, so that the request of a tenant with little load, or
-    /// an urgent one, is not rejected for the whole backlog of others.
+    /// an urgent one, is not rejected for the whole backlog of others. With tenants, the request itself counts in the mix:
+    /// behind the only request of this node, it would otherwise be behind all of theirs.
     fn ahead_at_peers(
         &self,
         now_ms: u64,
@@ -395,14 +396,15 @@
     ) -> u64 {
         let (request, ahead) = request;
         let waiting = self.waiting_at_peers(now_ms, service);
-        let is_ordered = request.tenant.is_some() || is_limited(capacity);
         let queue = self.services.get(service).map(|it| &it.queue);
-        let Some(queue) = queue.filter(|it| is_ordered || it.has_tenants()) else {
+        let is_fair = request.tenant.is_some() || queue.is_some_and(Queue::has_tenants);
+        let Some(queue) = queue.filter(|_| is_fair || is_limited(capacity)) else {
             return waiting;
         };
         let own = counted(now_ms, capacity, queue);
         let own = u64::try_from(own).unwrap_or(u64::MAX).max(1);
-        waiting.saturating_mul(ahead.min(own)).div_ceil(own)
+        let mixed = own + u64::from(is_fair);
+        waiting.saturating_mul(ahead.min(own)).div_ceil(mixed)
     }
 
     fn waiting_at_peers(&self, now_ms: u64, service: &str) -> u64 {
--- a/eel-fleet/tests/fleet/tenant_order.rs
+++ b/eel-fleet/tests/fleet/tenant_order.rs
@@ -5,7 +5,8 @@
 //! the queue, and against fairness that starves the large one.
 
 use eel_fleet::{
-    Arrival, AttemptOutcome, Decision, Dispatcher, FairOrder, Flow, TicketKey, WorkKind,
+    Arrival, AttemptOutcome, Decision, Dispatcher, FairOrder, Flow, PeerReport, TicketKey,
+    WaitingCount, WorkKind,
 };
 use eel_types::Name;
 
@@ -232,6 +233,38 @@
     assert!((100..=1_500).contains(&rejection.retry_after_ms));
 }
 
+/// A node whose queue holds a single request must not reject others for the whole backlog of its peers: its queue
+/// would stay at one, and small tenants be rejected for the excess of others.
+#[test]
+fn queue_of_one() {
+    let mut dispatcher = Dispatcher::new("dc-a".into());
+    let selector = dispatcher.selector_mut();
+    selector.set_target(target("t0", "dc-a", 20));
+    let mut keys = Vec::new();
+    for _ in 0..20 {
+        let Decision::Start(key) = arrive(&mut dispatcher, "large", 1) else {
+            panic!("the slot is free");
+        };
+        keys.push(key);
+    }
+    let (work, outcome) = (WorkKind::Online, AttemptOutcome::Answered);
+    dispatcher.end(0, SERVICE, keys[0], work, outcome, 300);
+    arrive(&mut dispatcher, "large", 1);
+    ticket(arrive(&mut dispatcher, "large", 1));
+    // Of these, 66 start within the goal of 1 s.
+    let report = PeerReport {
+        sender: 1,
+        sequence: 1,
+        waiting: vec![WaitingCount {
+            service: eel_fleet::stable_hash(SERVICE),
+            waiting: 100,
+        }],
+        ..PeerReport::default()
+    };
+    dispatcher.on_report(0, &report);
+    ticket(arrive(&mut dispatcher, "small", 1));
+}
+
 #[test]
 fn priority_before_fairness() {
     let mut dispatcher = busy_node();
