fix(fleet): let a due tenant's late request start before others' excess

Cause: late requests start after all that are in time. A large tenant's excess is always in time, so that a small tenant's request that had missed its goal once waited until its deadline.

Change: a late request whose start tag is the virtual time of the fair order, so that it is its tenant's turn, is ranked with those in time. A tenant's requests in time take its turn first, and priorities go before as they did. Without tenants the order is as before.

--- a/eel-fleet/src/dispatch.rs
+++ b/eel-fleet/src/dispatch.rs
@@ -185,7 +185,7 @@
     }
 
     /// Returns the number of requests queued at this node, by service. Late ones do not count where targets limit the rate:
-    /// they start last, and for as long as they wait, peers would reject requests that can still start in time.
+    /// most start last, and for as long as they wait, peers would reject requests that can still start in time.
     #[must_use]
     pub fn own_waiting(&self, now_ms: u64) -> Vec<WaitingCount> {
         let queued = self
--- a/eel-fleet/src/fair_order.rs
+++ b/eel-fleet/src/fair_order.rs
@@ -51,6 +51,13 @@
             .map_or(0, |it| it.next_tag(flow.tenant.as_ref()))
     }
 
+    /// Returns whether a request of `priority` with the start tag `tag` is in the present round, at the virtual time.
+    #[must_use]
+    pub fn is_due(&self, priority: PriorityRank, tag: u64) -> bool {
+        let tags = self.ranks.get(&priority);
+        tag <= tags.map_or(0, |it| it.virtual_time)
+    }
+
     /// Counts a request of the flow that has started.
     pub fn on_start(&mut self, flow: Flow) {
         let tags = self.ranks.entry(flow.priority).or_default();
--- a/eel-fleet/src/queue.rs
+++ b/eel-fleet/src/queue.rs
@@ -2,7 +2,9 @@
 //!
 //! Requests that can still start in time come first, by the tenant's priority, the route's priority, the fair order over
 //! tenants and then the latest start. Late requests follow in the same order, with the deadline in place of the latest
-//! start. Where no request has a tenant, the fair order decides nothing.
+//! start. A late request whose tenant is due in the fair order is ranked with those in time, as the excess of others, which
+//! is always in time, would otherwise go before it until its deadline. Where no request has a tenant, the fair order decides
+//! nothing.
 
 use std::collections::HashMap;
 
@@ -54,6 +56,7 @@
 /// The place of a request in the order of starts; the lowest starts first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
+    /// Whether it can no longer start in time; `false` for a request whose tenant is due.
     is_late: bool,
     priority: PriorityRank,
     /// The start tag of the fair order; 0 for all requests while none has a tenant.
@@ -138,6 +141,7 @@
             let first = self.fair.next_tag(&flow);
             let next = next_tags.entry(flow).or_insert(first);
             rank.tag = *next;
+            rank.is_late &= !self.fair.is_due(rank.priority, rank.tag);
             *next += 1;
         }
         ranked
--- a/eel-fleet/tests/fleet/tenant_order.rs
+++ b/eel-fleet/tests/fleet/tenant_order.rs
@@ -265,6 +265,40 @@
     ticket(arrive(&mut dispatcher, "small", 1));
 }
 
+/// A late request of a small tenant must not wait until its deadline behind the excess of another, which is always in
+/// time. Those of the excess that are late still start last.
+#[test]
+fn late_but_due() {
+    let mut dispatcher = busy_node();
+    let service = Name::from(SERVICE);
+    let mut send = |now_ms, tenant: &str, start_by_ms| {
+        let request = Arrival {
+            tenant: Some(tenant.into()),
+            tenant_priority: 1,
+            ..arrival(&service, start_by_ms, 9_000)
+        };
+        ticket(dispatcher.arrive(now_ms, request))
+    };
+    let late_large = send(0, "large", 400);
+    let late_small = send(0, "small", 800);
+    let large = [(); 2].map(|()| send(900, "large", 5_000));
+    let key = dispatcher
+        .selector()
+        .key_of(target("t0", "dc-a", 1).incarnation());
+    let key = key.expect("a target");
+    let mut started = Vec::new();
+    for now_ms in (900..2_100).step_by(300) {
+        let (work, outcome) = (WorkKind::Online, AttemptOutcome::Answered);
+        dispatcher.end(now_ms, SERVICE, key, work, outcome, 300);
+        let dequeued = dispatcher.dispatch_waiting(now_ms);
+        started.extend(dequeued.iter().map(|it| (it.ticket, it.outcome.is_ok())));
+    }
+    assert_eq!(started.len(), 4, "{started:?}");
+    let place = |ticket| started.iter().position(|it| *it == (ticket, true));
+    assert!(place(late_small) < place(large[1]), "{started:?}");
+    assert_eq!(place(late_large), Some(3), "{started:?}");
+}
+
 #[test]
 fn priority_before_fairness() {
     let mut dispatcher = busy_node();
