--- a/eel-fleet/tests/fleet/tenant_order.rs
+++ b/eel-fleet/tests/fleet/tenant_order.rs
@@ -5,7 +5,8 @@
 //! the queue, and against fairness that starves the large one.
 
 use eel_fleet::{
-    Arrival, AttemptOutcome, Decision, Dispatcher, FairOrder, Flow, TicketKey, WorkKind,
+    Arrival, AttemptOutcome, Decision, Dispatcher, FairOrder, Flow, PeerReport, TicketKey,
+    WaitingCount, WorkKind,
 };
 use eel_types::Name;
 
@@ -232,6 +233,72 @@
     assert!((100..=1_500).contains(&rejection.retry_after_ms));
 }
 
+/// A node whose queue holds a single request must not reject others for the whole backlog of its peers: its queue
+/// would stay at one, and small tenants be rejected for the excess of others.
+#[test]
+fn queue_of_one() {
+    let mut dispatcher = Dispatcher::new("dc-a".into());
+    let selector = dispatcher.selector_mut();
+    selector.set_target(target("t0", "dc-a", 20));
+    let mut keys = Vec::new();
+    for _ in 0..20 {
+        let Decision::Start(key) = arrive(&mut dispatcher, "large", 1) else {
+            panic!("the slot is free");
+        };
+        keys.push(key);
+    }
+    let (work, outcome) = (WorkKind::Online, AttemptOutcome::Answered);
+    dispatcher.end(0, SERVICE, keys[0], work, outcome, 300);
+    arrive(&mut dispatcher, "large", 1);
+    ticket(arrive(&mut dispatcher, "large", 1));
+    // Of these, 66 start within the goal of 1 s.
+    let report = PeerReport {
+        sender: 1,
+        sequence: 1,
+        waiting: vec![WaitingCount {
+            service: eel_fleet::stable_hash(SERVICE),
+            waiting: 100,
+        }],
+        ..PeerReport::default()
+    };
+    dispatcher.on_report(0, &report);
+    ticket(arrive(&mut dispatcher, "small", 1));
+}
+
+/// A late request of a small tenant must not wait until its deadline behind the excess of another, which is always in
+/// time. Those of the excess that are late still start last.
+#[test]
+fn late_but_due() {
+    let mut dispatcher = busy_node();
+    let service = Name::from(SERVICE);
+    let mut send = |now_ms, tenant: &str, start_by_ms| {
+        let request = Arrival {
+            tenant: Some(tenant.into()),
+            tenant_priority: 1,
+            ..arrival(&service, start_by_ms, 9_000)
+        };
+        ticket(dispatcher.arrive(now_ms, request))
+    };
+    let late_large = send(0, "large", 400);
+    let late_small = send(0, "small", 800);
+    let large = [(); 2].map(|()| send(900, "large", 5_000));
+    let key = dispatcher
+        .selector()
+        .key_of(target("t0", "dc-a", 1).incarnation());
+    let key = key.expect("a target");
+    let mut started = Vec::new();
+    for now_ms in (900..2_100).step_by(300) {
+        let (work, outcome) = (WorkKind::Online, AttemptOutcome::Answered);
+        dispatcher.end(now_ms, SERVICE, key, work, outcome, 300);
+        let dequeued = dispatcher.dispatch_waiting(now_ms);
+        started.extend(dequeued.iter().map(|it| (it.ticket, it.outcome.is_ok())));
+    }
+    assert_eq!(started.len(), 4, "{started:?}");
+    let place = |ticket| started.iter().position(|it| *it == (ticket, true));
+    assert!(place(late_small) < place(large[1]), "{started:?}");
+    assert_eq!(place(late_large), Some(3), "{started:?}");
+}
+
 #[test]
 fn priority_before_fairness() {
     let mut dispatcher = busy_node();
