fix(gateway): complete no item by a success without an event

Callers saw an item as completed with an empty text where a target sent a signed success with a stated length or chunks and no event.

Cause: the framing proves that no byte is missing, not that there is output. Change: a run from the start needs an event; without one it counts as truncated and the item runs again.

Measured: success_without_events (length 0, a comment, no chunk) passes; on the code before: left: String("") right: "word1\nword2\nword3\nword4\nword5" 46 tests of items, jobs and bodies pass.

--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -172,9 +172,12 @@
                 }
             }
         }
-        let is_complete = target_response
-            .framing
-            .is_complete(buffer.scanner(), resumes);
+        // Every item has output, so that a success without an event is not all of it.
+        let has_output = resumes || buffer.scanner().has_events();
+        let is_complete = has_output
+            && target_response
+                .framing
+                .is_complete(buffer.scanner(), resumes);
         if status.is_success() && !is_complete {
             log::debug!(target: "jobs", "A run of item {} ended early.", self.item.id);
             let failure = target_response.fail(AttemptFailure::Truncated);
--- a/eel-gateway/tests/gateway/false_errors.rs
+++ b/eel-gateway/tests/gateway/false_errors.rs
@@ -1,6 +1,7 @@
 //! Responses that say that an item failed, or end its run, without being the target's own failure of that run.
 //!
-//! Guards against an item that is listed as errored though a target can complete it, and against one that runs for ever.
+//! Guards against an item that is listed as errored, or as completed without its output, though a target can complete it, and
+//! against one that runs for ever.
 
 use eel_platform::standin::{Cut, Ending, Framing, LiteralScript, LiteralTarget, RawResponse};
 use serde_json::{Value, json};
@@ -124,6 +125,22 @@
     assert_completes(&[begun, unsigned(500), unsigned(500)]).await;
 }
 
+// Guards against an item that is completed without the output that its target has not sent.
+#[tokio::test]
+async fn success_without_events() {
+    let seal = "x-eelgrassgap-response-seal: seal\r\n";
+    let empty = response(200, &format!("{seal}content-length: 0\r\n"), "");
+    let comment = response(200, &format!("{seal}content-length: 3\r\n"), ":a\n");
+    let chunked = response(
+        200,
+        &format!("{seal}transfer-encoding: chunked\r\n"),
+        "0\r\n\r\n",
+    );
+    for success in [empty, comment, chunked] {
+        assert_completes(&[success]).await;
+    }
+}
+
 // Guards against texts without end that count as failures of the item.
 #[tokio::test]
 async fn endless_text() {
