test(store,gateway): long watch messages, rejections of one target, dropped texts

Three tests over sockets that fail on:

- long_messages::changes_in_one_message: a watch never gets 40 changes of 512 KiB in one message (20 MiB); it opens again at the same revision for 20 s. 30 changes arrive.
- false_errors::rejections_of_one_faulty_target: of 60 items 7 are errored, in 7 of 7 runs, as one of two targets answers each with an unsigned 422 three times, though the other target completes them.
- false_errors::dropped_text_at_another_node: a text that a node has dropped as too long is the longest saved one; another node completes the item with it, 922,499 bytes in place of 29.

--- a/eel-gateway/tests/gateway/false_errors.rs
+++ b/eel-gateway/tests/gateway/false_errors.rs
@@ -3,8 +3,11 @@
 //! Guards against an item that is listed as errored, or as completed without its output, though a target can complete it, and
 //! against one that runs for ever.
 
+use std::{ops::RangeInclusive, time::Duration};
+
 use eel_platform::standin::{Cut, Ending, Framing, LiteralScript, LiteralTarget, RawResponse};
 use serde_json::{Value, json};
+use tokio::time::sleep;
 
 use crate::fixture::{Fleet, fleet, raw_fleet};
 
@@ -185,3 +188,73 @@
         assert_eq!(result["state"], "completed");
     }
 }
+
+/// Runs `count` items, at a node with two targets of which one answers every run `faulty`; returns the errored ones.
+async fn errored_beside_a_faulty_target(faulty: &str, count: usize) -> usize {
+    let (bad, good) = (LiteralScript::default(), LiteralScript::default());
+    let responses = vec![faulty.to_owned(); 10_000];
+    bad.lock().expect("the script").extend(responses);
+    let mut fleet = fleet(0, 0).await;
+    let mut targets = Vec::new();
+    for (id, script) in [("i-0", bad), ("i-1", good)] {
+        let target = LiteralTarget::start(&fleet.store, id, script).await;
+        targets.push(target.expect("a target"));
+    }
+    fleet.add_node("node-0", true).await;
+    let paths = vec!["stream/1"; count];
+    assert_eq!(fleet.submit(0, "j1", &paths).await, 202);
+    let results = fleet.results(0, "j1", count).await;
+    let errored = results.iter().filter(|it| it["state"] == "errored");
+    errored.count()
+}
+
+// Guards against an item whose doubtful answers all come from one target, or over the way to it, while another target can
+// complete it.
+#[tokio::test]
+async fn rejections_of_one_faulty_target() {
+    assert_eq!(errored_beside_a_faulty_target(&unsigned(422), 60).await, 0);
+}
+
+#[tokio::test]
+async fn failures_of_one_faulty_target() {
+    assert_eq!(errored_beside_a_faulty_target(&unsigned(500), 60).await, 0);
+}
+
+/// Returns a response with the events `ids` of 1 KiB each that breaks off after the last of them.
+fn long_events(ids: RangeInclusive<u64>) -> String {
+    let fields = "x-eelgrassgap-response-seal: seal\r\ncontent-type: text/event-stream\r\ncontent-length: 9999999\r\n";
+    let word = "x".repeat(1_024);
+    let events: Vec<String> = ids
+        .map(|id| format!("id: {id}\ndata: {word}\n\n"))
+        .collect();
+    response(200, fields, &events.concat())
+}
+
+// Guards against a text that one node has dropped as too long, and another one takes for the item's: it is the longest saved.
+#[tokio::test]
+async fn dropped_text_at_another_node() {
+    let full = "x-eelgrassgap-not-executed: 1\r\ncontent-length: 0\r\n";
+    let full = vec![response(503, full, ""); 100_000];
+    let mut literal = literal_fleet(&[]).await;
+    let set = |script: &LiteralScript, first: String| {
+        let mut script = script.lock().expect("the script");
+        script.clear();
+        script.push_back(first);
+        script.extend(full.iter().cloned());
+    };
+    set(&literal.script, long_events(1..=900));
+    assert_eq!(literal.fleet.submit(0, "j1", &["stream/1"]).await, 202);
+    // The node saves the text.
+    sleep(Duration::from_secs(4)).await;
+    set(&literal.script, long_events(901..=1_000));
+    // It drops it.
+    sleep(Duration::from_secs(4)).await;
+    let metrics = literal.fleet.metrics(0).await;
+    assert!(metrics.contains("discarded"), "{metrics}");
+    literal.fleet.replace_nodes().await;
+    literal.script.lock().expect("the script").clear();
+    let result = literal.fleet.results(0, "j1", 1).await.remove(0);
+    let text = result["text"].as_str().expect("a text");
+    assert_eq!(result["state"], "completed");
+    assert_eq!(text.len(), WHOLE_TEXT.len(), "{text:.60}");
+}
--- a/eel-store/tests/store/main.rs
+++ b/eel-store/tests/store/main.rs
@@ -4,6 +4,7 @@
 mod fixture;
 mod key_contract;
 mod lease_contract;
+mod long_messages;
 mod lost_answers;
 mod vm_list;
 mod watch_contract;
