fix(store): end a watch whose missed changes fill more than a message

A watch message over 16 MiB counts as broken. A node that missed more than that got the same message each time it opened the watch again, and saw neither those changes nor any later ones.

Change: such a message ends the watch as a compaction does, so that the keys are read again by pages; a watch that has delivered nothing is opened again.

Measured: long_messages, 1 to 60 changes of 512 KiB at once, failed at 40 in 3 of 3 runs before and passes; endless_bytes::watches passes unchanged; 25 tests of the store.

--- a/eel-store/src/etcd/watch.rs
+++ b/eel-store/src/etcd/watch.rs
@@ -120,7 +120,11 @@
             }
             match end {
                 ReadEnd::Idle => {}
-                ReadEnd::Disconnected => {
+                // The same changes would be too long each time. The keys are read again by pages.
+                ReadEnd::TooLong if let Some(delivered) = self.delivered => {
+                    return Err(WatchEnd::Compacted(delivered));
+                }
+                ReadEnd::Disconnected | ReadEnd::TooLong => {
                     lines = None;
                     backoff.pause().await;
                 }
@@ -158,6 +162,10 @@
                     return Ok(ReadEnd::Disconnected);
                 }
             }
+            if lines.is_too_long() {
+                log::warn!(target: "store", max_bytes = MAX_MESSAGE_BYTES; "A watch ends: a message is too long.");
+                return Ok(ReadEnd::TooLong);
+            }
             match timeout(self.idle_timeout, lines.fill()).await {
                 Ok(Ok(())) => {}
                 Ok(Err(_)) => return Ok(ReadEnd::Disconnected),
@@ -220,6 +228,7 @@
 enum ReadEnd {
     Disconnected,
     Idle,
+    TooLong,
 }
 
 /// Exponential backoff between reconnects.
@@ -286,13 +295,13 @@
         }
     }
 
-    /// Waits for the next chunk of the body and appends it to the buffer, which a faulty service may never complete to a
-    /// line.
+    /// Returns whether the buffer holds the start of a message that the service may never complete.
+    fn is_too_long(&self) -> bool {
+        self.buffer.len() > MAX_MESSAGE_BYTES
+    }
+
+    /// Waits for the next chunk of the body and appends it to the buffer.
     async fn fill(&mut self) -> StoreResult<()> {
-        if self.buffer.len() > MAX_MESSAGE_BYTES {
-            log::warn!(target: "store", max_bytes = MAX_MESSAGE_BYTES; "A watch is closed: a message is too long.");
-            return Err(Report::new(StoreError::Unavailable));
-        }
         match self.response.chunk().await {
             Ok(Some(chunk)) => {
                 self.buffer.extend_from_slice(&chunk);
