fix(gateway): send the next run of an item elsewhere after a doubtful answer

Callers saw items as errored by three unsigned responses of 422 that all came from one target, while another could complete them: a 422 counted as an answer of a sound target, so that the item went back to the same place.

Change: an unsigned 422 counts against its target as an unsigned 500 does.

--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -6,7 +6,7 @@
 };
 
 use eel_events::{EventBuffer, Repeats, each, event_data, event_id};
-use eel_fleet::TargetEntry;
+use eel_fleet::{AttemptOutcome, TargetEntry};
 use eel_ledger::{Claim, Item, JobHead, MAX_TEXT_BYTES, Progress, RunOutcome};
 use eel_platform::shared_parts_of;
 use eel_quarantine::MAX_FIRST_EVENTS;
@@ -186,7 +186,12 @@
             let events = buffer.scanner().events();
             return self.failed(outgoing, failure, &target, events).await;
         }
-        target_response.finish(&self.context.pool);
+        let pool = &self.context.pool;
+        match claim_of(status) {
+            // The next run is better sent elsewhere: an answer that comes again from there says nothing new.
+            Some(_) if !is_signed => target_response.finish_as(AttemptOutcome::Errored, pool),
+            _ => target_response.finish(pool),
+        }
         if status.is_success() {
             quarantine::on_completed(&self.context, &outgoing.suspects);
         }
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -319,12 +319,18 @@
     }
 
     /// Marks the response as complete and returns its connection to the pool.
-    pub fn finish(mut self, pool: &Pool) {
-        self.slot.set_outcome(if self.status.is_server_error() {
+    pub fn finish(self, pool: &Pool) {
+        let outcome = if self.status.is_server_error() {
             AttemptOutcome::Errored
         } else {
             AttemptOutcome::Answered
-        });
+        };
+        self.finish_as(outcome, pool);
+    }
+
+    /// Does as [`Self::finish`]; the choice of targets counts the attempt as `outcome`.
+    pub fn finish_as(mut self, outcome: AttemptOutcome, pool: &Pool) {
+        self.slot.set_outcome(outcome);
         let is_open = !self.fields.closes && self.framing != BodyFraming::Connection;
         let connection = self.connection.take();
         if let Some(connection) = connection.filter(|_| is_open) {
