fix(gateway): take no answer that names a request for a target's description of itself

The question about a target's state has no id. A late copy of an answer to a request whose body states a time of a start could stand for the answer. An answer that names a request is none now. No test shows the case, which needs a body like a description; restarted_target and late_copies pass.

--- a/eel-gateway/src/target/identity.rs
+++ b/eel-gateway/src/target/identity.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use eel_platform::{TARGET_STATE_PATH, decode_started_unix_ms};
+use eel_platform::{TARGET_STATE_PATH, decode_started_unix_ms, names_request};
 use http::{Request, header};
 use http_body_util::{BodyExt as _, Full, Limited};
 use tokio::time::timeout_at;
@@ -47,7 +47,7 @@
     connection.is_kept = true;
     let answer = async {
         let response = connection.sender.send_request(question).await.ok()?;
-        if !response.status().is_success() {
+        if !response.status().is_success() || names_request(response.headers()) {
             return Some(Identity::Unknown);
         }
         let body = Limited::new(response.into_body(), MAX_STATE_BYTES).collect();
