fix(fleet,gateway): number load reports once an incarnation, and use no overtaken one

The task that sends reports may be started again within an incarnation, and began its numbers anew: peers would have ignored its reports until they passed the earlier ones. An overtaken report still counted as a sign that the sender renews its lease, and as one of a live sender.

Change: the number is kept with the node's state; Peers::on_report says whether it used the report.

The restart of the task was not played.

--- a/eel-fleet/src/peers.rs
+++ b/eel-fleet/src/peers.rs
@@ -112,17 +112,19 @@
         }
     }
 
-    /// Records a report, or another part of the last one; a report from an unknown incarnation, or one that a later report
-    /// of its sender has overtaken, is ignored.
-    pub fn on_report(&mut self, now_ms: u64, report: &PeerReport) {
+    /// Records a report, or another part of the last one. Returns `false` if it is ignored: it is from an unknown incarnation,
+    /// or a later report of its sender has overtaken it.
+    pub fn on_report(&mut self, now_ms: u64, report: &PeerReport) -> bool {
         let mut peers = self.peers.values_mut();
         let peer = peers.find(|peer| peer.entry.incarnation == report.sender);
-        if let Some(peer) = peer.filter(|peer| report.sequence >= peer.last_sequence) {
-            peer.last_report_ms = Some(now_ms);
-            peer.last_sequence = report.sequence;
-            peer.takes_batch = report.takes_batch;
-            peer.reaches_store = report.reaches_store;
-        }
+        let Some(peer) = peer.filter(|peer| report.sequence >= peer.last_sequence) else {
+            return false;
+        };
+        peer.last_report_ms = Some(now_ms);
+        peer.last_sequence = report.sequence;
+        peer.takes_batch = report.takes_batch;
+        peer.reaches_store = report.reaches_store;
+        true
     }
 
     /// Returns the addresses to send reports to, each with the token that its node expects.
--- a/eel-fleet/src/selector/peer_loads.rs
+++ b/eel-fleet/src/selector/peer_loads.rs
@@ -38,7 +38,6 @@
     /// applied before.
     pub fn on_report(&mut self, now_ms: u64, report: &PeerReport) -> bool {
         let sender = self.senders.entry(report.sender).or_default();
-        sender.at_ms = now_ms;
         let mut is_newer = [false; 1 << MAX_PART_BITS];
         for part in report.part.finest() {
             is_newer[part] = report.sequence > sender.sequences[part];
@@ -47,6 +46,7 @@
         if !is_newer.contains(&true) {
             return false;
         }
+        sender.at_ms = now_ms;
         let is_newer = |target: u64| is_newer[finest_part(target)];
         let mut loaded = std::mem::take(&mut sender.loaded);
         loaded.retain(|&key| {
--- a/eel-fleet/tests/fleet/live_peers.rs
+++ b/eel-fleet/tests/fleet/live_peers.rs
@@ -95,7 +95,7 @@
     };
     peers.on_report(1_000, &numbered(3, true));
     peers.on_report(1_100, &numbered(4, false));
-    peers.on_report(1_200, &numbered(3, true));
+    assert!(!peers.on_report(1_200, &numbered(3, true)));
     let takes_batch = peers.batch_nodes(1_200).count();
     peers.on_removed(1_300, "b");
     let is_live = peers.is_live(3_100, "b");
--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -75,6 +75,8 @@
     partials: Mutex<Partials>,
     /// The sequence number of the next write of saved progress.
     pub(crate) save_sequence: AtomicU64,
+    /// The number of load reports that were sent.
+    pub(crate) report_sequence: AtomicU64,
     /// Whether this node has read all jobs and the saved progress of their items; only nodes with batch enabled do so.
     pub(crate) has_read_jobs: AtomicBool,
     /// The number of changes of the ledger; notifies result calls that wait.
@@ -156,6 +158,7 @@
             shown_revision: AtomicU64::new(0),
             partials: Mutex::default(),
             save_sequence: AtomicU64::new(0),
+            report_sequence: AtomicU64::new(0),
             has_read_jobs: AtomicBool::new(false),
             ledger_changes: watch::channel(0).0,
             batch_wake: Notify::new(),
--- a/eel-gateway/src/reports.rs
+++ b/eel-gateway/src/reports.rs
@@ -3,7 +3,12 @@
 //! Each report replaces the sender's previous one, so a lost datagram is made up for by the next one, and there is no
 //! connection that could hang.
 
-use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    fmt, io,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use eel_fleet::{MAX_REPORT_INTERVAL_MS, PeerReport};
 use tokio::{
@@ -24,7 +29,9 @@
 
 /// Sends a report to all peers when the load changes, and at least once per [`REPORT_INTERVAL`].
 pub(crate) async fn send_reports(context: &Context, socket: &UdpSocket) {
-    for sequence in 1.. {
+    loop {
+        // This task may be restarted within an incarnation, in which the numbers must not begin again.
+        let sequence = 1 + context.report_sequence.fetch_add(1, Ordering::Relaxed);
         let last = Instant::now();
         let report = PeerReport {
             sender: context.incarnation,
@@ -93,8 +100,8 @@
 
 fn on_report(context: &Context, report: &PeerReport) {
     let now_ms = context.clock.now_ms();
-    context.peers().on_report(now_ms, report);
-    if report.reaches_store {
+    let is_latest = context.peers().on_report(now_ms, report);
+    if is_latest && report.reaches_store {
         context.on_peer_lease_renewed();
     }
     context
