fix(gateway,ledger): remove what was saved of a dropped text

Callers saw an item as completed with a wrong text: a text that had grown over its limit was dropped by the node that ran the item, but what it had saved stayed in the store, and another node continued it, as the longest.

Change: the keys with pieces of a dropped text are removed with the next save, also one that was being written then. What they have of other items is saved once more from the start. Until the removal, at most 2 s without faults of the store, another node may still continue it.

--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -57,6 +57,8 @@
     pub(super) worklist: Worklist,
     pub(super) runs: SlotMap<RunKey, Running>,
     pub(super) saved: SavedItems,
+    /// The keys of saved texts that were dropped, which no node may continue.
+    pub(super) dropped_keys: Vec<String>,
     /// Whether this node is about to start the trial of a blocked item.
     pub(super) is_admitting_trial: bool,
 }
@@ -126,6 +128,7 @@
 
     /// Saves the progress of items if the last save was at least `interval_ms` ago.
     async fn save_progress(&self, interval_ms: u64) {
+        let dropped = self.begin_removal();
         let pieces = {
             let mut state = self.lock();
             let State {
@@ -146,8 +149,12 @@
                 running.chain(interrupted),
             )
         };
-        if save::save(&self.context, &pieces).await {
-            self.lock().saved.on_saved(&pieces);
+        if let Some(key) = save::save(&self.context, &pieces, &dropped).await {
+            let mut state = self.lock();
+            state.dropped_keys.retain(|it| !dropped.contains(it));
+            if state.saved.on_saved(&pieces) {
+                state.dropped_keys.push(key);
+            }
         }
     }
 
@@ -427,7 +434,7 @@
         let mut state = self.lock();
         state.runs.remove(key);
         if matches!(run_outcome, RunOutcome::Discarded(_)) {
-            state.saved.begin(&item, None, rand::random());
+            self.drop_saved(&mut state, &item);
         }
         let cause = state
             .worklist
--- a/eel-ledger/src/partials.rs
+++ b/eel-ledger/src/partials.rs
@@ -124,6 +124,21 @@
         texts.max_by_key(|saved| saved.progress.last_event)
     }
 
+    /// Returns the keys with pieces of `item`.
+    pub fn keys_of(&self, item: &ItemRef) -> impl Iterator<Item = &String> {
+        let with_item = self
+            .keys
+            .iter()
+            .filter(move |(_, items)| items.contains(item));
+        with_item.map(|(key, _)| key)
+    }
+
+    /// Returns the items of which `key` has pieces.
+    #[must_use]
+    pub fn items_of(&self, key: &str) -> &[ItemRef] {
+        self.keys.get(key).map_or(&[], Vec::as_slice)
+    }
+
     /// Returns up to `limit` keys whose items have all ended.
     #[must_use]
     pub fn ended(&self, ledger: &Ledger, limit: usize) -> Vec<String> {
--- a/eel-ledger/src/saved.rs
+++ b/eel-ledger/src/saved.rs
@@ -68,21 +68,27 @@
             .collect()
     }
 
-    /// Records that `pieces` were written to the store.
-    pub fn on_saved(&mut self, pieces: &[Piece]) {
+    /// Records that `pieces` were written to the store. Returns whether one of them is of a text that was dropped meanwhile.
+    pub fn on_saved(&mut self, pieces: &[Piece]) -> bool {
+        let mut has_dropped = false;
         for piece in pieces {
             let item = ItemRef {
                 job: piece.job.clone(),
                 item: piece.item,
             };
-            let saved = self.items.get_mut(&item);
+            let Some(saved) = self.items.get_mut(&item) else {
+                continue;
+            };
             // The item may have begun another lineage while the pieces were written.
-            if let Some(saved) = saved.filter(|it| it.lineage == piece.lineage) {
+            if saved.lineage == piece.lineage {
                 let separator = usize::from(saved.event.is_some());
                 saved.text_bytes += separator + piece.text.len();
                 saved.event = Some(piece.last);
+            } else {
+                has_dropped = true;
             }
         }
+        has_dropped
     }
 
     /// Removes items that have ended.
