refactor(gateway): log the end of a run apart, and count texts only when they may be too many

The worker added up all unfinished texts in each step. It now does so once the count of what was added may exceed the bound; a text that a run continues is added when it starts. The line about the end of a run has a function of its own.

--- a/eel-gateway/src/batch/texts.rs
+++ b/eel-gateway/src/batch/texts.rs
@@ -18,6 +18,10 @@
 impl Worker {
     /// Drops the largest texts of unfinished items if all of them take too much memory.
     pub(super) fn bound_texts(&self) {
+        let max_bytes = self.context.max_text_bytes;
+        if self.context.text_bytes.load(Ordering::Relaxed) <= max_bytes {
+            return;
+        }
         let mut state = self.lock();
         let State { worklist, runs, .. } = &mut *state;
         let running = runs.iter().filter(|(_, run)| !run.cancel.is_cancelled());
@@ -29,7 +33,6 @@
         let texts: Vec<_> = running.chain(waiting).collect();
         let held_bytes = texts.iter().map(|(_, bytes)| bytes).sum();
         self.context.text_bytes.store(held_bytes, Ordering::Relaxed);
-        let max_bytes = self.context.max_text_bytes;
         let dropped = largest_beyond(texts, max_bytes);
         if !dropped.is_empty() {
             log::warn!(
--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
     time::{Duration, Instant},
 };
 
@@ -304,6 +304,9 @@
             stable_hash(&entry.id),
         )?;
         let progress = self.initial_progress(state, item, slot.target.version.as_ref());
+        self.context
+            .text_bytes
+            .fetch_add(progress.text.len(), Ordering::Relaxed);
         let progress = SharedProgress::new(progress);
         let cancel = CancellationToken::new();
         let now_ms = self.context.clock.now_ms();
@@ -394,43 +397,8 @@
             RunOutcome::Interrupted(progress) if is_discarded => RunOutcome::Discarded(progress),
             run_outcome => run_outcome,
         };
-        let failures = match &run_outcome {
-            RunOutcome::Failed(progress) => progress.failures + 1,
-            RunOutcome::Completed(progress)
-            | RunOutcome::Interrupted(progress)
-            | RunOutcome::Discarded(progress)
-            | RunOutcome::Doubtful(progress, _) => progress.failures,
-            RunOutcome::Rejected | RunOutcome::Unsendable => 0,
-        };
-        let outcome = match &run_outcome {
-            RunOutcome::Completed(_) => "completed",
-            RunOutcome::Interrupted(_) => "broken_off",
-            RunOutcome::Failed(_) => "failed",
-            RunOutcome::Doubtful(..) => "doubtful",
-            RunOutcome::Discarded(_) => "discarded",
-            RunOutcome::Rejected | RunOutcome::Unsendable => "impossible",
-        };
-        self.context.metrics.count_item(outcome);
-        let (status, is_signed, local_port, is_kept) =
-            run.response.map_or((0, false, 0, false), |it| {
-                let path = it.path;
-                (
-                    it.status.as_u16(),
-                    it.is_signed,
-                    path.local_port,
-                    path.is_kept,
-                )
-            });
-        let verdict = match run_outcome {
-            RunOutcome::Interrupted(_) | RunOutcome::Doubtful(..) => Verdict::MayHaveRun,
-            _ => Verdict::Ran,
-        };
-        log::info!(
-            target: "jobs", request_id = run.item.id.as_str(), job = item.job.as_str(), target_id = target.as_str(),
-            outcome, failures, max_attempts = run.head.max_attempts, verdict = verdict.as_str(), yielded = cancel.is_cancelled(),
-            status, is_signed, local_port, is_kept;
-            "A run of an item ended."
-        );
+        self.context.metrics.count_item(outcome_name(&run_outcome));
+        log_end(&item, &run, &target, &run_outcome, cancel.is_cancelled());
         let mut state = self.lock();
         state.runs.remove(key);
         if matches!(run_outcome, RunOutcome::Discarded(_)) {
@@ -460,3 +428,46 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn log_end(item: &ItemRef, run: &Run, target_id: &str, run_outcome: &RunOutcome, yielded: bool) {
+    let response = run.response.as_ref();
+    let path = response.map(|it| it.path);
+    let verdict = match run_outcome {
+        RunOutcome::Interrupted(_) | RunOutcome::Doubtful(..) => Verdict::MayHaveRun,
+        _ => Verdict::Ran,
+    };
+    log::info!(
+        target: "jobs", request_id = run.item.id.as_str(), job = item.job.as_str(), target_id,
+        outcome = outcome_name(run_outcome), failures = failures_after(run_outcome),
+        max_attempts = run.head.max_attempts, verdict = verdict.as_str(), yielded,
+        status = response.map_or(0, |it| it.status.as_u16()),
+        is_signed = response.is_some_and(|it| it.is_signed),
+        local_port = path.map_or(0, |it| it.local_port),
+        is_kept = path.is_some_and(|it| it.is_kept);
+        "A run of an item ended."
+    );
+}
+
+/// Returns the name of an outcome in logs and metrics.
+fn outcome_name(run_outcome: &RunOutcome) -> &'static str {
+    match run_outcome {
+        RunOutcome::Completed(_) => "completed",
+        RunOutcome::Interrupted(_) => "broken_off",
+        RunOutcome::Failed(_) => "failed",
+        RunOutcome::Doubtful(..) => "doubtful",
+        RunOutcome::Discarded(_) => "discarded",
+        RunOutcome::Rejected | RunOutcome::Unsendable => "impossible",
+    }
+}
+
+/// Returns how many runs of an item have failed once a run has this outcome; 0 if it does not matter any more.
+fn failures_after(run_outcome: &RunOutcome) -> u32 {
+    match run_outcome {
+        RunOutcome::Failed(progress) => progress.failures + 1,
+        RunOutcome::Completed(progress)
+        | RunOutcome::Interrupted(progress)
+        | RunOutcome::Discarded(progress)
+        | RunOutcome::Doubtful(progress, _) => progress.failures,
+        RunOutcome::Rejected | RunOutcome::Unsendable => 0,
+    }
+}
--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -91,7 +91,8 @@
     lease_renewed_ms: AtomicU64,
     /// Nodes that the operator wants to retire and that this node has not yet reported empty.
     retirements: Mutex<BTreeSet<Name>>,
-    /// The size of the texts of unfinished items when they were last counted, and what was added to them since.
+    /// The size of the texts of unfinished items when they were last counted, and what was added or started since: at least
+    /// what they hold.
     pub(crate) text_bytes: AtomicUsize,
     /// The maximum size of the texts of unfinished items.
     pub(crate) max_text_bytes: usize,
