--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -163,7 +163,7 @@
                     let events = buffer.scanner().events();
                     let run_outcome = self.failed(outgoing, failure, &target, events).await;
                     return match (claim_of(status), run_outcome) {
-                        // The target may have meant it, and must not be asked for ever.
+                        // The target may have meant it, and must not be asked without a limit.
                         (Some(claim), RunOutcome::Interrupted(progress)) => {
                             RunOutcome::Doubtful(progress, claim)
                         }
--- a/eel-gateway/tests/gateway/false_errors.rs
+++ b/eel-gateway/tests/gateway/false_errors.rs
@@ -1,7 +1,7 @@
 //! Responses that say that an item failed, or end its run, without being the target's own failure of that run.
 //!
 //! Guards against an item that is listed as errored, or as completed without its output, though a target can complete it, and
-//! against one that runs for ever.
+//! against one that runs without a limit.
 
 use std::{ops::RangeInclusive, time::Duration};
 
@@ -98,7 +98,7 @@
     assert_completes(&vec![encoded(500); 2]).await;
 }
 
-// Guards against an item that runs for ever, as the bodies of its targets' responses break off.
+// Guards against an item that runs without a limit, as the bodies of its targets' responses break off.
 #[tokio::test]
 async fn failures_that_break_off() {
     let broken = |status| {
--- a/eel-ledger/src/failures.rs
+++ b/eel-ledger/src/failures.rs
@@ -1,7 +1,7 @@
 //! Decides when failed runs end an item.
 //!
 //! A target need not sign a response that says that a run failed, so anyone on the way may have written one without a
-//! signature. One such response ends nothing, but an item whose targets never sign must not run for ever either.
+//! signature. One such response ends nothing, but an item whose targets never sign must not run without a limit either.
 
 use crate::ErrorCause;
 
--- a/eel-ledger/tests/ledger/doubtful_failures.rs
+++ b/eel-ledger/tests/ledger/doubtful_failures.rs
@@ -1,6 +1,6 @@
 //! The decision when failed runs end an item.
 //!
-//! Guards against an item that one doubtful response ends, and against one that runs for ever.
+//! Guards against an item that one doubtful response ends, and against one that runs without a limit.
 
 use eel_ledger::{Claim, Doubts, ErrorCause, ItemRef, RunOutcome, Worklist, cause_to_end};
 
--- a/eel-origin/tests/origin/old_records.rs
+++ b/eel-origin/tests/origin/old_records.rs
@@ -1,4 +1,4 @@
-//! Guards against a record that is dropped while its streams may be resumed, and against one that stays for ever.
+//! Guards against a record that is dropped while its streams may be resumed, and against one that is never removed.
 
 use eel_origin::Leftovers;
 
--- a/eel-store/tests/store/long_messages.rs
+++ b/eel-store/tests/store/long_messages.rs
@@ -1,6 +1,6 @@
 //! A service that sends many changes as one message of a watch, as after an outage of a node.
 //!
-//! Guards against a watch that is closed and opened again at the same revision for ever, so that its node never sees them.
+//! Guards against a watch that is closed and opened again at the same revision without end, so that its node never sees them.
 
 use std::time::Duration;
 
