fix(gateway): name each key of dropped texts once in a removal

Found in reading: two texts that share a key, or one that is dropped again before the store has taken the removal, put the key into the transaction twice. The protocol does not say that a store takes that; one that rejects it would reject each later save as well. The keys are a set now.

--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -1,7 +1,7 @@
 //! The batch worker, which runs the items of the jobs that this node owns.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
     time::{Duration, Instant},
 };
@@ -58,7 +58,7 @@
     pub(super) runs: SlotMap<RunKey, Running>,
     pub(super) saved: SavedItems,
     /// The keys of saved texts that were dropped, which no node may continue.
-    pub(super) dropped_keys: Vec<String>,
+    pub(super) dropped_keys: BTreeSet<String>,
     /// Whether this node is about to start the trial of a blocked item.
     pub(super) is_admitting_trial: bool,
 }
@@ -153,7 +153,7 @@
             let mut state = self.lock();
             state.dropped_keys.retain(|it| !dropped.contains(it));
             if state.saved.on_saved(&pieces) {
-                state.dropped_keys.push(key);
+                state.dropped_keys.insert(key);
             }
         }
     }
