--- a/tests/gateway/endless_bytes.rs
+++ b/tests/gateway/endless_bytes.rs
@@ -190,6 +190,17 @@
         }
     }
 
+    /// Sends requests of other callers for [`FAULTY_TIME`].
+    async fn send_ordinary_while_faulty(&mut self) {
+        let started = Instant::now();
+        let mut number = 0;
+        while started.elapsed() < FAULTY_TIME {
+            number += 1;
+            self.send_ordinary(format!("ordinary-{number}")).await;
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     /// Returns the growth of the process if it is too much, or what else is wrong.
     fn check(&mut self, case: Endless, written_mb: u64) -> Option<String> {
         assert!(!self.fixture.node.has_ended(), "the node has ended");
@@ -238,13 +249,7 @@
     let sent = small.fixture.post("/jobs/submit", "faulty-job").body(body);
     let sent = sent.send().await.expect("a response");
     assert_eq!(sent.status(), 202);
-    let started = Instant::now();
-    let mut number = 0;
-    while started.elapsed() < FAULTY_TIME {
-        number += 1;
-        small.send_ordinary(format!("ordinary-{number}")).await;
-        sleep(Duration::from_millis(50)).await;
-    }
+    small.send_ordinary_while_faulty().await;
     let written_mb = faulty.iter().map(Faulty::written_mb).sum();
     small.check(response, written_mb)
 }
@@ -357,13 +362,7 @@
         // All connections are closed meanwhile.
         sleep(Duration::from_millis(100)).await;
         proxy.set(ProxyMode::Forwards);
-        let started = Instant::now();
-        let mut number = 0;
-        while started.elapsed() < FAULTY_TIME {
-            number += 1;
-            small.send_ordinary(format!("ordinary-{number}")).await;
-            sleep(Duration::from_millis(50)).await;
-        }
+        small.send_ordinary_while_faulty().await;
         wrong.extend(small.check(response, faulty.written_mb()));
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
