refactor(gateway): read a response's claim once, and log ends of items apart

The claim is read once, TargetResponse::trace gives the log's view where the connection is, and ends.rs logs and counts how runs and items end. Log lines, metrics and decisions are unchanged.

--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -17,7 +17,7 @@
     quarantine::{self, Suspects},
     slots::SlotGuard,
     target::{
-        AttemptFailure, ConnectionPath, OutgoingRequest, TargetResponse, continues_stream, exchange,
+        AttemptFailure, OutgoingRequest, ResponseTrace, TargetResponse, continues_stream, exchange,
     },
 };
 
@@ -37,16 +37,8 @@
     pub progress: SharedProgress,
     /// How long after the start of the run its item may be given up, in ms.
     pub left_ms: u64,
-    /// The response; `None` if there was none.
-    pub response: Option<ResponseTrace>,
-}
-
-/// What the log says of the response to a run.
-#[derive(Clone, Copy, Debug)]
-pub struct ResponseTrace {
-    pub status: StatusCode,
-    pub is_signed: bool,
-    pub path: ConnectionPath,
+    /// What the log says of the response.
+    pub response: ResponseTrace,
 }
 
 /// The progress of a running item, shared by its run and by the task that saves it.
@@ -82,11 +74,7 @@
         let last_event = self.progress.lock().last_event;
         match exchange(pool, slot, &outgoing, last_event, until, deadline).await {
             Ok(mut target_response) => {
-                self.response = Some(ResponseTrace {
-                    status: target_response.status,
-                    is_signed: target_response.fields.is_signed,
-                    path: target_response.path,
-                });
+                self.response = target_response.trace();
                 let (status, headers) = (target_response.status, &target_response.headers);
                 let may_continue = last_event.is_none() || continues_stream(status, headers);
                 if status.is_success() && !may_continue {
@@ -116,7 +104,8 @@
         deadline: Instant,
     ) -> RunOutcome {
         let status = target_response.status;
-        let is_signed = target_response.fields.is_signed;
+        let claim = claim_of(status);
+        let is_doubtful = claim.is_some() && !target_response.fields.is_signed;
         let version = target_response.slot.target.version.clone();
         let last_event = self.progress.lock().last_event;
         let resumes = last_event.is_some();
@@ -162,7 +151,7 @@
                     drop(target_response);
                     let events = buffer.scanner().events();
                     let run_outcome = self.failed(outgoing, failure, &target, events).await;
-                    return match (claim_of(status), run_outcome) {
+                    return match (claim, run_outcome) {
                         // The target may have meant it, and must not be asked without a limit.
                         (Some(claim), RunOutcome::Interrupted(progress)) => {
                             RunOutcome::Doubtful(progress, claim)
@@ -187,17 +176,18 @@
             return self.failed(outgoing, failure, &target, events).await;
         }
         let pool = &self.context.pool;
-        match claim_of(status) {
-            // The next run is better sent elsewhere: an answer that comes again from there says nothing new.
-            Some(_) if !is_signed => target_response.finish_as(AttemptOutcome::Errored, pool),
-            _ => target_response.finish(pool),
+        if is_doubtful {
+            // The next run is better sent elsewhere: the same answer from there says nothing new.
+            target_response.finish_as(AttemptOutcome::Errored, pool);
+        } else {
+            target_response.finish(pool);
         }
         if status.is_success() {
             quarantine::on_completed(&self.context, &outgoing.suspects);
         }
         let progress = self.progress.take();
-        match claim_of(status) {
-            Some(claim) if !is_signed => RunOutcome::Doubtful(progress, claim),
+        match claim {
+            Some(claim) if is_doubtful => RunOutcome::Doubtful(progress, claim),
             Some(Claim::Failed) => RunOutcome::Failed(progress),
             Some(Claim::Rejected) => RunOutcome::Rejected,
             None if status.is_success() => RunOutcome::Completed(progress),
--- a/eel-gateway/src/batch/mod.rs
+++ b/eel-gateway/src/batch/mod.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod commit;
+mod ends;
 mod item;
 mod retire;
 mod save;
--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -12,13 +12,12 @@
 };
 use eel_quarantine::Scope;
 use eel_types::Name;
-use eel_verdict::Verdict;
 use slotmap::SlotMap;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    commit,
+    commit, ends,
     item::{Run, SharedProgress, suspects_of},
     retire, save,
 };
@@ -26,6 +25,7 @@
     context::{Context, now_unix_ms},
     quarantine::{self, Suspects, Trial},
     slots::SlotGuard,
+    target::ResponseTrace,
 };
 
 /// The maximum time between two steps of the worker, and the maximum wait for cancelled runs while it drains.
@@ -259,7 +259,7 @@
             let job = ledger.job(&item.job);
             let entry = job.and_then(|it| it.items().get(item.item as usize));
             let id = entry.map_or("", |it| &it.id);
-            self.on_errored(item, id, ErrorCause::GiveUpTime, 0);
+            ends::on_errored(&self.context, item, id, ErrorCause::GiveUpTime, 0);
         }
         let quarantine = self.context.quarantine(Scope::Parts);
         let may_run = |item: &Item| {
@@ -326,7 +326,7 @@
             item: entry,
             progress,
             left_ms,
-            response: None,
+            response: ResponseTrace::default(),
         };
         let driven = self.clone().drive(key, item.clone(), run, slot, cancel);
         Some(async move {
@@ -397,8 +397,7 @@
             RunOutcome::Interrupted(progress) if is_discarded => RunOutcome::Discarded(progress),
             run_outcome => run_outcome,
         };
-        self.context.metrics.count_item(outcome_name(&run_outcome));
-        log_end(&item, &run, &target, &run_outcome, cancel.is_cancelled());
+        ends::on_run_end(&run, &item, &target, &run_outcome, cancel.is_cancelled());
         let mut state = self.lock();
         state.runs.remove(key);
         if matches!(run_outcome, RunOutcome::Discarded(_)) {
@@ -411,63 +410,12 @@
         let left_ms = state.worklist.left_ms(now_ms, &item.job, &run.head);
         drop(state);
         if let Some(cause) = cause {
-            self.on_errored(&item, &run.item.id, cause, left_ms);
+            ends::on_errored(&self.context, &item, &run.item.id, cause, left_ms);
         }
         self.context.batch_wake.notify_one();
     }
 
-    fn on_errored(&self, item: &ItemRef, id: &str, cause: ErrorCause, left_ms: u64) {
-        self.context.metrics.count_errored(cause.as_str());
-        log::info!(
-            target: "jobs", request_id = id, job = item.job.as_str(), item = item.item, cause = cause.as_str(), left_ms;
-            "An item has no output."
-        );
-    }
-
     pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn log_end(item: &ItemRef, run: &Run, target_id: &str, run_outcome: &RunOutcome, yielded: bool) {
-    let response = run.response.as_ref();
-    let path = response.map(|it| it.path);
-    let verdict = match run_outcome {
-        RunOutcome::Interrupted(_) | RunOutcome::Doubtful(..) => Verdict::MayHaveRun,
-        _ => Verdict::Ran,
-    };
-    log::info!(
-        target: "jobs", request_id = run.item.id.as_str(), job = item.job.as_str(), target_id,
-        outcome = outcome_name(run_outcome), failures = failures_after(run_outcome),
-        max_attempts = run.head.max_attempts, verdict = verdict.as_str(), yielded,
-        status = response.map_or(0, |it| it.status.as_u16()),
-        is_signed = response.is_some_and(|it| it.is_signed),
-        local_port = path.map_or(0, |it| it.local_port),
-        is_kept = path.is_some_and(|it| it.is_kept);
-        "A run of an item ended."
-    );
-}
-
-/// Returns the name of an outcome in logs and metrics.
-fn outcome_name(run_outcome: &RunOutcome) -> &'static str {
-    match run_outcome {
-        RunOutcome::Completed(_) => "completed",
-        RunOutcome::Interrupted(_) => "broken_off",
-        RunOutcome::Failed(_) => "failed",
-        RunOutcome::Doubtful(..) => "doubtful",
-        RunOutcome::Discarded(_) => "discarded",
-        RunOutcome::Rejected | RunOutcome::Unsendable => "impossible",
-    }
-}
-
-/// Returns how many runs of an item have failed once a run has this outcome; 0 if it does not matter any more.
-fn failures_after(run_outcome: &RunOutcome) -> u32 {
-    match run_outcome {
-        RunOutcome::Failed(progress) => progress.failures + 1,
-        RunOutcome::Completed(progress)
-        | RunOutcome::Interrupted(progress)
-        | RunOutcome::Discarded(progress)
-        | RunOutcome::Doubtful(progress, _) => progress.failures,
-        RunOutcome::Rejected | RunOutcome::Unsendable => 0,
-    }
-}
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -56,15 +56,16 @@
     pub fields: ResponseFields,
     pub body: Incoming,
     pub framing: BodyFraming,
-    /// What the response came over.
-    pub path: ConnectionPath,
     connection: Option<Connection>,
 }
 
-/// Identifies the connection of a response in the log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ConnectionPath {
-    /// The node's own port.
+/// What the log says of a response.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ResponseTrace {
+    /// The status; 0 if there was no response.
+    pub status: u16,
+    pub is_signed: bool,
+    /// The node's own port of the connection.
     pub local_port: u16,
     /// Whether the connection had a request before.
     pub is_kept: bool,
@@ -107,10 +108,6 @@
         return Err(failure);
     }
     slot.on_response();
-    let path = ConnectionPath {
-        local_port: connection.local_port,
-        is_kept,
-    };
     let connection = Some(connection);
     Ok(TargetResponse {
         slot,
@@ -119,7 +116,6 @@
         headers: parts.headers,
         fields,
         body,
-        path,
         connection,
     })
 }
@@ -296,6 +292,17 @@
 }
 
 impl TargetResponse {
+    /// Returns what the log says of the response.
+    pub fn trace(&self) -> ResponseTrace {
+        let connection = self.connection.as_ref();
+        ResponseTrace {
+            status: self.status.as_u16(),
+            is_signed: self.fields.is_signed,
+            local_port: connection.map_or(0, |it| it.local_port),
+            is_kept: connection.is_some_and(|it| it.is_kept),
+        }
+    }
+
     /// Reads the next bytes of the body, waiting until `until`; `None` at its end.
     ///
     /// # Errors
--- a/eel-gateway/src/target/mod.rs
+++ b/eel-gateway/src/target/mod.rs
@@ -8,7 +8,7 @@
 mod pool;
 
 pub(crate) use connection::Connection;
-pub(crate) use exchange::{ConnectionPath, OutgoingRequest, TargetResponse, exchange};
+pub(crate) use exchange::{OutgoingRequest, ResponseTrace, TargetResponse, exchange};
 pub(crate) use failure::AttemptFailure;
 pub(crate) use framing::{BodyFraming, continues_stream, has_events};
 pub(crate) use pool::Pool;
