fix(gateway): an item without a slot holds up no others of its job

Cause: the step looked at a job's first waiting item and left the job when that found no slot, whatever it waited for: a service without targets or slots, a version without slots. The first blocked item of which a trial was due did the same to all other trials. An item of a split route also stayed at a service without any target.

Ruled out: placement (other jobs' items ran at the same moment at the idle slots), and the limit of parallel items (no run was open for the last 15 s).

Change: each job's items are kept by the service that runs them. A step starts what finds a slot and passes over a service, or a version of it, once an item of it has found none. On a split route, items of a service that has had no target for 2 s go to the others, by weight. A trial takes its slot before it is admitted.

The cost of a step is not measured.

--- a/eel-fleet/src/lib.rs
+++ b/eel-fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`Registry`] tracks the targets' announcements, [`TargetSelector`] their load and health, and [`Dispatcher`] queues
 //! the requests that found no slot.
 
+mod absent_services;
 mod arrival;
 mod dispatch;
 mod entry;
@@ -26,6 +27,7 @@
 mod speed;
 mod warm_up;
 
+pub use absent_services::AbsentServices;
 pub use arrival::{Arrival, Decision, Dequeued};
 pub use dispatch::{Dispatcher, FIRST_OUTPUT_MS};
 pub use entry::TargetEntry;
--- a/eel-fleet/src/selector/mod.rs
+++ b/eel-fleet/src/selector/mod.rs
@@ -151,6 +151,14 @@
         targets.any(|it| it.has_version(Some(version)) && it.stays())
     }
 
+    /// Returns whether a target of the service is listed that is not about to leave, whether it can be used now or not.
+    #[must_use]
+    pub fn lists_service(&self, service: &str) -> bool {
+        let keys = self.services.get(service).into_iter().flatten();
+        let mut targets = keys.filter_map(|&key| self.targets.get(key));
+        targets.any(Target::stays)
+    }
+
     /// Returns the target of the incarnation with this hash; `None` if it is not listed.
     #[must_use]
     pub fn key_of(&self, incarnation: u64) -> Option<TargetKey> {
--- a/eel-fleet/tests/fleet/main.rs
+++ b/eel-fleet/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Tests of `eel-fleet`.
 
+mod absent_services;
 mod batch_order;
 mod burst_load;
 mod callers_model;
--- a/eel-gateway/src/batch/mod.rs
+++ b/eel-gateway/src/batch/mod.rs
@@ -2,10 +2,12 @@
 
 mod calls;
 mod commit;
+mod destinations;
 mod ends;
 mod item;
 mod retire;
 mod save;
+mod start;
 mod submit;
 mod texts;
 mod trial;
--- a/eel-gateway/src/batch/trial.rs
+++ b/eel-gateway/src/batch/trial.rs
@@ -2,47 +2,96 @@
 
 use std::sync::Arc;
 
-use eel_ledger::{Item, ItemRef, Job};
+use eel_fleet::stable_hash;
+use eel_ledger::{ItemRef, Job};
+use eel_quarantine::Scope;
 use eel_types::Name;
 
 use super::{
+    destinations::Destinations,
     item::suspects_of,
+    start::Start,
     worker::{State, Worker},
 };
-use crate::quarantine::{self, Admission, Suspects};
+use crate::{
+    quarantine::{self, Admission, Suspects},
+    slots::SlotGuard,
+};
+
+/// A blocked item that may be tried, and the slot that it has got.
+struct Candidate {
+    item: ItemRef,
+    suspects: Suspects,
+    slot: SlotGuard,
+}
 
 impl Worker {
     /// Starts the trial of one of the blocked items of `jobs`, if it is time for one and none is about to start.
-    pub(super) fn start_trial<'a>(
+    ///
+    /// It comes before the other items, which would leave it no slot.
+    pub(super) fn start_trial(
         self: &Arc<Self>,
         state: &mut State,
-        jobs: impl IntoIterator<Item = (&'a Name, &'a Job)>,
+        destinations: &mut Destinations,
+        jobs: &[(&Name, &Job)],
     ) {
-        if state.is_admitting_trial {
+        if state.is_admitting_trial || self.context.quarantine(Scope::Parts).is_empty() {
             return;
         }
-        if let Some((item, suspects)) = self.item_to_try(state, jobs) {
+        if let Some(candidate) = self.item_to_try(state, destinations, jobs) {
             state.is_admitting_trial = true;
-            tokio::spawn(self.clone().try_item(item, suspects));
+            tokio::spawn(self.clone().try_item(candidate));
         }
     }
 
-    /// Returns the first item that is blocked and may be tried now.
-    fn item_to_try<'a>(
+    /// Returns the first item that is blocked, may be tried now, and finds a slot.
+    fn item_to_try(
         &self,
         state: &State,
-        jobs: impl IntoIterator<Item = (&'a Name, &'a Job)>,
-    ) -> Option<(ItemRef, Suspects)> {
-        let is_due = |item: &Item| quarantine::is_trial_due(&self.context, &suspects_of(item));
-        jobs.into_iter().find_map(|(id, job)| {
-            let item = state.worklist.next(id, job, is_due)?;
-            let suspects = suspects_of(job.items().get(item.item as usize)?);
-            Some((item, suspects))
-        })
+        destinations: &mut Destinations,
+        jobs: &[(&Name, &Job)],
+    ) -> Option<Candidate> {
+        for &(id, job) in jobs {
+            for (service, indices) in destinations.queues(id, job).iter() {
+                if !self.context.slots.can_start_batch(service) {
+                    continue;
+                }
+                for index in indices {
+                    let item = ItemRef {
+                        job: id.clone(),
+                        item: index,
+                    };
+                    let Some(entry) = job.items().get(index as usize) else {
+                        continue;
+                    };
+                    let suspects = suspects_of(entry);
+                    if !state.worklist.is_waiting(job, &item)
+                        || !quarantine::is_trial_due(&self.context, &suspects)
+                    {
+                        continue;
+                    }
+                    let version = self.version_to_continue(state, &item, service);
+                    let (slots, hash) = (&self.context.slots, stable_hash(&entry.id));
+                    if let Some(slot) = slots.try_acquire_batch(service, version.as_ref(), hash) {
+                        return Some(Candidate {
+                            item,
+                            suspects,
+                            slot,
+                        });
+                    }
+                }
+            }
+        }
+        None
     }
 
-    /// Runs a blocked item as the trial of what blocks it, if no other trial of it has started and a slot is idle.
-    async fn try_item(self: Arc<Self>, item: ItemRef, suspects: Suspects) {
+    /// Runs a blocked item as the trial of what blocks it, if no other trial of it has started.
+    async fn try_item(self: Arc<Self>, candidate: Candidate) {
+        let Candidate {
+            item,
+            suspects,
+            slot,
+        } = candidate;
         let admission = quarantine::admit(&self.context, &suspects).await;
         let ledger = self.context.ledger();
         let mut state = self.lock();
@@ -51,12 +100,21 @@
             return;
         };
         let job = ledger.job(&item.job).filter(|it| it.is_open());
-        let is_waiting = job.is_some_and(|it| state.worklist.is_waiting(it, &item));
-        if is_waiting
+        let Some(job) = job.filter(|it| state.worklist.is_waiting(it, &item)) else {
+            return;
+        };
+        if let Some(head) = job.head()
+            && let Some(entry) = job.items().get(item.item as usize)
             && self.context.takes_batch()
-            && let Some(started) = self.start(&mut state, &ledger, &item, Some(trial))
         {
-            tokio::spawn(started);
+            let start = Start {
+                item: &item,
+                head,
+                entry,
+                slot,
+                trial: Some(trial),
+            };
+            tokio::spawn(self.start(&mut state, start));
         }
     }
 }
--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -1,31 +1,30 @@
 //! The batch worker, which runs the items of the jobs that this node owns.
+//!
+//! [`start`](super::start) chooses the items that start.
 
 use std::{
     collections::{BTreeSet, HashMap},
-    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
-use eel_fleet::{TargetKey, stable_hash};
-use eel_ledger::{
-    ErrorCause, Item, ItemRef, Ledger, Progress, RunOutcome, SavedItems, Worklist, owner_of,
-};
-use eel_quarantine::Scope;
-use eel_types::Name;
+use eel_fleet::TargetKey;
+use eel_ledger::{ItemRef, RunOutcome, SavedItems, Worklist};
 use slotmap::SlotMap;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    commit, ends,
-    item::{Run, SharedProgress, suspects_of},
+    commit,
+    destinations::Destinations,
+    ends,
+    item::{Run, SharedProgress},
     retire, save,
 };
 use crate::{
     context::{Context, now_unix_ms},
-    quarantine::{self, Suspects, Trial},
+    quarantine::{self, Suspects},
     slots::SlotGuard,
-    target::ResponseTrace,
 };
 
 /// The maximum time between two steps of the worker, and the maximum wait for cancelled runs while it drains.
@@ -48,13 +47,14 @@
 /// Starts runs of items, yields their slots to online requests and lists their results.
 pub(crate) struct Worker {
     pub(super) context: Arc<Context>,
-    parallel_items: usize,
+    pub(super) parallel_items: usize,
     state: Mutex<State>,
 }
 
 #[derive(Default)]
 pub(super) struct State {
     pub(super) worklist: Worklist,
+    pub(super) destinations: Destinations,
     pub(super) runs: SlotMap<RunKey, Running>,
     pub(super) saved: SavedItems,
     /// The keys of saved texts that were dropped, which no node may continue.
@@ -65,15 +65,15 @@
 
 /// A run in progress, and the token that cancels it.
 pub(super) struct Running {
-    target: TargetKey,
-    item: ItemRef,
+    pub(super) target: TargetKey,
+    pub(super) item: ItemRef,
     pub(super) progress: SharedProgress,
-    started_ms: u64,
+    pub(super) started_ms: u64,
     pub(super) cancel: CancellationToken,
     /// Whether its text is dropped when it is cancelled.
     pub(super) is_discarded: bool,
     /// What the run tries, if it is the trial of a blocked item.
-    tried: Option<Suspects>,
+    pub(super) tried: Option<Suspects>,
 }
 
 impl Worker {
@@ -205,6 +205,7 @@
         let mut state = self.lock();
         state.worklist.forget_listed(&ledger);
         state.saved.forget_ended(&ledger);
+        state.destinations.forget_ended(&ledger);
         let is_open = |job: &str| ledger.job(job).is_some_and(eel_ledger::Job::is_open);
         for run in state.runs.values().filter(|run| !is_open(&run.item.job)) {
             run.cancel.cancel();
@@ -246,140 +247,7 @@
         }
     }
 
-    fn start_runs(self: &Arc<Self>) {
-        let now_ms = self.context.clock.now_ms();
-        let nodes: Vec<Name> = self.context.peers().batch_nodes(now_ms).cloned().collect();
-        let own = &self.context.name;
-        self.context.slots.set_batch_nodes(own, &nodes);
-        let is_mine = |job: &str| owner_of(job, nodes.iter().chain([own])) == Some(own);
-        let ledger = self.context.ledger();
-        let mut state = self.lock();
-        let given_up = state.worklist.give_up(now_ms, &ledger, is_mine);
-        for item in &given_up {
-            let job = ledger.job(&item.job);
-            let entry = job.and_then(|it| it.items().get(item.item as usize));
-            let id = entry.map_or("", |it| &it.id);
-            ends::on_errored(&self.context, item, id, ErrorCause::GiveUpTime, 0);
-        }
-        let quarantine = self.context.quarantine(Scope::Parts);
-        let may_run = |item: &Item| {
-            quarantine.is_quiet() || !quarantine.blocks(suspects_of(item).of(Scope::Parts))
-        };
-        // A job whose next item gets no slot does not block jobs of other services.
-        for (id, job) in ledger.open_by_due(is_mine) {
-            while state.runs.len() < self.parallel_items
-                && let Some(item) = state.worklist.next(id, job, may_run)
-                && let Some(started) = self.start(&mut state, &ledger, &item, None)
-            {
-                tokio::spawn(started);
-            }
-        }
-        let has_blocked = !quarantine.is_empty();
-        drop(quarantine);
-        if has_blocked {
-            self.start_trial(&mut state, ledger.open_by_due(is_mine));
-        }
-    }
-
-    /// Prepares a run if a slot is idle; the returned future drives it.
-    pub(super) fn start(
-        self: &Arc<Self>,
-        state: &mut State,
-        ledger: &Ledger,
-        item: &ItemRef,
-        trial: Option<Trial>,
-    ) -> Option<impl Future<Output = ()> + Send + 'static> {
-        let job = ledger.job(&item.job)?;
-        let (job_head, entry) = (
-            job.head()?.clone(),
-            job.items().get(item.item as usize)?.clone(),
-        );
-        let table = self.context.table.load();
-        let route = table.as_ref()?.find(&job_head.host, &entry.path)?;
-        let service = route.service_for(&entry.id)?;
-        let version = self.version_to_continue(state, item, service);
-        let slot = self.context.slots.try_acquire_batch(
-            service,
-            version.as_ref(),
-            stable_hash(&entry.id),
-        )?;
-        let progress = self.initial_progress(state, item, slot.target.version.as_ref());
-        self.context
-            .text_bytes
-            .fetch_add(progress.text.len(), Ordering::Relaxed);
-        let progress = SharedProgress::new(progress);
-        let cancel = CancellationToken::new();
-        let now_ms = self.context.clock.now_ms();
-        let left_ms = state.worklist.left_ms(now_ms, &item.job, &job_head);
-        let key = state.runs.insert(Running {
-            target: slot.key,
-            item: item.clone(),
-            progress: progress.clone(),
-            started_ms: now_ms,
-            cancel: cancel.clone(),
-            is_discarded: false,
-            tried: trial.is_some().then(|| suspects_of(&entry)),
-        });
-        let run = Run {
-            context: self.context.clone(),
-            head: job_head,
-            item: entry,
-            progress,
-            left_ms,
-            response: ResponseTrace::default(),
-        };
-        let driven = self.clone().drive(key, item.clone(), run, slot, cancel);
-        Some(async move {
-            driven.await;
-            drop(trial);
-        })
-    }
-
-    /// Returns the version of the text that an item has so far; `None` if it has none, or if no target of the version is
-    /// listed, so that the item is run again from its start.
-    fn version_to_continue(&self, state: &State, item: &ItemRef, service: &Name) -> Option<Name> {
-        let lists = |version: &Name| {
-            let slots = &self.context.slots;
-            slots.read(|it| it.selector().lists_version(service, version, &[]))
-        };
-        let own = state.worklist.progress(item);
-        if own.is_some_and(|it| it.last_event.is_some()) || state.saved.contains(item) {
-            let version = own?.version.as_ref();
-            return version.filter(|it| lists(it)).cloned();
-        }
-        let may_continue = |it: &Progress| it.version.as_ref().is_some_and(lists);
-        let saved_text = self.context.partials().longest_text(item, may_continue)?;
-        saved_text.progress.version
-    }
-
-    /// Returns the progress of an item that a target of `version` is going to run: from this node's own runs, or else as
-    /// saved by another node. A text that the target may not continue is dropped.
-    fn initial_progress(
-        &self,
-        state: &mut State,
-        item: &ItemRef,
-        version: Option<&Name>,
-    ) -> Progress {
-        let own = state.worklist.start(item);
-        if !own.continues_at(version) {
-            log::info!(
-                target: "jobs", job = item.job.as_str(), item = item.item,
-                from_version = own.version.as_deref().unwrap_or_default(), version = version.map_or("", Name::as_str);
-                "An item is run from its start at another version of its target."
-            );
-            state.saved.begin(item, None, rand::random());
-            return own.from_start();
-        }
-        if own.last_event.is_some() || state.saved.contains(item) {
-            return own;
-        }
-        let may_continue = |it: &Progress| it.continues_at(version);
-        let saved_text = self.context.partials().longest_text(item, may_continue);
-        state.saved.begin(item, saved_text.as_ref(), rand::random());
-        saved_text.map_or(own, |saved_text| saved_text.progress)
-    }
-
-    async fn drive(
+    pub(super) async fn drive(
         self: Arc<Self>,
         key: RunKey,
         item: ItemRef,
--- a/eel-gateway/tests/gateway/fatal_part.rs
+++ b/eel-gateway/tests/gateway/fatal_part.rs
@@ -465,16 +465,20 @@
 }
 
 async fn submit_sharing(fleet: &Fleet, job: &str, items: usize) -> u16 {
+    submit_sharing_to("jobs", fleet, job, items).await
+}
+
+async fn submit_sharing_to(route: &str, fleet: &Fleet, job: &str, items: usize) -> u16 {
     let items: Vec<_> = (0..items)
         .map(|number| {
             let parts = format!("{FIRST_PART},{:08x}:250", 0xe440_0000 + number);
             (
-                format!("/jobs/stream/{number}"),
+                format!("/{route}/stream/{number}"),
                 json!({"x-eelgrassgap-prefix-hash": parts}),
             )
         })
         .collect();
-    fleet.submit_items("jobs", 0, job, &items).await
+    fleet.submit_items(route, 0, job, &items).await
 }
 
 async fn assert_completed(fleet: &Fleet, job: &str, items: usize) {
@@ -540,3 +544,20 @@
         })
         .await;
 }
+
+#[tokio::test]
+async fn item_without_targets_delays_no_trial() {
+    const ITEMS: usize = 6;
+    let fleet = fleet(1, 3).await;
+    sleep(SETTLE_TIME).await;
+    fleet
+        .with_restarts(async {
+            assert_eq!(
+                submit_sharing_to("other-jobs", &fleet, "due-first", 1).await,
+                202
+            );
+            crash_as_items_begin(&fleet, "j1", ITEMS).await;
+            assert_completed(&fleet, "j1", ITEMS).await;
+        })
+        .await;
+}
--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod lost_entry;
 mod named_limit;
 mod odd_entries;
+mod passed_over;
 mod refused_requests;
 mod repeated_answer;
 mod repeated_refusal;
--- a/eel-ledger/src/lib.rs
+++ b/eel-ledger/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod entry;
 mod failures;
+mod item_queues;
 mod job;
 mod key;
 mod ledger;
@@ -18,6 +19,7 @@
 
 pub use entry::{Item, JobHead, ListedResult, ResultState};
 pub use failures::{Claim, Doubts, cause_to_end};
+pub use item_queues::ItemQueues;
 pub use job::Job;
 pub use key::{JobKey, Keys};
 pub use ledger::{Ledger, ReadMark};
--- a/eel-ledger/src/partials.rs
+++ b/eel-ledger/src/partials.rs
@@ -124,6 +124,12 @@
         texts.max_by_key(|saved| saved.progress.last_event)
     }
 
+    /// Returns the versions of the pieces of `item`, `None` for a piece whose version is not known.
+    pub fn versions_of(&self, item: &ItemRef) -> impl Iterator<Item = Option<&Name>> {
+        let pieces = self.pieces.get(item).into_iter().flatten();
+        pieces.map(|piece| piece.version.as_ref())
+    }
+
     /// Returns the keys with pieces of `item`.
     pub fn keys_of(&self, item: &ItemRef) -> impl Iterator<Item = &String> {
         let with_item = self
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -8,7 +8,7 @@
 use eel_store::{Compare, Op, Txn};
 use eel_types::Name;
 
-use crate::{Claim, Doubts, Item, Job, JobHead, Ledger, ListedResult, ResultState, cause_to_end};
+use crate::{Claim, Doubts, Job, JobHead, Ledger, ListedResult, ResultState, cause_to_end};
 
 /// The maximum number of chunks in one transaction: each takes a condition and a write of the 32 entries allowed.
 const MAX_CHUNKS_PER_COMMIT: usize = 16;
@@ -140,20 +140,6 @@
             .saturating_sub(now_ms.saturating_sub(seen_ms))
     }
 
-    /// Returns the first item of a job that has no result and is not running; `None` if there is none.
-    #[must_use]
-    pub fn next(&self, id: &Name, job: &Job, may_run: impl Fn(&Item) -> bool) -> Option<ItemRef> {
-        let indices = 0..u32::try_from(job.items().len()).unwrap_or(u32::MAX);
-        let mut items = indices.map(|item| ItemRef {
-            job: id.clone(),
-            item,
-        });
-        items.find(|it| {
-            let item = job.items().get(it.item as usize);
-            self.is_waiting(job, it) && item.is_some_and(&may_run)
-        })
-    }
-
     /// Returns whether an item of `job` has no result and is not running.
     #[must_use]
     pub fn is_waiting(&self, job: &Job, item: &ItemRef) -> bool {
--- a/eel-ledger/tests/ledger/main.rs
+++ b/eel-ledger/tests/ledger/main.rs
@@ -3,6 +3,7 @@
 mod doubtful_failures;
 mod fixture;
 mod held_texts;
+mod item_queues;
 mod job_owner;
 mod job_tenant;
 mod malformed_values;
--- a/eel-ledger/tests/ledger/next_item.rs
+++ b/eel-ledger/tests/ledger/next_item.rs
@@ -2,7 +2,8 @@
 //!
 //! The tests guard against an item that runs twice or never ends, and against text that is lost with an interruption.
 
-use eel_ledger::{ItemRef, Ledger, Progress, RunOutcome, Worklist};
+use eel_ledger::{ItemQueues, ItemRef, Ledger, Progress, RunOutcome, Worklist};
+use eel_types::Name;
 
 use crate::fixture::{Values, head, items, keys, ledger_with};
 
@@ -16,7 +17,11 @@
 /// Returns the next item of the open job that is due first.
 fn next(worklist: &Worklist, ledger: &Ledger) -> Option<ItemRef> {
     let (id, job) = *ledger.open_by_due(|_| true).first()?;
-    worklist.next(id, job, |_| true)
+    let service = Name::from("a");
+    let queues = ItemQueues::new(job, |_| Some(&service));
+    let (_, indices) = queues.iter().next()?;
+    let mut items = indices.map(|index| item(id, index));
+    items.find(|it| worklist.is_waiting(job, it))
 }
 
 fn progress(text: &str, last_event: u64) -> Progress {
--- a/eel-table/src/route.rs
+++ b/eel-table/src/route.rs
@@ -83,22 +83,50 @@
     /// first service gets all requests. `None` if the route has no shares.
     #[must_use]
     pub fn service_for(&self, request_id: &str) -> Option<&Name> {
-        let total: u64 = self
-            .shares
-            .iter()
-            .map(|share| u64::from(share.weight))
-            .sum();
+        let total = total_weight(self.shares.iter());
         if total == 0 {
             return self.shares.first().map(|share| &share.service);
         }
-        let mut at = xxh3_64(request_id.as_bytes()) % total;
-        for share in &self.shares {
-            let weight = u64::from(share.weight);
-            if at < weight {
-                return Some(&share.service);
-            }
-            at -= weight;
+        let at = xxh3_64(request_id.as_bytes()) % total;
+        service_at(self.shares.iter(), at)
+    }
+
+    /// Returns the service for the request `request_id` among those that `is_available` accepts: the one that
+    /// [`Self::service_for`] returns, or else one of the others by their weights. That one is returned all the same if the
+    /// others are unavailable or have the weight 0.
+    #[must_use]
+    pub fn service_among(
+        &self,
+        request_id: &str,
+        is_available: impl Fn(&Name) -> bool,
+    ) -> Option<&Name> {
+        let selected = self.service_for(request_id)?;
+        if is_available(selected) {
+            return Some(selected);
+        }
+        let others = self.shares.iter().filter(|share| share.weight > 0);
+        let others = others.filter(|share| is_available(&share.service));
+        let left = total_weight(others.clone());
+        if left == 0 {
+            return Some(selected);
         }
-        None
+        // The remainder by the total weight has selected the unavailable service; the quotient does not depend on it.
+        let at = xxh3_64(request_id.as_bytes()) / total_weight(self.shares.iter()) % left;
+        service_at(others, at)
     }
 }
+
+fn total_weight<'a>(shares: impl Iterator<Item = &'a Share>) -> u64 {
+    shares.map(|share| u64::from(share.weight)).sum()
+}
+
+/// Returns the service of the share that `at` falls into, if the weights follow one another from 0; `None` beyond them.
+fn service_at<'a>(mut shares: impl Iterator<Item = &'a Share>, mut at: u64) -> Option<&'a Name> {
+    let share = shares.find(|share| {
+        let weight = u64::from(share.weight);
+        let is_found = at < weight;
+        at = at.saturating_sub(weight);
+        is_found
+    });
+    share.map(|share| &share.service)
+}
--- a/eel-table/src/table.rs
+++ b/eel-table/src/table.rs
@@ -1,6 +1,9 @@
 //! The lookup of routes by host and path.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+};
 
 use eel_types::Name;
 
@@ -16,6 +19,7 @@
     hosts: HashMap<Name, Vec<Arc<Route>>>,
     tenants: Option<Arc<Tenants>>,
     longest_stream_ms: u64,
+    split_services: BTreeSet<Name>,
 }
 
 impl RouteTable {
@@ -24,6 +28,10 @@
     pub fn new(version: u64, routes: Vec<Route>, limits: RequestLimits) -> Self {
         let resumable = routes.iter().filter(|route| route.kind.is_resumable());
         let longest_stream_ms = resumable.map(|route| route.timeout_ms).max().unwrap_or(0);
+        let split = routes.iter().filter(|route| route.shares.len() > 1);
+        let split_services =
+            split.flat_map(|route| route.shares.iter().map(|it| it.service.clone()));
+        let split_services = split_services.collect();
         let mut hosts: HashMap<Name, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             hosts
@@ -40,6 +48,7 @@
             hosts,
             tenants: None,
             longest_stream_ms,
+            split_services,
         }
     }
 
@@ -64,6 +73,12 @@
         self.longest_stream_ms
     }
 
+    /// Returns the services that share the requests of a route with others.
+    #[must_use]
+    pub fn split_services(&self) -> &BTreeSet<Name> {
+        &self.split_services
+    }
+
     /// Returns the route of `host`, given with or without a port, that has the longest path prefix of `path`; `None` if
     /// no route matches.
     #[must_use]
--- a/eel-table/tests/table/traffic_split.rs
+++ b/eel-table/tests/table/traffic_split.rs
@@ -53,3 +53,32 @@
     }
     QuickCheck::new().quickcheck(holds as fn(String, Vec<u32>) -> TestResult);
 }
+
+#[test]
+fn service_without_targets() {
+    let route = split(&[60, 30, 10, 0]);
+    let mut counts = [0; 4];
+    for request in 0..10_000 {
+        let id = format!("request-{request}");
+        let selected = route.service_for(&id).expect("a service");
+        let service = route.service_among(&id, |it| **it != *"s0");
+        let service = service.expect("a service");
+        if **selected != *"s0" {
+            assert_eq!(service, selected, "it stays where it is");
+            continue;
+        }
+        counts[usize::from(service.as_bytes()[1] - b'0')] += 1;
+    }
+    assert_eq!((counts[0], counts[3]), (0, 0), "{counts:?}");
+    let moved = counts[1] + counts[2];
+    assert!(
+        (moved * 70..moved * 80).contains(&(counts[1] * 100)),
+        "{counts:?}"
+    );
+    // Without another service, or with none but those of weight 0, requests wait for the selected one.
+    for route in [split(&[1, 0]), split(&[0, 0]), split(&[5])] {
+        let only_other = |it: &eel_types::Name| **it == *"s1";
+        let service = route.service_among("r", only_other);
+        assert_eq!(service, route.service_for("r"));
+    }
+}
