fix(gateway): list items as errored when their route ends

Cause: the start of an item returned nothing for no job, no routes, no route, no service and no slot, and each of these meant to wait.

Change: items to which no route has led for 5 s are listed as errored, cause route_ended. The node must have applied all changes of the store up to then, and its newest routes must be readable: one that has just started, follows late or is away from the store proves nothing. The 5 s go on over further manifests, and begin anew once a route leads to the item. The text of an item that ends while it waits is dropped at once.

--- a/eel-gateway/src/batch/destinations.rs
+++ b/eel-gateway/src/batch/destinations.rs
@@ -3,26 +3,27 @@
 use std::{collections::HashMap, sync::Arc};
 
 use eel_fleet::AbsentServices;
-use eel_ledger::{Item, ItemQueues, Job, JobHead, Ledger};
+use eel_ledger::{Item, ItemQueues, Job, JobHead};
 use eel_table::RouteTable;
 use eel_types::Name;
 
-/// The services that run the items of open jobs.
+/// The services that run the items of this node's open jobs.
 #[derive(Default)]
 pub(super) struct Destinations {
     table: Option<Arc<RouteTable>>,
     absent: AbsentServices,
-    /// The items of the jobs for which [`Self::queues`] was called since the destinations last changed.
+    /// The items of each job by their services.
     queues: HashMap<Name, ItemQueues>,
 }
 
 impl Destinations {
-    /// Applies the routes in force and which services have a target now.
+    /// Applies the routes in force, which services have a target now, and the open jobs that this node owns.
     pub(super) fn update(
         &mut self,
         now_ms: u64,
         table: Option<Arc<RouteTable>>,
         has_target: impl Fn(&Name) -> bool,
+        jobs: &[(&Name, &Job)],
     ) {
         let version = |table: &Option<Arc<RouteTable>>| table.as_ref().map(|it| it.version);
         let is_new = version(&table) != version(&self.table);
@@ -35,32 +36,54 @@
                 "Services of split routes have lost or got their targets; items go to the services that have some."
             );
         }
-        if is_new || is_moved {
-            self.queues.clear();
+        let mut earlier = std::mem::take(&mut self.queues);
+        if self.table.is_none() {
+            return;
         }
+        for &(id, job) in jobs {
+            let known = earlier.remove(id);
+            let queues = match known {
+                Some(mut known) if !is_new && !is_moved => {
+                    known.forget_listed(job);
+                    known
+                }
+                known => self.new_queues(now_ms, id, job, known.as_ref()),
+            };
+            self.queues.insert(id.clone(), queues);
+        }
+    }
+
+    fn new_queues(
+        &self,
+        now_ms: u64,
+        id: &Name,
+        job: &Job,
+        earlier: Option<&ItemQueues>,
+    ) -> ItemQueues {
+        let service_of = |item: &Item| self.service_of(job.head()?, item);
+        let queues = ItemQueues::new(now_ms, job, earlier, service_of);
+        let unrouted = queues.unrouted();
+        if unrouted > earlier.map_or(0, ItemQueues::unrouted) {
+            log::info!(
+                target: "jobs", job = id.as_str(), items = unrouted, version = self.table.as_ref().map_or(0, |it| it.version);
+                "No route leads to items of a job; unless one does again, they are listed as errored."
+            );
+        }
+        queues
     }
 
-    /// Returns the service that runs an item; `None` if no route leads to one.
-    pub(super) fn service_of(&self, head: &JobHead, item: &Item) -> Option<&Name> {
+    fn service_of(&self, head: &JobHead, item: &Item) -> Option<&Name> {
         let route = self.table.as_ref()?.find(&head.host, &item.path)?;
         route.service_among(&item.id, |it| !self.absent.contains(it))
     }
 
-    /// Returns the items of the job `id` by their services.
-    pub(super) fn queues(&mut self, id: &Name, job: &Job) -> &ItemQueues {
-        if !self.queues.contains_key(id) {
-            let service_of = |item: &Item| self.service_of(job.head()?, item);
-            let queues = ItemQueues::new(job, service_of);
-            self.queues.insert(id.clone(), queues);
-        }
-        let queues = self.queues.entry(id.clone()).or_default();
-        queues.forget_listed(job);
-        queues
+    /// Returns the items of the job `id` by their services; `None` if this node does not own it, or knows no routes.
+    pub(super) fn queues(&self, id: &Name) -> Option<&ItemQueues> {
+        self.queues.get(id)
     }
 
-    /// Forgets jobs that are no longer open.
-    pub(super) fn forget_ended(&mut self, ledger: &Ledger) {
-        let is_open = |id: &str| ledger.job(id).is_some_and(Job::is_open);
-        self.queues.retain(|id, _| is_open(id));
+    /// Forgets the items of all jobs, because this node does not run any at present.
+    pub(super) fn clear(&mut self) {
+        self.queues.clear();
     }
 }
--- a/eel-gateway/src/batch/start.rs
+++ b/eel-gateway/src/batch/start.rs
@@ -7,8 +7,8 @@
     sync::{Arc, atomic::Ordering},
 };
 
-use eel_fleet::stable_hash;
-use eel_ledger::{ErrorCause, Item, ItemRef, Job, JobHead, Ledger, Progress, owner_of};
+use eel_fleet::{Dispatcher, stable_hash};
+use eel_ledger::{ErrorCause, Item, ItemQueues, ItemRef, Job, JobHead, Ledger, Progress, owner_of};
 use eel_quarantine::Scope;
 use eel_types::Name;
 use tokio_util::sync::CancellationToken;
@@ -60,18 +60,23 @@
         self.give_up(&mut state, now_ms, &ledger, is_mine);
         let jobs = ledger.open_by_due(is_mine);
         let mut destinations = std::mem::take(&mut state.destinations);
-        destinations.update(now_ms, self.context.table.load_full(), |service| {
-            let lists = |it: &eel_fleet::Dispatcher| it.selector().lists_service(service);
+        let has_target = |service: &Name| {
+            let lists = |it: &Dispatcher| it.selector().lists_service(service);
             self.context.slots.read(lists)
-        });
-        self.start_trial(&mut state, &mut destinations, &jobs);
+        };
+        let table = self.context.table.load_full();
+        destinations.update(now_ms, table, has_target, &jobs);
+        self.end_unrouted(&mut state, now_ms, &ledger, &destinations, &jobs);
+        self.start_trial(&mut state, &destinations, &jobs);
         let quarantine = self.context.quarantine(Scope::Parts);
         let may_run = |item: &Item| {
             quarantine.is_quiet() || !quarantine.blocks(suspects_of(item).of(Scope::Parts))
         };
         let mut full = FullServices::default();
         for &(id, job) in &jobs {
-            self.start_items(&mut state, &mut destinations, (id, job), &mut full, may_run);
+            if let Some(queues) = destinations.queues(id) {
+                self.start_items(&mut state, queues, (id, job), &mut full, may_run);
+            }
         }
         drop(quarantine);
         state.destinations = destinations;
@@ -93,11 +98,47 @@
         }
     }
 
+    /// Ends the waiting items of `jobs` whose route has ended, unless there may be newer routes than those in force.
+    fn end_unrouted(
+        &self,
+        state: &mut State,
+        now_ms: u64,
+        ledger: &Ledger,
+        destinations: &Destinations,
+        jobs: &[(&Name, &Job)],
+    ) {
+        let Some(known_until_ms) = ledger.complete_as_of_ms() else {
+            return;
+        };
+        if self.context.has_unread_routes.load(Ordering::Relaxed) {
+            return;
+        }
+        for &(id, job) in jobs {
+            let (Some(queues), Some(head)) = (destinations.queues(id), job.head()) else {
+                continue;
+            };
+            for index in queues.ended(known_until_ms) {
+                let item = ItemRef {
+                    job: id.clone(),
+                    item: index,
+                };
+                if state.worklist.is_waiting(job, &item) {
+                    state.worklist.abandon(&item);
+                    let entry = job.items().get(index as usize);
+                    let entry_id = entry.map_or("", |it| &it.id);
+                    let left_ms = state.worklist.left_ms(now_ms, id, head);
+                    let cause = ErrorCause::RouteEnded;
+                    ends::on_errored(&self.context, &item, entry_id, cause, left_ms);
+                }
+            }
+        }
+    }
+
     /// Starts the items of one job that find a slot.
     fn start_items(
         self: &Arc<Self>,
         state: &mut State,
-        destinations: &mut Destinations,
+        queues: &ItemQueues,
         (id, job): (&Name, &Job),
         full: &mut FullServices,
         may_run: impl Fn(&Item) -> bool,
@@ -105,7 +146,7 @@
         let Some(head) = job.head() else {
             return;
         };
-        for (service, indices) in destinations.queues(id, job).iter() {
+        for (service, indices) in queues.iter() {
             if full.contains(service, None) {
                 continue;
             }
--- a/eel-gateway/src/batch/trial.rs
+++ b/eel-gateway/src/batch/trial.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use eel_fleet::stable_hash;
-use eel_ledger::{ItemRef, Job};
+use eel_ledger::{ItemQueues, ItemRef, Job};
 use eel_quarantine::Scope;
 use eel_types::Name;
 
@@ -32,7 +32,7 @@
     pub(super) fn start_trial(
         self: &Arc<Self>,
         state: &mut State,
-        destinations: &mut Destinations,
+        destinations: &Destinations,
         jobs: &[(&Name, &Job)],
     ) {
         if state.is_admitting_trial || self.context.quarantine(Scope::Parts).is_empty() {
@@ -48,11 +48,12 @@
     fn item_to_try(
         &self,
         state: &State,
-        destinations: &mut Destinations,
+        destinations: &Destinations,
         jobs: &[(&Name, &Job)],
     ) -> Option<Candidate> {
         for &(id, job) in jobs {
-            for (service, indices) in destinations.queues(id, job).iter() {
+            let queues = destinations.queues(id).into_iter();
+            for (service, indices) in queues.flat_map(ItemQueues::iter) {
                 if !self.context.slots.can_start_batch(service) {
                     continue;
                 }
--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -205,7 +205,6 @@
         let mut state = self.lock();
         state.worklist.forget_listed(&ledger);
         state.saved.forget_ended(&ledger);
-        state.destinations.forget_ended(&ledger);
         let is_open = |job: &str| ledger.job(job).is_some_and(eel_ledger::Job::is_open);
         for run in state.runs.values().filter(|run| !is_open(&run.item.job)) {
             run.cancel.cancel();
@@ -242,7 +241,9 @@
     }
 
     fn cancel_all(&self) {
-        for run in self.lock().runs.values() {
+        let mut state = self.lock();
+        state.destinations.clear();
+        for run in state.runs.values() {
             run.cancel.cancel();
         }
     }
--- a/eel-gateway/src/context.rs
+++ b/eel-gateway/src/context.rs
@@ -50,6 +50,8 @@
     pub(crate) store: PlatformStore,
     pub(crate) prefix: Name,
     pub(crate) table: ArcSwapOption<RouteTable>,
+    /// Whether the operator's newest routes cannot be decoded, so that `table` is older.
+    pub(crate) has_unread_routes: AtomicBool,
     /// Notifies waiting requests that another route table is in force, which may have revoked their keys.
     pub(crate) routes_changes: watch::Sender<()>,
     pub(crate) metrics: Arc<Metrics>,
@@ -140,6 +142,7 @@
             store: options.store,
             prefix: options.prefix,
             table: ArcSwapOption::empty(),
+            has_unread_routes: AtomicBool::new(false),
             routes_changes: watch::channel(()).0,
             memory: Memory::new(caller_limits.body_bytes, clock, metrics.clone()),
             connections: Connections::new(caller_limits.connections, clock),
--- a/eel-gateway/src/store/apply.rs
+++ b/eel-gateway/src/store/apply.rs
@@ -99,9 +99,11 @@
         Ok(table) => table,
         Err(error) => {
             log::error!(target: "routes", error:% = error; "Cannot decode a new route table; the previous one stays in force.");
+            context.has_unread_routes.store(true, Ordering::Relaxed);
             return;
         }
     };
+    context.has_unread_routes.store(false, Ordering::Relaxed);
     let in_force = context.routes_version();
     if in_force.is_some_and(|in_force| table.version <= in_force) {
         return;
--- a/eel-ledger/src/ledger.rs
+++ b/eel-ledger/src/ledger.rs
@@ -138,6 +138,12 @@
             .is_some_and(|as_of_ms| arrived_ms <= as_of_ms + MAX_AGE_MS)
     }
 
+    /// Returns the time before which all changes of the store have been applied, whatever keys they concern; `None` after a gap.
+    #[must_use]
+    pub fn complete_as_of_ms(&self) -> Option<u64> {
+        self.complete_as_of_ms
+    }
+
     /// Returns the mark to pass to [`Self::on_read`]; call it before the read is sent.
     #[must_use]
     pub fn mark(&self) -> ReadMark {
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -89,6 +89,8 @@
     Failures,
     /// Its give-up time has passed.
     GiveUpTime,
+    /// No route leads to it any more.
+    RouteEnded,
     /// No request can be made of it.
     Unsendable,
 }
@@ -101,6 +103,7 @@
             Self::Rejected => "rejected",
             Self::Failures => "failures",
             Self::GiveUpTime => "give_up_time",
+            Self::RouteEnded => "route_ended",
             Self::Unsendable => "unsendable",
         }
     }
@@ -246,8 +249,8 @@
                     job: id.clone(),
                     item,
                 };
-                if !job.is_listed(item.item) && self.is_free(&item) {
-                    self.result(&item, ResultState::Errored, String::new());
+                if self.is_waiting(job, &item) {
+                    self.abandon(&item);
                     given_up.push(item);
                 }
             }
@@ -255,6 +258,12 @@
         given_up
     }
 
+    /// Ends an item that waits without output, and drops its text.
+    pub fn abandon(&mut self, item: &ItemRef) {
+        self.progress.remove(item);
+        self.result(item, ResultState::Errored, String::new());
+    }
+
     /// Removes results that the ledger lists, and everything that belongs to jobs that are no longer open.
     pub fn forget_listed(&mut self, ledger: &Ledger) {
         let is_open = |id: &str| ledger.job(id).is_some_and(Job::is_open);
--- a/eel-ledger/tests/ledger/next_item.rs
+++ b/eel-ledger/tests/ledger/next_item.rs
@@ -18,7 +18,7 @@
 fn next(worklist: &Worklist, ledger: &Ledger) -> Option<ItemRef> {
     let (id, job) = *ledger.open_by_due(|_| true).first()?;
     let service = Name::from("a");
-    let queues = ItemQueues::new(job, |_| Some(&service));
+    let queues = ItemQueues::new(0, job, None, |_| Some(&service));
     let (_, indices) = queues.iter().next()?;
     let mut items = indices.map(|index| item(id, index));
     items.find(|it| worklist.is_waiting(job, it))
