fix(gateway,target): a status that no response has is no answer

An item was run again and again at such a target, as the attempt counted as a good one.

Cause: the HTTP library accepts 100 to 999, and a response with any status that is not known otherwise was taken for the target's own answer, by gateway nodes as by target nodes.

Evidence: 000, 099, two and four digits, letters, signs and none gave 502 before; 101, 600 and 999 were passed on, by both kinds of node. An answer that breaks off while its request is still written reached nobody as complete, before the change as after: resets after 0 to 200 ms, three framings, bodies over and under the buffers, a caller that does not read, gateway nodes and target nodes.

Change: a status outside of 200 to 599 is a broken answer, after which the request may have run. Entry nodes refuse one from a target node of an earlier version.

--- a/eel-entry/src/link/attempt.rs
+++ b/eel-entry/src/link/attempt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use eel_types::{LoadReport, RequestKey};
+use eel_types::{LoadReport, RequestKey, is_final_status};
 use eel_verdict::{Reason, Refusal, Verdict};
 use eel_wire::{
     codec, is_drained,
@@ -93,6 +93,10 @@
         };
         let exchanged = unless_lost(given_up, exchange(&mut send, &mut recv, request)).await;
         match exchanged {
+            // Target nodes of earlier versions pass on any status.
+            Ok(ServeReply::Head(head)) if head.key == self.key && !is_final_status(head.status) => {
+                Err(Refusal::may_have_run(Reason::TargetFailed))
+            }
             Ok(ServeReply::Head(head)) if head.key == self.key => Ok(Reply {
                 head,
                 attempt: self,
--- /dev/null
+++ b/eel-gateway/tests/gateway/early_answers.rs
@@ -0,0 +1,329 @@
+//! Targets that answer before they have read the request, send part of the body and reset the connection, and targets whose
+//! status is no status.
+//!
+//! Guards against the part that reaches a caller, or is listed, as a complete response: the reset may be reported to the
+//! write of the request, after which the read finds an ordinary end. And against a status that RFC 9110, section 15, calls
+//! invalid and that reaches a caller as that of an answer.
+
+use std::{fmt, net::SocketAddr, time::Duration};
+
+use eel_platform::{
+    TARGET_STATE_PATH,
+    standin::{StandInTarget, routes},
+};
+use futures_util::{StreamExt as _, stream};
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    time::{sleep, timeout},
+};
+
+use crate::fixture::{Fleet, events, fleet};
+
+/// More than the buffers of a connection, and less than those.
+const BODY_BYTES: [usize; 2] = [4_000_000, 1_000];
+/// What a target reads of a body before it answers.
+const READ_BYTES: [usize; 2] = [0, 65_536];
+const PAUSES_MS: [u64; 3] = [0, 30, 200];
+/// Each of them announces more than follows, but for the last one, which ends with its connection.
+const FRAMINGS: [&str; 3] = [
+    "content-length: 9000\r\n\r\n",
+    "transfer-encoding: chunked\r\n\r\n2c\r\n",
+    "\r\n",
+];
+const PLAIN_PATHS: [&str; 2] = ["/once/1", "/idempotent/1"];
+const STREAM_PATHS: [&str; 2] = ["/once-stream/1", "/resumable-stream/1"];
+const PARTIAL_STREAM: &str = "id: 1\ndata: word1\n\nid: 2\ndata: word2\n\n";
+/// More than all the buffers between a target and a caller that does not read.
+const LONG_PART_BYTES: usize = 24_000_000;
+/// How long a target waits for its peer to read.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a slow caller reads nothing: until the target has reset its connection.
+const CALLER_PAUSE: Duration = Duration::from_millis(800);
+/// The number of fleets at once.
+const PARALLEL: usize = 8;
+
+/// What a target answers.
+#[derive(Clone)]
+struct Answer {
+    status: &'static str,
+    /// What follows the fields of the head, with the part of the body.
+    rest: String,
+    read_bytes: usize,
+    pause: Duration,
+}
+
+impl fmt::Debug for Answer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (framing, _) = self.rest.split_once('\r').unwrap_or_default();
+        let (status, read_bytes, pause) = (self.status, self.read_bytes, self.pause);
+        write!(
+            f,
+            "{status:?}, {framing:?}, {read_bytes} bytes read, {pause:?}"
+        )
+    }
+}
+
+/// Starts a target that gives each request `answer` and resets its connection.
+async fn faulty_target(answer: Answer) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((connection, _)) = listener.accept().await {
+            tokio::spawn(serve(connection, answer.clone()));
+        }
+    });
+    address
+}
+
+async fn serve(mut connection: TcpStream, answer: Answer) -> std::io::Result<()> {
+    loop {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(connection.read_u8().await?);
+        }
+        let head = String::from_utf8_lossy(&head).to_lowercase();
+        if head.contains(TARGET_STATE_PATH) {
+            let state = b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n{\"born\":1}";
+            connection.write_all(state).await?;
+            continue;
+        }
+        let field = |name: &str| {
+            let mut lines = head.lines();
+            lines.find_map(|line| Some(line.strip_prefix(name)?.to_owned()))
+        };
+        let id = field("x-eelgrassgap-attempt-id: ").unwrap_or_default();
+        let body_bytes: usize = field("content-length: ").map_or(0, |it| it.parse().unwrap_or(0));
+        let mut read = vec![0; body_bytes.min(answer.read_bytes)];
+        connection.read_exact(&mut read).await?;
+        let Answer { status, rest, .. } = &answer;
+        let response = format!(
+            "HTTP/1.1 {status}\r\nx-eelgrassgap-attempt-id: {id}\r\nx-eelgrassgap-response-seal: seal\r\n{rest}"
+        );
+        // A peer that does not read gets a part of a long body.
+        let written = timeout(WRITE_TIMEOUT, connection.write_all(response.as_bytes())).await;
+        written.unwrap_or(Ok(()))?;
+        sleep(answer.pause).await;
+        return connection.set_zero_linger();
+    }
+}
+
+/// Starts a node before a target that gives `answer`, and a sound one if `has_sound`.
+async fn faulty_fleet(answer: Answer, has_sound: bool) -> Fleet {
+    let mut fleet = fleet(0, 0).await;
+    let mut table = routes(2);
+    table["limits"]["maxBodyBytes"] = 9_000_000.into();
+    fleet.store.put("op/config", &table.to_string());
+    let entry = json!({
+        "service": "scribe", "address": faulty_target(answer).await, "zone": "dc-a", "version": "v1", "slots": 8,
+        "state": "ready", "coldLeftMs": 0, "callSeq": 1, "born": 1
+    });
+    fleet.store.put("servers/faulty", &entry.to_string());
+    if has_sound {
+        let sound = StandInTarget::start("scribe", "sound").await;
+        let sound = sound.expect("a target");
+        sound.announce(&fleet.store, "ready");
+        fleet.targets.push(sound);
+    }
+    fleet.add_node("node-0", true).await;
+    fleet
+}
+
+/// Returns all answers with a status of 200 that break off after `part`.
+fn early_answers(part: &str) -> Vec<Answer> {
+    let mut answers = Vec::new();
+    for framing in FRAMINGS {
+        for read_bytes in READ_BYTES {
+            for pause_ms in PAUSES_MS {
+                answers.push(Answer {
+                    status: "200 OK",
+                    rest: format!("{framing}{part}"),
+                    read_bytes,
+                    pause: Duration::from_millis(pause_ms),
+                });
+            }
+        }
+    }
+    answers
+}
+
+/// Returns what is wrong with the outcomes of requests that may not be repeated, and of those that may, but do not succeed.
+async fn wrong_plain(answer: Answer, has_sound: bool) -> Vec<String> {
+    let fleet = faulty_fleet(answer.clone(), has_sound).await;
+    let mut wrong = Vec::new();
+    for path in PLAIN_PATHS {
+        for (number, body_bytes) in BODY_BYTES.into_iter().enumerate() {
+            let id = format!("r{number}{}", path.len());
+            let request = fleet.post(0, path, &id).body(vec![b'x'; body_bytes]);
+            let response = request.send().await.expect("a response");
+            let status = response.status().as_u16();
+            let body = response.bytes().await;
+            let is_whole = body.as_ref().is_ok_and(|it| it.len() == body_bytes);
+            let is_served = status == 200 && is_whole;
+            // With 503 it was not sent: no target is left.
+            let is_refused = matches!(status, 502 | 503);
+            let is_right = match path {
+                "/idempotent/1" if has_sound => is_served,
+                _ => is_refused || (has_sound && is_served),
+            };
+            if !is_right {
+                let body = body.map(|it| it.len());
+                wrong.push(format!(
+                    "{answer:?}, {path}, {body_bytes}: {status}, {body:?}"
+                ));
+            }
+        }
+    }
+    wrong
+}
+
+async fn wrong_streams(answer: Answer, has_sound: bool) -> Vec<String> {
+    let fleet = faulty_fleet(answer.clone(), has_sound).await;
+    let mut wrong = Vec::new();
+    for path in STREAM_PATHS {
+        for (number, body_bytes) in BODY_BYTES.into_iter().enumerate() {
+            let id = format!("s{number}{}", path.len());
+            let request = fleet.post(0, path, &id).body(vec![b'x'; body_bytes]);
+            let response = request.send().await.expect("a response");
+            let status = response.status().as_u16();
+            let (ids, is_complete) = events(response).await;
+            let is_whole = ids == [1, 2, 3, 4, 5];
+            let is_served = status == 200 && is_complete && is_whole;
+            let is_cut = status == 200 && !is_complete && !is_whole;
+            let is_refused = matches!(status, 502 | 503);
+            let is_right = match path {
+                "/resumable-stream/1" if has_sound => is_served,
+                _ => is_refused || is_cut || (has_sound && is_served),
+            };
+            if !is_right {
+                wrong.push(format!(
+                    "{answer:?}, {path}, {body_bytes}: {status}, {ids:?}, complete: {is_complete}"
+                ));
+            }
+        }
+    }
+    wrong
+}
+
+async fn wrong_items(answer: Answer) -> Vec<String> {
+    let fleet = faulty_fleet(answer.clone(), true).await;
+    println!("{answer:?}");
+    assert_eq!(fleet.submit(0, "j1", &["stream/1"; 4]).await, 202);
+    let results = fleet.results(0, "j1", 4).await;
+    let wrong = results.iter().filter(|it| {
+        it["state"] != "completed" || it["text"] != "word1\nword2\nword3\nword4\nword5"
+    });
+    wrong.map(|it| format!("{answer:?}: {it}")).collect()
+}
+
+/// Collects what is wrong in all cases, a few of them at once.
+async fn collect<F: Future<Output = Vec<String>>>(cases: impl IntoIterator<Item = F>) {
+    let cases = stream::iter(cases).buffer_unordered(PARALLEL);
+    let wrong: Vec<String> = cases.concat().await;
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+#[tokio::test]
+async fn broken_off_answers() {
+    let cases = early_answers(&"x".repeat(5_000)).into_iter();
+    collect(cases.flat_map(|it| [wrong_plain(it.clone(), true), wrong_plain(it, false)])).await;
+}
+
+#[tokio::test]
+async fn broken_off_streams() {
+    let cases = early_answers(PARTIAL_STREAM).into_iter();
+    collect(cases.flat_map(|it| [wrong_streams(it.clone(), true), wrong_streams(it, false)])).await;
+}
+
+#[tokio::test]
+async fn broken_off_items() {
+    collect(early_answers(PARTIAL_STREAM).into_iter().map(wrong_items)).await;
+}
+
+/// The node reads nothing from the target while its caller does not read, so that only its write meets the reset.
+#[tokio::test]
+async fn broken_off_before_a_slow_caller() {
+    let wrong = async |path: &'static str, read_bytes, pause_ms| {
+        let answer = Answer {
+            status: "200 OK",
+            rest: format!(
+                "\r\n{}",
+                "id: 1\ndata: word1\n\n".repeat(LONG_PART_BYTES / 20)
+            ),
+            read_bytes,
+            pause: Duration::from_millis(pause_ms),
+        };
+        let fleet = faulty_fleet(answer.clone(), false).await;
+        let request = fleet.post(0, path, "r1").body(vec![b'x'; BODY_BYTES[0]]);
+        let response = request.send().await.expect("a response");
+        let status = response.status();
+        sleep(CALLER_PAUSE).await;
+        let body = response.bytes().await;
+        let is_complete = status == 200 && body.is_ok();
+        let body = body.map(|it| it.len());
+        let text = || format!("{answer:?}, {path}: {status}, {body:?}");
+        is_complete.then(text).into_iter().collect()
+    };
+    let mut cases = Vec::new();
+    for path in [
+        "/once/1",
+        "/idempotent/1",
+        "/once-stream/1",
+        "/resumable-stream/1",
+    ] {
+        for read_bytes in READ_BYTES {
+            cases.extend(PAUSES_MS.map(|pause_ms| wrong(path, read_bytes, pause_ms)));
+        }
+    }
+    collect(cases).await;
+}
+
+/// Returns answers that are complete but for their status.
+fn invalid_statuses(body: &str) -> Vec<Answer> {
+    let statuses = [
+        "000 Trouble",
+        "099 Trouble",
+        "101 Switching Protocols",
+        "600 Trouble",
+        "999 Trouble",
+        "20 OK",
+        "2000 OK",
+        "2x0 OK",
+        "+20 OK",
+        "-20 OK",
+        "OK",
+        "",
+    ];
+    let answer = |status| Answer {
+        status,
+        rest: format!("content-length: {}\r\n\r\n{body}", body.len()),
+        read_bytes: usize::MAX,
+        pause: Duration::from_millis(50),
+    };
+    statuses.map(answer).into()
+}
+
+#[tokio::test]
+async fn invalid_status_of_an_answer() {
+    let cases = invalid_statuses("body").into_iter();
+    collect(cases.flat_map(|it| [wrong_plain(it.clone(), true), wrong_plain(it, false)])).await;
+}
+
+#[tokio::test]
+async fn invalid_status_of_a_stream() {
+    let events = ["1", "2", "3", "4", "5"].map(|it| format!("id: {it}\ndata: word{it}\n\n"));
+    let whole = events.concat();
+    let cases = invalid_statuses(&whole).into_iter();
+    collect(cases.flat_map(|it| [wrong_streams(it.clone(), true), wrong_streams(it, false)])).await;
+}
+
+#[tokio::test]
+async fn invalid_status_of_an_item() {
+    collect(
+        invalid_statuses("id: 1\ndata: wrong\n\n")
+            .into_iter()
+            .map(wrong_items),
+    )
+    .await;
+}
--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod batch_takeover;
 mod body_budget;
 mod body_ends;
+mod early_answers;
 mod ended_route;
 mod endless_bytes;
 mod false_errors;
--- a/eel-target/src/engine.rs
+++ b/eel-target/src/engine.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use eel_settings::EngineSettings;
+use eel_types::is_final_status;
 use eel_verdict::{Reason, Refusal};
 use eel_wire::message::{Header, ServeRequest};
 use error_stack::{Report, ResultExt as _};
@@ -46,7 +47,8 @@
     ///
     /// # Errors
     ///
-    /// Refuses the request as not run if its method is invalid or no connection could be made, else as may-have-run.
+    /// Refuses the request as not run if its method is invalid or no connection could be made, else as may-have-run, also
+    /// after a response whose status is that of no response.
     pub(crate) async fn send(
         &self,
         request: &ServeRequest,
@@ -59,13 +61,20 @@
         if let Some(value) = traceparent.and_then(|text| HeaderValue::from_str(&text).ok()) {
             headers.insert(eel_telemetry::trace::TRACEPARENT, value);
         }
-        self.client
+        let sent = self
+            .client
             .request(method, url)
             .headers(headers)
             .body(request.body.clone())
             .send()
-            .await
-            .map_err(|error| to_refusal(&error))
+            .await;
+        let response = sent.map_err(|error| to_refusal(&error))?;
+        let status = response.status().as_u16();
+        if is_final_status(status) {
+            return Ok(response);
+        }
+        log::warn!(target: "target", status; "A response has a status that no response has; it is not used.");
+        Err(Refusal::may_have_run(Reason::TargetFailed))
     }
 }
 
--- a/eel-types/src/lib.rs
+++ b/eel-types/src/lib.rs
@@ -7,6 +7,7 @@
 mod listed_vm;
 mod load;
 mod name;
+mod status;
 
 pub use class::Class;
 pub use clock::Clock;
@@ -15,3 +16,4 @@
 pub use listed_vm::{ListedState, ListedVm};
 pub use load::LoadReport;
 pub use name::Name;
+pub use status::is_final_status;
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -5,6 +5,7 @@
 mod command_line;
 mod crossed_answers;
 mod declared_intent;
+mod early_answers;
 mod endless_bytes;
 mod engine_faults;
 mod fleet;
