--- a/eel-store/src/vm_list.rs
+++ b/eel-store/src/vm_list.rs
@@ -112,6 +112,9 @@
             let cached = cached.ok_or_else(|| Report::new(VmListError::Malformed))?;
             return Ok(cached.vms);
         }
+        if response.status() != StatusCode::OK {
+            return Err(Report::new(VmListError::Unavailable));
+        }
         let etag = response.headers().get(ETAG).cloned();
         let body = read_body(response, MAX_LIST_BYTES)
             .await
--- a/eel-store/tests/store/vm_list.rs
+++ b/eel-store/tests/store/vm_list.rs
@@ -4,6 +4,10 @@
 use eel_standin::vm_list::{ListFault, ListedVm, VmListServer};
 use eel_store::{HttpVmList, VmList as _, VmListError};
 use eel_types::ListedState;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpListener,
+};
 
 use crate::fixture::{CALL_TIMEOUT_MS, SHORT_TIMEOUT_MS};
 
@@ -72,3 +76,23 @@
     assert_eq!(names(&changed), ["vm-1", "vm-2"]);
     assert!(server.bytes_sent() > sent);
 }
+
+#[tokio::test]
+async fn invalid_status() {
+    // It is that of a server error (RFC 9110, section 15), whatever the body says.
+    for status in ["101 Switching", "206 Partial", "600 Trouble", "999 Trouble"] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let server = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let _ = stream.read(&mut [0; 4096]).await;
+            let response = format!("HTTP/1.1 {status}\r\ncontent-length: 10\r\n\r\n{{\"vms\":[]}}");
+            let _ = stream.write_all(response.as_bytes()).await;
+        });
+        let url = format!("http://{address}/vms");
+        let list = HttpVmList::new(url, CALL_TIMEOUT_MS).expect("an HTTP client");
+        let read = list.read().await.map_err(|it| *it.current_context());
+        assert_eq!(read.err(), Some(VmListError::Unavailable), "{status}");
+        server.await.expect("a response");
+    }
+}
