fix(store,gateway): interim responses without end delay no other request

Callers saw: 504 (deadline-exceeded, may-have-run) for an ordinary request while the store sent 103 responses without end (endless_bytes::faulty_store, KNOWN-RED).

Cause: a gateway node has one thread. The HTTP library takes in interim responses for as long as bytes arrive, and tokio ends the turn of a connection after 128 reads, which could take in 400 KB each from the store and 64 KB from a target.

Change: more than 16 interim responses to a request end it and its connection. A store connection reads 16 KB at a time; a connection to a target pauses for other tasks after 64 KB.

--- a/eel-gateway/src/target/connection.rs
+++ b/eel-gateway/src/target/connection.rs
@@ -10,6 +10,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
+use super::fair_stream::FairStream;
+
 /// How long connecting may take: TCP retransmits a lost SYN after a second, and a new attempt is faster than that.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long sent data may stay unacknowledged, or unsent because the target does not read, before the connection counts as
@@ -57,7 +59,7 @@
         )?;
         let handshake = Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream));
+            .handshake(TokioIo::new(FairStream::new(stream)));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -12,6 +12,7 @@
 use eel_platform::{
     AttemptFields, ResponseFields, ResponseKind, copy_request_headers, response_fields,
 };
+use eel_store::many_interim;
 use eel_types::Name;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt as _, Full};
@@ -241,14 +242,19 @@
 /// [`AttemptFailure::NotWritten`] if no part of it was written.
 async fn try_send(
     mut connection: Connection,
-    request: Request<Full<Bytes>>,
+    mut request: Request<Full<Bytes>>,
     request_id: &str,
     slot: &SlotGuard,
     until: Instant,
 ) -> Result<(Connection, Response<Incoming>), AttemptFailure> {
     connection.on_send(request_id);
+    let many_interim = many_interim(&mut request);
     let sending = timeout_at(until.into(), connection.sender.try_send_request(request));
-    match unless_silent(slot, sending).await {
+    let sent = tokio::select! {
+        sent = unless_silent(slot, sending) => sent,
+        () = many_interim.notified() => return Err(AttemptFailure::InvalidResponse),
+    };
+    match sent {
         Err(_) => Err(AttemptFailure::TimedOut),
         Ok(Ok(response)) => Ok((connection, response)),
         Ok(Err(mut error)) => Err(match error.take_message() {
--- a/eel-gateway/src/target/identity.rs
+++ b/eel-gateway/src/target/identity.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use eel_platform::{TARGET_STATE_PATH, decode_started_unix_ms, names_request};
+use eel_store::many_interim;
 use http::{Request, header};
 use http_body_util::{BodyExt as _, Full, Limited};
 use tokio::time::timeout_at;
@@ -45,6 +46,7 @@
         question.headers_mut().insert(header::HOST, host);
     }
     connection.is_kept = true;
+    let many_interim = many_interim(&mut question);
     let answer = async {
         let response = connection.sender.send_request(question).await.ok()?;
         if !response.status().is_success() || names_request(response.headers()) {
@@ -60,6 +62,12 @@
             None => Identity::Unknown,
         })
     };
+    let answer = async {
+        tokio::select! {
+            answer = answer => answer,
+            () = many_interim.notified() => None,
+        }
+    };
     let answer = timeout_at(until.into(), answer).await;
     answer.ok().flatten().ok_or(AttemptFailure::NoIdentity)
 }
--- a/eel-gateway/src/target/mod.rs
+++ b/eel-gateway/src/target/mod.rs
@@ -3,6 +3,7 @@
 mod connection;
 mod exchange;
 mod failure;
+mod fair_stream;
 mod framing;
 mod identity;
 mod pool;
--- a/eel-store/src/body.rs
+++ b/eel-store/src/body.rs
@@ -1,14 +1,16 @@
 //! Reads the bodies of HTTP responses up to a size.
 
+use std::error::Error;
+
 use bytes::{Bytes, BytesMut};
-use reqwest::Response;
+use http_body_util::BodyExt as _;
 
 /// Why the body of a response cannot be read.
 #[derive(Debug, thiserror::Error)]
 pub enum BodyError {
     /// The connection failed, or the response did not arrive in time.
     #[error("cannot read the body: {0}")]
-    Broken(#[from] reqwest::Error),
+    Broken(Box<dyn Error + Send + Sync>),
     /// The body is longer than the service sends one. The connection is closed.
     #[error("the body has more than {max_bytes} bytes")]
     TooLong {
@@ -25,20 +27,27 @@
     }
 }
 
-/// Reads the body of `response`, which a faulty service may never end, and logs one of more than `max_bytes`.
+/// Reads the body of the response to a call of `path`, which a faulty service may never end, and logs one of more than
+/// `max_bytes`.
 ///
 /// # Errors
 ///
 /// [`BodyError`]; the effect of the call is unknown.
-pub async fn read_body(mut response: Response, max_bytes: usize) -> Result<Bytes, BodyError> {
-    let mut body = BytesMut::new();
-    while let Some(part) = response.chunk().await? {
-        if part.len() > max_bytes - body.len() {
-            let path = response.url().path();
+pub async fn read_body<B>(path: &str, mut body: B, max_bytes: usize) -> Result<Bytes, BodyError>
+where
+    B: http_body::Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + Unpin,
+{
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| BodyError::Broken(error.into()))?;
+        let Ok(part) = frame.into_data() else {
+            continue;
+        };
+        if part.len() > max_bytes - read.len() {
             log::warn!(target: "store", path, max_bytes; "A response is not read to its end: it is too long.");
             return Err(BodyError::TooLong { max_bytes });
         }
-        body.extend_from_slice(&part);
+        read.extend_from_slice(&part);
     }
-    Ok(body.freeze())
+    Ok(read.freeze())
 }
--- a/eel-store/src/vm_list.rs
+++ b/eel-store/src/vm_list.rs
@@ -116,7 +116,8 @@
             return Err(Report::new(VmListError::Unavailable));
         }
         let etag = response.headers().get(ETAG).cloned();
-        let body = read_body(response, MAX_LIST_BYTES)
+        let path = response.url().path().to_owned();
+        let body = read_body(&path, reqwest::Body::from(response), MAX_LIST_BYTES)
             .await
             .change_context(VmListError::Unavailable)?;
         let body: Body = serde_json::from_slice(&body).change_context(VmListError::Malformed)?;
--- a/tests/gateway/endless_bytes.rs
+++ b/tests/gateway/endless_bytes.rs
@@ -63,6 +63,7 @@
     }
 }
 
+const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\nx-a: b\r\n\r\n";
 const HEAD: &str = "HTTP/1.1 200 OK\r\n";
 const BODY: &str = "HTTP/1.1 200 OK\r\n\r\n";
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
@@ -292,6 +293,7 @@
         endless("HTTP/1.1 200 OK\r\nx-a: ", "x"),
         endless(HEAD, "x-{n}: xxxxxxxx\r\n"),
         endless("HTTP/1.1 200 OK\r\nx-a: a\r\n", " folded\r\n"),
+        endless("", INTERIM),
         endless(SEALED, "x"),
         endless(SEALED, ": comment\n"),
         endless(SEALED, "id: {n}\ndata: x\n\n"),
@@ -310,6 +312,10 @@
             "x-{n}: xxxxxxxx\r\n",
         ),
         endless(SEALED_WHOLE, "x"),
+        Endless {
+            is_state: true,
+            ..endless("", INTERIM)
+        },
         Endless {
             is_state: true,
             ..endless(BODY, "x")
@@ -346,7 +352,7 @@
     let mut wrong = Vec::new();
     for response in [
         endless("HTTP/1.1 200 OK\r\nx-a: ", "x"),
-        endless("", "HTTP/1.1 103 Early Hints\r\nx-a: b\r\n\r\n"),
+        endless("", INTERIM),
         endless(BODY, " "),
         endless(CHUNKED, "4\r\n    \r\n"),
         endless("HTTP/1.1 500 No\r\n\r\n", "x"),
