test(store): count what a client has read, not what the system holds for it

Change: the service writes only when the sockets of both ends hold nothing (/proc/net/tcp), so that what it has written is what the client has read, up to one piece of 64 KB. The bound stays; the check is stricter, as no buffer can hide or add bytes.

--- a/eel-store/tests/store/endless_bytes.rs
+++ b/eel-store/tests/store/endless_bytes.rs
@@ -2,22 +2,57 @@
 //!
 //! Guards against a client that keeps them until the memory of its node is used up.
 
+use std::time::Duration;
+
 use eel_store::{HttpVmList, KeyValue as _, VmList as _, VmListError, WatchOptions};
 use futures_util::StreamExt as _;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     sync::mpsc::{UnboundedReceiver, unbounded_channel},
     task::JoinSet,
+    time::sleep,
 };
 
 use crate::fixture::{CALL_TIMEOUT_MS, client};
 
 /// How much of one response a client may take: a quarter of the smallest node's memory, 120 MB.
 const MAX_TAKEN_BYTES: u64 = 30 << 20;
+/// How often a service looks whether its peer has read all that was written, so that the buffers of the system, which may hold
+/// more than that, do not count as taken.
+const BUFFER_POLL_INTERVAL: Duration = Duration::from_micros(200);
 /// How much a connection gets at most, so that the test ends.
 const MAX_WRITTEN_BYTES: u64 = 100 << 20;
 
+/// Returns how much of what was written to a connection over the loopback interface the system holds: what the peer has not
+/// acknowledged, and what it has received and not read. The peer has taken the rest.
+async fn buffered_bytes(stream: &TcpStream) -> u64 {
+    let (Ok(own), Ok(peer)) = (stream.local_addr(), stream.peer_addr()) else {
+        return 0;
+    };
+    // Source: the manual of procfs, `/proc/net/tcp`.
+    let sockets = tokio::fs::read_to_string("/proc/net/tcp").await;
+    let sockets = sockets.expect("the sockets");
+    let (own, peer) = (
+        format!(":{:04X}", own.port()),
+        format!(":{:04X}", peer.port()),
+    );
+    let hex = |text: &str| u64::from_str_radix(text, 16).expect("a number");
+    let held = sockets.lines().filter_map(|line| {
+        let mut fields = line.split_whitespace().skip(1);
+        let (local, remote) = (fields.next()?, fields.next()?);
+        let (unsent, unread) = fields.nth(1)?.split_once(':')?;
+        if local.ends_with(&own) && remote.ends_with(&peer) {
+            Some(hex(unsent))
+        } else if local.ends_with(&peer) && remote.ends_with(&own) {
+            Some(hex(unread))
+        } else {
+            None
+        }
+    });
+    held.sum()
+}
+
 /// A service whose connections that are over are named with the bytes that each of them got.
 struct Endless {
     url: String,
@@ -42,6 +77,9 @@
                     let pieces = piece.repeat(64 * 1024 / piece.len());
                     let mut written = 0;
                     while sent.is_ok() && written < MAX_WRITTEN_BYTES {
+                        while buffered_bytes(&stream).await > 0 {
+                            sleep(BUFFER_POLL_INTERVAL).await;
+                        }
                         sent = stream.write_all(pieces.as_bytes()).await;
                         written += pieces.len() as u64;
                     }
