refactor(gateway): say what a step's full services are, and split the soak's routes

Cause: the start of an item stood twice in a loop, and the soak knew no split route without targets. Change: one place for the start; every third table of the soak splits the route of the jobs with a service that has no target.

--- a/eel-gateway/src/batch/start.rs
+++ b/eel-gateway/src/batch/start.rs
@@ -21,10 +21,11 @@
 };
 use crate::{quarantine::Trial, slots::SlotGuard, target::ResponseTrace};
 
-/// The services, and the versions of services, at which an item of this step found no slot.
+/// The services at which an item of this step found no slot.
 #[derive(Default)]
 struct FullServices {
-    /// `None` stands for all versions.
+    /// Each service with the version that the item had to run at; `None` for an item that may run at any, so that the service
+    /// has no slot at all.
     versions: HashSet<(Name, Option<Name>)>,
 }
 
@@ -49,6 +50,7 @@
 }
 
 impl Worker {
+    /// Ends the items that can no longer run, and starts those that find a slot.
     pub(super) fn start_runs(self: &Arc<Self>) {
         let now_ms = self.context.clock.now_ms();
         let nodes: Vec<Name> = self.context.peers().batch_nodes(now_ms).cloned().collect();
@@ -134,7 +136,7 @@
         }
     }
 
-    /// Starts the items of one job that find a slot.
+    /// Starts the items of one job that find a slot, and adds the services without one to `full`.
     fn start_items(
         self: &Arc<Self>,
         state: &mut State,
@@ -171,26 +173,23 @@
                 if full.contains(service, version.as_ref()) {
                     continue;
                 }
-                let slots = &self.context.slots;
-                let hash = stable_hash(&entry.id);
-                let Some(slot) = slots.try_acquire_batch(service, version.as_ref(), hash) else {
-                    full.insert(service, version.as_ref());
-                    if version.is_none() {
-                        break;
-                    }
-                    continue;
-                };
-                let started = self.start(
-                    state,
-                    Start {
+                let (slots, hash) = (&self.context.slots, stable_hash(&entry.id));
+                let slot = slots.try_acquire_batch(service, version.as_ref(), hash);
+                if let Some(slot) = slot {
+                    let start = Start {
                         item,
                         head,
                         entry,
                         slot,
                         trial: None,
-                    },
-                );
-                tokio::spawn(started);
+                    };
+                    tokio::spawn(self.start(state, start));
+                    continue;
+                }
+                full.insert(service, version.as_ref());
+                if version.is_none() {
+                    break;
+                }
             }
         }
     }
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -259,7 +259,8 @@
             .join("\n")
     }
 
-    /// Writes the same routes with a newer version, which revokes the key of the tenant `changing` or gives it back.
+    /// Writes the routes with a newer version, which revokes the key of the tenant `changing` or gives it back, and splits the
+    /// route of the jobs with a service that has no target, or joins it again.
     pub fn change_routes(&mut self) {
         self.version += 1;
         let mut table = routes(self.version);
@@ -267,6 +268,12 @@
         table["tenants"] = json!([
             {"name": "steady", "apiKeys": ["steady"]}, {"name": "changing", "apiKeys": [key]}
         ]);
+        let routes = table["routes"].as_array_mut().expect("routes");
+        let jobs = routes.iter_mut().find(|it| it["name"] == "jobs");
+        if let Some(jobs) = jobs.filter(|_| self.version.is_multiple_of(3)) {
+            jobs["trafficSplit"] =
+                json!([{"service": "scribe", "weight": 2}, {"service": "quill", "weight": 1}]);
+        }
         self.store.put("op/config", &table.to_string());
     }
 }
