test: one stand-in for targets that answer early

Cause: two tests wrote the same faulty target. Change: EarlyTarget in the stand-ins, for early_answers of gateway nodes and of entry and target nodes; the cases and checks stay.

--- a/eel-gateway/tests/gateway/early_answers.rs
+++ b/eel-gateway/tests/gateway/early_answers.rs
@@ -5,19 +5,11 @@
 //! write of the request, after which the read finds an ordinary end. And against a status that RFC 9110, section 15, calls
 //! invalid and that reaches a caller as that of an answer.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::time::Duration;
 
-use eel_platform::{
-    TARGET_STATE_PATH,
-    standin::{StandInTarget, routes},
-};
+use eel_platform::standin::{EarlyResponse, EarlyTarget, StandInTarget, routes};
 use futures_util::{StreamExt as _, stream};
-use serde_json::json;
-use tokio::{
-    io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::{TcpListener, TcpStream},
-    time::{sleep, timeout},
-};
+use tokio::time::sleep;
 
 use crate::fixture::{Fleet, events, fleet};
 
@@ -37,89 +29,19 @@
 const PARTIAL_STREAM: &str = "id: 1\ndata: word1\n\nid: 2\ndata: word2\n\n";
 /// More than all the buffers between a target and a caller that does not read.
 const LONG_PART_BYTES: usize = 24_000_000;
-/// How long a target waits for its peer to read.
-const WRITE_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a slow caller reads nothing: until the target has reset its connection.
 const CALLER_PAUSE: Duration = Duration::from_millis(800);
 /// The number of fleets at once.
 const PARALLEL: usize = 8;
 
-/// What a target answers.
-#[derive(Clone)]
-struct Answer {
-    status: &'static str,
-    /// What follows the fields of the head, with the part of the body.
-    rest: String,
-    read_bytes: usize,
-    pause: Duration,
-}
-
-impl fmt::Debug for Answer {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (framing, _) = self.rest.split_once('\r').unwrap_or_default();
-        let (status, read_bytes, pause) = (self.status, self.read_bytes, self.pause);
-        write!(
-            f,
-            "{status:?}, {framing:?}, {read_bytes} bytes read, {pause:?}"
-        )
-    }
-}
-
-/// Starts a target that gives each request `answer` and resets its connection.
-async fn faulty_target(answer: Answer) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
-    let address = listener.local_addr().expect("an address");
-    tokio::spawn(async move {
-        while let Ok((connection, _)) = listener.accept().await {
-            tokio::spawn(serve(connection, answer.clone()));
-        }
-    });
-    address
-}
-
-async fn serve(mut connection: TcpStream, answer: Answer) -> std::io::Result<()> {
-    loop {
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            head.push(connection.read_u8().await?);
-        }
-        let head = String::from_utf8_lossy(&head).to_lowercase();
-        if head.contains(TARGET_STATE_PATH) {
-            let state = b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n{\"born\":1}";
-            connection.write_all(state).await?;
-            continue;
-        }
-        let field = |name: &str| {
-            let mut lines = head.lines();
-            lines.find_map(|line| Some(line.strip_prefix(name)?.to_owned()))
-        };
-        let id = field("x-eelgrassgap-attempt-id: ").unwrap_or_default();
-        let body_bytes: usize = field("content-length: ").map_or(0, |it| it.parse().unwrap_or(0));
-        let mut read = vec![0; body_bytes.min(answer.read_bytes)];
-        connection.read_exact(&mut read).await?;
-        let Answer { status, rest, .. } = &answer;
-        let response = format!(
-            "HTTP/1.1 {status}\r\nx-eelgrassgap-attempt-id: {id}\r\nx-eelgrassgap-response-seal: seal\r\n{rest}"
-        );
-        // A peer that does not read gets a part of a long body.
-        let written = timeout(WRITE_TIMEOUT, connection.write_all(response.as_bytes())).await;
-        written.unwrap_or(Ok(()))?;
-        sleep(answer.pause).await;
-        return connection.set_zero_linger();
-    }
-}
-
 /// Starts a node before a target that gives `answer`, and a sound one if `has_sound`.
-async fn faulty_fleet(answer: Answer, has_sound: bool) -> Fleet {
+async fn faulty_fleet(answer: EarlyResponse, has_sound: bool) -> (Fleet, EarlyTarget) {
     let mut fleet = fleet(0, 0).await;
     let mut table = routes(2);
     table["limits"]["maxBodyBytes"] = 9_000_000.into();
     fleet.store.put("op/config", &table.to_string());
-    let entry = json!({
-        "service": "scribe", "address": faulty_target(answer).await, "zone": "dc-a", "version": "v1", "slots": 8,
-        "state": "ready", "coldLeftMs": 0, "callSeq": 1, "born": 1
-    });
-    fleet.store.put("servers/faulty", &entry.to_string());
+    let faulty = EarlyTarget::start(answer).await.expect("a target");
+    faulty.announce(&fleet.store, "faulty");
     if has_sound {
         let sound = StandInTarget::start("scribe", "sound").await;
         let sound = sound.expect("a target");
@@ -127,16 +49,16 @@
         fleet.targets.push(sound);
     }
     fleet.add_node("node-0", true).await;
-    fleet
+    (fleet, faulty)
 }
 
 /// Returns all answers with a status of 200 that break off after `part`.
-fn early_answers(part: &str) -> Vec<Answer> {
+fn early_answers(part: &str) -> Vec<EarlyResponse> {
     let mut answers = Vec::new();
     for framing in FRAMINGS {
         for read_bytes in READ_BYTES {
             for pause_ms in PAUSES_MS {
-                answers.push(Answer {
+                answers.push(EarlyResponse {
                     status: "200 OK",
                     rest: format!("{framing}{part}"),
                     read_bytes,
@@ -149,8 +71,8 @@
 }
 
 /// Returns what is wrong with the outcomes of requests that may not be repeated, and of those that may, but do not succeed.
-async fn wrong_plain(answer: Answer, has_sound: bool) -> Vec<String> {
-    let fleet = faulty_fleet(answer.clone(), has_sound).await;
+async fn wrong_plain(answer: EarlyResponse, has_sound: bool) -> Vec<String> {
+    let (fleet, _faulty) = faulty_fleet(answer.clone(), has_sound).await;
     let mut wrong = Vec::new();
     for path in PLAIN_PATHS {
         for (number, body_bytes) in BODY_BYTES.into_iter().enumerate() {
@@ -178,8 +100,8 @@
     wrong
 }
 
-async fn wrong_streams(answer: Answer, has_sound: bool) -> Vec<String> {
-    let fleet = faulty_fleet(answer.clone(), has_sound).await;
+async fn wrong_streams(answer: EarlyResponse, has_sound: bool) -> Vec<String> {
+    let (fleet, _faulty) = faulty_fleet(answer.clone(), has_sound).await;
     let mut wrong = Vec::new();
     for path in STREAM_PATHS {
         for (number, body_bytes) in BODY_BYTES.into_iter().enumerate() {
@@ -206,8 +128,8 @@
     wrong
 }
 
-async fn wrong_items(answer: Answer) -> Vec<String> {
-    let fleet = faulty_fleet(answer.clone(), true).await;
+async fn wrong_items(answer: EarlyResponse) -> Vec<String> {
+    let (fleet, _faulty) = faulty_fleet(answer.clone(), true).await;
     println!("{answer:?}");
     assert_eq!(fleet.submit(0, "j1", &["stream/1"; 4]).await, 202);
     let results = fleet.results(0, "j1", 4).await;
@@ -245,7 +167,7 @@
 #[tokio::test]
 async fn broken_off_before_a_slow_caller() {
     let wrong = async |path: &'static str, read_bytes, pause_ms| {
-        let answer = Answer {
+        let answer = EarlyResponse {
             status: "200 OK",
             rest: format!(
                 "\r\n{}",
@@ -254,7 +176,7 @@
             read_bytes,
             pause: Duration::from_millis(pause_ms),
         };
-        let fleet = faulty_fleet(answer.clone(), false).await;
+        let (fleet, _faulty) = faulty_fleet(answer.clone(), false).await;
         let request = fleet.post(0, path, "r1").body(vec![b'x'; BODY_BYTES[0]]);
         let response = request.send().await.expect("a response");
         let status = response.status();
@@ -280,7 +202,7 @@
 }
 
 /// Returns answers that are complete but for their status.
-fn invalid_statuses(body: &str) -> Vec<Answer> {
+fn invalid_statuses(body: &str) -> Vec<EarlyResponse> {
     let statuses = [
         "000 Trouble",
         "099 Trouble",
@@ -295,7 +217,7 @@
         "OK",
         "",
     ];
-    let answer = |status| Answer {
+    let answer = |status| EarlyResponse {
         status,
         rest: format!("content-length: {}\r\n\r\n{body}", body.len()),
         read_bytes: usize::MAX,
--- a/tests/process/early_answers.rs
+++ b/tests/process/early_answers.rs
@@ -6,12 +6,9 @@
 
 use std::time::Duration;
 
+use eel_platform::standin::{EarlyResponse, EarlyTarget};
 use futures_util::stream::{StreamExt as _, iter};
-use tokio::{
-    io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::{TcpListener, TcpStream},
-    time::{sleep, timeout},
-};
+use tokio::time::sleep;
 
 use crate::{
     fleet::{Platform, RawTarget, Service},
@@ -37,8 +34,6 @@
 const DEADLINE_MS: u64 = 10_000;
 /// The number of fleets at once.
 const PARALLEL: usize = 6;
-/// How long a target waits for its peer to read.
-const WRITE_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long a slow caller reads nothing: until the target has reset its connection.
 const CALLER_PAUSE: Duration = Duration::from_secs(1);
 const STATUSES: [&str; 8] = [
@@ -52,37 +47,6 @@
     "2x0 OK",
 ];
 
-/// Starts a target that reads the head of a request and `read_bytes` of its body, sends `response` and resets the connection.
-async fn resetting_target(response: String, read_bytes: usize, pause: Duration) -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("an address");
-    tokio::spawn(async move {
-        while let Ok((connection, _)) = listener.accept().await {
-            tokio::spawn(reset(connection, response.clone(), read_bytes, pause));
-        }
-    });
-    format!("http://{address}")
-}
-
-async fn reset(
-    mut connection: TcpStream,
-    response: String,
-    read_bytes: usize,
-    pause: Duration,
-) -> std::io::Result<()> {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(connection.read_u8().await?);
-    }
-    let mut body = vec![0; read_bytes];
-    // A short body ends before.
-    let _ = timeout(Duration::from_millis(20), connection.read_exact(&mut body)).await;
-    let written = timeout(WRITE_TIMEOUT, connection.write_all(response.as_bytes())).await;
-    written.unwrap_or(Ok(()))?;
-    sleep(pause).await;
-    connection.set_zero_linger()
-}
-
 /// Returns the requests that look complete although the target's answer breaks off after `part_bytes`.
 async fn complete(
     framing: &str,
@@ -90,9 +54,15 @@
     read_bytes: usize,
     pause_ms: u64,
 ) -> Vec<String> {
-    let response = format!("HTTP/1.1 200 OK\r\n{framing}{}", "x".repeat(part_bytes));
     let pause = Duration::from_millis(pause_ms);
-    let url = resetting_target(response, read_bytes, pause).await;
+    let response = EarlyResponse {
+        status: "200 OK",
+        rest: format!("{framing}{}", "x".repeat(part_bytes)),
+        read_bytes,
+        pause,
+    };
+    let faulty = EarlyTarget::start(response).await.expect("a target");
+    let url = format!("http://{}", faulty.address());
     let mut platform = Platform::start(&[Service::Dispatch]).await;
     let _target = platform
         .start_target_at("t1", "dispatch-runners", &url)
