--- a/eel-fleet/src/absent_services.rs
+++ b/eel-fleet/src/absent_services.rs
@@ -39,7 +39,7 @@
         is_changed
     }
 
-    /// Returns whether the service has had no target for [`MIN_ABSENCE_MS`].
+    /// Returns whether the service has had no target for 2 s.
     #[must_use]
     pub fn contains(&self, service: &Name) -> bool {
         self.absent.contains(service)
--- a/eel-store/src/interim.rs
+++ b/eel-store/src/interim.rs
@@ -13,8 +13,8 @@
 /// any sends a few.
 const MAX_INTERIM_RESPONSES: u32 = 16;
 
-/// Returns what is notified once `request` has had [`MAX_INTERIM_RESPONSES`]. Call it before the request is sent, and drop
-/// the response that is waited for when it is notified: nothing else ends it.
+/// Returns what is notified once `request` has had more interim responses than a sound server sends. Call it before the
+/// request is sent, and drop the response that is waited for when it is notified: nothing else ends it.
 pub fn many_interim<B>(request: &mut Request<B>) -> Arc<Notify> {
     let many = Arc::new(Notify::new());
     let (notify, count) = (many.clone(), AtomicU32::new(0));
