refactor(ledger,gateway): one way to the waiting items of a job

Cause: the start of items, their trials and the end of their route each built an item's reference, looked its entry up and asked whether it waits. Change: Worklist::waiting does so for all three.

--- a/eel-gateway/src/batch/start.rs
+++ b/eel-gateway/src/batch/start.rs
@@ -120,18 +120,13 @@
                 continue;
             };
             for index in queues.ended(known_until_ms) {
-                let item = ItemRef {
-                    job: id.clone(),
-                    item: index,
+                let Some((item, entry)) = state.worklist.waiting(id, job, index) else {
+                    continue;
                 };
-                if state.worklist.is_waiting(job, &item) {
-                    state.worklist.abandon(&item);
-                    let entry = job.items().get(index as usize);
-                    let entry_id = entry.map_or("", |it| &it.id);
-                    let left_ms = state.worklist.left_ms(now_ms, id, head);
-                    let cause = ErrorCause::RouteEnded;
-                    ends::on_errored(&self.context, &item, entry_id, cause, left_ms);
-                }
+                state.worklist.abandon(&item);
+                let left_ms = state.worklist.left_ms(now_ms, id, head);
+                let cause = ErrorCause::RouteEnded;
+                ends::on_errored(&self.context, &item, &entry.id, cause, left_ms);
             }
         }
     }
@@ -156,17 +151,11 @@
                 if state.runs.len() >= self.parallel_items {
                     return;
                 }
-                let item = &ItemRef {
-                    job: id.clone(),
-                    item: index,
-                };
-                let Some(entry) = job.items().get(index as usize) else {
+                let Some((item, entry)) = state.worklist.waiting(id, job, index) else {
                     continue;
                 };
-                if !state.worklist.is_waiting(job, item)
-                    || !may_run(entry)
-                    || self.is_saved_at_full(state, item, service, full)
-                {
+                let item = &item;
+                if !may_run(entry) || self.is_saved_at_full(state, item, service, full) {
                     continue;
                 }
                 let version = self.version_to_continue(state, item, service);
--- a/eel-gateway/src/batch/trial.rs
+++ b/eel-gateway/src/batch/trial.rs
@@ -58,17 +58,11 @@
                     continue;
                 }
                 for index in indices {
-                    let item = ItemRef {
-                        job: id.clone(),
-                        item: index,
-                    };
-                    let Some(entry) = job.items().get(index as usize) else {
+                    let Some((item, entry)) = state.worklist.waiting(id, job, index) else {
                         continue;
                     };
                     let suspects = suspects_of(entry);
-                    if !state.worklist.is_waiting(job, &item)
-                        || !quarantine::is_trial_due(&self.context, &suspects)
-                    {
+                    if !quarantine::is_trial_due(&self.context, &suspects) {
                         continue;
                     }
                     let version = self.version_to_continue(state, &item, service);
@@ -101,11 +95,10 @@
             return;
         };
         let job = ledger.job(&item.job).filter(|it| it.is_open());
-        let Some(job) = job.filter(|it| state.worklist.is_waiting(it, &item)) else {
-            return;
-        };
-        if let Some(head) = job.head()
-            && let Some(entry) = job.items().get(item.item as usize)
+        let (worklist, index) = (&state.worklist, item.item);
+        if let Some(job) = job
+            && let Some(head) = job.head()
+            && let Some((item, entry)) = worklist.waiting(&item.job, job, index)
             && self.context.takes_batch()
         {
             let start = Start {
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -8,7 +8,7 @@
 use eel_store::{Compare, Op, Txn};
 use eel_types::Name;
 
-use crate::{Claim, Doubts, Job, JobHead, Ledger, ListedResult, ResultState, cause_to_end};
+use crate::{Claim, Doubts, Item, Job, JobHead, Ledger, ListedResult, ResultState, cause_to_end};
 
 /// The maximum number of chunks in one transaction: each takes a condition and a write of the 32 entries allowed.
 const MAX_CHUNKS_PER_COMMIT: usize = 16;
@@ -143,6 +143,17 @@
             .saturating_sub(now_ms.saturating_sub(seen_ms))
     }
 
+    /// Returns the item `index` of the job `id`, if it has no result and is not running.
+    #[must_use]
+    pub fn waiting<'a>(&self, id: &Name, job: &'a Job, index: u32) -> Option<(ItemRef, &'a Item)> {
+        let entry = job.items().get(index as usize)?;
+        let item = ItemRef {
+            job: id.clone(),
+            item: index,
+        };
+        self.is_waiting(job, &item).then_some((item, entry))
+    }
+
     /// Returns whether an item of `job` has no result and is not running.
     #[must_use]
     pub fn is_waiting(&self, job: &Job, item: &ItemRef) -> bool {
