refactor(gateway,fleet): a trial asks for its slot once

Cause: before it took a slot, the search for an item to try asked whether the service had one, by a second way through the dispatcher.

--- a/eel-fleet/src/dispatch.rs
+++ b/eel-fleet/src/dispatch.rs
@@ -109,25 +109,6 @@
         service: &Name,
         version: Option<&Name>,
         tie_breaker: u64,
-    ) -> Option<TargetKey> {
-        self.selector.drop_old_reports(now_ms);
-        let target = self.choose_for_batch(now_ms, service, version, tie_breaker)?;
-        self.selector.start(now_ms, target, WorkKind::Batch);
-        Some(target)
-    }
-
-    /// Returns whether [`Self::start_batch`] would find a slot at some version of the service.
-    #[must_use]
-    pub fn can_start_batch(&self, now_ms: u64, service: &Name) -> bool {
-        self.choose_for_batch(now_ms, service, None, 0).is_some()
-    }
-
-    fn choose_for_batch(
-        &self,
-        now_ms: u64,
-        service: &Name,
-        version: Option<&Name>,
-        tie_breaker: u64,
     ) -> Option<TargetKey> {
         if self.is_online_waiting(now_ms, service) {
             return None;
@@ -141,7 +122,10 @@
             left_ms: None,
             tie_breaker,
         };
-        self.selector.choose(now_ms, service, &query)
+        self.selector.drop_old_reports(now_ms);
+        let target = self.selector.choose(now_ms, service, &query)?;
+        self.selector.start(now_ms, target, WorkKind::Batch);
+        Some(target)
     }
 
     /// Starts the queued requests that find a slot. Rejects those whose start is no longer of use, and those whose service
--- a/eel-gateway/src/batch/trial.rs
+++ b/eel-gateway/src/batch/trial.rs
@@ -54,9 +54,6 @@
         for &(id, job) in jobs {
             let queues = destinations.queues(id).into_iter();
             for (service, indices) in queues.flat_map(ItemQueues::iter) {
-                if !self.context.slots.can_start_batch(service) {
-                    continue;
-                }
                 for index in indices {
                     let Some((item, entry)) = state.worklist.waiting(id, job, index) else {
                         continue;
@@ -67,12 +64,17 @@
                     }
                     let version = self.version_to_continue(state, &item, service);
                     let (slots, hash) = (&self.context.slots, stable_hash(&entry.id));
-                    if let Some(slot) = slots.try_acquire_batch(service, version.as_ref(), hash) {
-                        return Some(Candidate {
-                            item,
-                            suspects,
-                            slot,
-                        });
+                    match slots.try_acquire_batch(service, version.as_ref(), hash) {
+                        Some(slot) => {
+                            return Some(Candidate {
+                                item,
+                                suspects,
+                                slot,
+                            });
+                        }
+                        // The service has no slot at all.
+                        None if version.is_none() => break,
+                        None => {}
                     }
                 }
             }
--- a/eel-gateway/src/slots.rs
+++ b/eel-gateway/src/slots.rs
@@ -127,12 +127,6 @@
         self.guard(&inner, key, WorkKind::Batch).ok()
     }
 
-    /// Returns whether [`Self::try_acquire_batch`] would find a slot at some version of the service.
-    pub(crate) fn can_start_batch(&self, service: &Name) -> bool {
-        let now_ms = self.clock.now_ms();
-        self.lock().dispatcher.can_start_batch(now_ms, service)
-    }
-
     /// Applies `change` to the dispatcher, then dispatches or rejects the waiting requests that this affects.
     pub(crate) fn update<T>(self: &Arc<Self>, change: impl FnOnce(&mut Dispatcher) -> T) -> T {
         let mut inner = self.lock();
