--- a/eel-gateway/src/target/fair_stream.rs
+++ b/eel-gateway/src/target/fair_stream.rs
@@ -11,8 +11,8 @@
     net::TcpStream,
 };
 
-/// How much is read until other tasks run. All that is read at once may be taken in before the task of the connection ends
-/// its turn, such as heads of interim responses without end.
+/// How much is read until other tasks run. The HTTP library may parse all that it can read within one poll, such as an endless
+/// series of interim responses.
 const MAX_BYTES_AT_ONCE: usize = 64 * 1024;
 
 /// A connection whose reader pauses for the other tasks after each [`MAX_BYTES_AT_ONCE`].
