--- a/tests/gateway/endless_bytes.rs
+++ b/tests/gateway/endless_bytes.rs
@@ -184,7 +184,8 @@
                 let body = response.bytes().await;
                 // A refusal is no cut: it says when to come back.
                 if !(status == 503 || status == 200 && body.is_ok()) {
-                    self.cut.push(format!("{id}: {status}, {body:?}"));
+                    let log = self.fixture.node.log_of(&format!("\"{id}\""));
+                    self.cut.push(format!("{id}: {status}, {body:?}, {log}"));
                 }
             }
             Err(error) => self.cut.push(format!("{id}: {error:?}")),
--- a/tests/gateway/process.rs
+++ b/tests/gateway/process.rs
@@ -166,6 +166,13 @@
         format!("log of {}:\n{tail}", self.name)
     }
 
+    /// Returns the lines of the log that contain `text`.
+    pub fn log_of(&self, text: &str) -> String {
+        let log = fs::read_to_string(&self.log).unwrap_or_default();
+        let lines = log.lines().filter(|it| it.contains(text));
+        lines.collect::<Vec<_>>().join("\n")
+    }
+
     fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
