test: runners of the stand-in that answer without a length, and in processes of their own

Cause: a crash of single runners has to be played, and answers that end with their connection. Change: `framing` and `process` in a runner's configuration; a script that gets SIGTERM ends what it has started.

--- a/review/standin-3/fleet.py
+++ b/review/standin-3/fleet.py
@@ -20,6 +20,9 @@
 HOST = "fleet.example"
 LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
 
+# Ends what a script started also when the script itself is ended.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
 
 def free_ports(count):
     """Free ports: of TCP and UDP, as a node uses one number for both."""
@@ -121,9 +124,8 @@
         self.helper(HERE / "store.py", self.store_port)
         await self.until(lambda: is_open(self.store_port), 10)
         await self.configure()
-        config = self.folder / "runners.json"
-        config.write_text(json.dumps({"store": self.store_port, "beat_ms": self.beat_ms, "runners": self.runner_configs}), encoding="utf-8")
-        self.runners = self.helper(HERE / "runners.py", config, self.runs)
+        # Runners with the same `process` share one.
+        self.runners = {process: self.start_runners(process) for process in {it.get("process", 0) for it in self.runner_configs}}
         for name, zone, role, memory_mb in nodes:
             self.nodes.append(Node(self, name, zone, role, memory_mb))
         for node in self.nodes:
@@ -131,6 +133,12 @@
         await self.until(lambda: all(is_ready(it) for it in self.fronts()), 15)
         await asyncio.sleep(3)
 
+    def start_runners(self, process):
+        config = self.folder / f"runners-{process}.json"
+        runners = [it for it in self.runner_configs if it.get("process", 0) == process]
+        config.write_text(json.dumps({"store": self.store_port, "beat_ms": self.beat_ms, "runners": runners}), encoding="utf-8")
+        return self.helper(HERE / "runners.py", config, self.runs)
+
     def fronts(self):
         return [it for it in self.nodes if it.role == "gateway"]
 
--- a/review/standin-3/runners.py
+++ b/review/standin-3/runners.py
@@ -3,7 +3,7 @@
 
 Usage: runners.py CONFIG.json RUNS.jsonl. CONFIG: `store` (port), `beat_ms`, and `runners`, a list of `id`, `port`, `service`,
 `zone`, `slots`, `queue`, `kind` (`events` or `plain`), `events`, `event_bytes`, `pace_ms` (between two events), `batch` (events
-a write) `work_ms` and `answer_bytes` (plain). RUNS gets a line when a request arrives, begins, and ends.
+a write) `work_ms` and `answer_bytes` (plain), `framing` (`connection` for answers without a length that end with their connection). RUNS gets a line when a request arrives, begins, and ends.
 
 Each runner follows the pages: it registers in the store and renews its entry, admits `slots` requests at once and queues
 `queue` more, refuses the rest with 503 and `X-Eelgrassgap-Not-Executed`, answers 421 to a request for another instance,
@@ -82,7 +82,7 @@
         if run in done:
             gone.cancel()
             run.result()
-            return True
+            return self.config.get("framing") != "connection"
         run.cancel()
         self.log.write(what="left", id=request_id, runner=self.config["id"])
         return False
@@ -109,17 +109,20 @@
 
     async def stream(self, writer, request_id, seal, headers):
         it = self.config
-        fields = {**seal, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked", "Keep-Alive": "timeout=5"}
+        is_chunked = it.get("framing") != "connection"
+        framing = {"Transfer-Encoding": "chunked", "Keep-Alive": "timeout=5"} if is_chunked else {"Connection": "close"}
+        fields = {**seal, "Content-Type": "text/event-stream", **framing}
         writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields.items()) + "\r\n").encode())
         event = int(headers.get("last-event-id", 0)) + 1
         while event <= it["events"]:
             last = min(event + it["batch"] - 1, it["events"])
             await asyncio.sleep(it["pace_ms"] * (last - event + 1) / 1000)
             piece = "".join(f"id: {number}\ndata: {text_of(request_id, number, it['event_bytes'])}\n\n" for number in range(event, last + 1)).encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+            writer.write(b"%x\r\n%s\r\n" % (len(piece), piece) if is_chunked else piece)
             await writer.drain()
             event = last + 1
-        writer.write(b"0\r\n\r\n")
+        if is_chunked:
+            writer.write(b"0\r\n\r\n")
         await writer.drain()
 
     async def send(self, writer, status, headers, body):
