--- a/eel-gateway/src/batch/ends.rs
+++ b/eel-gateway/src/batch/ends.rs
@@ -4,7 +4,7 @@
 use eel_verdict::Verdict;
 
 use super::item::Run;
-use crate::context::Context;
+use crate::{context::Context, target::BodyFraming};
 
 /// Logs and counts the end of a run.
 pub(super) fn on_run_end(
@@ -16,6 +16,7 @@
 ) {
     let response = run.response;
     let outcome = outcome_name(run_outcome);
+    let framing = response.framing.map_or("", BodyFraming::as_str);
     run.context.metrics.count_item(outcome);
     let verdict = match run_outcome {
         RunOutcome::Interrupted(_) | RunOutcome::Doubtful(..) => Verdict::MayHaveRun,
@@ -24,7 +25,7 @@
     log::info!(
         target: "jobs", request_id = run.item.id.as_str(), job = item.job.as_str(), target_id, outcome,
         failures = failures_after(run_outcome), max_attempts = run.head.max_attempts, verdict = verdict.as_str(), yielded,
-        status = response.status, is_signed = response.is_signed, local_port = response.local_port, is_kept = response.is_kept;
+        status = response.status, is_signed = response.is_signed, framing, last_event_id = run.last_event.unwrap_or(0), local_port = response.local_port, is_kept = response.is_kept;
         "A run of an item ended."
     );
 }
--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -39,6 +39,8 @@
     pub left_ms: u64,
     /// What the log says of the response.
     pub response: ResponseTrace,
+    /// The id of the last event that the item had when the run ended; `None` if it has no event.
+    pub last_event: Option<u64>,
 }
 
 /// The progress of a running item, shared by its run and by the task that saves it.
@@ -53,10 +55,6 @@
     pub fn lock(&self) -> MutexGuard<'_, Progress> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    fn take(&self) -> Progress {
-        std::mem::take(&mut *self.lock())
-    }
 }
 
 impl Run {
@@ -140,7 +138,7 @@
                         drop(progress);
                         log::info!(target: "jobs", request_id = self.item.id.as_str(); "The text of an item is too long to be listed.");
                         target_response.fail(AttemptFailure::InvalidResponse);
-                        return RunOutcome::Discarded(self.progress.take());
+                        return RunOutcome::Discarded(self.take_progress());
                     }
                 }
                 Ok(Some(_)) => {}
@@ -185,7 +183,7 @@
         if status.is_success() {
             quarantine::on_completed(&self.context, &outgoing.suspects);
         }
-        let progress = self.progress.take();
+        let progress = self.take_progress();
         match claim {
             Some(claim) if is_doubtful => RunOutcome::Doubtful(progress, claim),
             Some(Claim::Failed) => RunOutcome::Failed(progress),
@@ -231,9 +229,15 @@
         self.interrupted()
     }
 
+    fn take_progress(&mut self) -> Progress {
+        let progress = std::mem::take(&mut *self.progress.lock());
+        self.last_event = progress.last_event;
+        progress
+    }
+
     /// Returns the outcome of an interrupted run, with the item's progress.
     pub fn interrupted(&mut self) -> RunOutcome {
-        RunOutcome::Interrupted(self.progress.take())
+        RunOutcome::Interrupted(self.take_progress())
     }
 }
 
--- a/eel-gateway/src/batch/start.rs
+++ b/eel-gateway/src/batch/start.rs
@@ -237,6 +237,7 @@
             progress,
             left_ms,
             response: ResponseTrace::default(),
+            last_event: None,
         };
         let driven = self.clone().drive(key, item.clone(), run, slot, cancel);
         async move {
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -66,6 +66,8 @@
     /// The status; 0 if there was no response.
     pub status: u16,
     pub is_signed: bool,
+    /// What marks the end of the body; `None` if there was no response.
+    pub framing: Option<BodyFraming>,
     /// The node's own port of the connection.
     pub local_port: u16,
     /// Whether the connection had a request before.
@@ -304,6 +306,7 @@
         ResponseTrace {
             status: self.status.as_u16(),
             is_signed: self.fields.is_signed,
+            framing: Some(self.framing),
             local_port: connection.map_or(0, |it| it.local_port),
             is_kept: connection.is_some_and(|it| it.is_kept),
         }
