--- a/eel-fleet/src/selector/mod.rs
+++ b/eel-fleet/src/selector/mod.rs
@@ -141,6 +141,12 @@
         self.targets.get(key).map(|target| &target.entry)
     }
 
+    /// Returns whether a target is listed and not about to leave.
+    #[must_use]
+    pub fn stays(&self, key: TargetKey) -> bool {
+        self.targets.get(key).is_some_and(Target::stays)
+    }
+
     /// Returns whether a target of `version` is listed that is not excluded and not about to leave, whether it can be used
     /// now or not.
     #[must_use]
--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -5,11 +5,14 @@
     time::{Duration, Instant},
 };
 
-use eel_events::{EventBuffer, Repeats, each, event_data, event_id};
+use bytes::Bytes;
+use eel_events::{EventBuffer, InvalidEvents, Repeats, each, event_data, event_id};
 use eel_fleet::{AttemptOutcome, TargetEntry};
 use eel_ledger::{Claim, Item, JobHead, MAX_TEXT_BYTES, Progress, RunOutcome};
 use eel_platform::shared_parts_of;
 use eel_quarantine::MAX_FIRST_EVENTS;
+use eel_types::Name;
+use eel_verdict::Verdict;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 
 use crate::{
@@ -17,7 +20,8 @@
     quarantine::{self, Suspects},
     slots::SlotGuard,
     target::{
-        AttemptFailure, OutgoingRequest, ResponseTrace, TargetResponse, continues_stream, exchange,
+        AttemptFailure, Ending, OutgoingRequest, ResponseTrace, TargetResponse, continues_stream,
+        exchange,
     },
 };
 
@@ -29,6 +33,10 @@
 /// The maximum time from the start of a run to its deadline.
 const MAX_RUN_TIME: Duration = Duration::from_mins(1);
 
+/// The number of runs in a row after which a text that may be whole is not asked after any more, because they neither brought an
+/// event nor showed that there is none.
+const MAX_UNSETTLED_RUNS: u32 = 3;
+
 /// One run of one item, with the item's progress.
 pub struct Run {
     pub context: Arc<Context>,
@@ -43,6 +51,25 @@
     pub last_event: Option<u64>,
 }
 
+/// What the end of a response shows of the text.
+enum Settled {
+    /// It is whole.
+    Complete,
+    /// The target sends more, of which these are the first bytes.
+    Continued(Bytes),
+    /// It may be cut; another run shows what follows.
+    Interrupted,
+}
+
+/// Why the events of a run are not used.
+#[derive(Debug, thiserror::Error)]
+enum Unusable {
+    #[error("A run of an item is interrupted: {0}.")]
+    Events(InvalidEvents),
+    #[error("The text of an item is too long to be listed.")]
+    TooLong,
+}
+
 /// The progress of a running item, shared by its run and by the task that saves it.
 #[derive(Clone, Debug, Default)]
 pub struct SharedProgress(Arc<Mutex<Progress>>);
@@ -81,7 +108,7 @@
                         "A response does not continue the text of an item."
                     );
                     target_response.fail(AttemptFailure::InvalidResponse);
-                    return self.interrupted();
+                    return RunOutcome::rejected_rest(self.take_progress());
                 }
                 let outgoing = &outgoing;
                 self.read(outgoing, target_response, idle_timeout, deadline)
@@ -109,69 +136,71 @@
         let resumes = last_event.is_some();
         let mut buffer = EventBuffer::continuing(last_event, Repeats::PassedOver);
         let mut until = Instant::now() + idle_timeout;
-        loop {
-            match target_response.next(until.min(deadline)).await {
+        let mut start = None;
+        let failure = loop {
+            let read = match start.take() {
+                Some(start) => Ok(Some(start)),
+                None => target_response.next(until.min(deadline)).await,
+            };
+            match read {
                 Ok(Some(bytes)) if status.is_success() => {
-                    let had_only_begun = buffer.scanner().events() <= MAX_FIRST_EVENTS;
-                    let pushed = buffer.push(&bytes);
-                    if had_only_begun && buffer.scanner().events() > MAX_FIRST_EVENTS {
-                        quarantine::on_progress(&self.context, &outgoing.suspects);
-                    }
-                    let complete = match pushed {
-                        Ok(Some(complete)) => complete,
-                        Ok(None) => continue,
-                        Err(error) => {
-                            log::debug!(target: "jobs", "A run of item {} was interrupted: {error}.", self.item.id);
+                    match self.push(outgoing, &mut buffer, &bytes, version.as_ref()) {
+                        Ok(true) => until = Instant::now() + idle_timeout,
+                        Ok(false) => {}
+                        Err(unusable) => {
+                            log::info!(target: "jobs", request_id = self.item.id.as_str(); "{unusable}");
                             target_response.fail(AttemptFailure::InvalidResponse);
-                            return self.interrupted();
+                            return match unusable {
+                                Unusable::Events(_) => self.interrupted(),
+                                Unusable::TooLong => RunOutcome::Discarded(self.take_progress()),
+                            };
                         }
-                    };
-                    until = Instant::now() + idle_timeout;
-                    let mut progress = self.progress.lock();
-                    let held_bytes = progress.text.len();
-                    each(&complete).for_each(|event| append_event(&mut progress, event));
-                    self.count_text(progress.text.len() - held_bytes);
-                    if progress.last_event.is_some() {
-                        progress.version.clone_from(&version);
-                    }
-                    if progress.text.len() > MAX_TEXT_BYTES {
-                        drop(progress);
-                        log::info!(target: "jobs", request_id = self.item.id.as_str(); "The text of an item is too long to be listed.");
-                        target_response.fail(AttemptFailure::InvalidResponse);
-                        return RunOutcome::Discarded(self.take_progress());
                     }
                 }
                 Ok(Some(_)) => {}
-                Ok(None) => break,
-                Err(failure) => {
-                    log::debug!(target: "jobs", "A run of item {} was interrupted: {failure}.", self.item.id);
-                    let target = target_response.slot.target.clone();
-                    drop(target_response);
-                    let events = buffer.scanner().events();
-                    let run_outcome = self.failed(outgoing, failure, &target, events).await;
-                    return match (claim, run_outcome) {
-                        // The target may have meant it, and must not be asked without a limit.
-                        (Some(claim), RunOutcome::Interrupted(progress)) => {
-                            RunOutcome::Doubtful(progress, claim)
+                Ok(None) => {
+                    // Every item has output, so that a success without an event is not all of it.
+                    let has_output = resumes || buffer.scanner().has_events();
+                    let framing = target_response.framing;
+                    if status.is_success()
+                        && !(has_output && framing.is_complete(buffer.scanner(), resumes))
+                    {
+                        break Some(AttemptFailure::Truncated);
+                    }
+                    if !target_response.needs_settling() {
+                        break None;
+                    }
+                    let brought_events = buffer.scanner().has_events();
+                    let settling =
+                        self.settle(outgoing, &mut target_response, brought_events, deadline);
+                    match Box::pin(settling).await {
+                        Settled::Complete => break None,
+                        Settled::Interrupted => break Some(AttemptFailure::Unsettled),
+                        Settled::Continued(bytes) => {
+                            let last_event = self.progress.lock().last_event;
+                            buffer = EventBuffer::continuing(last_event, Repeats::Refused);
+                            start = Some(bytes);
+                            until = Instant::now() + idle_timeout;
                         }
-                        (_, run_outcome) => run_outcome,
-                    };
+                    }
                 }
+                Err(failure) => break Some(failure),
             }
-        }
-        // Every item has output, so that a success without an event is not all of it.
-        let has_output = resumes || buffer.scanner().has_events();
-        let is_complete = has_output
-            && target_response
-                .framing
-                .is_complete(buffer.scanner(), resumes);
-        if status.is_success() && !is_complete {
-            log::debug!(target: "jobs", "A run of item {} ended early.", self.item.id);
-            let failure = target_response.fail(AttemptFailure::Truncated);
+        };
+        if let Some(failure) = failure {
+            log::debug!(target: "jobs", "A run of item {} was interrupted: {failure}.", self.item.id);
+            target_response.fail(failure);
             let target = target_response.slot.target.clone();
             drop(target_response);
             let events = buffer.scanner().events();
-            return self.failed(outgoing, failure, &target, events).await;
+            let run_outcome = self.failed(outgoing, failure, &target, events).await;
+            return match (claim, run_outcome) {
+                // The target may have meant it, and must not be asked without a limit.
+                (Some(claim), RunOutcome::Interrupted(progress)) => {
+                    RunOutcome::doubtful(progress, claim)
+                }
+                (_, run_outcome) => run_outcome,
+            };
         }
         let pool = &self.context.pool;
         if is_doubtful {
@@ -185,11 +214,73 @@
         }
         let progress = self.take_progress();
         match claim {
-            Some(claim) if is_doubtful => RunOutcome::Doubtful(progress, claim),
-            Some(Claim::Failed) => RunOutcome::Failed(progress),
-            Some(Claim::Rejected) => RunOutcome::Rejected,
+            Some(claim) if is_doubtful => RunOutcome::doubtful(progress, claim),
+            Some(claim) => RunOutcome::claimed(progress, claim),
             None if status.is_success() => RunOutcome::Completed(progress),
-            None => RunOutcome::Interrupted(progress),
+            None => RunOutcome::rejected_rest(progress),
+        }
+    }
+
+    /// Adds the events that `bytes` complete to the text. Returns whether there are any.
+    fn push(
+        &self,
+        outgoing: &OutgoingRequest,
+        buffer: &mut EventBuffer,
+        bytes: &[u8],
+        version: Option<&Name>,
+    ) -> Result<bool, Unusable> {
+        let had_only_begun = buffer.scanner().events() <= MAX_FIRST_EVENTS;
+        let pushed = buffer.push(bytes);
+        if had_only_begun && buffer.scanner().events() > MAX_FIRST_EVENTS {
+            quarantine::on_progress(&self.context, &outgoing.suspects);
+        }
+        let Some(complete) = pushed.map_err(Unusable::Events)? else {
+            return Ok(false);
+        };
+        let mut progress = self.progress.lock();
+        let held_bytes = progress.text.len();
+        each(&complete).for_each(|event| append_event(&mut progress, event));
+        self.count_text(progress.text.len() - held_bytes);
+        if progress.last_event.is_some() {
+            progress.version = version.cloned();
+        }
+        if progress.text.len() > MAX_TEXT_BYTES {
+            return Err(Unusable::TooLong);
+        }
+        Ok(true)
+    }
+
+    /// Finds out whether the text is whole, whose response has ended with its connection.
+    async fn settle(
+        &mut self,
+        outgoing: &OutgoingRequest,
+        target_response: &mut TargetResponse,
+        brought_events: bool,
+        deadline: Instant,
+    ) -> Settled {
+        let last_event = {
+            let mut progress = self.progress.lock();
+            progress.may_be_whole = true;
+            progress.last_event
+        };
+        // A run that resumed the text and brought nothing was such a question already.
+        let asked = last_event.filter(|_| brought_events);
+        let settling = target_response.settle(&self.context, outgoing, asked, deadline);
+        match settling.await {
+            Ending::Complete => Settled::Complete,
+            Ending::Continued(bytes) => Settled::Continued(bytes),
+            Ending::Broken => Settled::Interrupted,
+            Ending::Unknown => {
+                let runs = self.progress.lock().unsettled_runs + 1;
+                if runs < MAX_UNSETTLED_RUNS {
+                    return Settled::Interrupted;
+                }
+                log::warn!(
+                    target: "jobs", request_id = self.item.id.as_str(), runs, last_event_id = last_event.unwrap_or(0);
+                    "A text is listed though no target has confirmed that it is whole."
+                );
+                Settled::Complete
+            }
         }
     }
 
@@ -219,14 +310,22 @@
     ) -> RunOutcome {
         match failure {
             AttemptFailure::TimedOut => self.progress.lock().silences += 1,
-            AttemptFailure::InvalidResponse | AttemptFailure::Truncated
+            AttemptFailure::InvalidResponse
+            | AttemptFailure::Truncated
+            | AttemptFailure::Unsettled
                 if events <= MAX_FIRST_EVENTS =>
             {
                 quarantine::on_early_end(&self.context, target, outgoing).await;
             }
             _ => {}
         }
-        self.interrupted()
+        let may_have_run = failure.verdict() != Verdict::NotRun;
+        let progress = self.take_progress();
+        if may_have_run && progress.may_be_whole {
+            progress.unsettled(MAX_UNSETTLED_RUNS)
+        } else {
+            RunOutcome::Interrupted(progress)
+        }
     }
 
     fn take_progress(&mut self) -> Progress {
@@ -295,4 +394,6 @@
     }
     progress.last_event = Some(id);
     progress.silences = 0;
+    progress.unsettled_runs = 0;
+    progress.may_be_whole = false;
 }
--- a/eel-gateway/src/batch/start.rs
+++ b/eel-gateway/src/batch/start.rs
@@ -292,6 +292,9 @@
         let may_continue = |it: &Progress| it.continues_at(version);
         let saved_text = self.context.partials().longest_text(item, may_continue);
         state.saved.begin(item, saved_text.as_ref(), rand::random());
-        saved_text.map_or(own, |saved_text| saved_text.progress)
+        saved_text.map_or(own, |saved_text| Progress {
+            may_be_whole: true,
+            ..saved_text.progress
+        })
     }
 }
--- a/eel-gateway/src/metrics.rs
+++ b/eel-gateway/src/metrics.rs
@@ -23,6 +23,11 @@
     pub end: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ConnectionEndLabel {
+    pub end: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct EvidenceLabel {
     pub evidence: &'static str,
@@ -65,6 +70,8 @@
     pub errored_items: Family<CauseLabel, Counter>,
     /// Streams from targets, by the framing of their body and by how they ended.
     pub stream_ends: Family<StreamEndLabels, Counter>,
+    /// Streams that ended with their connection, by what their target showed of the end.
+    pub connection_ends: Family<ConnectionEndLabel, Counter>,
     /// Streams that began at another version than the default one of their service.
     pub recorded_streams: Counter,
     /// Streams that callers resumed, by the source of their version, or why it is unknown.
@@ -142,6 +149,11 @@
             "Streams from targets by the framing of their body and by how they ended",
             self.stream_ends.clone(),
         );
+        registry.register(
+            "connection_ends",
+            "Streams that ended with their connection by what their target showed of the end",
+            self.connection_ends.clone(),
+        );
         registry.register(
             "recorded_streams",
             "Streams begun at another version than the default one of their service",
@@ -295,6 +307,12 @@
         self.stream_ends.get_or_create(&labels).inc();
     }
 
+    pub fn count_connection_end(&self, end: &'static str) {
+        self.connection_ends
+            .get_or_create(&ConnectionEndLabel { end })
+            .inc();
+    }
+
     pub fn count_attempt(&self, outcome: AttemptOutcome) {
         let outcome = match outcome {
             AttemptOutcome::Answered => "answered",
--- a/eel-gateway/src/online/attempts.rs
+++ b/eel-gateway/src/online/attempts.rs
@@ -78,7 +78,7 @@
             | AttemptFailure::Misdirected => Reason::NoTarget,
             AttemptFailure::Full => Reason::Overloaded,
             AttemptFailure::Unproven | AttemptFailure::InvalidResponse => Reason::TargetFailed,
-            AttemptFailure::Truncated => Reason::Truncated,
+            AttemptFailure::Truncated | AttemptFailure::Unsettled => Reason::Truncated,
             AttemptFailure::TimedOut => Reason::DeadlineExceeded,
         };
         if verdict == Verdict::NotRun {
--- a/eel-gateway/src/slots.rs
+++ b/eel-gateway/src/slots.rs
@@ -313,6 +313,11 @@
         self.slots.on_silence(self.key);
     }
 
+    /// Returns whether the target is listed and not about to leave.
+    pub(crate) fn target_stays(&self) -> bool {
+        self.slots.read(|it| it.selector().stays(self.key))
+    }
+
     /// Records that the target has said that it is leaving.
     pub(crate) fn on_leaving(&self) {
         let now_ms = self.slots.clock.now_ms();
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -14,7 +14,7 @@
 };
 use eel_store::many_interim;
 use eel_types::Name;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, response::Parts};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use tokio::time::{sleep, timeout_at};
@@ -95,13 +95,7 @@
     let (parts, body) = response.into_parts();
     let request_id = outgoing.request_id.as_str();
     let is_kept = connection.is_kept;
-    let fields = response_fields(request_id, parts.status, &parts.headers, is_kept);
-    if fields.is_leaving {
-        slot.on_leaving();
-    }
-    if let Some(limit) = fields.limit {
-        slot.on_limit(limit);
-    }
+    let fields = slot.on_head(request_id, &parts, is_kept);
     if let Err(failure) = check(fields.kind) {
         slot.set_outcome(failure.outcome());
         log_unusable(request_id, &slot, parts.status, is_kept, failure);
@@ -242,7 +236,7 @@
 /// # Errors
 ///
 /// [`AttemptFailure::NotWritten`] if no part of it was written.
-async fn try_send(
+pub(super) async fn try_send(
     mut connection: Connection,
     mut request: Request<Full<Bytes>>,
     request_id: &str,
@@ -266,7 +260,7 @@
     }
 }
 
-fn to_request(
+pub(super) fn to_request(
     slot: &SlotGuard,
     outgoing: &OutgoingRequest,
     last_event_id: Option<u64>,
@@ -286,6 +280,20 @@
     request
 }
 
+impl SlotGuard {
+    /// Records what the head of a response to `request_id` says of the target. Returns its fields.
+    pub(super) fn on_head(&self, request_id: &str, parts: &Parts, is_kept: bool) -> ResponseFields {
+        let fields = response_fields(request_id, parts.status, &parts.headers, is_kept);
+        if fields.is_leaving {
+            self.on_leaving();
+        }
+        if let Some(limit) = fields.limit {
+            self.on_limit(limit);
+        }
+        fields
+    }
+}
+
 /// Returns the connection of a refusal to the pool if no body is left to read.
 fn return_connection(
     pool: &Pool,
@@ -359,6 +367,27 @@
         }
     }
 
+    /// Reads the body of another response of the same target from now on.
+    pub(super) fn replace(
+        &mut self,
+        parts: Parts,
+        fields: ResponseFields,
+        body: Incoming,
+        connection: Connection,
+    ) {
+        self.framing = BodyFraming::of(&parts.headers);
+        self.status = parts.status;
+        self.headers = parts.headers;
+        self.fields = fields;
+        self.body = body;
+        self.connection = Some(connection);
+    }
+
+    /// Closes the connection, whose response is not read to its end.
+    pub(super) fn close(&mut self) {
+        self.connection = None;
+    }
+
     /// Marks the attempt as failed and returns `failure`.
     pub fn fail(&mut self, failure: AttemptFailure) -> AttemptFailure {
         self.slot.set_outcome(failure.outcome());
--- a/eel-gateway/src/target/failure.rs
+++ b/eel-gateway/src/target/failure.rs
@@ -35,6 +35,9 @@
     /// The body of the response ended within an event, or without one.
     #[error("the answer ended early")]
     Truncated,
+    /// The body of the response ended with its connection, and the target that sent it has ended or does not respond.
+    #[error("the answer may have ended early")]
+    Unsettled,
     /// The target did not respond in time.
     #[error("the target did not respond in time")]
     TimedOut,
@@ -50,9 +53,11 @@
             | Self::NotWritten
             | Self::Full
             | Self::Misdirected => Verdict::NotRun,
-            Self::Unproven | Self::InvalidResponse | Self::Truncated | Self::TimedOut => {
-                Verdict::MayHaveRun
-            }
+            Self::Unproven
+            | Self::InvalidResponse
+            | Self::Truncated
+            | Self::Unsettled
+            | Self::TimedOut => Verdict::MayHaveRun,
         }
     }
 
@@ -65,7 +70,11 @@
             Self::NotWritten => Some("not_written"),
             Self::Full => Some("refused"),
             Self::Misdirected => Some("misdirected"),
-            Self::Unproven | Self::InvalidResponse | Self::Truncated | Self::TimedOut => None,
+            Self::Unproven
+            | Self::InvalidResponse
+            | Self::Truncated
+            | Self::Unsettled
+            | Self::TimedOut => None,
         }
     }
 
@@ -81,6 +90,7 @@
             | Self::Misdirected
             | Self::InvalidResponse
             | Self::Truncated
+            | Self::Unsettled
             | Self::TimedOut => AttemptOutcome::Failed,
         }
     }
--- a/eel-gateway/tests/gateway/body_ends.rs
+++ b/eel-gateway/tests/gateway/body_ends.rs
@@ -85,12 +85,14 @@
 #[tokio::test]
 async fn truncated_item_is_resumed() {
     let mut wrong = Vec::new();
-    for (response, is_truncated) in stream_cases() {
+    for (response, _) in stream_cases() {
         let raw = raw_fleet(&[response]).await;
         assert_eq!(raw.fleet.submit(0, "j1", &["stream/1"]).await, 202);
         let results = raw.fleet.results(0, "j1", 1).await;
-        let listed = sent_events(if is_truncated { Whole } else { response.cut });
-        let words: Vec<String> = listed.iter().map(|id| format!("word{id}")).collect();
+        let words: Vec<String> = sent_events(Whole)
+            .iter()
+            .map(|id| format!("word{id}"))
+            .collect();
         if results[0]["state"] != "completed" || results[0]["text"] != words.join("\n") {
             wrong.push((response, results));
         }
--- a/eel-gateway/tests/gateway/main.rs
+++ b/eel-gateway/tests/gateway/main.rs
@@ -41,4 +41,5 @@
 mod tenant_keys;
 mod tenant_quotas;
 mod tenant_secrets;
+mod unframed_ends;
 mod unread_request;
--- /dev/null
+++ b/eel-gateway/tests/gateway/unframed_ends.rs
@@ -0,0 +1,143 @@
+//! Responses without a length, which end with their connection, at targets that end, live on or say nothing.
+//!
+//! Guards against a crash that is taken for the end of a response, and against what a question about the rest may spoil.
+
+use std::{sync::Arc, time::Duration};
+
+use eel_platform::standin::{Behaviour, Rest, UnframedScript, UnframedTarget};
+use serde_json::{Value, json};
+
+use crate::fixture::{Fleet, fleet, stalled_fleet, wait_until};
+
+const WHOLE: &str = "word1\nword2\nword3\nword4\nword5";
+struct Unframed {
+    fleet: Fleet,
+    script: Arc<UnframedScript>,
+    targets: Vec<UnframedTarget>,
+}
+
+async fn unframed(targets: usize, script: UnframedScript) -> Unframed {
+    let script = Arc::new(script);
+    let mut fleet = fleet(0, 0).await;
+    let mut all = Vec::new();
+    for number in 0..targets {
+        let id = format!("i-{number}");
+        let target = UnframedTarget::start(&fleet.store, &id, script.clone()).await;
+        all.push(target.expect("a target"));
+    }
+    fleet.add_node("node-0", true).await;
+    Unframed {
+        fleet,
+        script,
+        targets: all,
+    }
+}
+
+impl Unframed {
+    async fn item(&self) -> Value {
+        assert_eq!(self.fleet.submit(0, "j1", &["stream/1"]).await, 202);
+        self.fleet.results(0, "j1", 1).await.remove(0)
+    }
+}
+
+fn is_whole(result: &Value) -> bool {
+    result["state"] == "completed" && result["text"] == WHOLE
+}
+
+#[tokio::test]
+async fn crashed_items() {
+    let mut wrong = Vec::new();
+    for (sent, pause_ms) in (1..=5).flat_map(|sent| [0, 20, 100].map(|it| (sent, it))) {
+        let mut script = UnframedScript::new(2, sent, Rest::Empty);
+        script.pause = Duration::from_millis(pause_ms);
+        let fleet = unframed(3, script).await;
+        let result = fleet.item().await;
+        let crashes = fleet.targets.iter().filter(|it| it.has_crashed()).count();
+        if !is_whole(&result) || crashes == 0 {
+            wrong.push((sent, pause_ms, result, fleet.script.requests("j1-0")));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+#[tokio::test]
+async fn odd_rests() {
+    let mut rests = vec![Rest::Empty, Rest::FromStart, Rest::Silent, Rest::Closed];
+    rests.extend([500, 422, 400, 404, 416, 503].map(Rest::Status));
+    let mut wrong = Vec::new();
+    for (rest, crashes) in rests.into_iter().flat_map(|rest| [(rest, 0), (rest, 1)]) {
+        let fleet = unframed(2, UnframedScript::new(crashes, 5, rest)).await;
+        let result = fleet.item().await;
+        let requests = fleet.script.requests("j1-0");
+        let is_bounded = if crashes == 0 {
+            requests == [0, 5]
+        } else {
+            requests.len() <= 7
+        };
+        if !is_whole(&result) || !is_bounded {
+            wrong.push((rest, crashes, result, requests));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+#[tokio::test]
+async fn calm_items() {
+    let fleet = unframed(2, UnframedScript::new(0, 5, Rest::Empty)).await;
+    assert_eq!(fleet.fleet.submit(0, "j1", &["stream/1"; 40]).await, 202);
+    let results = fleet.fleet.results(0, "j1", 40).await;
+    assert!(results.iter().all(is_whole), "{results:?}");
+    for item in 0..40 {
+        let requests = fleet.script.requests(&format!("j1-{item}"));
+        assert_eq!(requests, [0, 5], "one whole run and one question");
+    }
+}
+
+#[tokio::test]
+async fn silent_process() {
+    // It leaves as many questions unanswered as one ending brings.
+    let script = UnframedScript::new(0, 5, Rest::Empty);
+    script
+        .unanswered
+        .store(3, std::sync::atomic::Ordering::Relaxed);
+    let fleet = unframed(2, script).await;
+    let result = fleet.item().await;
+    assert!(is_whole(&result), "{result}");
+    assert_eq!(fleet.script.requests("j1-0"), [0, 5]);
+}
+
+#[tokio::test]
+async fn crash_of_suspects() {
+    // A crash as a stream begins counts against its prompt, however the connection ends.
+    let parts = json!({"x-eelgrassgap-prefix-hash": "abc1:10,abc2:10"});
+    let fleet = unframed(3, UnframedScript::new(1, 1, Rest::Empty)).await;
+    let items = [("/jobs/stream/1".into(), parts)];
+    let submitted = fleet.fleet.submit_items("jobs", 0, "j1", &items).await;
+    assert_eq!(submitted, 202);
+    assert!(is_whole(&fleet.fleet.results(0, "j1", 1).await[0]));
+    let metrics = fleet.fleet.metrics(0).await;
+    assert!(
+        metrics.contains("eelgrassgap_early_ends_total 1"),
+        "{metrics}"
+    );
+}
+
+#[tokio::test]
+async fn rejected_after_takeover() {
+    // What is saved of a text may be all of it, so that its target may reject a request for more.
+    for behaviour in [Behaviour::RejectsItem, Behaviour::Fails] {
+        let mut fleet = stalled_fleet().await;
+        let saved = async || !fleet.store.keys("eelgrassgap/partials/").is_empty();
+        wait_until("its text is saved", saved).await;
+        let lost = fleet.nodes.remove(0);
+        lost.task.abort();
+        let _ = lost.task.await;
+        for target in &fleet.targets {
+            target.set_default_behaviour(Behaviour::Responds);
+        }
+        fleet.targets[0].share_script(&fleet.targets[1], &[behaviour]);
+        let next = fleet.add_node("next", true).await;
+        let results = fleet.results(next, "j1", 1).await;
+        assert!(is_whole(&results[0]), "{behaviour:?}: {results:?}");
+    }
+}
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -41,6 +41,11 @@
     pub failures: u32,
     /// The number of runs since the last event that were interrupted because their target was silent.
     pub silences: u32,
+    /// Whether nothing may follow the last event, as a response has ended after it, or as a run of another node may have
+    /// brought it. A target may reject a request for what follows such a text.
+    pub may_be_whole: bool,
+    /// The number of runs since the last event that did not show whether the text is whole.
+    pub unsettled_runs: u32,
 }
 
 impl Progress {
@@ -50,6 +55,18 @@
         self.last_event.is_none() || (version.is_some() && self.version.as_ref() == version)
     }
 
+    /// Returns the outcome of a run that did not show whether the text, which may be whole, is. After `max_runs` such runs
+    /// the item is run from its start.
+    #[must_use]
+    pub fn unsettled(mut self, max_runs: u32) -> RunOutcome {
+        self.unsettled_runs += 1;
+        if self.unsettled_runs < max_runs {
+            RunOutcome::Interrupted(self)
+        } else {
+            RunOutcome::Discarded(self)
+        }
+    }
+
     /// Returns the progress of the item if it is run again from its start.
     #[must_use]
     pub fn from_start(self) -> Self {
@@ -80,6 +97,41 @@
     Unsendable,
 }
 
+impl RunOutcome {
+    /// Returns the outcome of a run whose target says `claim` of it.
+    ///
+    /// If nothing may be missing from the text, the target may speak of what follows it, and not of the item: the item is
+    /// run from its start then, which decides.
+    #[must_use]
+    pub fn claimed(progress: Progress, claim: Claim) -> Self {
+        match claim {
+            _ if progress.may_be_whole => Self::Discarded(progress),
+            Claim::Failed => Self::Failed(progress),
+            Claim::Rejected => Self::Rejected,
+        }
+    }
+
+    /// Does as [`Self::claimed`] for a response that is incomplete, or not proven to be the target's.
+    #[must_use]
+    pub fn doubtful(progress: Progress, claim: Claim) -> Self {
+        if progress.may_be_whole {
+            Self::Discarded(progress)
+        } else {
+            Self::Doubtful(progress, claim)
+        }
+    }
+
+    /// Returns the outcome of a run whose target neither runs the item nor says why it has no output.
+    #[must_use]
+    pub fn rejected_rest(progress: Progress) -> Self {
+        if progress.may_be_whole {
+            Self::Discarded(progress)
+        } else {
+            Self::Interrupted(progress)
+        }
+    }
+}
+
 /// Why an item has no output.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ErrorCause {
--- a/eel-ledger/tests/ledger/next_item.rs
+++ b/eel-ledger/tests/ledger/next_item.rs
@@ -29,8 +29,7 @@
         text: text.into(),
         last_event: Some(last_event),
         version: Some("v1".into()),
-        failures: 0,
-        silences: 0,
+        ..Progress::default()
     }
 }
 
--- a/eel-ledger/tests/ledger/partial_texts.rs
+++ b/eel-ledger/tests/ledger/partial_texts.rs
@@ -22,8 +22,7 @@
         text: words.join("\n"),
         last_event: (events > 0).then_some(events),
         version: (events > 0).then(|| "v1".into()),
-        failures: 0,
-        silences: 0,
+        ..Progress::default()
     }
 }
 
@@ -203,8 +202,7 @@
         text: "w".repeat(bytes),
         last_event: Some(1),
         version: Some("v1".into()),
-        failures: 0,
-        silences: 0,
+        ..Progress::default()
     };
     let running = [(long, progress(700_000)), (short, progress(10))];
     for (item, _) in &running {
