--- a/eel-gateway/src/online/stream.rs
+++ b/eel-gateway/src/online/stream.rs
@@ -25,7 +25,7 @@
     http::{Body, TruncatedResponse, streamed},
     origins,
     quarantine::{on_completed, on_early_end, on_progress},
-    target::{AttemptFailure, BodyFraming, OutgoingRequest, TargetResponse, has_events},
+    target::{AttemptFailure, BodyFraming, Ending, OutgoingRequest, TargetResponse, has_events},
 };
 
 /// A stream that is relayed to the caller; dropping it closes the connection to the target, which stops its work.
@@ -47,6 +47,12 @@
     target_response: Option<TargetResponse>,
     target: TargetEntry,
     content: Content,
+    /// Bytes that were read before `content` was to follow them.
+    start: Option<Bytes>,
+    /// Why the response, whose body had ended, is not complete, until that is passed on.
+    failure: Option<AttemptFailure>,
+    /// The number of events of this target's responses before the one that `content` follows.
+    earlier_events: u64,
     context: Arc<Context>,
     outgoing: Arc<OutgoingRequest>,
 }
@@ -137,6 +143,11 @@
         }
     }
 
+    /// Returns whether the response has events.
+    fn has_events(&self) -> bool {
+        !matches!(self, Self::Bytes)
+    }
+
     /// Returns whether another target can continue the response.
     fn is_resumable(&self) -> bool {
         matches!(self, Self::Resumable { .. })
@@ -280,7 +291,7 @@
             let (request, attempts) = (&mut self.request, &mut self.attempts);
             match run_beside(request, attempts, last_event_id, Some(in_flight)).await {
                 Ok(First::InFlight(Some(bytes))) => return Ok(Some(bytes)),
-                Ok(First::InFlight(None)) => self.finish(),
+                Ok(First::InFlight(None)) => Box::pin(self.on_body_end()).await,
                 Ok(First::Response(target_response)) => {
                     self.take_over(*target_response, last_event_id);
                 }
@@ -316,6 +327,25 @@
         self.source = Some(Source::new(&self.request, target_response, content));
     }
 
+    /// Finishes the stream, unless the end of its body turns out not to be its own.
+    async fn on_body_end(&mut self) {
+        let Some(source) = &mut self.source else {
+            return;
+        };
+        let ended = Instant::now();
+        match source.settle(self.request.deadline).await {
+            Ok(None) => {
+                source.on_complete(ended);
+                self.finish();
+            }
+            Ok(Some(start)) => source.start = Some(start),
+            Err(failure) => {
+                source.fail(failure).await;
+                source.failure = Some(failure);
+            }
+        }
+    }
+
     fn finish(&mut self) {
         let target_response = self.source.take().and_then(|it| it.target_response);
         if let Some(target_response) = target_response {
@@ -330,22 +360,33 @@
             target: target_response.slot.target.clone(),
             target_response: Some(target_response),
             content,
+            start: None,
+            failure: None,
+            earlier_events: 0,
             context: request.context.clone(),
             outgoing: request.outgoing.clone(),
         }
     }
 
-    /// Returns the next bytes for the caller; `None` at the end of a complete response. Fails once `left` is cancelled.
+    /// Returns the next bytes for the caller; `None` at the end of the body, unless it shows that the response is cut. Fails
+    /// once `left` is cancelled, and if the response turned out to be cut before.
     async fn next(
         &mut self,
         deadline: Instant,
         left: CancellationToken,
     ) -> Result<Option<Bytes>, AttemptFailure> {
+        if let Some(failure) = self.failure.take() {
+            return Err(failure);
+        }
         while let Some(target_response) = &mut self.target_response {
-            let read = tokio::select! {
-                biased;
-                read = target_response.next(deadline) => read,
-                () = left.cancelled() => Err(AttemptFailure::TimedOut),
+            let read = if let Some(start) = self.start.take() {
+                Ok(Some(start))
+            } else {
+                tokio::select! {
+                    biased;
+                    read = target_response.next(deadline) => read,
+                    () = left.cancelled() => Err(AttemptFailure::TimedOut),
+                }
             };
             let failure = match read {
                 Ok(Some(bytes)) => {
@@ -363,38 +404,85 @@
                         Err(failure) => failure,
                     }
                 }
-                Ok(None) if self.content.is_complete(target_response.framing) => {
-                    let is_success = target_response.status.is_success();
-                    if let Some(events) = self.content.events() {
-                        target_response.slot.on_last_event(events);
-                    }
-                    self.record_end("complete");
-                    if is_success {
-                        on_completed(&self.context, &self.outgoing.suspects);
-                    }
-                    return Ok(None);
-                }
+                Ok(None) if self.content.is_complete(target_response.framing) => return Ok(None),
                 Ok(None) => AttemptFailure::Truncated,
                 Err(failure) => failure,
             };
-            let target = target_response.slot.target.clone();
-            self.end(failure);
-            let is_broken = matches!(
-                failure,
-                AttemptFailure::InvalidResponse | AttemptFailure::Truncated
-            );
-            if is_broken && self.content.has_only_begun() {
-                on_early_end(&self.context, &target, &self.outgoing).await;
-            }
+            self.fail(failure).await;
             return Err(failure);
         }
         Ok(None)
     }
 
+    /// Records the failure of the target's stream, releases its slot, and finds out whether the target has crashed.
+    async fn fail(&mut self, failure: AttemptFailure) {
+        self.end(failure);
+        let is_broken = matches!(
+            failure,
+            AttemptFailure::InvalidResponse | AttemptFailure::Truncated | AttemptFailure::Unsettled
+        );
+        if is_broken && self.content.has_only_begun() {
+            on_early_end(&self.context, &self.target, &self.outgoing).await;
+        }
+    }
+
+    /// Finds out whether the stream is complete, whose body has ended without an error. Returns the first bytes of what
+    /// follows; `None` if nothing does.
+    ///
+    /// # Errors
+    ///
+    /// [`AttemptFailure::Unsettled`] if the stream may be cut. A stream that no target can continue is cut only if its target has
+    /// ended without having announced that it leaves.
+    async fn settle(&mut self, deadline: Instant) -> Result<Option<Bytes>, AttemptFailure> {
+        let Some(target_response) = &mut self.target_response else {
+            return Ok(None);
+        };
+        if !self.content.has_events() || !target_response.needs_settling() {
+            return Ok(None);
+        }
+        let last_event_id = self.content.last_event_id();
+        let events = self.content.events().unwrap_or(0);
+        // A stream that was resumed and has brought nothing was such a question already.
+        let asked = last_event_id.filter(|_| events > 0);
+        let settling = target_response.settle(&self.context, &self.outgoing, asked, deadline);
+        let is_cut = match settling.await {
+            Ending::Complete => false,
+            Ending::Continued(start) => {
+                self.earlier_events += events;
+                self.content = Content::resumable(last_event_id);
+                return Ok(Some(start));
+            }
+            Ending::Broken if self.content.is_resumable() => last_event_id.is_some(),
+            Ending::Broken => target_response.slot.target_stays(),
+            Ending::Unknown => last_event_id.is_some(),
+        };
+        if is_cut {
+            Err(AttemptFailure::Unsettled)
+        } else {
+            Ok(None)
+        }
+    }
+
+    /// Records the end of a complete response, whose body had ended at `ended`.
+    fn on_complete(&self, ended: Instant) {
+        let Some(target_response) = &self.target_response else {
+            return;
+        };
+        if let Some(events) = self.content.events() {
+            let events = self.earlier_events + events;
+            target_response.slot.on_last_event(ended, events);
+        }
+        self.record_end("complete");
+        if target_response.status.is_success() {
+            on_completed(&self.context, &self.outgoing.suspects);
+        }
+    }
+
     /// Records the failure of the target's stream and releases its slot.
     fn end(&mut self, failure: AttemptFailure) {
         self.record_end(match failure {
             AttemptFailure::Truncated => "inside_event",
+            AttemptFailure::Unsettled => "unsettled",
             AttemptFailure::TimedOut => "timed_out",
             _ => "failed",
         });
--- a/eel-gateway/src/slots.rs
+++ b/eel-gateway/src/slots.rs
@@ -354,11 +354,11 @@
         }
     }
 
-    /// Records the end of a complete stream of `events`.
-    pub(crate) fn on_last_event(&self, events: u64) {
+    /// Records the end of a complete stream of `events`, the last of which had arrived at `now`.
+    pub(crate) fn on_last_event(&self, now: Instant, events: u64) {
         let gaps = events.saturating_sub(1);
         if let Some(first) = self.first_event
-            && let Some(us) = whole_us(first.elapsed()).checked_div(gaps)
+            && let Some(us) = whole_us(now.saturating_duration_since(first)).checked_div(gaps)
         {
             self.observe(Observation::PaceUs(us));
         }
--- a/eel-gateway/tests/gateway/body_ends.rs
+++ b/eel-gateway/tests/gateway/body_ends.rs
@@ -70,12 +70,11 @@
 #[tokio::test]
 async fn truncated_stream_is_resumed() {
     let mut wrong = Vec::new();
-    for (response, is_truncated) in stream_cases() {
+    for (response, _) in stream_cases() {
         let raw = raw_fleet(&[response]).await;
         let sent = raw.fleet.post(0, "/resumable-stream/1", "r1").send().await;
         let (ids, is_whole) = events(sent.expect("a response")).await;
-        let expected = sent_events(if is_truncated { Whole } else { response.cut });
-        if !is_whole || ids != expected {
+        if !is_whole || ids != sent_events(Whole) {
             wrong.push((response, ids, is_whole));
         }
     }
--- a/eel-gateway/tests/gateway/unframed_ends.rs
+++ b/eel-gateway/tests/gateway/unframed_ends.rs
@@ -7,9 +7,13 @@
 use eel_platform::standin::{Behaviour, Rest, UnframedScript, UnframedTarget};
 use serde_json::{Value, json};
 
-use crate::fixture::{Fleet, fleet, stalled_fleet, wait_until};
+use crate::fixture::{Fleet, events, fleet, stalled_fleet, wait_until};
 
 const WHOLE: &str = "word1\nword2\nword3\nword4\nword5";
+/// The time in which a node reads what was sent to it.
+const READ_TIME: Duration = Duration::from_millis(20);
+const NEVER: Duration = Duration::from_mins(1);
+
 struct Unframed {
     fleet: Fleet,
     script: Arc<UnframedScript>,
@@ -38,6 +42,12 @@
         assert_eq!(self.fleet.submit(0, "j1", &["stream/1"]).await, 202);
         self.fleet.results(0, "j1", 1).await.remove(0)
     }
+
+    /// Returns the ids of a stream's events and whether it is complete.
+    async fn stream(&self, route: &str) -> (Vec<u64>, bool) {
+        let sent = self.fleet.post(0, &format!("/{route}/1"), "r1").send();
+        events(sent.await.expect("a response")).await
+    }
 }
 
 fn is_whole(result: &Value) -> bool {
@@ -60,6 +70,21 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+#[tokio::test]
+async fn crashed_streams() {
+    // After the second crash no attempt is left, so that the stream must not end as complete.
+    let mut wrong = Vec::new();
+    for (sent, crashes) in (1..=5).flat_map(|sent| [1, 2].map(|it| (sent, it))) {
+        let fleet = unframed(3, UnframedScript::new(crashes, sent, Rest::Empty)).await;
+        let (ids, is_complete) = fleet.stream("resumable-stream").await;
+        let is_prefix = ids.iter().copied().eq((1..).take(ids.len()));
+        if !is_prefix || is_complete != (crashes == 1) || (is_complete && ids.len() != 5) {
+            wrong.push((sent, crashes, ids, is_complete));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
 #[tokio::test]
 async fn odd_rests() {
     let mut rests = vec![Rest::Empty, Rest::FromStart, Rest::Silent, Rest::Closed];
@@ -74,8 +99,9 @@
         } else {
             requests.len() <= 7
         };
-        if !is_whole(&result) || !is_bounded {
-            wrong.push((rest, crashes, result, requests));
+        let stream = fleet.stream("resumable-stream").await;
+        if !is_whole(&result) || !is_bounded || stream != (vec![1, 2, 3, 4, 5], true) {
+            wrong.push((rest, crashes, result, requests, stream));
         }
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
@@ -122,6 +148,38 @@
     );
 }
 
+#[tokio::test]
+async fn streams_that_cannot_resume() {
+    // A stream is cut only where its target has ended without a notice; a plain response never is.
+    for (path, is_leaving, is_complete) in [
+        ("once-stream", false, false),
+        ("once-stream", true, true),
+        ("once", false, true),
+    ] {
+        let mut script = UnframedScript::new(1, 5, Rest::Empty);
+        script.pause = if is_leaving { NEVER } else { READ_TIME };
+        let fleet = unframed(1, script).await;
+        let leaves = async {
+            if !is_leaving {
+                return;
+            }
+            let has_run = async || !fleet.script.requests("r1").is_empty();
+            wait_until("the request runs", has_run).await;
+            fleet.fleet.store.remove("servers/i-0");
+            let is_unused = async || {
+                let sent = fleet.fleet.post(0, "/idempotent/1", "r2").send();
+                sent.await.is_ok_and(|it| it.status() == 503)
+            };
+            wait_until("the node knows that the target leaves", is_unused).await;
+            fleet.targets[0].crash();
+        };
+        let sent = fleet.fleet.post(0, &format!("/{path}/1"), "r1").send();
+        let (sent, ()) = tokio::join!(sent, leaves);
+        let (_, is_whole) = events(sent.expect("a response")).await;
+        assert_eq!(is_whole, is_complete, "{path}, leaving: {is_leaving}");
+    }
+}
+
 #[tokio::test]
 async fn rejected_after_takeover() {
     // What is saved of a text may be all of it, so that its target may reject a request for more.
