--- a/eel-target/src/lib.rs
+++ b/eel-target/src/lib.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod node;
 mod serve;
+mod survival;
 
 pub use error::Error;
 pub use node::{Context, TargetNode};
--- a/eel-target/src/serve.rs
+++ b/eel-target/src/serve.rs
@@ -1,6 +1,6 @@
 //! Serves a request: waits for admission, sends it to the target and forwards the response to the entry node.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use eel_admit::{Arrival, Finish};
@@ -23,12 +23,13 @@
     engine::response_headers,
     link::{Link, UnreceivedReply},
     metrics::{AttemptLabels, ClassLabel, Outcome},
+    survival::refuses_connections,
 };
 
 mod end_check;
 mod timing;
 
-use end_check::{EndCheck, has_events};
+use end_check::{EndCheck, has_events, is_framed};
 use timing::Timing;
 
 /// The size of the reply buffer at which it is written to the stream.
@@ -300,6 +301,7 @@
         let is_engine = self.link.context.config.is_engine(&self.request.service);
         let is_stream = has_events(response.headers());
         let mut end_check = EndCheck::new(is_stream, is_engine);
+        let (is_framed, address) = (is_framed(response.headers()), response.remote_addr());
         codec::append(buffer, &self.head(&response))?;
         loop {
             let ready = response.chunk().now_or_never();
@@ -325,7 +327,12 @@
                         return Ok(AttemptResult::Blocked(refusal));
                     }
                 }
-                Ok(None) if end_check.is_complete() => return Ok(AttemptResult::Answered),
+                Ok(None)
+                    if end_check.is_complete()
+                        && !self.may_be_cut(&end_check, is_framed, address).await =>
+                {
+                    return Ok(AttemptResult::Answered);
+                }
                 Ok(None) | Err(_) => {
                     if let Err(refusal) = self.flush(send, buffer).await? {
                         return Ok(AttemptResult::Blocked(refusal));
@@ -338,6 +345,24 @@
         }
     }
 
+    /// Returns whether a stream that ended between two events ended with the target's process: a body without a length ends
+    /// with its connection, which a crash closes as well. While the node drains, its target may leave after a whole response.
+    async fn may_be_cut(
+        &self,
+        end_check: &EndCheck,
+        is_framed: bool,
+        address: Option<SocketAddr>,
+    ) -> bool {
+        let (EndCheck::Events(_), false, Some(address)) = (end_check, is_framed, address) else {
+            return false;
+        };
+        if self.link.context.draining.is_cancelled() || !refuses_connections(address).await {
+            return false;
+        }
+        log::info!(target: "target", address:%; "A stream ended with its connection, and its target has ended.");
+        true
+    }
+
     /// Writes `buffer` to the stream. An entry node that does not read holds neither the slot nor the connection to the
     /// target past a cancellation or the deadline.
     async fn flush(
--- a/eel-target/src/serve/end_check.rs
+++ b/eel-target/src/serve/end_check.rs
@@ -1,7 +1,10 @@
 //! Detects streams that end early.
 
 use eel_events::EventScanner;
-use http::{HeaderMap, header::CONTENT_TYPE};
+use http::{
+    HeaderMap,
+    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
+};
 
 /// The last event of a streamed completion.
 ///
@@ -18,6 +21,12 @@
         .is_some_and(|kind| eel_events::is_event_stream(kind.as_bytes()))
 }
 
+/// Returns whether the body of a response with these headers has a length or chunks, so that it does not end with its
+/// connection.
+pub(super) fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Checks whether a response that ended without an error is complete.
 pub(super) enum EndCheck {
     /// Any end is complete.
--- a/tests/process/body_ends.rs
+++ b/tests/process/body_ends.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    fleet::{CALLER_KEY, Platform, RawTarget, Service},
+    fleet::{CALLER_KEY, Platform, RawTarget, Service, start_mortal_target},
     outcome::{CallerOutcome, SHORT_DEADLINE_MS, call, outcome_of},
 };
 
@@ -50,6 +50,27 @@
     }
 }
 
+#[tokio::test]
+async fn crashed_target() {
+    // Only the end of the connection can come from the crash.
+    for (frame, is_complete) in [
+        (with_length as fn(&str) -> String, true),
+        (in_chunks, true),
+        (to_the_end, false),
+    ] {
+        let mut platform = Platform::start(&[Service::Dispatch]).await;
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
+        let url = start_mortal_target(&format!("{head}{}", frame(WHOLE))).await;
+        let _target = platform
+            .start_target_at("t1", "dispatch-runners", &url)
+            .await;
+        let entry = platform.start_ready_entry("e1").await;
+        let outcome = outcome_of(call(&entry, false, "a", SHORT_DEADLINE_MS)).await;
+        let is_success = outcome == CallerOutcome::Success;
+        assert_eq!(is_success, is_complete, "{}: {outcome:?}", frame(WHOLE));
+    }
+}
+
 #[tokio::test]
 async fn caller_without_framing() {
     // The body of a response to HTTP/1.0 ends with its length or with the connection.
--- a/tests/process/fleet/mod.rs
+++ b/tests/process/fleet/mod.rs
@@ -21,7 +21,7 @@
 pub use fake_target::{FAKE_LOAD, serve_control};
 pub use node::{Node, eventually};
 use quinn::Endpoint;
-pub use raw::RawTarget;
+pub use raw::{RawTarget, start_mortal_target};
 pub use records::{CALLER_KEY, Service};
 pub use relay::{Relay, Silence};
 pub use repeating::{Answer, Copied, RepeatingTarget};
--- a/tests/process/fleet/raw.rs
+++ b/tests/process/fleet/raw.rs
@@ -58,6 +58,27 @@
     }
 }
 
+/// Starts a target whose process ends with its first response; returns its URL.
+pub async fn start_mortal_target(response: &str) -> String {
+    let listener = TcpListener::bind(("127.0.0.1", 0))
+        .await
+        .expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let response = response.to_owned();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            if read_request(&mut stream).await {
+                stream
+                    .write_all(response.as_bytes())
+                    .await
+                    .expect("a written response");
+                break;
+            }
+        }
+    });
+    format!("http://{address}")
+}
+
 /// Reads a request whose body has a length. Returns `false` if the connection was closed before.
 async fn read_request(stream: &mut TcpStream) -> bool {
     let mut received = Vec::new();
