--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -62,11 +62,9 @@
 }
 
 /// Why the events of a run are not used.
-#[derive(Debug, thiserror::Error)]
 enum Unusable {
-    #[error("A run of an item is interrupted: {0}.")]
     Events(InvalidEvents),
-    #[error("The text of an item is too long to be listed.")]
+    /// The text is too long to be listed.
     TooLong,
 }
 
@@ -148,12 +146,8 @@
                         Ok(true) => until = Instant::now() + idle_timeout,
                         Ok(false) => {}
                         Err(unusable) => {
-                            log::info!(target: "jobs", request_id = self.item.id.as_str(); "{unusable}");
                             target_response.fail(AttemptFailure::InvalidResponse);
-                            return match unusable {
-                                Unusable::Events(_) => self.interrupted(),
-                                Unusable::TooLong => RunOutcome::Discarded(self.take_progress()),
-                            };
+                            return self.unusable(&unusable);
                         }
                     }
                 }
@@ -250,6 +244,20 @@
         Ok(true)
     }
 
+    /// Returns the outcome of a run whose events are not used.
+    fn unusable(&mut self, unusable: &Unusable) -> RunOutcome {
+        match unusable {
+            Unusable::Events(error) => {
+                log::debug!(target: "jobs", "A run of item {} was interrupted: {error}.", self.item.id);
+                self.interrupted()
+            }
+            Unusable::TooLong => {
+                log::info!(target: "jobs", request_id = self.item.id.as_str(); "The text of an item is too long to be listed.");
+                RunOutcome::Discarded(self.take_progress())
+            }
+        }
+    }
+
     /// Finds out whether the text is whole, whose response has ended with its connection.
     async fn settle(
         &mut self,
@@ -334,6 +342,17 @@
         progress
     }
 
+    /// Returns whether the text of the item was dropped with this outcome, so that it must not be continued.
+    pub fn has_dropped_text(&self, run_outcome: &RunOutcome) -> bool {
+        match run_outcome {
+            RunOutcome::Discarded(_) => true,
+            RunOutcome::Doubtful(progress, _) => {
+                self.last_event.is_some() && progress.last_event.is_none()
+            }
+            _ => false,
+        }
+    }
+
     /// Returns the outcome of an interrupted run, with the item's progress.
     pub fn interrupted(&mut self) -> RunOutcome {
         RunOutcome::Interrupted(self.take_progress())
--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -269,7 +269,7 @@
         ends::on_run_end(&run, &item, &target, &run_outcome, cancel.is_cancelled());
         let mut state = self.lock();
         state.runs.remove(key);
-        if matches!(run_outcome, RunOutcome::Discarded(_)) {
+        if run.has_dropped_text(&run_outcome) {
             self.drop_saved(&mut state, &item);
         }
         let cause = state
--- a/eel-gateway/src/target/ending.rs
+++ b/eel-gateway/src/target/ending.rs
@@ -17,7 +17,7 @@
 
 use super::{
     connection::Connection,
-    exchange::{OutgoingRequest, TargetResponse, to_request, try_send},
+    exchange::{OutgoingRequest, TargetResponse, read_fields, to_request, try_send},
     failure::AttemptFailure,
     framing::{BodyFraming, continues_stream},
     identity::{Identity, identify},
@@ -157,22 +157,17 @@
         deadline: Instant,
     ) -> Ending {
         let until = deadline.min(Instant::now() + REST_TIMEOUT);
-        match self
-            .ask_for_rest(connection, outgoing, last_event_id, until, deadline)
-            .await
-        {
-            Ok(()) => {}
-            Err(failure) => {
-                log::debug!(
-                    target: "target", request_id = outgoing.request_id.as_str(), target_id = self.slot.target.id.as_str(), last_event_id;
-                    "A target does not say what follows the last event: {failure}."
-                );
-                return Ending::Complete;
-            }
+        let asked = self.ask_for_rest(connection, outgoing, last_event_id, until, deadline);
+        if let Err(failure) = asked.await {
+            log::debug!(
+                target: "target", request_id = outgoing.request_id.as_str(), target_id = self.slot.target.id.as_str(), last_event_id;
+                "A target does not say what follows the last event: {failure}."
+            );
+            return Ending::Complete;
         }
         let mut buffer = EventBuffer::continuing(Some(last_event_id), Repeats::Refused);
         let mut start = BytesMut::new();
-        let is_whole = loop {
+        let is_read = loop {
             match self.next(until).await {
                 Ok(Some(bytes)) => {
                     start.extend_from_slice(&bytes);
@@ -186,7 +181,7 @@
                 Err(_) => break false,
             }
         };
-        if !is_whole {
+        if !is_read {
             self.close();
         }
         if buffer.scanner().is_inside() {
@@ -210,9 +205,7 @@
         let sent = try_send(connection, request, &outgoing.request_id, &self.slot, until);
         let (connection, response) = sent.await?;
         let (parts, body) = response.into_parts();
-        let fields = self
-            .slot
-            .on_head(&outgoing.request_id, &parts, connection.is_kept);
+        let fields = read_fields(&self.slot, &outgoing.request_id, &parts, connection.is_kept);
         let is_rest =
             fields.kind == ResponseKind::Genuine && continues_stream(parts.status, &parts.headers);
         if !is_rest {
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -95,7 +95,7 @@
     let (parts, body) = response.into_parts();
     let request_id = outgoing.request_id.as_str();
     let is_kept = connection.is_kept;
-    let fields = slot.on_head(request_id, &parts, is_kept);
+    let fields = read_fields(&slot, request_id, &parts, is_kept);
     if let Err(failure) = check(fields.kind) {
         slot.set_outcome(failure.outcome());
         log_unusable(request_id, &slot, parts.status, is_kept, failure);
@@ -280,18 +280,21 @@
     request
 }
 
-impl SlotGuard {
-    /// Records what the head of a response to `request_id` says of the target. Returns its fields.
-    pub(super) fn on_head(&self, request_id: &str, parts: &Parts, is_kept: bool) -> ResponseFields {
-        let fields = response_fields(request_id, parts.status, &parts.headers, is_kept);
-        if fields.is_leaving {
-            self.on_leaving();
-        }
-        if let Some(limit) = fields.limit {
-            self.on_limit(limit);
-        }
-        fields
+/// Reads the fields of the head of a response to `request_id`, and records what they say of the target.
+pub(super) fn read_fields(
+    slot: &SlotGuard,
+    request_id: &str,
+    parts: &Parts,
+    is_kept: bool,
+) -> ResponseFields {
+    let fields = response_fields(request_id, parts.status, &parts.headers, is_kept);
+    if fields.is_leaving {
+        slot.on_leaving();
+    }
+    if let Some(limit) = fields.limit {
+        slot.on_limit(limit);
     }
+    fields
 }
 
 /// Returns the connection of a refusal to the pool if no body is left to read.
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -89,7 +89,7 @@
     Discarded(Progress),
     /// The target ran the item and failed.
     Failed(Progress),
-    /// A response that is incomplete, or not proven to be the target's, says why the run has no output.
+    /// A response that is incomplete, or not proven to be the target's or to speak of the item, says why the run has no output.
     Doubtful(Progress, Claim),
     /// The target rejected the item as one that can never succeed.
     Rejected,
@@ -99,23 +99,23 @@
 
 impl RunOutcome {
     /// Returns the outcome of a run whose target says `claim` of it.
-    ///
-    /// If nothing may be missing from the text, the target may speak of what follows it, and not of the item: the item is
-    /// run from its start then, which decides.
     #[must_use]
     pub fn claimed(progress: Progress, claim: Claim) -> Self {
         match claim {
-            _ if progress.may_be_whole => Self::Discarded(progress),
+            _ if progress.may_be_whole => Self::doubtful(progress, claim),
             Claim::Failed => Self::Failed(progress),
             Claim::Rejected => Self::Rejected,
         }
     }
 
     /// Does as [`Self::claimed`] for a response that is incomplete, or not proven to be the target's.
+    ///
+    /// If nothing may be missing from the text, the target may speak of what follows it, and not of the item. The item is
+    /// run from its start then, which decides.
     #[must_use]
     pub fn doubtful(progress: Progress, claim: Claim) -> Self {
         if progress.may_be_whole {
-            Self::Discarded(progress)
+            Self::Doubtful(progress.from_start(), claim)
         } else {
             Self::Doubtful(progress, claim)
         }
--- a/eel-ledger/tests/ledger/doubtful_failures.rs
+++ b/eel-ledger/tests/ledger/doubtful_failures.rs
@@ -2,7 +2,9 @@
 //!
 //! Guards against an item that one doubtful response ends, and against one that runs without a limit.
 
-use eel_ledger::{Claim, Doubts, ErrorCause, ItemRef, RunOutcome, Worklist, cause_to_end};
+use eel_ledger::{
+    Claim, Doubts, ErrorCause, ItemRef, Progress, RunOutcome, Worklist, cause_to_end,
+};
 
 #[test]
 fn causes_to_end() {
@@ -44,7 +46,7 @@
         item: 0,
     };
     let mut worklist = Worklist::default();
-    let mut finish = |outcome: fn(eel_ledger::Progress) -> RunOutcome| {
+    let mut finish = |outcome: fn(Progress) -> RunOutcome| {
         let progress = worklist.start(&item);
         worklist.finish(&item, 1, outcome(progress))
     };
@@ -56,3 +58,29 @@
     let rejected = finish(|it| RunOutcome::Doubtful(it, Claim::Rejected));
     assert_eq!(rejected, Some(ErrorCause::Rejected));
 }
+
+#[test]
+fn rejected_rests() {
+    // The run that is rejected asks for what follows a text that may be whole, each time.
+    let item = ItemRef {
+        job: "j".into(),
+        item: 0,
+    };
+    let mut worklist = Worklist::default();
+    for cause in [None, None, Some(ErrorCause::Rejected)] {
+        let progress = worklist.start(&item);
+        assert_eq!(
+            progress,
+            Progress::default(),
+            "the item runs from its start"
+        );
+        let whole = Progress {
+            text: "text".into(),
+            last_event: Some(1),
+            may_be_whole: true,
+            ..progress
+        };
+        let rejected = RunOutcome::claimed(whole, Claim::Rejected);
+        assert_eq!(worklist.finish(&item, 1, rejected), cause);
+    }
+}
