--- a/eel-gateway/src/batch/ends.rs
+++ b/eel-gateway/src/batch/ends.rs
@@ -1,6 +1,6 @@
 //! Logs and counts how runs of items end, and why items have no output.
 
-use eel_ledger::{ErrorCause, ItemRef, RunOutcome};
+use eel_ledger::{ErrorCause, ItemRef, MAX_UNSETTLED_RUNS, RunOutcome};
 use eel_verdict::Verdict;
 
 use super::item::Run;
@@ -28,6 +28,15 @@
         status = response.status, is_signed = response.is_signed, framing, last_event_id = run.last_event.unwrap_or(0), local_port = response.local_port, is_kept = response.is_kept;
         "A run of an item ended."
     );
+    if let RunOutcome::Completed(progress) = run_outcome
+        && progress.unsettled_runs >= MAX_UNSETTLED_RUNS
+    {
+        log::warn!(
+            target: "jobs", request_id = run.item.id.as_str(), job = item.job.as_str(), runs = progress.unsettled_runs,
+            last_event_id = run.last_event.unwrap_or(0);
+            "A text is listed though no target has said that it is whole."
+        );
+    }
 }
 
 /// Logs and counts an item that has no output, `left_ms` before its give-up time.
--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use eel_events::{EventBuffer, InvalidEvents, Repeats, each, event_data, event_id};
 use eel_fleet::{AttemptOutcome, TargetEntry};
-use eel_ledger::{Claim, Item, JobHead, MAX_TEXT_BYTES, Progress, RunOutcome};
+use eel_ledger::{Claim, Item, JobHead, MAX_TEXT_BYTES, Progress, RunOutcome, TextEnd};
 use eel_platform::shared_parts_of;
 use eel_quarantine::MAX_FIRST_EVENTS;
 use eel_types::Name;
@@ -33,10 +33,6 @@
 /// The maximum time from the start of a run to its deadline.
 const MAX_RUN_TIME: Duration = Duration::from_mins(1);
 
-/// The number of runs in a row after which a text that may be whole is not asked after any more, because they neither brought an
-/// event nor showed that there is none.
-const MAX_UNSETTLED_RUNS: u32 = 3;
-
 /// One run of one item, with the item's progress.
 pub struct Run {
     pub context: Arc<Context>,
@@ -106,7 +102,7 @@
                         "A response does not continue the text of an item."
                     );
                     target_response.fail(AttemptFailure::InvalidResponse);
-                    return RunOutcome::rejected_rest(self.take_progress());
+                    return RunOutcome::not_continued(self.take_progress());
                 }
                 let outgoing = &outgoing;
                 self.read(outgoing, target_response, idle_timeout, deadline)
@@ -211,7 +207,7 @@
             Some(claim) if is_doubtful => RunOutcome::doubtful(progress, claim),
             Some(claim) => RunOutcome::claimed(progress, claim),
             None if status.is_success() => RunOutcome::Completed(progress),
-            None => RunOutcome::rejected_rest(progress),
+            None => RunOutcome::not_continued(progress),
         }
     }
 
@@ -268,28 +264,24 @@
     ) -> Settled {
         let last_event = {
             let mut progress = self.progress.lock();
-            progress.may_be_whole = true;
+            progress.end = progress.end.max(TextEnd::Possible);
             progress.last_event
         };
         // A run that resumed the text and brought nothing was such a question already.
         let asked = last_event.filter(|_| brought_events);
         let settling = target_response.settle(&self.context, outgoing, asked, deadline);
         match settling.await {
-            Ending::Complete => Settled::Complete,
-            Ending::Continued(bytes) => Settled::Continued(bytes),
-            Ending::Broken => Settled::Interrupted,
-            Ending::Unknown => {
-                let runs = self.progress.lock().unsettled_runs + 1;
-                if runs < MAX_UNSETTLED_RUNS {
-                    return Settled::Interrupted;
-                }
-                log::warn!(
-                    target: "jobs", request_id = self.item.id.as_str(), runs, last_event_id = last_event.unwrap_or(0);
-                    "A text is listed though no target has confirmed that it is whole."
-                );
-                Settled::Complete
+            Ending::Complete => {
+                self.progress.lock().unsettled_runs = 0;
+                return Settled::Complete;
             }
+            Ending::Continued(bytes) => return Settled::Continued(bytes),
+            Ending::Unsaid => self.progress.lock().end = TextEnd::Likely,
+            // This run, which began after the last event, has brought nothing, but its target has not shown that it lives.
+            Ending::Unknown if !brought_events => self.progress.lock().end = TextEnd::Likely,
+            Ending::Broken | Ending::Unknown => {}
         }
+        Settled::Interrupted
     }
 
     /// Counts what was added to the text, and wakes the worker if the texts of all items take too much memory.
@@ -327,13 +319,10 @@
             }
             _ => {}
         }
-        let may_have_run = failure.verdict() != Verdict::NotRun;
-        let progress = self.take_progress();
-        if may_have_run && progress.may_be_whole {
-            progress.unsettled(MAX_UNSETTLED_RUNS)
-        } else {
-            RunOutcome::Interrupted(progress)
+        if failure.verdict() == Verdict::NotRun {
+            return self.interrupted();
         }
+        self.take_progress().unsettled()
     }
 
     fn take_progress(&mut self) -> Progress {
@@ -414,5 +403,5 @@
     progress.last_event = Some(id);
     progress.silences = 0;
     progress.unsettled_runs = 0;
-    progress.may_be_whole = false;
+    progress.end = TextEnd::Open;
 }
--- a/eel-gateway/src/batch/start.rs
+++ b/eel-gateway/src/batch/start.rs
@@ -8,7 +8,9 @@
 };
 
 use eel_fleet::{Dispatcher, stable_hash};
-use eel_ledger::{ErrorCause, Item, ItemQueues, ItemRef, Job, JobHead, Ledger, Progress, owner_of};
+use eel_ledger::{
+    ErrorCause, Item, ItemQueues, ItemRef, Job, JobHead, Ledger, Progress, TextEnd, owner_of,
+};
 use eel_quarantine::Scope;
 use eel_types::Name;
 use tokio_util::sync::CancellationToken;
@@ -293,7 +295,7 @@
         let saved_text = self.context.partials().longest_text(item, may_continue);
         state.saved.begin(item, saved_text.as_ref(), rand::random());
         saved_text.map_or(own, |saved_text| Progress {
-            may_be_whole: true,
+            end: TextEnd::Possible,
             ..saved_text.progress
         })
     }
--- a/eel-gateway/src/online/stream.rs
+++ b/eel-gateway/src/online/stream.rs
@@ -454,7 +454,7 @@
             }
             Ending::Broken if self.content.is_resumable() => last_event_id.is_some(),
             Ending::Broken => target_response.slot.target_stays(),
-            Ending::Unknown => last_event_id.is_some(),
+            Ending::Unsaid | Ending::Unknown => last_event_id.is_some(),
         };
         if is_cut {
             Err(AttemptFailure::Unsettled)
--- a/eel-gateway/src/target/ending.rs
+++ b/eel-gateway/src/target/ending.rs
@@ -12,12 +12,12 @@
 use bytes::{Bytes, BytesMut};
 use eel_events::{EventBuffer, Repeats};
 use eel_fleet::TargetEntry;
-use eel_platform::ResponseKind;
+use http::StatusCode;
 use tokio::time::sleep;
 
 use super::{
     connection::Connection,
-    exchange::{OutgoingRequest, TargetResponse, read_fields, to_request, try_send},
+    exchange::{OutgoingRequest, TargetResponse, check, read_fields, to_request, try_send},
     failure::AttemptFailure,
     framing::{BodyFraming, continues_stream},
     identity::{Identity, identify},
@@ -36,12 +36,14 @@
 /// What is known of a stream that ended with its connection.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Ending {
-    /// It is complete: the target's process still runs and has sent no event after the last one.
+    /// It is complete: the target's process still runs, and has no event after the last one.
     Complete,
     /// The target sends what is missing, of which these are the first bytes. The response reads the rest.
     Continued(Bytes),
     /// It may be cut: the target's process has ended, or has broken off once more.
     Broken,
+    /// The target's process still runs, but does not say what follows the last event.
+    Unsaid,
     /// The target does not respond any more.
     Unknown,
 }
@@ -53,11 +55,20 @@
             Self::Complete => "complete",
             Self::Continued(_) => "continued",
             Self::Broken => "broken",
+            Self::Unsaid => "unsaid",
             Self::Unknown => "unknown",
         }
     }
 }
 
+/// How a target responds to a request for what follows the last event.
+enum Rest {
+    /// With a stream of events, of which there may be none.
+    Stream,
+    /// With a final response that has no events, as nothing may follow.
+    Declined(StatusCode),
+}
+
 /// Whether the process that sent a response still runs.
 enum Survival {
     /// It does; the connection over which it said so, if further requests may be sent over it.
@@ -146,9 +157,6 @@
     }
 
     /// Asks the target for what follows the event `last_event_id`, up to the first event of it.
-    ///
-    /// The target did not end where its stream did, so that the stream is complete unless the target shows the opposite: what
-    /// follows the last event is not defined, and a target may reject such a request.
     async fn read_rest(
         &mut self,
         connection: Connection,
@@ -158,36 +166,48 @@
     ) -> Ending {
         let until = deadline.min(Instant::now() + REST_TIMEOUT);
         let asked = self.ask_for_rest(connection, outgoing, last_event_id, until, deadline);
-        if let Err(failure) = asked.await {
-            log::debug!(
-                target: "target", request_id = outgoing.request_id.as_str(), target_id = self.slot.target.id.as_str(), last_event_id;
-                "A target does not say what follows the last event: {failure}."
-            );
-            return Ending::Complete;
+        match asked.await {
+            Ok(Rest::Stream) => {}
+            Ok(Rest::Declined(status)) => {
+                log::debug!(
+                    target: "target", request_id = outgoing.request_id.as_str(), target_id = self.slot.target.id.as_str(), last_event_id,
+                    status = status.as_u16();
+                    "A target declines to continue a stream."
+                );
+                return Ending::Complete;
+            }
+            Err(failure) => {
+                log::info!(
+                    target: "target", request_id = outgoing.request_id.as_str(), target_id = self.slot.target.id.as_str(), last_event_id;
+                    "A target does not say what follows the last event: {failure}."
+                );
+                return Ending::Unsaid;
+            }
         }
         let mut buffer = EventBuffer::continuing(Some(last_event_id), Repeats::Refused);
         let mut start = BytesMut::new();
-        let is_read = loop {
+        let read = loop {
             match self.next(until).await {
                 Ok(Some(bytes)) => {
                     start.extend_from_slice(&bytes);
                     match buffer.push(&bytes) {
                         Ok(Some(_)) => return Ending::Continued(start.freeze()),
                         Ok(None) => {}
-                        Err(_) => break false,
+                        // The stream from its start, which does not continue this one.
+                        Err(_) => break Ok(false),
                     }
                 }
-                Ok(None) => break true,
-                Err(_) => break false,
+                Ok(None) => break Ok(true),
+                Err(failure) => break Err(failure),
             }
         };
-        if !is_read {
+        if !matches!(read, Ok(true)) {
             self.close();
         }
-        if buffer.scanner().is_inside() {
-            Ending::Broken
-        } else {
-            Ending::Complete
+        match read {
+            _ if buffer.scanner().is_inside() => Ending::Broken,
+            Ok(_) => Ending::Complete,
+            Err(_) => Ending::Unsaid,
         }
     }
 
@@ -199,19 +219,23 @@
         last_event_id: u64,
         until: Instant,
         deadline: Instant,
-    ) -> Result<(), AttemptFailure> {
+    ) -> Result<Rest, AttemptFailure> {
         let left = deadline.saturating_duration_since(Instant::now());
         let request = to_request(&self.slot, outgoing, Some(last_event_id), left);
         let sent = try_send(connection, request, &outgoing.request_id, &self.slot, until);
         let (connection, response) = sent.await?;
         let (parts, body) = response.into_parts();
-        let fields = read_fields(&self.slot, &outgoing.request_id, &parts, connection.is_kept);
-        let is_rest =
-            fields.kind == ResponseKind::Genuine && continues_stream(parts.status, &parts.headers);
-        if !is_rest {
-            return Err(AttemptFailure::InvalidResponse);
+        let is_kept = connection.is_kept;
+        let fields = read_fields(&self.slot, &outgoing.request_id, &parts, is_kept);
+        check(fields.kind)?;
+        let status = parts.status;
+        if continues_stream(status, &parts.headers) {
+            self.replace(parts, fields, body, connection);
+            Ok(Rest::Stream)
+        } else if status.is_server_error() {
+            Err(AttemptFailure::InvalidResponse)
+        } else {
+            Ok(Rest::Declined(status))
         }
-        self.replace(parts, fields, body, connection);
-        Ok(())
     }
 }
--- a/eel-gateway/src/target/exchange.rs
+++ b/eel-gateway/src/target/exchange.rs
@@ -117,7 +117,7 @@
     })
 }
 
-fn check(kind: ResponseKind) -> Result<(), AttemptFailure> {
+pub(super) fn check(kind: ResponseKind) -> Result<(), AttemptFailure> {
     match kind {
         ResponseKind::Genuine => Ok(()),
         ResponseKind::Full => Err(AttemptFailure::Full),
--- a/eel-ledger/src/lib.rs
+++ b/eel-ledger/src/lib.rs
@@ -28,4 +28,7 @@
 pub use saved::SavedItems;
 pub use submit::{MAX_ITEMS_BYTES, SubmitError, submission};
 pub use texts::largest_beyond;
-pub use worklist::{ErrorCause, ItemRef, MAX_TEXT_BYTES, Progress, RunOutcome, Worklist};
+pub use worklist::{
+    ErrorCause, ItemRef, MAX_TEXT_BYTES, MAX_UNSETTLED_RUNS, Progress, RunOutcome, TextEnd,
+    Worklist,
+};
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -41,9 +41,8 @@
     pub failures: u32,
     /// The number of runs since the last event that were interrupted because their target was silent.
     pub silences: u32,
-    /// Whether nothing may follow the last event, as a response has ended after it, or as a run of another node may have
-    /// brought it. A target may reject a request for what follows such a text.
-    pub may_be_whole: bool,
+    /// Whether anything follows the last event, as far as that is known.
+    pub end: TextEnd,
     /// The number of runs since the last event that did not show whether the text is whole.
     pub unsettled_runs: u32,
 }
@@ -55,15 +54,20 @@
         self.last_event.is_none() || (version.is_some() && self.version.as_ref() == version)
     }
 
-    /// Returns the outcome of a run that did not show whether the text, which may be whole, is. After `max_runs` such runs
-    /// the item is run from its start.
+    /// Returns the outcome of a run that was interrupted, or did not show whether anything follows the text.
+    ///
+    /// After [`MAX_UNSETTLED_RUNS`] of the latter, a text whose end is likely is complete, and one whose end is possible is run
+    /// from its start.
     #[must_use]
-    pub fn unsettled(mut self, max_runs: u32) -> RunOutcome {
+    pub fn unsettled(mut self) -> RunOutcome {
+        if self.end == TextEnd::Open {
+            return RunOutcome::Interrupted(self);
+        }
         self.unsettled_runs += 1;
-        if self.unsettled_runs < max_runs {
-            RunOutcome::Interrupted(self)
-        } else {
-            RunOutcome::Discarded(self)
+        match self.end {
+            _ if self.unsettled_runs < MAX_UNSETTLED_RUNS => RunOutcome::Interrupted(self),
+            TextEnd::Likely => RunOutcome::Completed(self),
+            TextEnd::Open | TextEnd::Possible => RunOutcome::Discarded(self),
         }
     }
 
@@ -78,6 +82,23 @@
     }
 }
 
+/// What is known of the end of an item's text.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum TextEnd {
+    /// More follows: the last run was interrupted.
+    #[default]
+    Open,
+    /// Nothing may follow, as a response has ended after the last event, or as a run of another node has brought it. A target
+    /// may reject a request for what follows such a text.
+    Possible,
+    /// A target that outlived its response has ended it after the last event.
+    Likely,
+}
+
+/// The number of runs in a row after which a text is not asked after any more, because they neither brought an event nor showed
+/// that there is none.
+pub const MAX_UNSETTLED_RUNS: u32 = 3;
+
 /// How a run of an item ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RunOutcome {
@@ -101,33 +122,32 @@
     /// Returns the outcome of a run whose target says `claim` of it.
     #[must_use]
     pub fn claimed(progress: Progress, claim: Claim) -> Self {
-        match claim {
-            _ if progress.may_be_whole => Self::doubtful(progress, claim),
-            Claim::Failed => Self::Failed(progress),
-            Claim::Rejected => Self::Rejected,
+        match (progress.end, claim) {
+            (TextEnd::Open, Claim::Failed) => Self::Failed(progress),
+            (TextEnd::Open, Claim::Rejected) => Self::Rejected,
+            (TextEnd::Possible | TextEnd::Likely, _) => Self::doubtful(progress, claim),
         }
     }
 
     /// Does as [`Self::claimed`] for a response that is incomplete, or not proven to be the target's.
     ///
-    /// If nothing may be missing from the text, the target may speak of what follows it, and not of the item. The item is
-    /// run from its start then, which decides.
+    /// If nothing may follow the text, the target may speak of that, and not of the item. The item is run from its start then,
+    /// which decides, unless the end is likely.
     #[must_use]
     pub fn doubtful(progress: Progress, claim: Claim) -> Self {
-        if progress.may_be_whole {
-            Self::Doubtful(progress.from_start(), claim)
-        } else {
-            Self::Doubtful(progress, claim)
+        match progress.end {
+            TextEnd::Open => Self::Doubtful(progress, claim),
+            TextEnd::Possible => Self::Doubtful(progress.from_start(), claim),
+            TextEnd::Likely => progress.unsettled(),
         }
     }
 
     /// Returns the outcome of a run whose target neither runs the item nor says why it has no output.
     #[must_use]
-    pub fn rejected_rest(progress: Progress) -> Self {
-        if progress.may_be_whole {
-            Self::Discarded(progress)
-        } else {
-            Self::Interrupted(progress)
+    pub fn not_continued(progress: Progress) -> Self {
+        match progress.end {
+            TextEnd::Possible => Self::Discarded(progress),
+            TextEnd::Open | TextEnd::Likely => progress.unsettled(),
         }
     }
 }
