--- a/eel-gateway/src/batch/item.rs
+++ b/eel-gateway/src/batch/item.rs
@@ -1,12 +1,12 @@
 //! Runs one batch item at one target.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use eel_events::{EventBuffer, InvalidEvents, Repeats, each, event_data, event_id};
+use eel_events::{EventBuffer, InvalidEvents, Repeats, each};
 use eel_fleet::{AttemptOutcome, TargetEntry};
 use eel_ledger::{Claim, Item, JobHead, MAX_TEXT_BYTES, Progress, RunOutcome, TextEnd};
 use eel_platform::shared_parts_of;
@@ -15,6 +15,7 @@
 use eel_verdict::Verdict;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 
+use super::progress::{SharedProgress, append_event};
 use crate::{
     context::Context,
     quarantine::{self, Suspects},
@@ -64,20 +65,6 @@
     TooLong,
 }
 
-/// The progress of a running item, shared by its run and by the task that saves it.
-#[derive(Clone, Debug, Default)]
-pub struct SharedProgress(Arc<Mutex<Progress>>);
-
-impl SharedProgress {
-    pub fn new(progress: Progress) -> Self {
-        Self(Arc::new(Mutex::new(progress)))
-    }
-
-    pub fn lock(&self) -> MutexGuard<'_, Progress> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 impl Run {
     /// Runs the item at the target of `slot` until it ends or is interrupted.
     pub async fn run(&mut self, slot: SlotGuard) -> RunOutcome {
@@ -123,8 +110,6 @@
         deadline: Instant,
     ) -> RunOutcome {
         let status = target_response.status;
-        let claim = claim_of(status);
-        let is_doubtful = claim.is_some() && !target_response.fields.is_signed;
         let version = target_response.slot.target.version.clone();
         let last_event = self.progress.lock().last_event;
         let resumes = last_event.is_some();
@@ -177,21 +162,44 @@
                 Err(failure) => break Some(failure),
             }
         };
-        if let Some(failure) = failure {
-            log::debug!(target: "jobs", "A run of item {} was interrupted: {failure}.", self.item.id);
-            target_response.fail(failure);
-            let target = target_response.slot.target.clone();
-            drop(target_response);
-            let events = buffer.scanner().events();
-            let run_outcome = self.failed(outgoing, failure, &target, events).await;
-            return match (claim, run_outcome) {
-                // The target may have meant it, and must not be asked without a limit.
-                (Some(claim), RunOutcome::Interrupted(progress)) => {
-                    RunOutcome::doubtful(progress, claim)
-                }
-                (_, run_outcome) => run_outcome,
-            };
+        match failure {
+            Some(failure) => {
+                let events = buffer.scanner().events();
+                self.broken(outgoing, target_response, failure, events)
+                    .await
+            }
+            None => self.ended(outgoing, target_response),
         }
+    }
+
+    /// Returns the outcome of a run whose response broke off after so many events, or may have.
+    async fn broken(
+        &mut self,
+        outgoing: &Arc<OutgoingRequest>,
+        mut target_response: TargetResponse,
+        failure: AttemptFailure,
+        events: u64,
+    ) -> RunOutcome {
+        log::debug!(target: "jobs", "A run of item {} was interrupted: {failure}.", self.item.id);
+        target_response.fail(failure);
+        let claim = claim_of(target_response.status);
+        let target = target_response.slot.target.clone();
+        drop(target_response);
+        let run_outcome = self.failed(outgoing, failure, &target, events).await;
+        match (claim, run_outcome) {
+            // The target may have meant it, and must not be asked without a limit.
+            (Some(claim), RunOutcome::Interrupted(progress)) => {
+                RunOutcome::doubtful(progress, claim)
+            }
+            (_, run_outcome) => run_outcome,
+        }
+    }
+
+    /// Returns the outcome of a run whose response was read to its end.
+    fn ended(&mut self, outgoing: &OutgoingRequest, target_response: TargetResponse) -> RunOutcome {
+        let status = target_response.status;
+        let claim = claim_of(status);
+        let is_doubtful = claim.is_some() && !target_response.fields.is_signed;
         let pool = &self.context.pool;
         if is_doubtful {
             // The next run is better sent elsewhere: the same answer from there says nothing new.
@@ -385,23 +393,3 @@
         tenant: head.tenant.clone(),
     })
 }
-
-/// Appends the text of an event to the progress, unless the event has no id or was received before.
-fn append_event(progress: &mut Progress, event: &[u8]) {
-    let Some(id) = event_id(event) else {
-        return;
-    };
-    if progress.last_event.is_some_and(|last| id <= last) {
-        return;
-    }
-    for data in event_data(event) {
-        if progress.last_event.is_some() || !progress.text.is_empty() {
-            progress.text.push('\n');
-        }
-        progress.text.push_str(&String::from_utf8_lossy(data));
-    }
-    progress.last_event = Some(id);
-    progress.silences = 0;
-    progress.unsettled_runs = 0;
-    progress.end = TextEnd::Open;
-}
--- a/eel-gateway/src/batch/mod.rs
+++ b/eel-gateway/src/batch/mod.rs
@@ -5,6 +5,7 @@
 mod destinations;
 mod ends;
 mod item;
+mod progress;
 mod retire;
 mod save;
 mod start;
--- a/eel-gateway/src/batch/start.rs
+++ b/eel-gateway/src/batch/start.rs
@@ -18,7 +18,8 @@
 use super::{
     destinations::Destinations,
     ends,
-    item::{Run, SharedProgress, suspects_of},
+    item::{Run, suspects_of},
+    progress::SharedProgress,
     worker::{Running, State, Worker},
 };
 use crate::{quarantine::Trial, slots::SlotGuard, target::ResponseTrace};
--- a/eel-gateway/src/batch/worker.rs
+++ b/eel-gateway/src/batch/worker.rs
@@ -15,11 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    commit,
-    destinations::Destinations,
-    ends,
-    item::{Run, SharedProgress},
-    retire, save,
+    commit, destinations::Destinations, ends, item::Run, progress::SharedProgress, retire, save,
 };
 use crate::{
     context::{Context, now_unix_ms},
--- a/eel-gateway/src/online/mod.rs
+++ b/eel-gateway/src/online/mod.rs
@@ -4,6 +4,7 @@
 mod request;
 mod run;
 mod serve;
+mod source;
 mod stream;
 
 pub(crate) use serve::serve;
