--- a/eel-gateway/src/online/source.rs
+++ b/eel-gateway/src/online/source.rs
@@ -232,7 +232,7 @@
     }
 
     /// Finds out what the end of the body, without an error, means. Returns whether the response is complete; if not,
-    /// [`Self::next`] goes on with what follows, or fails.
+    /// [`Self::next`] returns what follows, or fails.
     pub async fn on_body_end(&mut self, deadline: Instant) -> bool {
         let ended = Instant::now();
         match self.settle(deadline).await {
