--- a/eel-gateway/tests/gateway/batch_takeover.rs
+++ b/eel-gateway/tests/gateway/batch_takeover.rs
@@ -4,7 +4,7 @@
 
 use eel_platform::standin::{Behaviour, StandInTarget};
 
-use crate::fixture::{Fleet, stalled_fleet, wait_until};
+use crate::fixture::{Fleet, orphaned_fleet, stalled_fleet, wait_until};
 
 /// Adds a node and checks that it resumes the item and completes it with a single further run.
 async fn assert_resumed(mut fleet: Fleet) {
@@ -40,13 +40,7 @@
 
 #[tokio::test]
 async fn after_a_loss() {
-    let mut fleet = stalled_fleet().await;
-    let saved = async || !fleet.store.keys("eelgrassgap/partials/").is_empty();
-    wait_until("its text is saved", saved).await;
-    let lost = fleet.nodes.remove(0);
-    lost.task.abort();
-    let _ = lost.task.await;
-    assert_resumed(fleet).await;
+    assert_resumed(orphaned_fleet().await).await;
 }
 
 #[tokio::test]
--- a/eel-gateway/tests/gateway/fixture.rs
+++ b/eel-gateway/tests/gateway/fixture.rs
@@ -84,6 +84,18 @@
     fleet
 }
 
+/// Starts a fleet as [`stalled_fleet`] does, and ends its node without a drain once the item's text is saved.
+pub async fn orphaned_fleet() -> Fleet {
+    let mut fleet = stalled_fleet().await;
+    let saved = async || !fleet.store.keys("eelgrassgap/partials/").is_empty();
+    wait_until("its text is saved", saved).await;
+    let lost = fleet.nodes.remove(0);
+    lost.task.abort();
+    // It was cancelled.
+    let _ = lost.task.await;
+    fleet
+}
+
 /// A fleet whose targets end their responses as a script says.
 pub struct RawFleet {
     pub fleet: Fleet,
--- a/eel-gateway/tests/gateway/unframed_ends.rs
+++ b/eel-gateway/tests/gateway/unframed_ends.rs
@@ -7,7 +7,7 @@
 use eel_platform::standin::{Behaviour, Rest, UnframedScript, UnframedTarget};
 use serde_json::{Value, json};
 
-use crate::fixture::{Fleet, events, fleet, stalled_fleet, wait_until};
+use crate::fixture::{Fleet, events, fleet, orphaned_fleet, wait_until};
 
 const WHOLE: &str = "word1\nword2\nword3\nword4\nword5";
 /// The time in which a node reads what was sent to it.
@@ -198,12 +198,7 @@
 async fn rejected_after_takeover() {
     // What is saved of a text may be all of it, so that its target may reject a request for more.
     for behaviour in [Behaviour::RejectsItem, Behaviour::Fails] {
-        let mut fleet = stalled_fleet().await;
-        let saved = async || !fleet.store.keys("eelgrassgap/partials/").is_empty();
-        wait_until("its text is saved", saved).await;
-        let lost = fleet.nodes.remove(0);
-        lost.task.abort();
-        let _ = lost.task.await;
+        let mut fleet = orphaned_fleet().await;
         for target in &fleet.targets {
             target.set_default_behaviour(Behaviour::Responds);
         }
--- a/eel-ledger/src/worklist.rs
+++ b/eel-ledger/src/worklist.rs
@@ -91,7 +91,7 @@
     /// Nothing may follow, as a response has ended after the last event, or as a run of another node has brought it. A target
     /// may reject a request for what follows such a text.
     Possible,
-    /// A target that outlived its response has ended it after the last event.
+    /// A target that outlived its response has ended it after the last event, or one has ended a response without an event there.
     Likely,
 }
 
